--- /dev/null
+++ b/internal/fleet/listing/listing.go
@@ -0,0 +1,119 @@
+// Package listing keeps the inventory current from the platform's instance list.
+package listing
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+)
+
+// ServiceName is the name of the service in a kernel.
+const ServiceName registry.Name = "fleet"
+
+// interval is the time between two reads of the list: short against the 5 s
+// within which a draining upstream must get no new work.
+const interval = time.Second
+
+// lister reads the platform's list.
+type lister interface {
+	Instances(ctx context.Context) (store.Listing, error)
+}
+
+// Service reads the list once a second.
+type Service struct {
+	log    logr.Logger
+	lister lister
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu      sync.Mutex
+	current inventory.Snapshot
+	changed chan struct{}
+}
+
+// New returns a service that is not yet started.
+func New(log logr.Logger) *Service {
+	return &Service{log: log, done: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// Name implements registry.Service.
+func (s *Service) Name() registry.Name { return ServiceName }
+
+// Start implements registry.Service. It fails if the first read fails.
+func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
+	var err error
+	if s.lister, err = registry.Find[lister](k, store.ServiceName); err != nil {
+		return errors.Errorf("find store: %w", err)
+	}
+	if err := s.read(ctx); err != nil {
+		return err
+	}
+	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	go s.run(ctx)
+	return nil
+}
+
+// Stop implements registry.Service.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	return nil
+}
+
+// Done implements registry.Service.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Snapshot returns the inventory of the last read.
+func (s *Service) Snapshot() inventory.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// Changed returns a channel that is closed at the next change.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *Service) run(ctx context.Context) {
+	defer close(s.done)
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	failing := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		err := s.read(ctx)
+		if failed := err != nil; failed != failing && ctx.Err() == nil {
+			failing = failed
+			s.log.Info("instance list state changed", "readable", !failed, "error", err)
+		}
+	}
+}
+
+func (s *Service) read(ctx context.Context) error {
+	l, err := s.lister.Instances(ctx)
+	if err != nil {
+		return errors.Errorf("refresh inventory: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Revision == s.current.Revision {
+		return nil
+	}
+	s.current = inventory.NewSnapshot(l)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
