--- /dev/null
+++ b/internal/report/journal/journal_test.go
@@ -0,0 +1,43 @@
+package journal
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestBounds guards against a journal that grows without limit, loses the newest
+// events, or keeps references to events that it dropped.
+func TestBounds(t *testing.T) {
+	start := time.Unix(0, 0)
+	tests := []struct {
+		name     string
+		events   int
+		subjects int // events go round robin to this many subjects
+		kept     int // events kept of subject 0
+		index    int // subjects that are still known
+	}{
+		{"few", 10, 2, 5, 2},
+		{"one subject over its bound", 3 * maxPerSubject, 1, maxPerSubject, 1},
+		{"ring wraps", maxEvents + 1000, 4, maxPerSubject, 4},
+		{"old subjects are dropped", maxEvents + 500, maxEvents + 500, 0, maxEvents},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			j := New(start)
+			for i := range tt.events {
+				j.Record(Event{
+					Time:     start.Add(time.Duration(i) * time.Second),
+					Subjects: []Subject{{KindTask, strconv.Itoa(i % tt.subjects)}},
+				})
+			}
+			got := []int{len(j.Explain(Subject{KindTask, "0"})), len(j.bySubject), len(j.events)}
+			want := []int{tt.kept, tt.index, min(tt.events, maxEvents)}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("kept, subjects, events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
