job/lease: clock bounds, not-after and sure expiry

Tests: rapid properties with clocks up to 0.09% wrong and delays up to 5 s each way; a table for restarts and for slow exchanges.

--- /dev/null
+++ b/internal/job/lease/lease_test.go
@@ -0,0 +1,105 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// clock is a worker's clock that runs at a slightly wrong rate.
+type clock struct {
+	zero  time.Time
+	start unit.WorkerTime
+	ppm   int64 // parts per million by which it runs fast
+}
+
+func (c clock) at(now time.Time) unit.WorkerTime {
+	d := now.Sub(c.zero)
+	return c.start.Add(d + time.Duration(int64(d)/1000*c.ppm/1000))
+}
+
+func drawReading(t *rapid.T) (clock, Reading) {
+	zero := time.Unix(1000, 0)
+	c := clock{
+		zero:  zero,
+		start: unit.WorkerTime(rapid.Int64Range(0, 1e15).Draw(t, "start")),
+		ppm:   rapid.Int64Range(-900, 900).Draw(t, "ppm"),
+	}
+	there := rapid.Int64Range(0, 5e9).Draw(t, "there")
+	back := rapid.Int64Range(0, 5e9).Draw(t, "back")
+	read := zero.Add(time.Duration(there))
+	return c, Reading{Boot: "b", Clock: c.at(read), Sent: zero, Received: read.Add(time.Duration(back))}
+}
+
+// TestBoundsContainClock guards against a clock bound that the true clock of the
+// worker leaves, after any delay in either direction and any allowed drift.
+func TestBoundsContainClock(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, r := drawReading(t)
+		now := r.Received.Add(time.Duration(rapid.Int64Range(0, 4e12).Draw(t, "later")))
+		low, high := r.Bounds(now)
+		if at := c.at(now); at < low || at > high {
+			t.Fatalf("clock %d outside [%d, %d]", at, low, high)
+		}
+	})
+}
+
+// TestNotAfterIsNeverLate guards against a worker that accepts a start after the
+// entry's deadline, which breaks P4.
+func TestNotAfterIsNeverLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, r := drawReading(t)
+		deadline := r.Received.Add(time.Duration(rapid.Int64Range(0, 1e11).Draw(t, "deadline")))
+		if limit, at := r.NotAfter(deadline), c.at(deadline); limit > at {
+			t.Fatalf("worker reads the limit %d after the deadline, at which it reads %d", limit, at)
+		}
+	})
+}
+
+// TestExpiredIsSure guards against a task taken as ended while its worker still
+// runs it, which breaks P2.
+func TestExpiredIsSure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, r := drawReading(t)
+		granted := r.Received.Add(time.Duration(rapid.Int64Range(0, 4e12).Draw(t, "granted")))
+		end := r.End(granted)
+		expired := r.Expired(end)
+		if at := c.at(expired); at < end {
+			t.Fatalf("worker reads %d, lease ends at %d", at, end)
+		}
+		if latest := granted.Add(Term + Allowance(expired.Sub(r.Received))); expired.After(latest) {
+			t.Fatalf("expiry %v is later than %v", expired, latest)
+		}
+	})
+}
+
+// TestNewer guards against readings of two boots being compared, and against a
+// slow exchange that replaces a precise reading.
+func TestNewer(t *testing.T) {
+	at := time.Unix(1000, 0)
+	reading := func(boot string, sent, received time.Duration) Reading {
+		return Reading{Boot: boot, Clock: 5, Sent: at.Add(sent), Received: at.Add(received)}
+	}
+	old := reading("a", 0, time.Millisecond)
+	tests := []struct {
+		name string
+		old  Reading
+		next Reading
+		want bool // the next reading is used
+	}{
+		{"first", Reading{}, reading("a", 0, time.Second), true},
+		{"restarted, slow exchange", old, reading("b", time.Second, 9*time.Second), true},
+		{"same boot, slow exchange", old, reading("a", time.Second, 9*time.Second), false},
+		{"same boot, fast exchange", old, reading("a", time.Second, time.Second), true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := tt.old.Newer(tt.next, at.Add(10*time.Second)) == tt.next; got != tt.want {
+				t.Errorf("next used: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
