fleet/shard: claim, adopt, renew and release by epoch

Change: racks hash to buckets; owners are ranked by rendezvous hashing with entries of another zone of the same region first. The record stays in the store when its owner goes, so that epochs never fall. An entry that registers anew has to renew the record by compare-and-swap before it starts tasks.

Ruled out: taking an owner as gone because a view lacks it, if the view is older than the claim.

Tests: tables for ranking and steps; a rapid state machine over three entries.

--- /dev/null
+++ b/internal/fleet/shard/shard_test.go
@@ -0,0 +1,200 @@
+package shard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+)
+
+var regions = map[unit.ZoneID]Region{"z1": "east", "z2": "east", "z3": "west"}
+
+// TestRanking guards against an owner in the zone of its workers, or in another
+// region, while a better one is registered.
+func TestRanking(t *testing.T) {
+	id := unit.ShardID{Zone: "z1", Bucket: 1}
+	tests := []struct {
+		name    string
+		entries []Entry
+		want    []unit.EntryID
+	}{
+		{"nobody", nil, []unit.EntryID{}},
+		{"other zone first", []Entry{{"a", "z1"}, {"b", "z2"}}, []unit.EntryID{"b", "a"}},
+		{"own zone before other region", []Entry{{"c", "z3"}, {"a", "z1"}}, []unit.EntryID{"a", "c"}},
+		{"all", []Entry{{"c", "z3"}, {"a", "z1"}, {"b", "z2"}}, []unit.EntryID{"b", "a", "c"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := Ranking(id, View{Entries: tt.entries, Regions: regions})
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("ranking (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestDecide guards against a claim while the owner may be registered, a start
+// under an old registration, and a hand-over for an entry that only flaps.
+func TestDecide(t *testing.T) {
+	id := unit.ShardID{Zone: "z1"}
+	now := time.Unix(1000, 0)
+	both := View{Revision: 20, Entries: []Entry{{"a", "z1"}, {"b", "z2"}}, Regions: regions}
+	onlyA := View{Revision: 20, Entries: []Entry{{"a", "z1"}}, Regions: regions}
+	byA := Held{Record{Owner: "a", Epoch: 3, Session: "s1"}, 10}
+	byB := Held{Record{Owner: "b", Epoch: 3, Session: "s2"}, 10}
+	released := Held{Record{Owner: "b", Epoch: 3, Session: "s2", Released: true}, 10}
+	a := Self{ID: "a", Session: "s1", Since: now.Add(-time.Minute)}
+	holding := func(s Self) Self { s.Epoch = 3; return s }
+	renewed := func(s Self) Self { s.Session = "s9"; return s }
+	recent := func(s Self) Self { s.Since = now.Add(-4 * time.Second); return s }
+	tests := []struct {
+		name string
+		self Self
+		held Held
+		view View
+		want Step
+	}{
+		{"never claimed, preferred", a, Held{}, onlyA, StepClaim},
+		{"never claimed, second in rank, early", recent(a), Held{}, both, StepNone},
+		{"never claimed, second in rank, overdue", a, Held{}, both, StepClaim},
+		{"owner registered", a, byB, both, StepNone},
+		{"owner gone", a, byB, onlyA, StepClaim},
+		{"owner missing from a view older than the claim", a, Held{byB.Record, 21}, onlyA, StepNone},
+		{"released", a, released, both, StepClaim},
+		{"released by itself, holding no more", a, Held{Release(byA, false), 10}, onlyA, StepClaim},
+		{"not registered", a, Held{}, View{Revision: 20}, StepNone},
+		{"answer of the claim lost", a, byA, onlyA, StepAdopt},
+		{"holding", holding(a), byA, onlyA, StepNone},
+		{"holding under an old registration", renewed(holding(a)), byA, onlyA, StepRenew},
+		{"holding, another preferred for long", holding(a), byA, both, StepRelease},
+		{"holding, another preferred only now", recent(holding(a)), byA, both, StepNone},
+		{"taken over", holding(a), byB, both, StepLost},
+		{"record gone", holding(a), Held{}, both, StepLost},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := Decide(id, tt.self, tt.held, tt.view, now); got != tt.want {
+				t.Errorf("step %q, want %q", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestSingleOwner guards against two entries that may start tasks of one shard
+// at the same time, over any order of claims, registrations that end, views that
+// lag and writes whose answers are lost.
+func TestSingleOwner(t *testing.T) {
+	id := unit.ShardID{Zone: "z1"}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		var revision unit.Revision
+		var held Held
+		sessions := map[unit.EntryID]store.LeaseID{} // registered now
+		names := []unit.EntryID{"a", "b", "c"}
+		self := map[unit.EntryID]*Self{}
+		views := map[unit.EntryID]View{}
+		for _, n := range names {
+			self[n] = &Self{ID: n}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"register": func(t *rapid.T) {
+				n := rapid.SampledFrom(names).Draw(t, "entry")
+				if sessions[n] == "" {
+					revision++
+					sessions[n] = store.LeaseID(fmt.Sprint("s", revision))
+					self[n].Session = sessions[n]
+				}
+			},
+			"expire": func(t *rapid.T) {
+				n := rapid.SampledFrom(names).Draw(t, "entry")
+				if sessions[n] != "" {
+					revision++
+					delete(sessions, n)
+				}
+			},
+			"look": func(t *rapid.T) {
+				n := rapid.SampledFrom(names).Draw(t, "entry")
+				v := View{Revision: revision, Regions: regions}
+				for _, e := range names {
+					if sessions[e] != "" {
+						v.Entries = append(v.Entries, Entry{e, "z2"})
+					}
+				}
+				views[n] = v
+			},
+			"decide": func(t *rapid.T) {
+				n := rapid.SampledFrom(names).Draw(t, "entry")
+				now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second)
+				lost := rapid.Bool().Draw(t, "lost")
+				s, before := self[n], held
+				write := func(r Record) {
+					if sessions[n] == "" && r.Session == s.Session && !r.Released {
+						return // the store rejects a write under a lease that ended
+					}
+					revision++
+					held = Held{r, revision}
+					if held.Record.Epoch < before.Record.Epoch {
+						t.Fatalf("epoch fell from %d to %d", before.Record.Epoch, held.Record.Epoch)
+					}
+				}
+				switch Decide(id, *s, held, views[n], now) {
+				case StepClaim:
+					write(Claim(*s, held))
+					if held != before && !lost {
+						s.Epoch = held.Record.Epoch
+					}
+				case StepAdopt:
+					s.Epoch = held.Record.Epoch
+				case StepRenew:
+					write(Renew(*s, held))
+				case StepRelease:
+					write(Release(held, false))
+					s.Epoch = 0
+				case StepLost:
+					s.Epoch = 0
+				}
+			},
+			"": func(t *rapid.T) {
+				var owners []unit.EntryID
+				for _, n := range names {
+					s := self[n]
+					registered := sessions[n] != "" && sessions[n] == s.Session
+					// A start is bound to the session of the record that was claimed.
+					if s.Epoch != 0 && registered && held.Record.Epoch == s.Epoch && held.Record.Owner == n {
+						owners = append(owners, n)
+					}
+					if s.Epoch != 0 && registered && held.Record.Epoch > s.Epoch && held.Record.Session == s.Session {
+						t.Fatalf("%s was replaced while its session %s holds the record", n, s.Session)
+					}
+				}
+				if len(owners) > 1 {
+					t.Fatalf("owners %v", owners)
+				}
+			},
+		})
+	})
+}
+
+// TestBuckets guards against racks of one zone that move between shards by
+// order of listing, and against a bucket that gets no rack.
+func TestBuckets(t *testing.T) {
+	counts := map[unit.ShardID]int{}
+	for i := range 400 {
+		rack := unit.RackID(fmt.Sprint("rack-", i))
+		id := Of("z1", rack, 8)
+		if again := Of("z1", rack, 8); again != id {
+			t.Fatalf("rack %s: shards %v and %v", rack, id, again)
+		}
+		counts[id]++
+	}
+	for _, id := range All([]unit.ZoneID{"z1"}, 8) {
+		if counts[id] < 20 {
+			t.Errorf("shard %v has %d of 400 racks", id, counts[id])
+		}
+	}
+}
