job/dispatch: pure core of a shard's scheduler

Cause: everything between a job record and a task that runs once.

Change: Core takes events and returns actions.

--- /dev/null
+++ b/internal/job/dispatch/job.go
@@ -0,0 +1,620 @@
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+)
+
+// Waits before a task that finds no room is moved to another shard. They double
+// with each move, so that a full fleet does not pass its tasks around.
+const (
+	moveWait     = 30 * time.Second
+	moveWaitSize = time.Second // no worker of this shard is large enough
+	maxHops      = 6
+	moveBatch    = 64 // tasks of one job that are moved at a time for lack of room
+)
+
+// maxRetryWait bounds the wait before a failed task is started again.
+const maxRetryWait = 30 * time.Second
+
+// job is a job of which tasks are assigned to the shard.
+type job struct {
+	id       unit.JobID
+	record   ledger.Record
+	revision unit.Revision // 0 until the record is known
+	deleted  bool
+	assigned ledger.Set // tasks taken up from the record
+	finished ledger.Set
+	failed   uint32
+	done     uint32 // tasks done under this epoch
+	tasks    map[unit.TaskIndex]*task
+	placed   int
+	replicas unit.TaskIndex // wanted of a standing job at the last look
+	changed  uint64 // number of the last change of the ledger about this job
+	wished   bool   // in Core.wishes
+	blocked  time.Time
+	parked   string
+	oversize bool // parked for its size
+	overrun  bool // the team's quota is used up, and the journal says so
+}
+
+// jobWrite is a write of a job record in flight.
+type jobWrite struct {
+	job    unit.JobID
+	record ledger.Record
+}
+
+type delayed struct {
+	task unit.TaskID
+	at   time.Time
+}
+
+func newJob(id unit.JobID) *job {
+	return &job{id: id, tasks: map[unit.TaskIndex]*task{}}
+}
+
+func (j *job) subject() journal.Subject {
+	return journal.Subject{Kind: journal.KindJob, ID: string(j.id)}
+}
+
+func (c *Core) jobsListed(e JobsListed) {
+	c.book.calling = false
+	if c.phase != phaseListing {
+		return
+	}
+	if e.Fault != FaultNone {
+		c.book.next = c.now.Add(commitInterval)
+		return
+	}
+	for _, changed := range e.Jobs {
+		c.sync(changed)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		if c.jobs[id].revision == 0 {
+			c.sync(JobChanged{Job: id, Deleted: true})
+		}
+	}
+	c.phase, c.place = phaseActive, true
+	c.note("took over", fmt.Sprintf("epoch %d", c.Epoch), c.subject())
+}
+
+func (c *Core) jobChanged(e JobChanged) {
+	if c.jobRead == e.Job {
+		c.jobRead = ""
+	}
+	// Before the job records are listed there is nothing to compare with, and the
+	// list, which is read later, has the change.
+	if c.phase >= phaseListing && c.phase < phaseLost {
+		c.sync(e)
+	}
+}
+
+// sync takes a job record. Records may come late and twice, from the watch and
+// from reading back; an older one must not bring back a task that was moved.
+func (c *Core) sync(e JobChanged) {
+	j := c.jobs[e.Job]
+	if last, ok := c.retired[e.Job]; ok && !e.Deleted {
+		if e.Revision == last {
+			delete(c.retired, e.Job) // the watch is past the change that ended the job here
+		}
+		if e.Revision <= last {
+			return
+		}
+	}
+	if e.Deleted {
+		delete(c.retired, e.Job)
+		if j != nil && !j.deleted {
+			j.deleted, j.record.Cancelled = true, true
+			c.cancel(j)
+		}
+		return
+	}
+	if j != nil && e.Revision <= j.revision {
+		return
+	}
+	if j == nil {
+		if len(e.Record.Assigned(c.Shard)) == 0 {
+			return
+		}
+		j = newJob(e.Job)
+		c.jobs[e.Job] = j
+		j.changed = c.change()
+	}
+	delete(c.retired, e.Job)
+	j.record, j.revision = e.Record, e.Revision
+	c.adopt(j)
+}
+
+// adopt compares the record of a job with what the shard has of it.
+func (c *Core) adopt(j *job) {
+	c.place = true
+	c.wish(j)
+	c.queue.Put(j.record.Job)
+	if len(j.record.Assigned(c.Shard)) == 0 && j.placed == 0 {
+		c.retire(j)
+		return
+	}
+	if j.record.Cancelled {
+		c.cancel(j)
+		return
+	}
+	var assigned ledger.Set
+	var fresh, again []unit.TaskIndex
+	for _, p := range j.record.Assigned(c.Shard) {
+		if j.record.Standing {
+			continue // adjustReplicas decides which of its tasks run
+		}
+		for i := p.First; p.Has(i); i++ {
+			assigned = assigned.Add(i)
+			t := j.tasks[i]
+			_, carried := j.record.Carried(i)
+			switch {
+			case j.assigned.Has(i) || j.finished.Has(i):
+			case t == nil && !carried:
+				fresh = append(fresh, i)
+			case t == nil || t.State == ledger.StateWaiting:
+				again = append(again, i)
+			}
+		}
+	}
+	c.queue.Add(j.id, false, fresh...)
+	c.queue.Add(j.id, true, again...)
+	for _, t := range j.sorted() {
+		c.count(t)
+		if carried, ok := j.record.Carried(t.Index); ok && t.State == ledger.StateMoving && carried.Attempt > t.Attempt {
+			// It was moved, run elsewhere and moved back. Its attempts there count.
+			t.State, t.Attempt, t.Checkpoint = ledger.StateWaiting, carried.Attempt, carried.Checkpoint
+			t.After = 0
+			j.changed = c.change()
+			if assigned.Has(t.Index) {
+				c.queue.Add(j.id, true, t.Index)
+			}
+		}
+		moved := t.State == ledger.StateMoving && !assigned.Has(t.Index)
+		if moved || t.State == ledger.StateWaiting && !assigned.Has(t.Index) && !j.record.Standing {
+			delete(j.tasks, t.Index)
+			j.changed = c.change()
+		}
+	}
+	j.assigned = assigned
+	c.checkFailures(j, "not known")
+}
+
+// retire forgets a job of which nothing is assigned to the shard any more.
+func (c *Core) retire(j *job) {
+	c.queue.Drop(j.id)
+	delete(c.jobs, j.id)
+	if !j.deleted {
+		c.retired[j.id] = j.revision
+	}
+	c.change()
+}
+
+// cancel drops what is pending of a job and stops what runs. The ledger is
+// written once for all jobs that are cancelled within one commit interval.
+func (c *Core) cancel(j *job) {
+	c.queue.Drop(j.id)
+	for _, t := range j.sorted() {
+		if t.State == ledger.StatePlaced {
+			c.push(t, worker.ActionStop, "job cancelled")
+			continue
+		}
+		delete(j.tasks, t.Index)
+	}
+	j.changed = c.change()
+	c.wish(j)
+}
+
+func (j *job) sorted() []*task {
+	tasks := make([]*task, 0, len(j.tasks))
+	for _, i := range slices.Sorted(maps.Keys(j.tasks)) {
+		tasks = append(tasks, j.tasks[i])
+	}
+	return tasks
+}
+
+// wish notes that the record of a job may have to change.
+func (c *Core) wish(j *job) {
+	if !j.wished {
+		j.wished = true
+		c.wishes = append(c.wishes, j.id)
+	}
+}
+
+// writeJobs writes the next job record that has to change, one at a time.
+func (c *Core) writeJobs() {
+	if c.jobWrite != nil || c.jobRead != "" || c.now.Before(c.jobNext) {
+		return
+	}
+	for n := 0; n < len(c.wishes); n++ {
+		j := c.jobs[c.wishes[n]]
+		if j == nil {
+			c.wishes = slices.Delete(c.wishes, n, n+1)
+			n--
+			continue
+		}
+		if j.changed > c.book.durable {
+			continue // what the record would say is not durable yet
+		}
+		j.wished = false
+		c.wishes = slices.Delete(c.wishes, n, n+1)
+		n--
+		if j.deleted {
+			if j.placed == 0 {
+				c.retire(j)
+			}
+			continue
+		}
+		next := c.nextRecord(j)
+		if reflect.DeepEqual(next, j.record) {
+			continue
+		}
+		c.jobWrite = &jobWrite{job: j.id, record: next}
+		c.actions = append(c.actions, WriteJob{Job: j.id, Record: next, Revision: j.revision})
+		return
+	}
+}
+
+// nextRecord returns the record that says what the ledger durably has.
+func (c *Core) nextRecord(j *job) ledger.Record {
+	r := j.record
+	moves := map[unit.ShardID][]ledger.Carry{}
+	for _, t := range j.sorted() {
+		if t.State != ledger.StateMoving {
+			continue
+		}
+		if !slices.Contains(c.targets, t.target) {
+			t.target = c.nextTarget()
+		}
+		if len(c.targets) > 0 {
+			moves[t.target] = append(moves[t.target], ledger.Carry{
+				Index: t.Index, Attempt: t.Attempt, Checkpoint: t.Checkpoint, Hops: t.Hops,
+			})
+		}
+	}
+	for _, target := range c.targets {
+		if tasks := moves[target]; len(tasks) > 0 {
+			r = r.Move(c.Shard, target, tasks)
+		}
+	}
+	r.Parts = slices.Clone(r.Parts)
+	ended := c.ended(j, r)
+	first := true
+	for n := range r.Parts {
+		p := &r.Parts[n]
+		if p.Shard != c.Shard || p.End != nil {
+			continue
+		}
+		p.Parked = j.parked
+		if ended {
+			p.End = c.outcome(j, *p, first)
+			first = false
+		}
+	}
+	return r
+}
+
+// ended reports whether all tasks that a record assigns to the shard are over.
+func (c *Core) ended(j *job, r ledger.Record) bool {
+	if j.placed > 0 {
+		return false
+	}
+	if r.Cancelled {
+		return true
+	}
+	for _, p := range r.Assigned(c.Shard) {
+		if r.Standing {
+			return false
+		}
+		for i := p.First; p.Has(i); i++ {
+			if !j.finished.Has(i) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (c *Core) outcome(j *job, p ledger.Part, first bool) *ledger.Outcome {
+	var o ledger.Outcome
+	for i := p.First; p.Has(i); i++ {
+		if j.finished.Has(i) {
+			o.Done++
+		} else {
+			o.Cancelled++
+		}
+	}
+	if first { // the ledger counts the failures of a job, not of a part
+		o.Failed = min(unit.TaskIndex(j.failed), o.Done)
+		o.Done -= o.Failed
+	}
+	return &o
+}
+
+func (c *Core) jobWritten(e JobWritten) {
+	w := c.jobWrite
+	c.jobWrite = nil
+	if w == nil || w.job != e.Job {
+		return
+	}
+	j := c.jobs[e.Job]
+	if e.Fault == FaultNone {
+		c.sync(JobChanged{Job: e.Job, Record: w.record, Revision: e.Revision})
+		return
+	}
+	c.jobNext = c.now.Add(commitInterval)
+	if j == nil {
+		return
+	}
+	c.wish(j)
+	if e.Fault != FaultNoEffect {
+		c.jobRead = e.Job
+		c.actions = append(c.actions, ReadJob{Job: e.Job})
+	}
+}
+
+// nextTarget returns the shard that takes the next moved tasks, or the zero value
+// if there is none.
+func (c *Core) nextTarget() unit.ShardID {
+	if len(c.targets) == 0 {
+		return unit.ShardID{}
+	}
+	return c.targets[c.rotation%len(c.targets)]
+}
+
+// adjust brings the tasks in line with the target document: replicas, the state
+// of the zone, and tasks that find no room here.
+func (c *Core) adjust() {
+	c.retryDelayed()
+	if !c.place {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		switch {
+		case j.record.Cancelled || j.revision == 0:
+		case j.record.Standing:
+			c.adjustReplicas(j)
+		case c.zoneOut && c.document != nil:
+			c.leave(j, len(c.queue.Pending(id)), 0, "zone out of service")
+		default:
+			c.moveBlocked(j)
+		}
+	}
+	if !c.zoneOut || c.document == nil {
+		return
+	}
+	for _, n := range c.order {
+		for _, t := range n.sorted() {
+			c.push(t, worker.ActionCheckpoint, "zone out of service")
+		}
+	}
+}
+
+// adjustReplicas keeps as many tasks of a standing job pending or placed as the
+// target asks of this shard. Entries above that number stay in the ledger, since
+// their attempt numbers must not be used again.
+func (c *Core) adjustReplicas(j *job) {
+	want := unit.TaskIndex(0)
+	if class, ok := c.queue.Class(j.record.Job.Class); ok && !c.zoneOut {
+		want = unit.TaskIndex(queue.Replicas(class.Target.Replicas, c.Shard.Bucket, max(c.Buckets, 1)))
+	}
+	before := j.replicas
+	j.replicas = want
+	for _, p := range j.record.Assigned(c.Shard) {
+		for i := p.First; p.Has(i) && i-p.First < max(want, before); i++ {
+			t, wanted := j.tasks[i], i-p.First < want
+			switch {
+			case wanted && !j.assigned.Has(i):
+				j.assigned = j.assigned.Add(i)
+				if t == nil || t.State == ledger.StateWaiting {
+					c.queue.Add(j.id, t != nil, i)
+				}
+			case !wanted && j.assigned.Has(i):
+				j.assigned = j.assigned.Remove(i)
+				c.queue.Remove(unit.TaskID{Job: j.id, Index: i})
+				if t != nil && t.State == ledger.StatePlaced {
+					c.push(t, worker.ActionStop, "fewer replicas wanted")
+				}
+			}
+		}
+	}
+}
+
+// moveBlocked moves tasks that found no room here for long.
+func (c *Core) moveBlocked(j *job) {
+	pending := c.queue.Pending(j.id)
+	if j.blocked.IsZero() || len(pending) == 0 || j.parked != "" {
+		return
+	}
+	wait := moveWait
+	if c.local.Oversize(j.record.Job.Size) != "" {
+		wait = moveWaitSize
+	}
+	if hops := c.hops(j, pending[0]); c.now.Sub(j.blocked) >= wait<<hops {
+		c.leave(j, min(len(pending), moveBatch), 1, "no room")
+		j.blocked = c.now
+	}
+}
+
+func (c *Core) hops(j *job, i unit.TaskIndex) uint8 {
+	if t := j.tasks[i]; t != nil {
+		return t.Hops
+	}
+	carried, _ := j.record.Carried(i)
+	return carried.Hops
+}
+
+// leave makes the first n pending tasks of a job move to another shard.
+func (c *Core) leave(j *job, n int, hops uint8, why string) {
+	if n == 0 || len(c.targets) == 0 {
+		return
+	}
+	for k, i := range slices.Clone(c.queue.Pending(j.id)[:n]) {
+		if k%moveBatch == 0 {
+			c.rotation++
+		}
+		c.queue.Remove(unit.TaskID{Job: j.id, Index: i})
+		t := c.entry(j, i)
+		t.State, t.target = ledger.StateMoving, c.nextTarget()
+		t.Hops = min(t.Hops+hops, maxHops)
+	}
+	j.changed = c.change()
+	c.wish(j)
+	c.note(fmt.Sprintf("moving %d tasks to other shards", n), why, j.subject(), c.subject())
+}
+
+// entry returns the ledger entry of a task, with what an earlier shard knew.
+func (c *Core) entry(j *job, i unit.TaskIndex) *task {
+	if t := j.tasks[i]; t != nil {
+		return t
+	}
+	carried, _ := j.record.Carried(i)
+	t := &task{job: j, Task: ledger.Task{
+		Index: i, State: ledger.StateWaiting, Attempt: carried.Attempt,
+		Checkpoint: carried.Checkpoint, Hops: carried.Hops,
+	}}
+	j.tasks[i] = t
+	return t
+}
+
+func (c *Core) retryDelayed() {
+	for len(c.delayed) > 0 && !c.now.Before(c.delayed[0].at) {
+		id := c.delayed[0].task
+		c.delayed = c.delayed[1:]
+		j := c.jobs[id.Job]
+		if j == nil || !j.assigned.Has(id.Index) {
+			continue
+		}
+		if t := j.tasks[id.Index]; t != nil && t.State == ledger.StateWaiting {
+			c.queue.Add(j.id, true, id.Index)
+			c.place = true
+		}
+	}
+}
+
+// retry makes a waiting task pending again after a wait.
+func (c *Core) retry(t *task, wait time.Duration) {
+	d := delayed{task: t.id(), at: c.now.Add(wait)}
+	n, _ := slices.BinarySearchFunc(c.delayed, d.at, func(e delayed, at time.Time) int { return e.at.Compare(at) })
+	c.delayed = slices.Insert(c.delayed, n, d)
+}
+
+// placePending places pending tasks, the most urgent jobs first.
+func (c *Core) placePending() {
+	if !c.place || c.startDeadline().IsZero() || c.book.size > placeableSize {
+		return
+	}
+	c.place = false
+	for _, id := range c.queue.Order(c.now) {
+		j := c.jobs[id]
+		if reason := c.largest.Oversize(j.record.Job.Size); reason != "" {
+			c.park(j, reason)
+			j.oversize = true
+			continue
+		}
+		for len(c.queue.Pending(id)) > 0 && c.placeOne(j, c.queue.Pending(id)[0]) {
+		}
+	}
+}
+
+// placeOne places a task and reports whether it found room and quota.
+func (c *Core) placeOne(j *job, i unit.TaskIndex) bool {
+	spec := &j.record.Job
+	if !c.queue.WithinQuota(spec, c.usage[spec.Team].Add(c.others[spec.Team])) {
+		if !j.overrun {
+			j.overrun = true
+			c.note("waits", "quota of team "+string(spec.Team)+" is used up", j.subject())
+		}
+		return false
+	}
+	j.overrun = false
+	id, ok := c.choose(j, i)
+	if !ok {
+		if j.blocked.IsZero() {
+			j.blocked = c.now
+		}
+		return false
+	}
+	t := c.entry(j, i)
+	t.Attempt++
+	ref := t.ref()
+	if !c.Placer.Reserve(id, ref, spec.Class, spec.Size) {
+		// The number is used up; no start was sent under it.
+		j.changed = c.change()
+		return false
+	}
+	j.blocked = time.Time{}
+	c.queue.Remove(t.id())
+	t.State, t.Worker, t.After = ledger.StatePlaced, id, t.Attempt-1
+	t.attempt = attempt{reserved: true, written: c.change()}
+	j.changed = t.written
+	j.placed++
+	c.count(t)
+	c.node(id).add(t)
+	return true
+}
+
+// choose proposes a worker, but none on which the task has failed if there is
+// another one.
+func (c *Core) choose(j *job, i unit.TaskIndex) (unit.InstanceID, bool) {
+	spec := &j.record.Job
+	id, ok := c.Placer.Place(spec.Class, spec.Size)
+	t := j.tasks[i]
+	if !ok || t == nil || !slices.Contains(t.FailedOn, id) {
+		return id, ok
+	}
+	first := id
+	var closed []*node
+	for ok && slices.Contains(t.FailedOn, id) {
+		n := c.node(id)
+		closed = append(closed, n)
+		c.Placer.Upsert(id, n.listed.Rack, n.capacity, false)
+		id, ok = c.Placer.Place(spec.Class, spec.Size)
+	}
+	for _, n := range closed {
+		c.Placer.Upsert(n.id, n.listed.Rack, n.capacity, true)
+	}
+	if !ok {
+		return first, true
+	}
+	return id, true
+}
+
+// park keeps a job from being placed and says why in its record.
+func (c *Core) park(j *job, reason string) {
+	if j.parked == reason {
+		return
+	}
+	j.parked = reason
+	c.queue.Park(j.id, reason)
+	c.wish(j)
+	if reason == "" {
+		c.note("no longer parked", "a larger worker is listed", j.subject())
+	} else {
+		c.note("parked", reason, j.subject())
+	}
+}
+
+// checkFailures parks a job whose tasks fail on every worker and of which none
+// was done.
+func (c *Core) checkFailures(j *job, reason string) {
+	failedOn := map[unit.InstanceID]bool{}
+	for _, t := range j.tasks {
+		for _, id := range t.FailedOn {
+			failedOn[id] = true
+		}
+	}
+	if j.done == 0 && len(j.finished) == 0 && queue.FailsEverywhere(len(failedOn), len(c.order)) {
+		c.park(j, fmt.Sprintf("failed on each of %d workers; last: %s", len(failedOn), reason))
+	}
+}
--- a/internal/job/ledger/record.go
+++ b/internal/job/ledger/record.go
@@ -16,8 +16,11 @@
 type Record struct {
 	Job       queue.Job `json:"job"`
 	Cancelled bool      `json:"cancelled,omitempty"`
-	Parts     []Part    `json:"parts"`
-	Carry     []Carry   `json:"carry,omitempty"`
+	// Standing says that each part has room for the replicas of one shard, of
+	// which the target document says how many run.
+	Standing bool    `json:"standing,omitempty"`
+	Parts    []Part  `json:"parts"`
+	Carry    []Carry `json:"carry,omitempty"`
 }
 
 // Part assigns a range of tasks to a shard.
