--- a/internal/job/dispatch/attempt.go
+++ b/internal/job/dispatch/attempt.go
@@ -126,13 +126,44 @@
 			journal.Subject{Kind: journal.KindWorker, ID: string(n.id)})
 		c.failed(t, failedOn, s.Reason)
 	case worker.PhaseCheckpointed:
-		t.Checkpoint = s.Checkpoint
+		t.Checkpoint, t.After = s.Checkpoint, t.Attempt
 		c.wait(t, 0)
 	default:
 		c.wait(t, 0)
 	}
 }
 
+// lateResult takes the end of an attempt that was given up before its worker
+// reported it, if no later attempt may be running. It reports whether the worker
+// may forget the attempt.
+func (c *Core) lateResult(s worker.Status) bool {
+	j := c.jobs[s.Task.Job]
+	if j == nil || j.record.Cancelled || !j.assigned.Has(s.Task.Index) || j.finished.Has(s.Task.Index) {
+		return true
+	}
+	t := c.entry(j, s.Task.Index)
+	switch {
+	case t.State == ledger.StateMoving:
+		return false
+	case t.State == ledger.StatePlaced && t.sent:
+		return t.seen // the later attempt may prove not to have started
+	case t.State == ledger.StatePlaced:
+		c.withdraw(t)
+	}
+	switch {
+	case s.Phase == worker.PhaseDone && !j.record.Standing:
+		c.queue.Remove(t.id())
+		j.done++
+		c.finish(t)
+		c.wish(j)
+	case s.Phase == worker.PhaseCheckpointed && s.Attempt > t.After:
+		t.Checkpoint, t.After = s.Checkpoint, s.Attempt
+	}
+	t.Attempt = max(t.Attempt, s.Attempt)
+	j.changed = c.change()
+	return true
+}
+
 // unplace takes an attempt off its worker.
 func (c *Core) unplace(t *task) {
 	n := c.node(t.Worker)
@@ -144,7 +175,7 @@
 	c.usage[team] = c.usage[team].Sub(t.counted)
 	t.counted = unit.Resources{}
 	t.job.placed--
-	t.State, t.Worker, t.After = ledger.StateWaiting, "", 0
+	t.State, t.Worker = ledger.StateWaiting, ""
 	t.attempt = attempt{}
 	t.job.changed = c.change()
 	c.place = true
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -39,8 +39,8 @@
 	tasks    map[unit.TaskIndex]*task
 	placed   int
 	replicas unit.TaskIndex // wanted of a standing job at the last look
-	changed  uint64 // number of the last change of the ledger about this job
-	wished   bool   // in Core.wishes
+	changed  uint64         // number of the last change of the ledger about this job
+	wished   bool           // in Core.wishes
 	blocked  time.Time
 	parked   string
 	oversize bool // parked for its size
@@ -172,8 +172,8 @@
 		c.count(t)
 		if carried, ok := j.record.Carried(t.Index); ok && t.State == ledger.StateMoving && carried.Attempt > t.Attempt {
 			// It was moved, run elsewhere and moved back. Its attempts there count.
-			t.State, t.Attempt, t.Checkpoint = ledger.StateWaiting, carried.Attempt, carried.Checkpoint
-			t.After = 0
+			t.State, t.Attempt = ledger.StateWaiting, carried.Attempt
+			t.Checkpoint, t.After = carried.Checkpoint, carried.After
 			j.changed = c.change()
 			if assigned.Has(t.Index) {
 				c.queue.Add(j.id, true, t.Index)
@@ -277,7 +277,7 @@
 		}
 		if len(c.targets) > 0 {
 			moves[t.target] = append(moves[t.target], ledger.Carry{
-				Index: t.Index, Attempt: t.Attempt, Checkpoint: t.Checkpoint, Hops: t.Hops,
+				Index: t.Index, Attempt: t.Attempt, After: t.After, Checkpoint: t.Checkpoint, Hops: t.Hops,
 			})
 		}
 	}
@@ -481,7 +481,7 @@
 	carried, _ := j.record.Carried(i)
 	t := &task{job: j, Task: ledger.Task{
 		Index: i, State: ledger.StateWaiting, Attempt: carried.Attempt,
-		Checkpoint: carried.Checkpoint, Hops: carried.Hops,
+		After: carried.After, Checkpoint: carried.Checkpoint, Hops: carried.Hops,
 	}}
 	j.tasks[i] = t
 	return t
@@ -555,7 +555,7 @@
 	}
 	j.blocked = time.Time{}
 	c.queue.Remove(t.id())
-	t.State, t.Worker, t.After = ledger.StatePlaced, id, t.Attempt-1
+	t.State, t.Worker = ledger.StatePlaced, id
 	t.attempt = attempt{reserved: true, written: c.change()}
 	j.changed = t.written
 	j.placed++
@@ -608,6 +608,9 @@
 // checkFailures parks a job whose tasks fail on every worker and of which none
 // was done.
 func (c *Core) checkFailures(j *job, reason string) {
+	if j.parked != "" {
+		return
+	}
 	failedOn := map[unit.InstanceID]bool{}
 	for _, t := range j.tasks {
 		for _, id := range t.FailedOn {
--- a/internal/job/ledger/book.go
+++ b/internal/job/ledger/book.go
@@ -70,8 +70,8 @@
 	State   State
 	Attempt unit.Attempt    // the last one
 	Worker  unit.InstanceID // StatePlaced only
-	// After and Checkpoint: the attempt that this one follows and the checkpoint
-	// from which it resumes. In other states, the checkpoint for the next one.
+	// Checkpoint is where the attempt resumes, or, unless it is placed, the next
+	// one; After is the attempt that wrote it.
 	After      unit.Attempt
 	Checkpoint unit.CheckpointID
 	// FailedOn has the distinct workers on which attempts failed.
@@ -148,7 +148,7 @@
 			switch {
 			case t.State < StateWaiting || t.State > StateMoving,
 				placed != (t.Worker != ""), placed && t.Attempt == 0,
-				t.After >= t.Attempt && t.After != 0,
+				t.After > t.Attempt, placed && t.After == t.Attempt,
 				tasks[t.Index], j.Finished.Has(t.Index):
 				return errors.Errorf("task %s/%d: %w", j.ID, t.Index, ErrInvalid)
 			}
--- a/internal/job/ledger/record.go
+++ b/internal/job/ledger/record.go
@@ -42,7 +42,8 @@
 // Carry is what the next shard must know of a task that was moved.
 type Carry struct {
 	Index      unit.TaskIndex    `json:"index"`
-	Attempt    unit.Attempt      `json:"attempt"` // the last one
+	Attempt    unit.Attempt      `json:"attempt"`         // the last one
+	After      unit.Attempt      `json:"after,omitempty"` // that wrote the checkpoint
 	Checkpoint unit.CheckpointID `json:"checkpoint,omitempty"`
 	Hops       uint8             `json:"hops,omitempty"`
 }
