report/burn: account for error budgets by class

Cause: operators state targets and need to see how fast each class uses up its error budget, and why. Ruled out: histograms kept per class, since the target needs only whether a sample met its bound; and plots by gonum, whose fonts would take several MB of an entry's memory.

--- /dev/null
+++ b/internal/report/burn/service.go
@@ -0,0 +1,70 @@
+package burn
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// ServiceName is the name of the accounts in a kernel.
+const ServiceName registry.Name = "burn"
+
+// config tells the classes and their targets.
+type config interface {
+	Current() spec.Revision
+}
+
+// Service is Accounts that are safe for concurrent use.
+type Service struct {
+	config config
+	done   chan struct{}
+
+	mu       sync.Mutex
+	accounts *Accounts
+}
+
+// NewService returns a service without samples.
+func NewService() *Service {
+	return &Service{accounts: NewAccounts(), done: make(chan struct{})}
+}
+
+// Name implements registry.Service.
+func (s *Service) Name() registry.Name { return ServiceName }
+
+// Start implements registry.Service.
+func (s *Service) Start(_ context.Context, k *registry.Kernel) error {
+	var err error
+	if s.config, err = registry.Find[config](k, "config"); err != nil {
+		return errors.Errorf("find configuration: %w", err)
+	}
+	return nil
+}
+
+// Stop implements registry.Service.
+func (s *Service) Stop(context.Context) error {
+	close(s.done)
+	return nil
+}
+
+// Done implements registry.Service.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Observe adds a sample.
+func (s *Service) Observe(sample Sample) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accounts.Observe(sample)
+}
+
+// Report returns the report at now.
+func (s *Service) Report(now time.Time) Report {
+	doc := s.config.Current().Document
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accounts.Report(now, &doc)
+}
