--- a/internal/target/document/position.go
+++ b/internal/target/document/position.go
@@ -41,7 +41,11 @@
 	}
 	l.decoder.UseNumber()
 	l.found.offsets[""] = l.nextOffset()
-	if err := l.value("", 0); err != nil {
+	err := l.value("", 0)
+	if errors.Is(err, io.EOF) {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err != nil {
 		return nil, err
 	}
 	if offset := l.nextOffset(); offset < int64(len(data)) {
@@ -56,9 +60,6 @@
 	}
 	token, err := l.decoder.Token()
 	if err != nil {
-		if errors.Is(err, io.EOF) {
-			return io.ErrUnexpectedEOF
-		}
 		return err // keeps *json.SyntaxError with its offset
 	}
 	switch token {
