entry/settings: read the settings of an entry with all faults at once

Cause: an entry that starts with half understood settings serves wrongly. Ruled out: defaults for addresses, since a process learns them only from its settings. Change: settings type, published JSON schema, checks across fields. Conclusion: unknown fields, wrong types, a missing zone and doubled addresses are each named with path, line and column.

--- /dev/null
+++ b/internal/entry/settings/settings.go
@@ -0,0 +1,122 @@
+// Package settings reads the settings file of an entry.
+package settings
+
+import (
+	_ "embed"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/target/document"
+)
+
+// Defaults of optional fields.
+const (
+	defaultBuckets = 2
+	defaultDrain   = unit.Duration(5 * time.Second)
+	defaultLevel   = LevelInfo
+)
+
+// Level is a log level.
+type Level string
+
+// Log levels.
+const (
+	LevelInfo  Level = "info"
+	LevelDebug Level = "debug"
+)
+
+// Settings are what one entry has to be told; everything else is configuration
+// that operators state through the target document.
+type Settings struct {
+	Name    string        `json:"name"`
+	Zone    unit.ZoneID   `json:"zone"`
+	Region  string        `json:"region"`
+	Listen  Listen        `json:"listen"`
+	Store   string        `json:"store"` // IP and TCP port
+	Keys    Keys          `json:"keys"`
+	Tokens  string        `json:"tokens"` // file
+	Buckets int           `json:"buckets"`
+	Drain   unit.Duration `json:"drain"`
+	Level   Level         `json:"level"`
+}
+
+// Listen has the IP and port of each listener.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Peers     string `json:"peers"`
+	Operators string `json:"operators"`
+	Metrics   string `json:"metrics"`
+}
+
+// Keys has the PEM files of the entry.
+type Keys struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+//go:embed schema.json
+var schemaSource []byte
+
+var schema = document.MustCompile("settings.json", schemaSource)
+
+// Schema returns the published JSON schema.
+func Schema() []byte { return schemaSource }
+
+// Load reads and checks the file. Relative paths in it are resolved against its
+// folder. The error is a *document.Faults if the file is at fault.
+func Load(file string) (Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, errors.Errorf("read settings: %w", err)
+	}
+	s, err := parse(file, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	folder := filepath.Dir(file)
+	for _, path := range []*string{&s.Keys.Certificate, &s.Keys.Key, &s.Keys.Authority, &s.Tokens} {
+		if !filepath.IsAbs(*path) {
+			*path = filepath.Join(folder, *path)
+		}
+	}
+	return s, nil
+}
+
+func parse(file string, data []byte) (Settings, error) {
+	s := Settings{Buckets: defaultBuckets, Drain: defaultDrain, Level: defaultLevel}
+	d, err := document.Decode(file, data, schema, &s)
+	if err != nil {
+		return Settings{}, err // names the file already
+	}
+	return s, d.Faults(s.check())
+}
+
+// check finds what the schema cannot express: addresses that stand twice. UDP
+// and TCP ports do not collide, so the peers' address is left out.
+func (s Settings) check() []document.Fault {
+	listeners := []struct {
+		name    string
+		address string
+	}{
+		{"callers", s.Listen.Callers},
+		{"operators", s.Listen.Operators},
+		{"metrics", s.Listen.Metrics},
+	}
+	var faults []document.Fault
+	for i, l := range listeners {
+		for _, earlier := range listeners[:i] {
+			if l.address == earlier.address {
+				faults = append(faults, document.Fault{
+					Path:    document.Pointer("listen", l.name),
+					Message: "same address as " + document.Pointer("listen", earlier.name),
+				})
+			}
+		}
+	}
+	return faults
+}
