standin/platform: inject faults, count calls, lag the instance list

Cause: no test could show an outage, a lost answer or a lagging list, and the number of store calls was not visible per part of the key space.

POST /fault sets outage, silence, delay, slowness and lost answers; a delayed write takes effect although its caller has gone. GET /calls counts by method and part. POST /instances sets the truth, which shows after a lag. Optional rates answer 429. Leases run on during every fault, the worse of the two cases.

platform/store: keys are escaped in the path, as a key with ? or % reached another record (TestKeys fails without it), and a watch that is too far behind gets ErrGone.

Conclusion: tables, a rapid model of the records and the client's classes of error against the real server pass with -race.

--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -193,6 +193,8 @@
 		return ErrNotFound
 	case status == http.StatusPreconditionFailed:
 		return ErrConflict
+	case status == http.StatusGone:
+		return ErrGone
 	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
 		return errors.Errorf("status %d: %w", status, ErrUnavailable)
 	case status >= http.StatusInternalServerError:
@@ -209,7 +211,11 @@
 	return nil
 }
 
-func recordPath(key Key) string { return "/v1/records/" + string(key) }
+// recordPath escapes the key, so that an id within it may have any character.
+func recordPath(key Key) string {
+	u := url.URL{Path: "/v1/records/" + string(key)}
+	return u.EscapedPath()
+}
 
 func (c Condition) query() url.Values {
 	q := url.Values{}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -21,6 +21,8 @@
 	ErrNotFound = errors.New("not found")
 	// ErrConflict says that the condition of a write did not hold.
 	ErrConflict = errors.New("condition does not hold")
+	// ErrGone says that a watch is too far behind: the caller must list again.
+	ErrGone = errors.New("history is gone")
 	// ErrUnavailable says that the call surely took no effect.
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrUnknown says that the call was sent and no whole answer came.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
@@ -21,27 +24,55 @@
 // ServiceName is the name of the server in a kernel.
 const ServiceName registry.Name = "platform"
 
+// maxList bounds the body of POST /instances; 4,400 instances are about 1.5 MB.
+const maxList = 16 << 20
+
+// Settings describe the service.
+type Settings struct {
+	Address   string           // IP and port to listen at
+	Instances []store.Instance // the list at the start
+	Lag       time.Duration    // after which a change of the list shows
+	// Reads and Writes limit the calls per second; a call beyond the limit gets
+	// status 429. 0 is no limit.
+	Reads, Writes float64
+	Seed          uint64
+}
+
 // Server serves the key-value service and the instance list over HTTP.
 type Server struct {
 	address string
 	http    *http.Server
+	reads   *rate.Limiter // nil: no limit
+	writes  *rate.Limiter
 	done    chan struct{}
 
 	mu      sync.Mutex
 	records *records
-	listing store.Listing
-	changed chan struct{} // closed at the next change of records
+	roll    *roll
+	fault   Fault
+	calls   Calls
+	random  *rand.Rand
+	changed chan struct{} // closed at the next change of records or faults
 	stop    chan struct{}
 }
 
 // NewServer returns a server that will listen at address, an IP and port, and
-// list the instances.
+// list the instances without a lag.
 func NewServer(address string, instances []store.Instance) *Server {
+	return New(Settings{Address: address, Instances: instances})
+}
+
+// New returns a server.
+func New(settings Settings) *Server {
 	s := &Server{
-		address: address,
+		address: settings.Address,
+		reads:   newLimiter(settings.Reads),
+		writes:  newLimiter(settings.Writes),
 		done:    make(chan struct{}),
 		records: newRecords(),
-		listing: store.Listing{Instances: instances, Revision: 1},
+		roll:    newRoll(settings.Lag, settings.Instances),
+		calls:   Calls{Methods: map[string]int{}, Parts: map[string]int{}},
+		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
 		changed: make(chan struct{}),
 		stop:    make(chan struct{}),
 	}
@@ -79,20 +110,34 @@
 // Done implements registry.Service.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
+// SetInstances makes the instances the truth; readers see it after the lag.
+func (s *Server) SetInstances(instances []store.Instance) error {
+	if err := checkInstances(instances); err != nil {
+		return errors.Errorf("check instance list: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roll.set(time.Now(), instances)
+	return nil
+}
+
 // Address returns the IP and port that the server listens at.
 func (s *Server) Address() string { return s.address }
 
 func (s *Server) routes() http.Handler {
 	r := chi.NewRouter()
-	r.Get("/v1/records", s.handleList)
-	r.Get("/v1/records/*", s.handleGet)
-	r.Put("/v1/records/*", s.handlePut)
-	r.Delete("/v1/records/*", s.handleDelete)
-	r.Get("/v1/watch", s.handleWatch)
-	r.Post("/v1/leases", s.handleGrant)
-	r.Post("/v1/leases/{id}/renew", s.handleRenew)
-	r.Delete("/v1/leases/{id}", s.handleRevoke)
-	r.Get("/v1/instances", s.handleInstances)
+	r.Get("/v1/records", s.meet(method{name: "list"}, s.handleList))
+	r.Get("/v1/records/*", s.meet(method{name: "get"}, s.handleGet))
+	r.Put("/v1/records/*", s.meet(method{name: "put", write: true}, s.handlePut))
+	r.Delete("/v1/records/*", s.meet(method{name: "delete", write: true}, s.handleDelete))
+	r.Get("/v1/watch", s.meet(method{name: "watch"}, s.handleWatch))
+	r.Post("/v1/leases", s.meet(method{name: "grant", write: true}, s.handleGrant))
+	r.Post("/v1/leases/{id}/renew", s.meet(method{name: "renew", write: true}, s.handleRenew))
+	r.Delete("/v1/leases/{id}", s.meet(method{name: "revoke", write: true}, s.handleRevoke))
+	r.Get("/v1/instances", s.meet(method{name: "instances"}, s.handleInstances))
+	r.Post("/fault", s.handleFault)
+	r.Get("/calls", s.handleCalls)
+	r.Post("/instances", s.handleSetInstances)
 	return r
 }
 
@@ -159,8 +204,15 @@
 	for {
 		s.mu.Lock()
 		found, ok := s.records.changes(store.Key(q.Get("prefix")), unit.Revision(after))
-		changed := s.changed
+		changed, fault := s.changed, s.fault
 		s.mu.Unlock()
+		switch {
+		case fault.Silent:
+			s.hold(r)
+		case fault.Outage:
+			http.Error(w, "outage", http.StatusServiceUnavailable)
+			return
+		}
 		if !ok {
 			http.Error(w, "history is gone; list again", http.StatusGone)
 			return
@@ -212,7 +264,7 @@
 
 func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	listing := s.listing
+	listing := s.roll.shown(time.Now())
 	s.mu.Unlock()
 	respond(w, listing, nil)
 }
@@ -224,9 +276,14 @@
 	if err := f(); err != nil {
 		return err
 	}
+	s.wake()
+	return nil
+}
+
+// wake wakes the watches and the lease timer. The caller holds the lock.
+func (s *Server) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return nil
 }
 
 // expireLeases ends leases at their deadlines until the server stops.
@@ -236,8 +293,7 @@
 		before := s.records.revision
 		next := s.records.expire(time.Now())
 		if s.records.revision != before {
-			close(s.changed)
-			s.changed = make(chan struct{})
+			s.wake()
 		}
 		changed := s.changed
 		s.mu.Unlock()
@@ -254,7 +310,27 @@
 	}
 }
 
-func recordKey(r *http.Request) store.Key { return store.Key(chi.URLParam(r, "*")) }
+// recordKey returns the key of the path, in which any character but the slash
+// may be escaped.
+func recordKey(r *http.Request) store.Key {
+	key, _ := strings.CutPrefix(r.URL.Path, "/v1/records/")
+	return store.Key(key)
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(max(1, perSecond)))
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, body any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxList)).Decode(body); err != nil {
+		http.Error(w, errors.Errorf("decode body: %w", err).Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
 
 func parseGuard(r *http.Request) (guard, error) {
 	text := r.URL.Query().Get("if")
