order/slot: partition worker slots and connections by rendezvous hashing

Cause: entries share the 8 slots and 64 connections of a worker without messages, while they learn of view changes at different times. Ruled out: use of a gained slot at once, which overlaps with a holder that has not read the new view; keeping a slot through any gap, since others may have held it meanwhile; 8 connections per slot, because a paused entry's connections stay open at the worker beside those of the next owner.

--- /dev/null
+++ b/internal/order/slot/partition.go
@@ -0,0 +1,275 @@
+// Package slot partitions the request slots and connections of workers among the
+// entries of a membership view, without messages and without I/O.
+//
+// A slot belongs to the entry with the highest rendezvous hash of (entry, worker,
+// slot). Entries learn of a new view at different times, so a computed owner may
+// not use its slot at once. The rules, with T the time at which a view was
+// written to the store:
+//
+//   - An entry uses a view for ViewLife after the send time of the read that
+//     returned it. A view superseded at T is therefore out of use at T + ViewLife,
+//     and the requests started under it have ended Longest later.
+//   - An owner uses a gained slot Takeover + Longest after it adopted the view,
+//     which is after T.
+//   - An entry that gets a slot back within Regain of the last read that showed it
+//     as the owner continues at once: an owner in between is still waiting and
+//     stops before its wait ends.
+//   - A previous owner that has no request left on a lost slot may release it to
+//     the new owner, which ends the wait.
+package slot
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// Rules are the spans that all entries of a deployment must share.
+type Rules struct {
+	ViewLife time.Duration // a view is used this long after it was read
+	Takeover time.Duration // exceeds ViewLife by the allowance for clock drift
+	Longest  time.Duration // bound of one request, from its send to its end
+	Regain   time.Duration // at most Longest, so that an owner in between has stopped
+}
+
+// DefaultRules returns the spans of the design page.
+func DefaultRules() Rules {
+	return Rules{
+		ViewLife: 10 * time.Second,
+		Takeover: 12 * time.Second,
+		Longest:  30 * time.Second,
+		Regain:   30 * time.Second,
+	}
+}
+
+// generations is how many owners of one slot may have connections open at a
+// time. The system of a paused entry keeps its connections open until the
+// worker's keep-alive timeout, at the same time as the next owner's.
+const generations = 2
+
+// Index numbers the slots of one worker, from 0.
+type Index uint8
+
+// MaxSlots bounds the slots of one worker.
+const MaxSlots = 64
+
+// Worker is a worker with its limits over all entries together.
+type Worker struct {
+	ID          unit.InstanceID
+	Slots       int
+	Connections int
+}
+
+// Release passes a lost slot on to its new owner.
+type Release struct {
+	Worker   unit.InstanceID
+	Slot     Index
+	To       unit.EntryID
+	Revision unit.Revision // of the view in which To is the owner
+}
+
+// Share is what an entry may use of one worker at one time.
+type Share struct {
+	Slots       int
+	Connections int
+}
+
+// Partition is the part of all slots that one entry holds.
+type Partition struct {
+	self  unit.EntryID
+	rules Rules
+
+	entries  []member
+	revision unit.Revision
+	asOf     time.Time // send time of the newest read of the view
+	settled  time.Time // from here on no older view is in use anywhere
+	workers  map[unit.InstanceID]*shares
+}
+
+type member struct {
+	id   unit.EntryID
+	hash uint64
+}
+
+type shares struct {
+	limits Worker
+	hash   uint64  // of the worker's id
+	rights []right // by slot
+}
+
+// right is the claim of this entry on one slot.
+type right struct {
+	owned  bool
+	from   time.Time     // owned: usable from here on
+	gained unit.Revision // owned: view of the gain
+	held   time.Time     // lost: last read that showed a usable slot; zero if none
+}
+
+// New returns the partition of the entry self, which holds nothing.
+func New(self unit.EntryID, rules Rules) *Partition {
+	return &Partition{self: self, rules: rules, workers: map[unit.InstanceID]*shares{}}
+}
+
+// Adopt takes over a view that was read from the store by a call sent at asOf. A
+// read that is older than the newest one has no effect.
+func (p *Partition) Adopt(entries []unit.EntryID, revision unit.Revision, asOf, now time.Time) {
+	if revision < p.revision || asOf.Before(p.asOf) {
+		return
+	}
+	lapsed := now.Sub(p.asOf) > p.rules.Regain
+	changed := !slices.EqualFunc(p.entries, entries, func(m member, id unit.EntryID) bool { return m.id == id })
+	previous := p.asOf
+	p.revision, p.asOf = revision, asOf
+	if !changed && !lapsed {
+		return
+	}
+	p.settled = now.Add(p.rules.Takeover + p.rules.Longest)
+	p.entries = make([]member, len(entries))
+	for i, id := range entries {
+		p.entries[i] = member{id: id, hash: xxhash.Sum64String(string(id))}
+	}
+	for _, s := range p.workers {
+		for i := range s.rights {
+			r := &s.rights[i]
+			if lapsed {
+				*r = right{}
+			}
+			p.transfer(r, p.owner(s.hash, Index(i)) == p.self, previous, now)
+		}
+	}
+}
+
+// SetWorkers replaces the set of workers. An owner under a view uses the slots of
+// a new worker once the view has settled.
+func (p *Partition) SetWorkers(workers []Worker) {
+	next := make(map[unit.InstanceID]*shares, len(workers))
+	for _, w := range workers {
+		w.Slots = min(max(w.Slots, 0), MaxSlots)
+		s := p.workers[w.ID]
+		if s == nil {
+			s = &shares{hash: xxhash.Sum64String(string(w.ID))}
+		}
+		s.limits = w
+		for i := len(s.rights); i < w.Slots; i++ {
+			owned := p.owner(s.hash, Index(i)) == p.self
+			s.rights = append(s.rights, right{owned: owned, from: p.settled, gained: p.revision})
+		}
+		s.rights = s.rights[:w.Slots]
+		next[w.ID] = s
+	}
+	p.workers = next
+}
+
+// Share returns what may be used of the worker at now. It is zero once the view
+// is older than ViewLife.
+func (p *Partition) Share(worker unit.InstanceID, now time.Time) Share {
+	s := p.workers[worker]
+	if s == nil {
+		return Share{}
+	}
+	var share Share
+	for i := range s.rights {
+		if p.usable(&s.rights[i], now) {
+			share.Slots++
+		}
+	}
+	if share.Slots > 0 {
+		each := max(s.limits.Connections/s.limits.Slots/generations, 1)
+		share.Connections = share.Slots * each
+	}
+	return share
+}
+
+// UseUntil returns the time at which every slot of the present view ends unless
+// a later read confirms the view.
+func (p *Partition) UseUntil() time.Time { return p.asOf.Add(p.rules.ViewLife) }
+
+// Release gives up the lost slots of a worker, of which the entry must have no
+// more requests in flight than its share, and returns what to tell the new
+// owners. Slots lost longer ago than Regain are not passed on, since another
+// entry may use them by now.
+func (p *Partition) Release(worker unit.InstanceID, now time.Time) []Release {
+	s := p.workers[worker]
+	if s == nil {
+		return nil
+	}
+	var all []Release
+	for i := range s.rights {
+		r := &s.rights[i]
+		if r.owned || r.held.IsZero() {
+			continue
+		}
+		held := r.held
+		r.held = time.Time{}
+		if now.Sub(held) > p.rules.Regain {
+			continue
+		}
+		if to := p.owner(s.hash, Index(i)); to != "" {
+			all = append(all, Release{Worker: worker, Slot: Index(i), To: to, Revision: p.revision})
+		}
+	}
+	return all
+}
+
+// Accept ends the wait for a slot that its previous owner released. A release
+// under a view before the gain is ignored, since others may have owned the slot
+// in between.
+func (p *Partition) Accept(r Release, now time.Time) {
+	s := p.workers[r.Worker]
+	if r.To != p.self || s == nil || int(r.Slot) >= len(s.rights) || now.Sub(p.asOf) > p.rules.Regain {
+		return
+	}
+	own := &s.rights[r.Slot]
+	if own.owned && own.gained <= r.Revision && own.from.After(now) {
+		own.from = now
+	}
+}
+
+func (p *Partition) usable(r *right, now time.Time) bool {
+	return r.owned && !now.Before(r.from) && now.Before(p.UseUntil())
+}
+
+// transfer moves a right to the present view; previous is the time of the last
+// read of the view before.
+func (p *Partition) transfer(r *right, owned bool, previous, now time.Time) {
+	switch {
+	case r.owned && !owned:
+		var held time.Time
+		if !now.Before(r.from) {
+			held = previous
+		}
+		*r = right{held: held}
+	case !r.owned && owned:
+		from := p.settled
+		if !r.held.IsZero() && now.Sub(r.held) <= p.rules.Regain {
+			from = now
+		}
+		*r = right{owned: true, from: from, gained: p.revision}
+	}
+}
+
+// owner returns the entry with the highest rendezvous hash, or none if the view
+// is empty.
+func (p *Partition) owner(worker uint64, slot Index) unit.EntryID {
+	// The odd factor spreads the slots of a worker over all bits. Sixteen bytes
+	// take the short path of xxhash.
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], worker+uint64(slot)*0x9e3779b97f4a7c15)
+	best := -1
+	var highest uint64
+	for i := range p.entries {
+		binary.LittleEndian.PutUint64(buffer[8:], p.entries[i].hash)
+		// Equal hashes are decided by the order of ids, which all entries share.
+		if h := xxhash.Sum64(buffer[:]); best < 0 || h > highest {
+			best, highest = i, h
+		}
+	}
+	if best < 0 {
+		return ""
+	}
+	return p.entries[best].id
+}
