fleet/roster: rank entries and derive start and serve deadlines

A heartbeat is dated by the send time of the call that the peer answered, not by its receipt, since a hung connection may deliver it late. A view of one entry relies on the store alone: it has no peer to tell it that it was cut off. An entry that left the view counts as serving for 12 s, and an observer younger than 12 s reports that it cannot tell, since entries may have left before its first view.

--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,155 @@
+package roster
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func viewOf(revision unit.Revision, ids ...unit.EntryID) View {
+	var entries []Entry
+	for _, id := range ids {
+		entries = append(entries, Entry{ID: id})
+	}
+	return NewView(entries, revision)
+}
+
+// TestRank guards against a ranking that moves keys between entries that stay
+// when another entry leaves, and against First and Rank that disagree.
+func TestRank(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ids []unit.EntryID
+		for i := range rapid.IntRange(2, 9).Draw(t, "entries") {
+			ids = append(ids, unit.EntryID("e"+strconv.Itoa(i)))
+		}
+		key := rapid.String().Draw(t, "key")
+		whole := viewOf(1, ids...).Rank(key)
+		first, _ := viewOf(1, ids...).First(key, nil)
+		if first != whole[0] {
+			t.Fatalf("First = %v, Rank begins with %v", first, whole[0])
+		}
+		gone := rapid.IntRange(0, len(whole)-1).Draw(t, "gone")
+		var rest []unit.EntryID
+		var want []Entry
+		for i, e := range whole {
+			if i != gone {
+				rest, want = append(rest, e.ID), append(want, e)
+			}
+		}
+		if diff := cmp.Diff(want, viewOf(2, rest...).Rank(key)); diff != "" {
+			t.Fatalf("rank without %v (-want +got):\n%s", whole[gone].ID, diff)
+		}
+	})
+}
+
+// TestServeUntil guards against serving on heartbeats that do not count: of a
+// minority, of a peer that has dropped this entry, has a newer configuration, or
+// is not in the view.
+func TestServeUntil(t *testing.T) {
+	type beat struct {
+		peer unit.EntryID
+		sent float64
+		Beat
+	}
+	good := Beat{Configuration: 7, Sees: true}
+	three := viewOf(1, "a", "b", "c")
+	tests := []struct {
+		name      string
+		view      View
+		confirmed float64 // 0: never
+		beats     []beat
+		want      float64 // 0: the zero time
+	}{
+		{"nothing known", three, 0, nil, 0},
+		{"store alone", three, 5, nil, 15},
+		{"majority of three", three, 5, []beat{{"b", 20, good}}, 22},
+		{"majority without store since start", three, 0, []beat{{"b", 20, good}}, 22},
+		{"store later than peers", three, 15, []beat{{"b", 20, good}}, 25},
+		{"oldest needed heartbeat counts", viewOf(1, "a", "b", "c", "d", "e"), 0,
+			[]beat{{"b", 20, good}, {"c", 18, good}, {"d", 19, good}}, 21},
+		{"half of four is no majority", viewOf(1, "a", "b", "c", "d"), 5, []beat{{"b", 20, good}}, 15},
+		{"peer dropped this entry", three, 5, []beat{{"b", 20, Beat{Configuration: 7}}}, 15},
+		{"peer has newer configuration", three, 5, []beat{{"b", 20, Beat{Configuration: 8, Sees: true}}}, 15},
+		{"peer not in view", three, 5, []beat{{"x", 20, good}}, 15},
+		{"self does not count twice", three, 5, []beat{{"a", 20, good}}, 15},
+		{"overtaken answer", three, 5, []beat{{"b", 20, Beat{Configuration: 7}}, {"b", 19, good}}, 15},
+		{"alone", viewOf(1, "a"), 5, nil, 15},
+		{"not registered in own view", viewOf(1, "b", "c"), 5, []beat{{"b", 20, good}}, 15},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c Confirmation
+			if tt.confirmed != 0 {
+				c.Confirm(at(tt.confirmed))
+				c.Confirm(at(tt.confirmed - 1)) // an overtaken read
+			}
+			for _, b := range tt.beats {
+				c.Hear(b.peer, at(b.sent), b.Beat)
+			}
+			var want time.Time
+			if tt.want != 0 {
+				want = at(tt.want)
+			}
+			if got := c.ServeUntil("a", tt.view, 7); !got.Equal(want) {
+				t.Errorf("ServeUntil = %v, want %v", got.Sub(epoch), want.Sub(epoch))
+			}
+			if got := c.NotAfter(); tt.confirmed != 0 && !got.Equal(at(tt.confirmed+4)) {
+				t.Errorf("NotAfter = %v, want confirmation + 4 s", got.Sub(epoch))
+			}
+		})
+	}
+}
+
+// TestMissing guards against accepting a revision that an entry may still serve
+// without: unacknowledged, or gone for less than DepartureSpan, or not yet
+// visible in the view.
+func TestMissing(t *testing.T) {
+	type observed struct {
+		at   float64
+		view View
+	}
+	tests := []struct {
+		name     string
+		views    []observed
+		known    []unit.EntryID // have revision 3
+		now      float64
+		missing  []unit.EntryID
+		complete bool
+	}{
+		{"no view", nil, nil, 100, nil, false},
+		{"all acknowledged", []observed{{0, viewOf(9, "a", "b")}}, []unit.EntryID{"a", "b"}, 13, nil, true},
+		{"one lacks it", []observed{{0, viewOf(9, "a", "b")}}, []unit.EntryID{"a"}, 13, []unit.EntryID{"b"}, true},
+		{"view older than the write", []observed{{0, viewOf(4, "a")}}, []unit.EntryID{"a"}, 13, nil, false},
+		{"observer too young", []observed{{0, viewOf(9, "a")}}, []unit.EntryID{"a"}, 12, nil, false},
+		{"gone for a short time", []observed{{0, viewOf(4, "a", "b")}, {20, viewOf(9, "a")}}, []unit.EntryID{"a"}, 32, []unit.EntryID{"b"}, true},
+		{"gone for long", []observed{{0, viewOf(4, "a", "b")}, {20, viewOf(9, "a")}}, []unit.EntryID{"a"}, 32.1, nil, true},
+		{"gone and back", []observed{{0, viewOf(4, "a", "b")}, {20, viewOf(9, "a")}, {25, viewOf(10, "a", "b")}}, []unit.EntryID{"a"}, 40, []unit.EntryID{"b"}, true},
+		{"old view does not remove", []observed{{0, viewOf(9, "a", "b")}, {1, viewOf(5, "a")}}, []unit.EntryID{"a"}, 30, []unit.EntryID{"b"}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d Departures
+			for _, o := range tt.views {
+				d.Observe(at(o.at), o.view)
+			}
+			for _, id := range tt.known {
+				d.Learn(id, 3)
+			}
+			missing, complete := d.Missing(at(tt.now), 3, 8)
+			if diff := cmp.Diff(tt.missing, missing); diff != "" || complete != tt.complete {
+				t.Errorf("complete = %v, want %v; missing (-want +got):\n%s", complete, tt.complete, diff)
+			}
+		})
+	}
+}
