fleet/membership: register the entry under a lease and read the view

A registration whose answer was lost is not overwritten: its lease is revoked first, since a delayed write under it would bind the record to a lease that nobody renews. Failed calls are now repeated after 500 ms.

--- /dev/null
+++ b/internal/fleet/membership/service.go
@@ -0,0 +1,283 @@
+// Package membership registers this entry under a store lease and reads the view
+// of all registered entries.
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+)
+
+// ServiceName is the name of the service in a kernel.
+const ServiceName registry.Name = "membership"
+
+// Prefix is the prefix of the keys of registrations; the id of the entry follows.
+const Prefix store.Key = "entry/"
+
+// Times of the registration. The lease is certainly valid for leaseCertain from
+// the send time of a successful renewal; the remaining second of the TTL covers
+// clock drift of the store. A failed call is repeated after retryInterval: at
+// renewInterval the third attempt would come when the lease has just ended.
+const (
+	leaseTTL      = 6 * time.Second
+	leaseCertain  = 5 * time.Second
+	renewInterval = 2 * time.Second
+	readInterval  = time.Second
+	retryInterval = 500 * time.Millisecond
+)
+
+// keeper is the part of the store that the service uses.
+type keeper interface {
+	List(ctx context.Context, prefix store.Key) (store.Snapshot, error)
+	Put(ctx context.Context, key store.Key, value []byte, cond store.Condition, lease store.LeaseID) (unit.Revision, error)
+	Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
+	Renew(ctx context.Context, id store.LeaseID) error
+	Revoke(ctx context.Context, id store.LeaseID) error
+}
+
+// Service keeps the registration and the view.
+type Service struct {
+	log    logr.Logger
+	self   roster.Entry
+	keeper keeper
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu         sync.Mutex
+	view       roster.View
+	lease      store.LeaseID // empty while not registered
+	abandoned  store.LeaseID // of a registration whose outcome is unknown
+	validUntil time.Time
+	changed    chan struct{}
+}
+
+// New returns a service that will register self. Its id must be new for each
+// process, since a registration stands for the state that the process holds.
+func New(log logr.Logger, self roster.Entry) *Service {
+	return &Service{log: log, self: self, done: make(chan struct{}), changed: make(chan struct{})}
+}
+
+// Name implements registry.Service.
+func (s *Service) Name() registry.Name { return ServiceName }
+
+// Start implements registry.Service. A store outage does not fail it: the entry
+// registers once the store is back.
+func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
+	var err error
+	if s.keeper, err = registry.Find[keeper](k, store.ServiceName); err != nil {
+		return errors.Errorf("find store: %w", err)
+	}
+	registration := s.renew(ctx)
+	reading := s.read(ctx)
+	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { s.run(ctx, "registration", renewInterval, registration, s.renew) })
+	wg.Go(func() { s.run(ctx, "view", readInterval, reading, s.read) })
+	go func() {
+		defer close(s.done)
+		wg.Wait()
+	}()
+	return nil
+}
+
+// Stop implements registry.Service. It ends the registration, so that the others
+// need not wait for the lease to expire.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	select {
+	case <-s.done:
+	case <-ctx.Done():
+		return errors.Errorf("wait for renewal to end: %w", ctx.Err())
+	}
+	s.mu.Lock()
+	lease := s.lease
+	s.lease, s.validUntil = "", time.Time{}
+	s.mu.Unlock()
+	if lease != "" {
+		if err := s.keeper.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
+			return errors.Errorf("end registration: %w", err)
+		}
+	}
+	return s.revokeAbandoned(ctx)
+}
+
+// Done implements registry.Service.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Self returns the id of this entry.
+func (s *Service) Self() unit.EntryID { return s.self.ID }
+
+// View returns the view of the last read that was answered.
+func (s *Service) View() roster.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+// Lease returns the lease of the registration, empty while there is none.
+func (s *Service) Lease() store.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
+// ValidUntil returns the time up to which the registration certainly exists.
+func (s *Service) ValidUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.validUntil
+}
+
+// Changed returns a channel that is closed when the view's entries or the lease
+// change next. The revision of the view changes with every read and does not count.
+func (s *Service) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// run calls step at each interval until the context ends, and logs when it
+// begins or ceases to fail. The first call was made at the start.
+func (s *Service) run(ctx context.Context, what string, interval time.Duration, err error, step func(context.Context) error) {
+	failing := false
+	for {
+		if failed := err != nil; failed != failing && ctx.Err() == nil {
+			failing = failed
+			s.log.Info("store access changed", "what", what, "working", !failed, "error", err)
+		}
+		pause := interval
+		if err != nil {
+			pause = min(interval, retryInterval)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		err = step(ctx)
+	}
+}
+
+// renew renews the lease. It registers under a new lease if there is none or
+// the old one has ended.
+func (s *Service) renew(ctx context.Context) error {
+	sent := time.Now()
+	lease := s.Lease()
+	if lease == "" {
+		return s.register(ctx)
+	}
+	err := s.keeper.Renew(ctx, lease)
+	if errors.Is(err, store.ErrNotFound) {
+		s.log.Info("registration expired", "entry", s.self.ID)
+		s.hold("", time.Time{})
+		return s.register(ctx)
+	}
+	if err != nil {
+		return errors.Errorf("renew registration: %w", err)
+	}
+	s.hold(lease, sent.Add(leaseCertain))
+	return nil
+}
+
+// register writes the registration under a new lease. If the outcome of an
+// earlier attempt is unknown, its lease is revoked first: a write under it that
+// is still on its way would bind the record to a lease that nobody renews.
+func (s *Service) register(ctx context.Context) error {
+	if err := s.revokeAbandoned(ctx); err != nil {
+		return err
+	}
+	value, err := json.Marshal(s.self)
+	if err != nil {
+		return errors.Errorf("encode registration: %w", err)
+	}
+	sent := time.Now()
+	lease, err := s.keeper.Grant(ctx, leaseTTL)
+	if err != nil {
+		return errors.Errorf("register: %w", err)
+	}
+	key := Prefix + store.Key(s.self.ID)
+	if _, err := s.keeper.Put(ctx, key, value, store.IfAbsent(), lease.ID); err != nil {
+		s.mu.Lock()
+		s.abandoned = lease.ID
+		s.mu.Unlock()
+		return errors.Errorf("register: %w", err)
+	}
+	s.hold(lease.ID, sent.Add(leaseCertain))
+	return nil
+}
+
+func (s *Service) revokeAbandoned(ctx context.Context) error {
+	s.mu.Lock()
+	lease := s.abandoned
+	s.mu.Unlock()
+	if lease == "" {
+		return nil
+	}
+	if err := s.keeper.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
+		return errors.Errorf("revoke lease of a failed registration: %w", err)
+	}
+	s.mu.Lock()
+	s.abandoned = ""
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *Service) hold(lease store.LeaseID, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	moved := s.lease != lease
+	s.lease, s.validUntil = lease, until
+	if moved {
+		s.wake()
+	}
+}
+
+func (s *Service) read(ctx context.Context) error {
+	snapshot, err := s.keeper.List(ctx, Prefix)
+	if err != nil {
+		return errors.Errorf("read view: %w", err)
+	}
+	view, err := parse(snapshot)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if view.Revision < s.view.Revision {
+		return nil // an old answer
+	}
+	moved := !view.SameEntries(s.view)
+	s.view = view
+	if moved {
+		s.wake()
+	}
+	return nil
+}
+
+// wake tells the waiters of a change. The lock is held.
+func (s *Service) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func parse(snapshot store.Snapshot) (roster.View, error) {
+	entries := make([]roster.Entry, 0, len(snapshot.Records))
+	for _, r := range snapshot.Records {
+		var e roster.Entry
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			return roster.View{}, errors.Errorf("decode %s: %w", r.Key, err)
+		}
+		e.ID = unit.EntryID(r.Key[len(Prefix):])
+		entries = append(entries, e)
+	}
+	return roster.NewView(entries, snapshot.Revision), nil
+}
--- /dev/null
+++ b/internal/fleet/membership/service_test.go
@@ -0,0 +1,142 @@
+package membership
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/standin/memory"
+)
+
+type process struct {
+	handle  *memory.Handle
+	service *Service
+	kernel  *registry.Kernel
+}
+
+func startProcess(t *testing.T, records *memory.Records, id unit.EntryID) *process {
+	t.Helper()
+	p := &process{handle: memory.NewHandle(records), kernel: registry.New()}
+	p.service = New(logr.Discard(), roster.Entry{ID: id, Zone: "guj-morbi", Address: "127.0.0.1:1"})
+	for _, s := range []registry.Service{p.handle, p.service} {
+		if err := p.kernel.Register(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.kernel.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func (p *process) stop(t *testing.T) {
+	t.Helper()
+	if err := p.kernel.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+func (p *process) ids() []unit.EntryID {
+	ids := []unit.EntryID{}
+	for _, e := range p.service.View().Entries {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+func down(string, store.Key) memory.Fault { return memory.FaultDown }
+
+// TestRegistration guards against a registration that outlives a graceful stop,
+// that is not made again after it expired, or that is reported as certainly
+// valid while the store no longer has it.
+func TestRegistration(t *testing.T) {
+	tests := []struct {
+		name    string
+		fault   func(method string, key store.Key) memory.Fault
+		during  time.Duration // of the fault
+		seen    []unit.EntryID
+		renewed bool // the entry ends under a new lease
+	}{
+		{"no fault", nil, 20 * time.Second, []unit.EntryID{"a", "b"}, false},
+		{"short outage", down, 3 * time.Second, []unit.EntryID{"a", "b"}, false},
+		{"long outage", down, 9 * time.Second, []unit.EntryID{"b"}, true},
+		{"answers of renewals lost", func(method string, _ store.Key) memory.Fault {
+			if method == "Renew" {
+				return memory.FaultLost
+			}
+			return memory.FaultNone
+		}, 20 * time.Second, []unit.EntryID{"a", "b"}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				records := memory.NewRecords()
+				a, b := startProcess(t, records, "a"), startProcess(t, records, "b")
+				time.Sleep(1100 * time.Millisecond)
+				before := a.service.Lease()
+				a.handle.SetFault(tt.fault)
+				time.Sleep(tt.during)
+				if diff := cmp.Diff(tt.seen, b.ids()); diff != "" {
+					t.Errorf("view of b during the fault (-want +got):\n%s", diff)
+				}
+				if left := time.Until(a.service.ValidUntil()); left > 0 && len(tt.seen) == 1 {
+					t.Errorf("a is gone from the store and claims to be valid for %v", left)
+				}
+				a.handle.SetFault(nil)
+				time.Sleep(3100 * time.Millisecond)
+				if diff := cmp.Diff([]unit.EntryID{"a", "b"}, b.ids()); diff != "" {
+					t.Errorf("view of b after the fault (-want +got):\n%s", diff)
+				}
+				if renewed := a.service.Lease() != before; renewed != tt.renewed {
+					t.Errorf("lease replaced = %v, want %v", renewed, tt.renewed)
+				}
+				a.stop(t)
+				time.Sleep(1100 * time.Millisecond)
+				if diff := cmp.Diff([]unit.EntryID{"b"}, b.ids()); diff != "" {
+					t.Errorf("view of b after the stop of a (-want +got):\n%s", diff)
+				}
+				b.stop(t)
+			})
+		})
+	}
+}
+
+// TestLostRegistration guards against an entry that renews a lease to which its
+// record is not bound, after the answer of its first registration was lost.
+func TestLostRegistration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := memory.NewRecords()
+		a := &process{handle: memory.NewHandle(records), kernel: registry.New()}
+		a.handle.SetFault(func(method string, _ store.Key) memory.Fault {
+			if method == "Put" {
+				return memory.FaultLost
+			}
+			return memory.FaultNone
+		})
+		a.service = New(logr.Discard(), roster.Entry{ID: "a"})
+		for _, s := range []registry.Service{a.handle, a.service} {
+			if err := a.kernel.Register(s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := a.kernel.Start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		a.handle.SetFault(nil)
+		time.Sleep(20 * time.Second)
+		snapshot, err := a.handle.List(t.Context(), Prefix)
+		if err != nil || len(snapshot.Records) != 1 || snapshot.Records[0].Lease != a.service.Lease() {
+			t.Errorf("records = %v, %v; want one under lease %q", snapshot.Records, err, a.service.Lease())
+		}
+		a.stop(t)
+	})
+}
