peer/message: encode the messages between entries as bounded CBOR frames

A frame has the kind, the length and a CBOR body; the bound of the kind is checked before anything is allocated, and tags, indefinite lengths and deep nesting are rejected. Pull, cancel, fault and done are added to the kinds of the design: a restarted entry asks a peer for its configuration, a job is cancelled at the owner of its shard, and every call has an answer.

--- /dev/null
+++ b/internal/peer/message/codec.go
@@ -0,0 +1,140 @@
+package message
+
+import (
+	"encoding/binary"
+	"io"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+)
+
+// Errors of the codec. Use errors.Is.
+var (
+	ErrKind  = errors.New("unknown message kind")
+	ErrSize  = errors.New("message too large")
+	ErrShape = errors.New("message malformed")
+)
+
+// headerSize is the kind and the length of the body, big endian.
+const headerSize = 1 + 4
+
+// Bounds of a body. A push has a whole target document, whose JSON form fits
+// into a store value of 1 MB.
+const (
+	maxSmall  = 4 << 10
+	maxMedium = 256 << 10
+	maxPush   = 2 << 20
+)
+
+type shape struct {
+	name   string
+	bound  int
+	decode func([]byte) (Message, error)
+}
+
+var shapes = map[Kind]shape{
+	KindHello:     {"hello", maxSmall, decodeAs[Hello]},
+	KindHeartbeat: {"heartbeat", maxSmall, decodeAs[Heartbeat]},
+	KindPush:      {"push", maxPush, decodeAs[Push]},
+	KindAck:       {"ack", maxSmall, decodeAs[Ack]},
+	KindPull:      {"pull", maxSmall, decodeAs[Pull]},
+	KindClaim:     {"claim", maxMedium, decodeAs[Claim]},
+	KindClaimed:   {"claimed", maxMedium, decodeAs[Claimed]},
+	KindRelease:   {"release", maxMedium, decodeAs[Release]},
+	KindSubmit:    {"submit", maxMedium, decodeAs[Submit]},
+	KindCancel:    {"cancel", maxSmall, decodeAs[Cancel]},
+	KindAsk:       {"ask", maxSmall, decodeAs[Ask]},
+	KindAnswer:    {"answer", maxMedium, decodeAs[Answer]},
+	KindFault:     {"fault", maxSmall, decodeAs[Fault]},
+	KindDone:      {"done", maxSmall, decodeAs[Done]},
+}
+
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	if s, ok := shapes[k]; ok {
+		return s.name
+	}
+	return "kind " + strconv.Itoa(int(k))
+}
+
+// Encode returns the frame of a message.
+func Encode(m Message) ([]byte, error) {
+	s, ok := shapes[m.Kind()]
+	if !ok {
+		return nil, errors.Errorf("encode %s: %w", m.Kind(), ErrKind)
+	}
+	body, err := encoder.Marshal(m)
+	if err != nil {
+		return nil, errors.Errorf("encode %s: %w", m.Kind(), err)
+	}
+	if len(body) > s.bound {
+		return nil, errors.Errorf("encode %s: %d bytes, bound %d: %w", m.Kind(), len(body), s.bound, ErrSize)
+	}
+	frame := make([]byte, headerSize, headerSize+len(body))
+	frame[0] = byte(m.Kind())
+	binary.BigEndian.PutUint32(frame[1:], uint32(len(body)))
+	return append(frame, body...), nil
+}
+
+// Read reads one frame and returns the message and the size of the frame. It
+// allocates no more than the bound of the kind.
+func Read(r io.Reader) (Message, int, error) {
+	var header [headerSize]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return nil, 0, errors.Errorf("read message header: %w", err)
+	}
+	kind, size := Kind(header[0]), binary.BigEndian.Uint32(header[1:])
+	s, ok := shapes[kind]
+	if !ok {
+		return nil, 0, errors.Errorf("read %s: %w", kind, ErrKind)
+	}
+	if uint64(size) > uint64(s.bound) {
+		return nil, 0, errors.Errorf("read %s: %d bytes, bound %d: %w", kind, size, s.bound, ErrSize)
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, 0, errors.Errorf("read %s: %w", kind, err)
+	}
+	m, err := s.decode(body)
+	if err != nil {
+		return nil, 0, errors.Errorf("decode %s: %w", kind, err)
+	}
+	return m, headerSize + len(body), nil
+}
+
+func decodeAs[M Message](body []byte) (Message, error) {
+	var m M
+	if err := decoder.Unmarshal(body, &m); err != nil {
+		return nil, errors.Errorf("%v: %w", err, ErrShape)
+	}
+	return m, nil
+}
+
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(errors.Errorf("CBOR encoder options: %w", err)) // the options are constants
+	}
+	return mode
+}
+
+func newDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  16,
+		MaxArrayElements: 1 << 16,
+		MaxMapPairs:      1 << 10,
+	}.DecMode()
+	if err != nil {
+		panic(errors.Errorf("CBOR decoder options: %w", err)) // the options are constants
+	}
+	return mode
+}
--- /dev/null
+++ b/internal/peer/message/codec_test.go
@@ -0,0 +1,116 @@
+package message
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+var samples = []Message{
+	Hello{From: "e1", To: "e2"},
+	Heartbeat{View: 7, Configuration: 1 << 60, Sees: true, Ready: true, Age: -time.Second, Load: 1000},
+	Push{Revision: spec.Revision{Number: 3, Base: 2, Author: "meera", Operation: "op", Time: 5, Document: spec.Document{
+		Classes: []spec.Class{{Name: "quote", Kind: spec.KindRequest, Service: "order-desk",
+			Routes: []spec.Route{{Prefix: "/q", Once: true}},
+			Target: spec.Target{Percentile: 99.9, Bound: unit.Duration(250 * time.Millisecond)}}},
+		Zones: []spec.Zone{{Name: "guj-morbi", Out: true}},
+	}}},
+	Ack{Configuration: 3},
+	Pull{},
+	Claim{Requests: []unit.RequestID{"a", "b"}},
+	Claimed{Outcomes: []ClaimOutcome{ClaimGranted, ClaimTaken}},
+	Release{Slots: []Slot{{Worker: "w1", Number: 7}}, Shards: []unit.ShardID{{Zone: "guj-hazira", Bucket: 1}}},
+	Submit{Job: queue.Job{ID: "j", Class: "recon", Tasks: 4, Size: unit.Resources{Cores: 500, Memory: 1 << 30}}},
+	Cancel{Job: "j"},
+	Ask{Subject: journal.Subject{Kind: journal.KindJob, ID: "j"}},
+	Answer{Since: time.Unix(1, 5).UTC(), Events: []journal.Event{{Time: time.Unix(2, 0).UTC(), What: "started"}}},
+	Fault{Text: "no"},
+	Done{},
+}
+
+// TestRoundTrip guards against a message that arrives changed, and against a
+// kind without a decoder.
+func TestRoundTrip(t *testing.T) {
+	if len(samples) != len(shapes) {
+		t.Errorf("%d samples of %d kinds", len(samples), len(shapes))
+	}
+	for _, m := range samples {
+		t.Run(m.Kind().String(), func(t *testing.T) {
+			frame, err := Encode(m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, size, err := Read(bytes.NewReader(frame))
+			if err != nil || size != len(frame) {
+				t.Fatalf("Read: %d of %d bytes, %v", size, len(frame), err)
+			}
+			if diff := cmp.Diff(m, got); diff != "" {
+				t.Errorf("message (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestBounds guards against a peer that makes the receiver allocate or decode
+// without limit.
+func TestBounds(t *testing.T) {
+	frame := func(kind Kind, size uint32, body string) []byte {
+		return append(binary.BigEndian.AppendUint32([]byte{byte(kind)}, size), body...)
+	}
+	tests := []struct {
+		name  string
+		frame []byte
+		want  error
+	}{
+		{"unknown kind", frame(200, 1, "\xa0"), ErrKind},
+		{"large size", frame(KindHeartbeat, 1<<31, ""), ErrSize},
+		{"not a map", frame(KindAck, 1, "\x01"), ErrShape},
+		{"text behind", frame(KindAck, 2, "\xa0\xa0"), ErrShape},
+		{"indefinite length", frame(KindAck, 2, "\xbf\xff"), ErrShape},
+		{"nested", frame(KindAck, 40, "\xa1\x01"+strings.Repeat("\x81", 37)+"\x01"), ErrShape},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if _, _, err := Read(bytes.NewReader(tt.frame)); !errors.Is(err, tt.want) {
+				t.Errorf("Read = %v, want %v", err, tt.want)
+			}
+		})
+	}
+	if _, err := Encode(Fault{Text: strings.Repeat("x", maxSmall)}); !errors.Is(err, ErrSize) {
+		t.Errorf("Encode of a large message = %v, want %v", err, ErrSize)
+	}
+}
+
+// FuzzRead guards against a frame that crashes the receiver or that is read as a
+// message which cannot be sent again.
+func FuzzRead(f *testing.F) {
+	for _, m := range samples {
+		frame, err := Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(frame)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, size, err := Read(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		if size > len(data) {
+			t.Fatalf("read %d of %d bytes", size, len(data))
+		}
+		if _, err := Encode(m); err != nil && !errors.Is(err, ErrSize) {
+			t.Fatalf("encode again: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/message/message.go
@@ -0,0 +1,172 @@
+// Package message has the typed messages between entries and their codec. It
+// holds data only; what a message causes is decided by its receiver.
+package message
+
+import (
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// Kind is the kind of a message on the wire. Numbers are never reused.
+type Kind uint8
+
+// Kinds of messages.
+const (
+	KindHello     Kind = 1
+	KindHeartbeat Kind = 2
+	KindPush      Kind = 3
+	KindAck       Kind = 4
+	KindPull      Kind = 5
+	KindClaim     Kind = 6
+	KindClaimed   Kind = 7
+	KindRelease   Kind = 8
+	KindSubmit    Kind = 9
+	KindCancel    Kind = 10
+	KindAsk       Kind = 11
+	KindAnswer    Kind = 12
+	KindFault     Kind = 13
+	KindDone      Kind = 14
+)
+
+// Message is one of the types below.
+type Message interface {
+	Kind() Kind
+}
+
+// Hello is the first message in both directions of a connection.
+type Hello struct {
+	From unit.EntryID `cbor:"1,keyasint"`
+	To   unit.EntryID `cbor:"2,keyasint"` // whom the sender means to reach
+}
+
+// Heartbeat tells the state of its sender. It is answered by one of the receiver.
+type Heartbeat struct {
+	View          unit.Revision `cbor:"1,keyasint"` // store revision of the sender's view
+	Configuration unit.Revision `cbor:"2,keyasint"`
+	Sees          bool          `cbor:"3,keyasint,omitempty"` // the sender's view has the receiver
+	Ready         bool          `cbor:"4,keyasint,omitempty"` // the sender may serve
+	Age           time.Duration `cbor:"5,keyasint"`           // since the last confirmation; negative if there was none
+	Load          uint16        `cbor:"6,keyasint,omitempty"` // requests in flight, in thousandths of the slots
+}
+
+// Push carries a configuration. It is answered by Ack.
+type Push struct {
+	Revision spec.Revision `cbor:"1,keyasint"`
+}
+
+// Ack tells the configuration that its sender has.
+type Ack struct {
+	Configuration unit.Revision `cbor:"1,keyasint"`
+}
+
+// Pull asks for the receiver's configuration. It is answered by Push.
+type Pull struct{}
+
+// Claim asks the home entry of a bucket to claim requests. It is answered by
+// Claimed.
+type Claim struct {
+	Requests []unit.RequestID `cbor:"1,keyasint"`
+}
+
+// ClaimOutcome is the outcome of one claim.
+type ClaimOutcome string
+
+// Outcomes of a claim.
+const (
+	ClaimGranted ClaimOutcome = "granted" // the claim is written and new
+	ClaimTaken   ClaimOutcome = "taken"   // the request was claimed before
+	ClaimUnknown ClaimOutcome = "unknown" // the claim may or may not be written
+	ClaimFailed  ClaimOutcome = "failed"  // the claim is surely not written
+)
+
+// Claimed has the outcomes in the order of the requests.
+type Claimed struct {
+	Outcomes []ClaimOutcome `cbor:"1,keyasint"`
+}
+
+// Slot is one request slot of a worker.
+type Slot struct {
+	Worker unit.InstanceID `cbor:"1,keyasint"`
+	Number uint16          `cbor:"2,keyasint"`
+}
+
+// Release gives up slots and shards. It is answered by Done.
+type Release struct {
+	Slots  []Slot         `cbor:"1,keyasint,omitempty"`
+	Shards []unit.ShardID `cbor:"2,keyasint,omitempty"`
+}
+
+// Submit hands a job to the owner of a shard. It is answered by Done.
+type Submit struct {
+	Job queue.Job `cbor:"1,keyasint"`
+}
+
+// Cancel cancels a job. It is answered by Done.
+type Cancel struct {
+	Job unit.JobID `cbor:"1,keyasint"`
+}
+
+// Ask asks for the events about a subject. It is answered by Answer.
+type Ask struct {
+	Subject journal.Subject `cbor:"1,keyasint"`
+}
+
+// Answer has the events that the sender knows.
+type Answer struct {
+	Since  time.Time       `cbor:"1,keyasint"` // from when the sender has data
+	Events []journal.Event `cbor:"2,keyasint,omitempty"`
+}
+
+// Fault answers a message that could not be handled.
+type Fault struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+// Done answers a message that has no other answer.
+type Done struct{}
+
+// Kind implements Message.
+func (Hello) Kind() Kind { return KindHello }
+
+// Kind implements Message.
+func (Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// Kind implements Message.
+func (Push) Kind() Kind { return KindPush }
+
+// Kind implements Message.
+func (Ack) Kind() Kind { return KindAck }
+
+// Kind implements Message.
+func (Pull) Kind() Kind { return KindPull }
+
+// Kind implements Message.
+func (Claim) Kind() Kind { return KindClaim }
+
+// Kind implements Message.
+func (Claimed) Kind() Kind { return KindClaimed }
+
+// Kind implements Message.
+func (Release) Kind() Kind { return KindRelease }
+
+// Kind implements Message.
+func (Submit) Kind() Kind { return KindSubmit }
+
+// Kind implements Message.
+func (Cancel) Kind() Kind { return KindCancel }
+
+// Kind implements Message.
+func (Ask) Kind() Kind { return KindAsk }
+
+// Kind implements Message.
+func (Answer) Kind() Kind { return KindAnswer }
+
+// Kind implements Message.
+func (Fault) Kind() Kind { return KindFault }
+
+// Kind implements Message.
+func (Done) Kind() Kind { return KindDone }
