peer/link: connect entries over QUIC with mutual TLS

Calls on one connection are handled beside each other, because one that waits for the store would otherwise delay the answers to heartbeats.

The next dial uses a new local port: with the old one a hung path would stay hung. The hello names both ids, so an address that another entry took over is noticed. The certificates name entries by one DNS name, which keeps operators' certificates of the same authority out; renewed files take effect at the next connection.

peer/credential is a package of its own because the operator API needs the same certificates and must not import another service's shell.

--- /dev/null
+++ b/internal/peer/credential/authority.go
@@ -0,0 +1,98 @@
+package credential
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Authority is a certificate authority in memory, for tests and the demo.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	pem         []byte
+}
+
+// authorityTerm is the validity of the authority and of what it issues: longer
+// than any test or demo runs.
+const authorityTerm = 7 * 24 * time.Hour
+
+// NewAuthority makes an authority with a new key.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Errorf("make key of authority: %w", err)
+	}
+	template := newTemplate("monsoonfold authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.Errorf("make certificate of authority: %w", err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.Errorf("parse certificate of authority: %w", err)
+	}
+	return &Authority{certificate: certificate, key: key, pem: encodePEM("CERTIFICATE", der)}, nil
+}
+
+// Entry issues the certificate of an entry that is reached by the addresses.
+func (a *Authority) Entry(addresses ...net.IP) (Pair, error) {
+	template := newTemplate(EntryName)
+	template.DNSNames = []string{EntryName}
+	template.IPAddresses = addresses
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return a.issue(template)
+}
+
+// Operator issues the certificate of an operator with the common name.
+func (a *Authority) Operator(name string) (Pair, error) {
+	template := newTemplate(name)
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	return a.issue(template)
+}
+
+func (a *Authority) issue(template *x509.Certificate) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Errorf("make key of %s: %w", template.Subject.CommonName, err)
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, errors.Errorf("issue certificate of %s: %w", template.Subject.CommonName, err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.Errorf("encode key of %s: %w", template.Subject.CommonName, err)
+	}
+	return Pair{
+		Certificate: encodePEM("CERTIFICATE", der),
+		Key:         encodePEM("PRIVATE KEY", keyDER),
+		Authority:   a.pem,
+	}, nil
+}
+
+func newTemplate(name string) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-time.Hour), // clocks of the parties may differ
+		NotAfter:     now.Add(authorityTerm),
+	}
+}
+
+func encodePEM(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
--- /dev/null
+++ b/internal/peer/credential/credential_test.go
@@ -0,0 +1,60 @@
+package credential
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// TestReload guards against half-written files that take the certificates in use
+// away, and against a renewal that is not noticed.
+func TestReload(t *testing.T) {
+	a, err := NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	files := Files{filepath.Join(dir, "cert"), filepath.Join(dir, "key"), filepath.Join(dir, "ca")}
+	write := func(p Pair) {
+		for path, data := range map[string][]byte{files.Certificate: p.Certificate, files.Key: p.Key, files.Authority: p.Authority} {
+			if err := os.WriteFile(path, data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	first, err := a.Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := a.Entry()
+	if err != nil {
+		t.Fatal(err)
+	}
+	write(first)
+	s, err := Load(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name    string
+		pair    Pair
+		changed bool
+		fault   bool
+		current Pair
+	}{
+		{"same files", first, false, false, first},
+		{"key of another certificate", Pair{second.Certificate, first.Key, first.Authority}, true, true, first},
+		{"no authority", Pair{second.Certificate, second.Key, nil}, true, true, first},
+		{"renewed", second, true, false, second},
+	}
+	for _, tt := range tests {
+		write(tt.pair)
+		changed, err := s.Reload()
+		if changed != tt.changed || (err != nil) != tt.fault {
+			t.Errorf("%s: Reload = %v, %v", tt.name, changed, err)
+		}
+		if string(s.current.Load().pair.Certificate) != string(tt.current.Certificate) {
+			t.Errorf("%s: another certificate is in use", tt.name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/link/link_test.go
@@ -0,0 +1,348 @@
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeMembers is a membership whose view the test sets.
+type fakeMembers struct {
+	self unit.EntryID
+	done chan struct{}
+
+	mu      sync.Mutex
+	view    roster.View
+	changed chan struct{}
+}
+
+func (f *fakeMembers) Name() registry.Name                           { return "membership" }
+func (f *fakeMembers) Start(context.Context, *registry.Kernel) error { return nil }
+func (f *fakeMembers) Stop(context.Context) error                    { close(f.done); return nil }
+func (f *fakeMembers) Done() <-chan struct{}                         { return f.done }
+func (f *fakeMembers) Self() unit.EntryID                            { return f.self }
+
+func (f *fakeMembers) View() roster.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fakeMembers) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fakeMembers) set(entries ...roster.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view = roster.NewView(entries, f.view.Revision+1)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+type process struct {
+	id      unit.EntryID
+	members *fakeMembers
+	service *Service
+	source  *credential.Source
+	heard   chan message.Heartbeat
+}
+
+func newAuthority(t *testing.T) *credential.Authority {
+	t.Helper()
+	a, err := credential.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func newPair(t *testing.T, issue func() (credential.Pair, error)) credential.Pair {
+	t.Helper()
+	p, err := issue()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func startProcess(t *testing.T, id unit.EntryID, address string, pair credential.Pair) *process {
+	t.Helper()
+	source, err := credential.Fixed(pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &process{
+		id:      id,
+		members: &fakeMembers{self: id, done: make(chan struct{}), changed: make(chan struct{})},
+		service: New(logr.Discard(), Options{Address: address, Credentials: source}),
+		source:  source,
+		heard:   make(chan message.Heartbeat, 1000),
+	}
+	p.service.SetPulse(
+		func(to unit.EntryID) message.Heartbeat {
+			return message.Heartbeat{Sees: p.members.View().Contains(to), Load: 7}
+		},
+		func(_ unit.EntryID, _ time.Time, h message.Heartbeat) { p.heard <- h },
+	)
+	p.service.Handle(message.KindPull, func(_ context.Context, from unit.EntryID, _ message.Message) (message.Message, error) {
+		if from == "refused" {
+			return nil, errors.New("no")
+		}
+		return message.Ack{Configuration: 9}, nil
+	})
+	k := registry.New()
+	for _, s := range []registry.Service{p.members, p.service} {
+		if err := k.Register(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func (p *process) entry() roster.Entry {
+	return roster.Entry{ID: p.id, Address: p.service.Address()}
+}
+
+// awaitCall calls until an answer comes, since dialling takes a moment.
+func (p *process) awaitCall(t *testing.T, to unit.EntryID, limit time.Duration) (message.Message, error) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		answer, err := p.service.Call(ctx, to, message.Pull{})
+		cancel()
+		if _, fault := errors.Into[*FaultError](err); err == nil || fault || time.Now().After(deadline) {
+			return answer, err
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// TestCall guards against answers that go to the wrong caller or hide a fault,
+// and against connections that entries outside of the authority can make.
+func TestCall(t *testing.T) {
+	authority, stranger := newAuthority(t), newAuthority(t)
+	entry := func() (credential.Pair, error) { return authority.Entry() }
+	tests := []struct {
+		name  string
+		id    unit.EntryID
+		issue func() (credential.Pair, error)
+		view  unit.EntryID // id under which the caller knows the callee
+		want  error
+	}{
+		{"answered", "a", entry, "b", nil},
+		{"fault of the handler", "refused", entry, "b", &FaultError{Peer: "b", Text: "no"}},
+		{"address taken over by another entry", "a", entry, "old", ErrUnreachable},
+		{"certificate of another authority", "a", func() (credential.Pair, error) { return stranger.Entry() }, "b", ErrUnreachable},
+		{"certificate of an operator", "a", func() (credential.Pair, error) { return authority.Operator("meera") }, "b", ErrUnreachable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller := startProcess(t, tt.id, "127.0.0.1:0", newPair(t, tt.issue))
+			callee := startProcess(t, "b", "127.0.0.1:0", newPair(t, entry))
+			known := callee.entry()
+			known.ID = tt.view
+			caller.members.set(caller.entry(), known)
+			answer, err := caller.awaitCall(t, tt.view, time.Second)
+			if tt.want == nil {
+				if diff := cmp.Diff(message.Message(message.Ack{Configuration: 9}), answer); diff != "" || err != nil {
+					t.Errorf("error %v, answer (-want +got):\n%s", err, diff)
+				}
+				if h := <-caller.heard; h.Sees || h.Load != 7 {
+					t.Errorf("heartbeat %+v; want load 7 of a peer that does not see the caller", h)
+				}
+				return
+			}
+			want, fault := errors.Into[*FaultError](tt.want)
+			got, _ := errors.Into[*FaultError](err)
+			if fault && !cmp.Equal(want, got) || !fault && !errors.Is(err, tt.want) {
+				t.Errorf("Call = %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestRenewal guards against certificates that take effect only after a restart.
+func TestRenewal(t *testing.T) {
+	old, renewed := newAuthority(t), newAuthority(t)
+	a := startProcess(t, "a", "127.0.0.1:0", newPair(t, func() (credential.Pair, error) { return old.Entry() }))
+	b := startProcess(t, "b", "127.0.0.1:0", newPair(t, func() (credential.Pair, error) { return renewed.Entry() }))
+	a.members.set(a.entry(), b.entry())
+	if _, err := a.awaitCall(t, "b", 300*time.Millisecond); !errors.Is(err, ErrUnreachable) {
+		t.Fatalf("Call before the renewal = %v, want %v", err, ErrUnreachable)
+	}
+	if err := a.source.Replace(newPair(t, func() (credential.Pair, error) { return renewed.Entry() })); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.awaitCall(t, "b", 10*time.Second); err != nil {
+		t.Errorf("Call after the renewal = %v", err)
+	}
+}
+
+// TestHungConnection guards against a connection that hangs for good while new
+// ones work: calls must succeed again over a new one.
+func TestHungConnection(t *testing.T) {
+	authority := newAuthority(t)
+	entry := func() (credential.Pair, error) { return authority.Entry() }
+	a := startProcess(t, "a", "127.0.0.1:0", newPair(t, entry))
+	b := startProcess(t, "b", "127.0.0.1:0", newPair(t, entry))
+	r := startRelay(t, b.service.Address())
+	a.members.set(a.entry(), roster.Entry{ID: "b", Address: r.socket.LocalAddr().String()})
+	if _, err := a.awaitCall(t, "b", 5*time.Second); err != nil {
+		t.Fatalf("Call through the relay = %v", err)
+	}
+	r.hang()
+	began := time.Now()
+	if _, err := a.awaitCall(t, "b", 10*time.Second); err != nil {
+		t.Fatalf("Call after the connection hung = %v", err)
+	}
+	// One heartbeat interval, the time until its answer is overdue, one pause and
+	// one dial, with a margin for a busy machine.
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("the connection was replaced after %v", took)
+	}
+}
+
+// relay forwards datagrams to a target, each client from a socket of its own.
+type relay struct {
+	socket *net.UDPConn
+	target *net.UDPAddr
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	clients map[string]*net.UDPConn
+	hung    map[string]bool
+}
+
+func startRelay(t *testing.T, target string) *relay {
+	t.Helper()
+	to, err := net.ResolveUDPAddr("udp", target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{socket: socket, target: to, clients: map[string]*net.UDPConn{}, hung: map[string]bool{}}
+	r.tasks.Go(r.forward)
+	t.Cleanup(func() {
+		socket.Close()
+		r.mu.Lock()
+		for _, c := range r.clients {
+			c.Close()
+		}
+		r.mu.Unlock()
+		r.tasks.Wait()
+	})
+	return r
+}
+
+// hang drops all further datagrams of the clients that are known now.
+func (r *relay) hang() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.clients {
+		r.hung[c] = true
+	}
+}
+
+func (r *relay) isHung(client string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hung[client]
+}
+
+func (r *relay) forward() {
+	buffer := make([]byte, 65536)
+	for {
+		n, from, err := r.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		upstream := r.clients[from.String()]
+		if upstream == nil {
+			if upstream, err = net.DialUDP("udp", nil, r.target); err != nil {
+				r.mu.Unlock()
+				return
+			}
+			r.clients[from.String()] = upstream
+			r.tasks.Go(func() { r.backward(upstream, from) })
+		}
+		r.mu.Unlock()
+		if !r.isHung(from.String()) {
+			_, _ = upstream.Write(buffer[:n]) // a lost datagram is sent again
+		}
+	}
+}
+
+func (r *relay) backward(upstream *net.UDPConn, client *net.UDPAddr) {
+	buffer := make([]byte, 65536)
+	for {
+		n, err := upstream.Read(buffer)
+		if err != nil {
+			return
+		}
+		if !r.isHung(client.String()) {
+			_, _ = r.socket.WriteToUDP(buffer[:n], client) // a lost datagram is sent again
+		}
+	}
+}
+
+// TestBackoff guards against pauses that grow without limit or vanish, and
+// against entries that dial in step.
+func TestBackoff(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	tests := []struct {
+		failures int
+		low      time.Duration
+		high     time.Duration
+	}{
+		{1, 50 * time.Millisecond, 100 * time.Millisecond},
+		{2, 100 * time.Millisecond, 200 * time.Millisecond},
+		{5, 800 * time.Millisecond, 1600 * time.Millisecond},
+		{6, 1500 * time.Millisecond, 3 * time.Second},
+		{1000, 1500 * time.Millisecond, 3 * time.Second},
+	}
+	for _, tt := range tests {
+		seen := map[time.Duration]bool{}
+		for range 20 {
+			pause := backoff(tt.failures, random)
+			if pause < tt.low || pause > tt.high {
+				t.Errorf("backoff(%d) = %v, want %v to %v", tt.failures, pause, tt.low, tt.high)
+			}
+			seen[pause] = true
+		}
+		if len(seen) < 10 {
+			t.Errorf("backoff(%d): %d distinct pauses of 20", tt.failures, len(seen))
+		}
+	}
+}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -3,6 +3,7 @@
 package message
 
 import (
+	"context"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -37,6 +38,10 @@
 	Kind() Kind
 }
 
+// Handler answers the messages of one kind. It is an alias, so that partners can
+// declare interfaces with it or with the bare function type.
+type Handler = func(ctx context.Context, from unit.EntryID, m Message) (Message, error)
+
 // Hello is the first message in both directions of a connection.
 type Hello struct {
 	From unit.EntryID `cbor:"1,keyasint"`
