job/interference: learn interference per pair and band, and real sizes

Cause: what a batch task does to the requests beside it is visible only in lagging reports, and declared sizes and run times are far off. Ruled out: an average of the latency with and without the class, which blames every class that happens to run beside the noisy one; independent filters per pair, which are overconfident about two classes that always run together. Change: a Kalman filter per class of requests and load band over the logarithm of the latency, with a base and a rise per share of cores for each batch class. Residuals are clipped at 2.5 deviations, unseen pairs return to the prior, and an uncertain pair may run on one worker in sixteen. Sizes and run times are order statistics of the ratio of real to declared, with 95% confidence, and stay at the declared size until there are enough ends.

--- /dev/null
+++ b/internal/job/interference/model.go
@@ -0,0 +1,275 @@
+// Package interference learns from lagging reports how much batch classes slow
+// the requests on the same worker, and how far declared sizes and run times of
+// tasks are off. It is pure: the time comes with each observation.
+package interference
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// Band is a band of load: how busy the slots of a worker are with requests.
+type Band uint8
+
+// Bands is the number of load bands.
+const Bands = 4
+
+// BandOf returns the band of a utilization between 0 and 1.
+func BandOf(utilization float64) Band {
+	return Band(min(max(int(utilization*Bands), 0), Bands-1))
+}
+
+// Sample is what one lagging report says of one class of requests on a worker.
+type Sample struct {
+	Time     time.Time // end of the reported window
+	Class    unit.ClassID
+	Band     Band
+	Requests int
+	Latency  time.Duration            // median of the window, which a few slow requests don't move
+	Shares   map[unit.ClassID]float64 // of the worker's cores, used by each batch class
+}
+
+// Estimate is an expected rise of the logarithm of the latency.
+type Estimate struct {
+	Mean      float64
+	Deviation float64 // standard deviation of the mean
+}
+
+// Slowdown returns the expected factor of the latency, and with a positive z a
+// cautious one, z deviations above.
+func (e Estimate) Slowdown(z float64) float64 { return math.Exp(e.Mean + z*e.Deviation) }
+
+const (
+	// priorMean and priorDeviation describe a pair of which nothing is known: a
+	// class that takes all cores raises the latency by e^0.5 = 1.6, give or take.
+	priorMean      = 0.5
+	priorDeviation = 1.0
+	// baseDeviation is that of the latency without batch work: nearly unknown.
+	baseDeviation = 3.0
+	// confidentDeviation is the deviation of a pair below which it counts as known.
+	confidentDeviation = 0.25
+
+	// memory is the time in which an unseen pair goes back to the prior by 1-1/e.
+	// Load and versions of programs change over the day, not over minutes.
+	memory = 20 * time.Minute
+	// drift is the deviation that a pair gains in the time memory while it is seen.
+	drift = 0.5
+
+	// clip bounds the influence of one report, in deviations of the prediction.
+	clip = 2.5
+	// requestDeviation is that of the logarithm of a single request's latency;
+	// the median of n has about 1.25/sqrt(n) of it.
+	requestDeviation = 0.6
+	// floorDeviation is what no number of requests removes: usage lags latency.
+	floorDeviation = 0.05
+	// firstDeviation is that of the noise before residuals show it. It keeps two
+	// or three lucky reports from making a pair confident.
+	firstDeviation = 0.3
+	// noiseWeight is the weight of a new residual in the estimate of the noise.
+	noiseWeight = 0.02
+
+	// maxClasses bounds the batch classes per class of requests and band. The
+	// state takes 8 bytes x (maxClasses+1)^2 for each: 2.3 KB.
+	maxClasses = 16
+)
+
+type key struct {
+	class unit.ClassID // of requests
+	band  Band
+}
+
+// Model holds the estimates. The zero value is not usable; call New.
+type Model struct {
+	filters map[key]*filter
+}
+
+// New returns a model without knowledge.
+func New() *Model { return &Model{filters: map[key]*filter{}} }
+
+// Observe learns from one report. Reports may arrive late and out of order.
+func (m *Model) Observe(s Sample) {
+	if s.Requests <= 0 || s.Latency <= 0 {
+		return
+	}
+	k := key{s.Class, s.Band}
+	f, ok := m.filters[k]
+	if !ok {
+		f = m.newFilter(k, s)
+		m.filters[k] = f
+	}
+	f.observe(s)
+}
+
+// Expect returns the rise in the latency of a class of requests at a load band
+// if a batch class uses a share of the worker's cores.
+func (m *Model) Expect(requests unit.ClassID, band Band, batch unit.ClassID, share float64) Estimate {
+	mean, deviation := priorMean, priorDeviation
+	if f := m.nearest(requests, band); f != nil {
+		if i := slices.Index(f.classes, batch); i >= 0 {
+			mean, deviation = f.mean[i+1], math.Sqrt(f.at(i+1, i+1))
+		}
+	}
+	return Estimate{Mean: max(mean, 0) * share, Deviation: deviation * share}
+}
+
+// Confident reports whether the pair is known well enough to use without a bound
+// on the number of workers.
+func (m *Model) Confident(requests unit.ClassID, band Band, batch unit.ClassID) bool {
+	return m.Expect(requests, band, batch, 1).Deviation < confidentDeviation
+}
+
+// MayTry reports whether a pair may be tried on one more worker, when so many of
+// the workers run the batch class already. An uncertain pair is limited to one
+// worker in sixteen, and two at least, so that a bad one harms few callers.
+func (m *Model) MayTry(requests unit.ClassID, band Band, batch unit.ClassID, trying, workers int) bool {
+	return trying < max(2, workers/16) || m.Confident(requests, band, batch)
+}
+
+// Baseline returns the expected latency of a class of requests without batch
+// work, or 0 if no report was seen.
+func (m *Model) Baseline(requests unit.ClassID, band Band) time.Duration {
+	f := m.nearest(requests, band)
+	if f == nil {
+		return 0
+	}
+	return time.Duration(math.Exp(f.mean[0]) * float64(time.Second))
+}
+
+// nearest returns the filter of the band, or of the nearest band that has one.
+func (m *Model) nearest(class unit.ClassID, band Band) *filter {
+	for d := range Bands {
+		if f := m.filters[key{class, band + Band(d)}]; f != nil {
+			return f
+		}
+		if f := m.filters[key{class, band - Band(d)}]; f != nil && int(band) >= d {
+			return f
+		}
+	}
+	return nil
+}
+
+// newFilter starts from the means of the nearest band with the uncertainty of
+// the prior.
+func (m *Model) newFilter(k key, s Sample) *filter {
+	f := &filter{
+		mean:     []float64{math.Log(s.Latency.Seconds())},
+		variance: []float64{baseDeviation * baseDeviation},
+		noise:    firstDeviation * firstDeviation,
+		time:     s.Time,
+	}
+	if near := m.nearest(k.class, k.band); near != nil {
+		for i, c := range near.classes {
+			f.add(c, s.Time)
+			f.mean[i+1] = near.mean[i+1]
+		}
+	}
+	return f
+}
+
+// filter is a Kalman filter of the logarithm of the latency: a base, and for
+// each batch class a rise per share of cores. The full covariance keeps apart
+// what two classes that always run together do.
+type filter struct {
+	classes  []unit.ClassID // of rows 1 and up; row 0 is the base
+	seen     []time.Time
+	mean     []float64
+	variance []float64 // square matrix by rows
+	noise    float64   // variance of the residuals
+	time     time.Time
+}
+
+func (f *filter) at(i, j int) float64 { return f.variance[i*len(f.mean)+j] }
+
+func (f *filter) observe(s Sample) {
+	classes := slices.Sorted(maps.Keys(s.Shares))
+	for _, c := range classes {
+		if s.Shares[c] > 0 && !slices.Contains(f.classes, c) {
+			f.add(c, s.Time)
+		}
+	}
+	f.decay(s.Time)
+	n := len(f.mean)
+	x := make([]float64, n)
+	x[0] = 1
+	for i, c := range f.classes {
+		if x[i+1] = s.Shares[c]; x[i+1] > 0 && s.Time.After(f.seen[i]) {
+			f.seen[i] = s.Time
+		}
+	}
+	gain := make([]float64, n)
+	predicted, spread := 0.0, 0.0
+	for i := range n {
+		for j := range n {
+			gain[i] += f.at(i, j) * x[j]
+		}
+		predicted += f.mean[i] * x[i]
+		spread += gain[i] * x[i]
+	}
+	median := 1.25 * requestDeviation / math.Sqrt(float64(s.Requests))
+	total := spread + median*median + f.noise
+	residual := math.Log(s.Latency.Seconds()) - predicted
+	limit := clip * math.Sqrt(total)
+	residual = min(max(residual, -limit), limit)
+	f.noise += noiseWeight * (max(residual*residual-spread-median*median, floorDeviation*floorDeviation) - f.noise)
+	for i := range n {
+		f.mean[i] += gain[i] / total * residual
+		for j := range n {
+			f.variance[i*n+j] -= gain[i] * gain[j] / total
+		}
+	}
+}
+
+// decay adds the uncertainty of the time since the last report, and leads pairs
+// that were not seen for some time back to the prior.
+func (f *filter) decay(now time.Time) {
+	elapsed := now.Sub(f.time)
+	if elapsed <= 0 {
+		return
+	}
+	f.time = now
+	part := 1 - math.Exp(-elapsed.Seconds()/memory.Seconds())
+	n := len(f.mean)
+	f.variance[0] = min(f.variance[0]+part*drift*drift, baseDeviation*baseDeviation)
+	for i := 1; i < n; i++ {
+		gained := part * drift * drift
+		if now.Sub(f.seen[i-1]) > memory/4 {
+			f.mean[i] += part * (priorMean - f.mean[i])
+			gained = part * priorDeviation * priorDeviation
+		}
+		f.variance[i*n+i] = min(f.variance[i*n+i]+gained, max(priorDeviation*priorDeviation, f.variance[i*n+i]))
+	}
+}
+
+// add gives a class a row, in place of the one not seen for longest if all are
+// taken.
+func (f *filter) add(class unit.ClassID, now time.Time) {
+	if len(f.classes) == maxClasses {
+		oldest := 0
+		for i := range f.seen {
+			if f.seen[i].Before(f.seen[oldest]) {
+				oldest = i
+			}
+		}
+		f.classes[oldest], f.seen[oldest] = class, now
+		n, row := len(f.mean), oldest+1
+		for j := range n {
+			f.variance[row*n+j], f.variance[j*n+row] = 0, 0
+		}
+		f.mean[row], f.variance[row*n+row] = priorMean, priorDeviation*priorDeviation
+		return
+	}
+	n := len(f.mean)
+	wider := make([]float64, (n+1)*(n+1))
+	for i := range n {
+		copy(wider[i*(n+1):], f.variance[i*n:(i+1)*n])
+	}
+	wider[n*(n+1)+n] = priorDeviation * priorDeviation
+	f.variance = wider
+	f.mean = append(f.mean, priorMean)
+	f.classes = append(f.classes, class)
+	f.seen = append(f.seen, now)
+}
--- /dev/null
+++ b/internal/job/interference/size.go
@@ -0,0 +1,153 @@
+package interference
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+const (
+	// maxEnds is the number of ended tasks kept per class. It bounds the memory
+	// to 1.5 KB a class and lets the estimate follow a change within 64 tasks.
+	maxEnds = 64
+
+	// A task that gets too few cores runs longer; one that gets too little memory
+	// fails. So memory is estimated at a higher quantile, and with a margin.
+	coresQuantile  = 0.8
+	memoryQuantile = 0.9
+	memoryMargin   = 1.15
+	workQuantile   = 0.5
+
+	// confidence is the one-sided normal deviate of 95%.
+	confidence = 1.645
+	// smallest bounds the size that is estimated for a task from below.
+	smallestCores  = unit.Millicores(100)
+	smallestMemory = unit.Bytes(64 << 20)
+	// shortage is the factor by which a task that ran out of memory is taken to
+	// need more than it was given.
+	shortage = 1.5
+)
+
+// End is what a task that was done had used at its peak, and what was declared.
+type End struct {
+	Class    unit.ClassID
+	Declared unit.Resources
+	Peak     unit.Resources
+	// DeclaredWork and Work are the run time at full cores; both 0 if the class
+	// runs until it is stopped.
+	DeclaredWork, Work time.Duration
+}
+
+type ratios struct {
+	cores, memory, work ring
+}
+
+// Sizes estimates the real size and run time of the tasks of a class from the
+// ratio of what ended tasks used to what was declared. The zero value is not
+// usable; call NewSizes.
+type Sizes struct {
+	classes map[unit.ClassID]*ratios
+}
+
+// NewSizes returns estimates that know only what is declared.
+func NewSizes() *Sizes { return &Sizes{classes: map[unit.ClassID]*ratios{}} }
+
+// Observe learns from a task that was done.
+func (s *Sizes) Observe(e End) {
+	r := s.of(e.Class)
+	r.cores.add(ratio(float64(e.Peak.Cores), float64(e.Declared.Cores)))
+	r.memory.add(ratio(float64(e.Peak.Memory), float64(e.Declared.Memory)))
+	r.work.add(ratio(float64(e.Work), float64(e.DeclaredWork)))
+}
+
+// Exceeded learns from a task that failed since its memory did not suffice.
+func (s *Sizes) Exceeded(class unit.ClassID, declared, given unit.Resources) {
+	s.of(class).memory.add(ratio(shortage*float64(given.Memory), float64(declared.Memory)))
+}
+
+// Size returns the size to reserve for a task, and whether it is estimated with
+// confidence. Without confidence it is at least the declared size.
+func (s *Sizes) Size(class unit.ClassID, declared unit.Resources) (unit.Resources, bool) {
+	r, ok := s.classes[class]
+	if !ok {
+		return declared, false
+	}
+	cores, sureCores := r.cores.above(coresQuantile)
+	memory, sureMemory := r.memory.above(memoryQuantile)
+	size := declared
+	if cores > 0 {
+		size.Cores = max(unit.Millicores(math.Ceil(float64(declared.Cores)*cores)), min(smallestCores, declared.Cores))
+	}
+	if memory > 0 {
+		size.Memory = max(unit.Bytes(math.Ceil(float64(declared.Memory)*memory*memoryMargin)), min(smallestMemory, declared.Memory))
+	}
+	if !sureCores {
+		size.Cores = max(size.Cores, declared.Cores)
+	}
+	if !sureMemory {
+		size.Memory = max(size.Memory, declared.Memory)
+	}
+	return size, sureCores && sureMemory
+}
+
+// Work returns the median run time to expect, an upper bound that nine tasks in
+// ten keep, and whether both are estimated with confidence.
+func (s *Sizes) Work(class unit.ClassID, declared time.Duration) (median, bound time.Duration, sure bool) {
+	r, ok := s.classes[class]
+	if !ok || r.work.n == 0 {
+		return declared, declared, false
+	}
+	middle, sureMiddle := r.work.above(workQuantile)
+	upper, sureUpper := r.work.above(memoryQuantile)
+	return time.Duration(middle * float64(declared)), time.Duration(upper * float64(declared)), sureMiddle && sureUpper
+}
+
+func (s *Sizes) of(class unit.ClassID) *ratios {
+	r, ok := s.classes[class]
+	if !ok {
+		r = &ratios{}
+		s.classes[class] = r
+	}
+	return r
+}
+
+func ratio(used, declared float64) float64 {
+	if declared <= 0 {
+		return 0
+	}
+	return used / declared
+}
+
+// ring keeps the newest values above 0.
+type ring struct {
+	values [maxEnds]float64
+	n      int // values added in all
+}
+
+func (r *ring) add(v float64) {
+	if v <= 0 {
+		return
+	}
+	r.values[r.n%maxEnds] = v
+	r.n++
+}
+
+// above returns a value that the quantile lies below with 95% confidence: an
+// order statistic of the kept values. If they are too few for that, it returns
+// the greatest and false.
+func (r *ring) above(q float64) (float64, bool) {
+	kept := min(r.n, maxEnds)
+	if kept == 0 {
+		return 0, false
+	}
+	sorted := slices.Clone(r.values[:kept])
+	slices.Sort(sorted)
+	n := float64(kept)
+	rank := int(math.Ceil(n*q + confidence*math.Sqrt(n*q*(1-q))))
+	if rank > kept {
+		return sorted[kept-1], false
+	}
+	return sorted[rank-1], true
+}
