job/control: throttle, checkpoint or stop batch tasks for the targets

Cause: classes of requests miss their targets beside batch tasks, and the effect of an action is visible only in later reports. Ruled out: acting on every report, which repeats an action before its effect shows; one fixed order of classes, which is a weight that operators would set. Change: per worker and class a short tally of late requests against the error budget; an action only beyond chance, at a higher limit while the class as a whole keeps its budget. Only reports whose window began after the last action count. Victims come by relief over price, where the price grows with the nearness of the deadline, unsaved work, and the missing replicas of a standing class, which is never evicted at or below its target. Throttles are undone after headroom for a hold that doubles when the undoing is regretted. Each action has its reason in words. Conclusion: the table of steps covers each escalation and the hysteresis.

--- /dev/null
+++ b/internal/job/control/loop.go
@@ -0,0 +1,387 @@
+// Package control is the loop that keeps latency-critical classes within their
+// targets by acting on the batch tasks beside them: throttle, then checkpoint,
+// then stop. It is pure: state, reports and now give actions.
+package control
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// Blame estimates what a task does to the requests beside it.
+type Blame interface {
+	// Relief returns by how much the logarithm of the latency of a class of
+	// requests on the worker is expected to fall if the task stops.
+	Relief(requests unit.ClassID, t Task) float64
+}
+
+// Signal is what one lagging report says of one class of requests on a worker.
+type Signal struct {
+	Worker      unit.InstanceID
+	Class       unit.ClassID
+	From, Until time.Time // the reported window
+	Requests    int
+	Late        int // over the bound of the target
+}
+
+// Task is a running task as the scheduler knows it.
+type Task struct {
+	Ref      worker.Ref
+	Worker   unit.InstanceID
+	Class    unit.ClassID
+	Cores    unit.Millicores // reserved
+	Share    float64         // of its cores; 1 if not throttled
+	Unsaved  time.Duration   // work since its last checkpoint
+	Left     time.Duration   // expected run time at full share; 0 if it runs until stopped
+	Deadline time.Time       // by the target of its class; zero if none
+	Saves    bool            // it can write a checkpoint
+	Standing bool
+	Spare    int // standing only: running replicas above the target of its zone
+}
+
+// Action is one change to a running task.
+type Action struct {
+	Worker unit.InstanceID
+	Ref    worker.Ref
+	Class  unit.ClassID // of the task
+	For    unit.ClassID // the class of requests that is protected
+	Kind   worker.Action
+	Share  float64 // throttle only
+	Reason string
+}
+
+const (
+	// settle is the time that an action needs to reach the worker and the queue
+	// there to empty. A report counts only if its window began later.
+	settle = 2 * time.Second
+	// patience is the time after which an action counts as visible even without
+	// a report: two report intervals and the lag.
+	patience = 20 * time.Second
+
+	// floorShare is the lowest throttle. A task at less makes so little progress
+	// that it had better run elsewhere.
+	floorShare = 0.25
+	// relaxedLimit is the burn that a worker may have while its class as a whole
+	// keeps within half of its budget.
+	relaxedLimit = 3.0
+	// severeBurn calls for throttling every harmful task on a worker at once.
+	severeBurn = 6.0
+	// headroom is the burn below which throttles are undone.
+	headroom = 0.5
+	// minRequests is the least number of requests that shows headroom.
+	minRequests = 50
+
+	// firstHold is the time that headroom must last before a throttle is undone.
+	// It doubles, up to maxHold, if the undoing is regretted within regretTime.
+	firstHold  = 10 * time.Second
+	maxHold    = 160 * time.Second
+	regretTime = 60 * time.Second
+
+	// minRelief is the relief below which acting on a task is pointless.
+	minRelief = 0.02
+	// evictionsPerStep bounds checkpoints and stops in the time of one settled
+	// report, since the evicted tasks load other workers.
+	evictionsPerStep = 2
+)
+
+type signalKey struct {
+	worker unit.InstanceID
+	class  unit.ClassID
+}
+
+type place struct {
+	acted   time.Time // of the last action; zero if none
+	fresh   bool      // a report since then has been counted
+	calm    time.Time // since when all classes have headroom; zero if they don't
+	hold    time.Duration
+	undone  time.Time // of the last undoing
+	classes []unit.ClassID
+}
+
+// Loop compares the classes of requests with their targets. The zero value is
+// not usable; call New.
+type Loop struct {
+	blame     Blame
+	targets   map[unit.ClassID]spec.Target
+	tallies   map[signalKey]*tally
+	classes   map[unit.ClassID]*tally
+	places    map[unit.InstanceID]*place
+	evictions int
+	evicting  time.Time // start of the time for which evictions are counted
+}
+
+// New returns a loop without targets.
+func New(blame Blame) *Loop {
+	return &Loop{
+		blame:   blame,
+		targets: map[unit.ClassID]spec.Target{},
+		tallies: map[signalKey]*tally{},
+		classes: map[unit.ClassID]*tally{},
+		places:  map[unit.InstanceID]*place{},
+	}
+}
+
+// Target sets the target of a class of requests. Signals of other classes are
+// ignored.
+func (l *Loop) Target(class unit.ClassID, t spec.Target) {
+	l.targets[class] = t
+}
+
+// Observe counts a report. One whose window began before the last action on the
+// worker could show is left out of the judgement of the worker.
+func (l *Loop) Observe(s Signal) {
+	if _, ok := l.targets[s.Class]; !ok {
+		return
+	}
+	class, ok := l.classes[s.Class]
+	if !ok {
+		class = &tally{}
+		l.classes[s.Class] = class
+	}
+	class.add(s.Until, s.Requests, s.Late, classWindow)
+	p := l.place(s.Worker)
+	if !p.acted.IsZero() && s.From.Before(p.acted.Add(settle)) {
+		return
+	}
+	p.fresh = true
+	k := signalKey{s.Worker, s.Class}
+	t, ok := l.tallies[k]
+	if !ok {
+		t = &tally{}
+		l.tallies[k] = t
+		p.classes = append(p.classes, s.Class)
+		slices.Sort(p.classes)
+	}
+	t.add(s.Until, s.Requests, s.Late, workerWindow)
+}
+
+// Forget drops what is known of a worker that is gone.
+func (l *Loop) Forget(id unit.InstanceID) {
+	if p, ok := l.places[id]; ok {
+		for _, c := range p.classes {
+			delete(l.tallies, signalKey{id, c})
+		}
+		delete(l.places, id)
+	}
+}
+
+// Step returns the actions on the running tasks. The tasks of one worker must be
+// adjacent.
+func (l *Loop) Step(now time.Time, tasks []Task) []Action {
+	if now.Sub(l.evicting) > patience {
+		l.evicting, l.evictions = now, 0
+	}
+	var actions []Action
+	for len(tasks) > 0 {
+		n := 1
+		for n < len(tasks) && tasks[n].Worker == tasks[0].Worker {
+			n++
+		}
+		actions = append(actions, l.step(now, tasks[0].Worker, tasks[:n])...)
+		tasks = tasks[n:]
+	}
+	return actions
+}
+
+// step decides for one worker.
+func (l *Loop) step(now time.Time, id unit.InstanceID, tasks []Task) []Action {
+	p := l.place(id)
+	if !p.acted.IsZero() && !p.fresh && now.Sub(p.acted) < patience {
+		return nil // the effect of the last action is not visible yet
+	}
+	var worst unit.ClassID
+	worstBurn, calm := 0.0, true
+	for _, c := range p.classes {
+		t := l.tallies[signalKey{id, c}]
+		budget := budgetOf(l.targets[c])
+		burn := t.burn(budget)
+		limit := 1.0
+		if l.classes[c].burn(budget) < headroom {
+			limit = relaxedLimit
+		}
+		if t.exceeds(budget, limit) && burn > worstBurn {
+			worst, worstBurn = c, burn
+		}
+		calm = calm && burn < headroom && t.requests >= minRequests
+	}
+	var actions []Action
+	switch {
+	case worstBurn > 0:
+		p.calm = time.Time{}
+		actions = l.relieve(now, p, id, worst, worstBurn, tasks)
+	case !calm:
+		p.calm = time.Time{}
+	case p.calm.IsZero():
+		p.calm = now
+	case now.Sub(p.calm) >= p.hold:
+		actions = l.undo(now, p, tasks)
+	}
+	if len(actions) > 0 {
+		p.acted, p.fresh = now, false
+		for _, c := range p.classes {
+			*l.tallies[signalKey{id, c}] = tally{}
+		}
+	}
+	return actions
+}
+
+type victim struct {
+	Task
+	relief, price float64
+}
+
+// relieve acts on the tasks that give the most relief for their price: it
+// throttles while any harmful task is above the floor, and evicts after that.
+func (l *Loop) relieve(now time.Time, p *place, id unit.InstanceID, class unit.ClassID, burn float64, tasks []Task) []Action {
+	var victims []victim
+	total := 0.0
+	for _, t := range tasks {
+		if r := l.blame.Relief(class, t); r >= minRelief {
+			victims = append(victims, victim{t, r, price(now, t)})
+			total += r
+		}
+	}
+	if len(victims) == 0 {
+		return nil
+	}
+	if !p.undone.IsZero() && now.Sub(p.undone) < regretTime {
+		p.hold = min(2*p.hold, maxHold)
+	}
+	slices.SortStableFunc(victims, func(a, b victim) int {
+		switch x, y := a.relief/a.price, b.relief/b.price; {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	t := l.tallies[signalKey{id, class}]
+	cause := fmt.Sprintf("%s on %s: %.1f of %.0f requests late, burn %.1f, class %.1f", class, id,
+		t.late, t.requests, burn, l.classes[class].burn(budgetOf(l.targets[class])))
+	var actions []Action
+	got := 0.0
+	for _, v := range victims {
+		if v.Share <= floorShare || v.Standing && v.price > standingPrice && burn < severeBurn {
+			continue
+		}
+		share := max(v.Share/2, floorShare)
+		actions = append(actions, Action{
+			Worker: id, Ref: v.Ref, Class: v.Class, For: class, Kind: worker.ActionThrottle, Share: share,
+			Reason: fmt.Sprintf("%s; %s has %.0f%% of the relief at price %.1f; share %.2f to %.2f",
+				cause, v.Class, 100*v.relief/total, v.price, v.Share, share),
+		})
+		// Half of the expected relief is enough for a mild excess.
+		if got += v.relief; burn < severeBurn && got >= total/2 {
+			break
+		}
+	}
+	if len(actions) > 0 || l.evictions >= evictionsPerStep {
+		return actions
+	}
+	best, kind := -1, worker.ActionCheckpoint
+	for i, v := range victims {
+		if v.Standing && v.Spare <= 0 {
+			continue // its own target is to stay alive
+		}
+		if v.Saves || burn >= severeBurn {
+			best = i
+			break
+		}
+	}
+	if best < 0 {
+		return nil
+	}
+	v := victims[best]
+	if !v.Saves {
+		kind = worker.ActionStop
+	}
+	l.evictions++
+	return []Action{{
+		Worker: id, Ref: v.Ref, Class: v.Class, For: class, Kind: kind,
+		Reason: fmt.Sprintf("%s; every harmful task is throttled to %.2f; %s has %.0f%% of the relief at price %.1f",
+			cause, floorShare, v.Class, 100*v.relief/total, v.price),
+	}}
+}
+
+// undo doubles the share of the throttled task whose own target suffers most for
+// the harm that it does.
+func (l *Loop) undo(now time.Time, p *place, tasks []Task) []Action {
+	best, most := -1, 0.0
+	for i, t := range tasks {
+		if t.Share >= 1 {
+			continue
+		}
+		relief := minRelief
+		for _, c := range p.classes {
+			relief += max(l.blame.Relief(c, t), 0)
+		}
+		if gain := price(now, t) / relief; gain > most {
+			best, most = i, gain
+		}
+	}
+	if best < 0 {
+		if !p.undone.IsZero() && now.Sub(p.undone) > regretTime {
+			p.hold = firstHold
+		}
+		return nil
+	}
+	t := tasks[best]
+	held := now.Sub(p.calm)
+	p.undone, p.calm = now, time.Time{}
+	return []Action{{
+		Worker: t.Worker, Ref: t.Ref, Class: t.Class, Kind: worker.ActionThrottle, Share: min(2*t.Share, 1),
+		Reason: fmt.Sprintf("every class on %s has headroom for %s: burn below %.1f; share %.2f to %.2f",
+			t.Worker, held.Round(time.Second), headroom, t.Share, min(2*t.Share, 1)),
+	}}
+}
+
+func (l *Loop) place(id unit.InstanceID) *place {
+	p, ok := l.places[id]
+	if !ok {
+		p = &place{hold: firstHold}
+		l.places[id] = p
+	}
+	return p
+}
+
+const (
+	// standingPrice is the price of throttling a replica: its target is to stay
+	// alive, which throttling does not break.
+	standingPrice = 4.0
+	// unsavedPrice is the work whose loss doubles the price of a task.
+	unsavedPrice = 5 * time.Minute
+	// maxUrgency bounds the price of a task whose deadline is close or past.
+	maxUrgency = 20.0
+)
+
+// price returns what acting on a task costs its own target, where 1 is a task
+// with all the time it wants. It grows as the time left nears the deadline.
+func price(now time.Time, t Task) float64 {
+	cost := 1.0
+	if t.Standing {
+		cost = standingPrice
+		if t.Spare <= 0 {
+			cost *= 2
+		}
+	}
+	if !t.Deadline.IsZero() && t.Left > 0 {
+		slack := 1 - t.Left.Seconds()/max(t.Deadline.Sub(now).Seconds(), 1)
+		cost *= 1 / max(slack, 1/maxUrgency)
+	}
+	if !t.Saves {
+		cost *= 1 + t.Unsaved.Seconds()/unsavedPrice.Seconds()
+	}
+	return cost
+}
+
+// budgetOf returns the part of the requests that may be late.
+func budgetOf(t spec.Target) float64 {
+	return math.Max(1-t.Percentile/100, 1e-4)
+}
--- /dev/null
+++ b/internal/job/control/loop_test.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+type blame map[unit.ClassID]float64
+
+func (b blame) Relief(_ unit.ClassID, t Task) float64 { return b[t.Class] * t.Share }
+
+func ref(n int) worker.Ref {
+	return worker.Ref{Task: unit.TaskID{Job: "j", Index: unit.TaskIndex(n)}, Attempt: 1}
+}
+
+// TestStep guards against acting without cause or before the last action shows,
+// skipping an escalation step, evicting replicas below their target, choosing a
+// victim that is close to its deadline, and undoing too early.
+func TestStep(t *testing.T) {
+	start := time.Unix(1000, 0)
+	type step struct {
+		at   int // seconds
+		late int // of 200 requests in the 5 s until then; -1 for no report
+	}
+	noisy := Task{Ref: ref(1), Worker: "w", Class: "noisy", Share: 1, Saves: true}
+	mild := Task{Ref: ref(2), Worker: "w", Class: "mild", Share: 1, Saves: true}
+	standing := Task{Ref: ref(3), Worker: "w", Class: "sync", Share: 1, Saves: true, Standing: true}
+	urgent := Task{Ref: ref(4), Worker: "w", Class: "noisy", Share: 1, Saves: true, Left: 55 * time.Minute, Deadline: start.Add(time.Hour)}
+	unsaved := Task{Ref: ref(5), Worker: "w", Class: "noisy", Share: 1}
+	tests := []struct {
+		name  string
+		tasks []Task
+		steps []step
+		want  []string
+	}{
+		{"within target", []Task{noisy}, []step{{5, 1}, {10, 2}, {15, 0}}, nil},
+		{"one late report beyond chance", []Task{noisy, mild}, []step{{5, 10}}, []string{"5 throttle 1"}},
+		{"waits for a report after the action", []Task{noisy, mild}, []step{{5, 10}, {8, 10}, {11, 10}, {14, 10}},
+			[]string{"5 throttle 1", "14 throttle 1"}},
+		{"without reports it waits for the patience", []Task{noisy, mild}, []step{{5, 10}, {24, -1}, {26, -1}}, []string{"5 throttle 1"}},
+		{"throttle, checkpoint", []Task{noisy}, []step{{5, 10}, {15, 10}, {25, 10}},
+			[]string{"5 throttle 1", "15 throttle 1", "25 checkpoint 1"}},
+		{"stops what saves nothing only if severe", []Task{unsaved}, []step{{5, 10}, {15, 10}, {25, 10}, {35, 40}},
+			[]string{"5 throttle 5", "15 throttle 5", "35 stop 5"}},
+		{"severe throttles all", []Task{noisy, mild}, []step{{5, 40}}, []string{"5 throttle 1", "5 throttle 2"}},
+		{"replicas stay alive", []Task{standing}, []step{{5, 40}, {15, 40}, {25, 40}, {35, 40}},
+			[]string{"5 throttle 3", "15 throttle 3"}},
+		{"urgent task is spared", []Task{urgent, noisy}, []step{{5, 10}}, []string{"5 throttle 1"}},
+		{"undone after calm", []Task{noisy}, []step{{5, 10}, {15, 0}, {20, 0}, {26, 0}},
+			[]string{"5 throttle 1", "26 throttle 1"}},
+		{"regret doubles the hold", []Task{noisy}, []step{{5, 10}, {15, 0}, {26, 0}, {36, 10}, {46, 0}, {57, 0}, {67, 0}},
+			[]string{"5 throttle 1", "26 throttle 1", "36 throttle 1", "67 throttle 1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := New(blame{"noisy": 1, "mild": 0.1, "sync": 0.2})
+			l.Target("quotes", spec.Target{Percentile: 99, Bound: unit.Duration(100 * time.Millisecond)})
+			tasks := append([]Task(nil), tt.tasks...)
+			var got []string
+			for _, s := range tt.steps {
+				now := start.Add(time.Duration(s.at) * time.Second)
+				if s.late >= 0 {
+					l.Observe(Signal{Worker: "w", Class: "quotes", From: now.Add(-5 * time.Second), Until: now, Requests: 200, Late: s.late})
+				}
+				for _, a := range l.Step(now, tasks) {
+					got = append(got, fmt.Sprint(s.at, " ", a.Kind, " ", a.Ref.Task.Index))
+					if a.Reason == "" {
+						t.Errorf("%s: no reason", got[len(got)-1])
+					}
+					for i := range tasks {
+						if tasks[i].Ref == a.Ref && a.Kind == worker.ActionThrottle {
+							tasks[i].Share = a.Share
+						}
+					}
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
