fleet/listing: read the instance list as differences

Cause: the list of 4,400 workers is about 1.5 MB; reading it each second would take far more than the 8 KB/s that control may take on an instance. Ruled out: a longer interval, since a draining upstream must get nothing new after 5 s. Change: the list is read with the last revision, and the service sends what changed since; it sends the whole list if it does not know that revision. Conclusion: an unchanged list costs one small call a second.

--- /dev/null
+++ b/internal/desk/command/check.go
@@ -0,0 +1,86 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/entry/settings"
+	"github.com/monsoonfold/monsoonfold/internal/target/document"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// newCheck builds the command that validates files without an entry.
+func newCheck() action {
+	sub := newSubcommand("check", "validate settings and target files; prints every fault", "monsoonfold check --settings entry.json --target targets.json")
+	var settingsFile, targetFile, schema string
+	sub.String(&settingsFile, "s", "settings", "settings file of an entry")
+	sub.String(&targetFile, "t", "target", "target file")
+	sub.String(&schema, "", "schema", "print the JSON schema of: settings, target")
+	return action{sub: sub, run: func(_ context.Context, s Streams) error {
+		if schema != "" {
+			return printSchema(s, schema)
+		}
+		if settingsFile == "" && targetFile == "" {
+			return &failure{CodeUsage, errors.New("check: name a file with --settings or --target")}
+		}
+		return checkFiles(s, settingsFile, targetFile)
+	}}
+}
+
+func printSchema(s Streams, name string) error {
+	var text []byte
+	switch name {
+	case "settings":
+		text = settings.Schema()
+	case "target":
+		text = spec.Schema()
+	default:
+		return &failure{CodeUsage, errors.Errorf("check: no schema %q; want settings or target", name)}
+	}
+	if _, err := s.Out.Write(text); err != nil {
+		return errors.Errorf("write schema: %w", err)
+	}
+	return nil
+}
+
+// checkFiles checks every file before it returns, so that all faults are seen at
+// once.
+func checkFiles(s Streams, settingsFile, targetFile string) error {
+	var faults []error
+	if settingsFile != "" {
+		_, err := settings.Load(settingsFile)
+		faults = append(faults, report(s, settingsFile, err))
+	}
+	if targetFile != "" {
+		_, err := loadTarget(targetFile)
+		faults = append(faults, report(s, targetFile, err))
+	}
+	return errors.Join(faults...)
+}
+
+func report(s Streams, file string, err error) error {
+	if err == nil {
+		fmt.Fprintf(s.Out, "%s: ok\n", file)
+		return nil
+	}
+	return invalid(err)
+}
+
+// invalid gives faults of a document their exit code.
+func invalid(err error) error {
+	if _, ok := errors.Into[*document.Faults](err); ok {
+		return &failure{CodeInvalid, err}
+	}
+	return err
+}
+
+func loadTarget(file string) (spec.Document, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return spec.Document{}, errors.Errorf("read target file: %w", err)
+	}
+	return spec.Parse(file, data)
+}
--- /dev/null
+++ b/internal/desk/command/command.go
@@ -0,0 +1,97 @@
+// Package command is the command line of monsoonfold, one file for each command.
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+)
+
+// Code is the exit code of a command.
+type Code int
+
+// Exit codes.
+const (
+	CodeOK          Code = 0
+	CodeFailed      Code = 1 // the command failed; the message says what to do next
+	CodeUsage       Code = 2 // wrong arguments
+	CodeInvalid     Code = 3 // a file is at fault; every fault is printed
+	CodeConflict    Code = 4 // somebody else changed the configuration first
+	CodePending     Code = 5 // not known yet or not yet in force everywhere; ask again
+	CodeUnreachable Code = 6 // no entry could be reached
+)
+
+// failure is an error with the exit code that it leads to.
+type failure struct {
+	code Code
+	err  error
+}
+
+func (f *failure) Error() string { return f.err.Error() }
+func (f *failure) Unwrap() error { return f.err }
+
+// Streams are where a command writes to.
+type Streams struct {
+	Out io.Writer // results
+	Err io.Writer // errors and logs
+}
+
+// action is one command.
+type action struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context, s Streams) error
+}
+
+// Run parses the arguments, runs the command and returns the exit code.
+func Run(ctx context.Context, args []string, s Streams) Code {
+	p := flaggy.NewParser("monsoonfold")
+	p.Description = "scheduler for latency-critical and batch work on the same workers"
+	p.Version = Version()
+	p.AdditionalHelpAppend = "\nExit codes: 0 done, 1 failed, 2 wrong arguments, 3 file at fault, 4 conflict, 5 pending, 6 no entry reached."
+	actions := attachAll(p)
+	if err := p.ParseArgs(args); err != nil {
+		fmt.Fprintf(s.Err, "monsoonfold: %v\n", err)
+		return CodeUsage
+	}
+	for _, a := range actions {
+		if a.sub.Used {
+			return finish(a.run(ctx, s), s)
+		}
+	}
+	p.ShowHelp()
+	return CodeUsage
+}
+
+// attachAll adds every command to the parser and returns those that run, the
+// most specific ones first.
+func attachAll(p *flaggy.Parser) []action {
+	commands := []func() action{newEntry, newCheck}
+	var actions []action
+	for _, build := range commands {
+		a := build()
+		p.AttachSubcommand(a.sub, 1)
+		actions = append(actions, a)
+	}
+	return actions
+}
+
+func newSubcommand(name, description, example string) *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand(name)
+	sub.Description = description
+	sub.AdditionalHelpAppend = "\nExample: " + example
+	return sub
+}
+
+func finish(err error, s Streams) Code {
+	if err == nil {
+		return CodeOK
+	}
+	fmt.Fprintf(s.Err, "monsoonfold: %v\n", err)
+	if f, ok := errors.Into[*failure](err); ok {
+		return f.code
+	}
+	return CodeFailed
+}
--- /dev/null
+++ b/internal/desk/command/entry.go
@@ -0,0 +1,27 @@
+package command
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/entry/assembly"
+	"github.com/monsoonfold/monsoonfold/internal/entry/settings"
+)
+
+// newEntry builds the command that runs an entry until it is told to stop.
+func newEntry() action {
+	sub := newSubcommand("entry", "run an entry until SIGTERM", "monsoonfold entry --settings entry.json")
+	var file string
+	sub.String(&file, "s", "settings", "settings file; see check --schema settings")
+	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
+		if file == "" {
+			return &failure{CodeUsage, errors.New("entry: name the settings file with --settings")}
+		}
+		loaded, err := settings.Load(file)
+		if err != nil {
+			return invalid(err)
+		}
+		return assembly.Run(ctx, loaded, newLogger(s.Err, loaded.Level))
+	}}
+}
--- /dev/null
+++ b/internal/desk/command/logger.go
@@ -0,0 +1,19 @@
+package command
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonfold/monsoonfold/internal/entry/settings"
+)
+
+// newLogger returns a logger that writes one JSON object for each line.
+func newLogger(w io.Writer, level settings.Level) logr.Logger {
+	least := slog.LevelInfo
+	if level == settings.LevelDebug {
+		least = slog.LevelDebug
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: least}))
+}
--- /dev/null
+++ b/internal/desk/health/health.go
@@ -0,0 +1,83 @@
+// Package health serves liveness, readiness and the expvar counters of an entry.
+package health
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+)
+
+// ServiceName is the name of the service in a kernel.
+const ServiceName registry.Name = "health"
+
+// gateway tells whether the entry takes requests of callers.
+type gateway interface {
+	Ready() bool
+}
+
+// Service serves GET /livez, /readyz and /debug/vars. The load balancer reads
+// /readyz: status 200 while the entry takes requests, else 503.
+type Service struct {
+	address string
+	gateway gateway
+	http    *http.Server
+	done    chan struct{}
+}
+
+// New returns a service that will listen at address, an IP and port.
+func New(address string) *Service {
+	return &Service{address: address, done: make(chan struct{})}
+}
+
+// Name implements registry.Service.
+func (s *Service) Name() registry.Name { return ServiceName }
+
+// Start implements registry.Service.
+func (s *Service) Start(_ context.Context, k *registry.Kernel) error {
+	var err error
+	if s.gateway, err = registry.Find[gateway](k, "gateway"); err != nil {
+		return errors.Errorf("find gateway: %w", err)
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Errorf("listen for health checks: %w", err)
+	}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		defer close(s.done)
+		_ = s.http.Serve(l) // ends with ErrServerClosed at Stop
+	}()
+	return nil
+}
+
+// Stop implements registry.Service.
+func (s *Service) Stop(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Errorf("shut down health server: %w", err)
+	}
+	return nil
+}
+
+// Done implements registry.Service.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+func (s *Service) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/livez", func(http.ResponseWriter, *http.Request) {})
+	r.Get("/readyz", s.handleReady)
+	r.Method(http.MethodGet, "/debug/vars", expvar.Handler())
+	return r
+}
+
+func (s *Service) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.gateway.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+	}
+}
--- a/internal/fleet/inventory/inventory.go
+++ b/internal/fleet/inventory/inventory.go
@@ -3,6 +3,8 @@
 package inventory
 
 import (
+	"slices"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
@@ -13,11 +15,44 @@
 	workers  []store.Instance
 }
 
-// NewSnapshot returns a snapshot of a listing.
+// NewSnapshot returns a snapshot of a whole listing.
 func NewSnapshot(l store.Listing) Snapshot {
 	return Snapshot{Revision: l.Revision, workers: l.Instances}
 }
 
+// Apply returns the snapshot after a listing, which may be a difference. It
+// reports false if the difference is from another revision than the snapshot's.
+func (s Snapshot) Apply(l store.Listing) (Snapshot, bool) {
+	switch l.After {
+	case 0:
+		return NewSnapshot(l), true
+	case s.Revision:
+	default:
+		return s, false
+	}
+	changed := map[unit.InstanceID]store.Instance{}
+	for _, w := range l.Instances {
+		changed[w.ID] = w
+	}
+	next := make([]store.Instance, 0, len(s.workers)+len(l.Instances))
+	for _, w := range s.workers {
+		if slices.Contains(l.Removed, w.ID) {
+			continue
+		}
+		if c, ok := changed[w.ID]; ok {
+			w = c
+			delete(changed, w.ID)
+		}
+		next = append(next, w)
+	}
+	for _, w := range l.Instances {
+		if _, added := changed[w.ID]; added {
+			next = append(next, w)
+		}
+	}
+	return Snapshot{Revision: l.Revision, workers: next}, true
+}
+
 // Workers returns all workers in the order of the list. The slice must not be
 // changed.
 func (s Snapshot) Workers() []store.Instance { return s.workers }
--- a/internal/fleet/listing/listing.go
+++ b/internal/fleet/listing/listing.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
@@ -23,7 +24,7 @@
 
 // lister reads the platform's list.
 type lister interface {
-	Instances(ctx context.Context) (store.Listing, error)
+	InstanceChanges(ctx context.Context, after unit.Revision) (store.Listing, error)
 }
 
 // Service reads the list once a second.
@@ -103,7 +104,7 @@
 }
 
 func (s *Service) read(ctx context.Context) error {
-	l, err := s.lister.Instances(ctx)
+	l, err := s.lister.InstanceChanges(ctx, s.Snapshot().Revision)
 	if err != nil {
 		return errors.Errorf("refresh inventory: %w", err)
 	}
@@ -112,7 +113,11 @@
 	if l.Revision == s.current.Revision {
 		return nil
 	}
-	s.current = inventory.NewSnapshot(l)
+	next, ok := s.current.Apply(l)
+	if !ok {
+		return errors.Errorf("refresh inventory: difference from revision %d, want %d", l.After, s.current.Revision)
+	}
+	s.current = next
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return nil
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -144,6 +144,18 @@
 	return l, nil
 }
 
+// InstanceChanges reads how the instance list differs from the revision. The
+// service sends the whole list if it no longer knows that revision; 4,400
+// instances are about 1.5 MB, too much to read every second.
+func (c *Client) InstanceChanges(ctx context.Context, after unit.Revision) (Listing, error) {
+	var l Listing
+	q := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}}
+	if err := c.call(ctx, http.MethodGet, "/v1/instances", q, nil, &l); err != nil {
+		return Listing{}, errors.Errorf("read changes of the instance list: %w", err)
+	}
+	return l, nil
+}
+
 func (c *Client) call(ctx context.Context, method, path string, q url.Values, body []byte, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, Timeout)
 	defer cancel()
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -116,10 +116,13 @@
 	Connections int             `json:"connections"` // open connections, of all entries together
 }
 
-// Listing is the instance list as of a revision of its own.
+// Listing is the instance list as of a revision of its own, or the difference
+// from an earlier revision.
 type Listing struct {
-	Instances []Instance    `json:"instances"`
-	Revision  unit.Revision `json:"revision"`
+	Instances []Instance        `json:"instances"`         // all, or those that are new or changed
+	Removed   []unit.InstanceID `json:"removed,omitempty"` // of a difference only
+	After     unit.Revision     `json:"after,omitempty"`   // of a difference: the earlier revision; 0: the whole list
+	Revision  unit.Revision     `json:"revision"`
 }
 
 // Timeout bounds each call other than a watch. The service answers in
--- a/internal/standin/platform/roll.go
+++ b/internal/standin/platform/roll.go
@@ -14,9 +14,13 @@
 // plain state machine.
 type roll struct {
 	lag      time.Duration
-	versions []rollVersion // in order of time; the first is the one shown last
+	versions []rollVersion   // in order of time; the first is the one shown last
+	past     []store.Listing // versions shown before, oldest first, for differences
 }
 
+// maxPast is how many earlier versions a difference can refer to.
+const maxPast = 64
+
 type rollVersion struct {
 	at      time.Time
 	listing store.Listing
@@ -38,11 +42,47 @@
 // shown returns the list as a reader sees it now.
 func (r *roll) shown(now time.Time) store.Listing {
 	for len(r.versions) > 1 && !r.versions[1].at.Add(r.lag).After(now) {
+		r.past = append(r.past, r.versions[0].listing)
 		r.versions = r.versions[1:]
 	}
+	r.past = r.past[max(0, len(r.past)-maxPast):]
 	return r.versions[0].listing
 }
 
+// difference returns how the list that is shown now differs from a revision
+// shown before, or the whole list if that revision is not known.
+func (r *roll) difference(now time.Time, after unit.Revision) store.Listing {
+	shown := r.shown(now)
+	if after == shown.Revision {
+		return store.Listing{Instances: []store.Instance{}, After: after, Revision: shown.Revision}
+	}
+	i := slices.IndexFunc(r.past, func(l store.Listing) bool { return l.Revision == after })
+	if i < 0 {
+		return shown
+	}
+	return compare(r.past[i], shown)
+}
+
+func compare(from, to store.Listing) store.Listing {
+	before := map[unit.InstanceID]store.Instance{}
+	for _, x := range from.Instances {
+		before[x.ID] = x
+	}
+	d := store.Listing{Instances: []store.Instance{}, After: from.Revision, Revision: to.Revision}
+	for _, x := range to.Instances {
+		if old, ok := before[x.ID]; !ok || old != x {
+			d.Instances = append(d.Instances, x)
+		}
+		delete(before, x.ID)
+	}
+	for _, x := range from.Instances {
+		if _, gone := before[x.ID]; gone {
+			d.Removed = append(d.Removed, x.ID)
+		}
+	}
+	return d
+}
+
 // checkInstances reports every fault of a list.
 func checkInstances(instances []store.Instance) error {
 	var faults []error
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -262,9 +262,17 @@
 	respond(w, struct{}{}, err)
 }
 
-func (s *Server) handleInstances(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleInstances(w http.ResponseWriter, r *http.Request) {
+	var after uint64
+	if text := r.URL.Query().Get("after"); text != "" {
+		var err error
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
 	s.mu.Lock()
-	listing := s.roll.shown(time.Now())
+	listing := s.roll.difference(time.Now(), unit.Revision(after))
 	s.mu.Unlock()
 	respond(w, listing, nil)
 }
