order/route: choose workers, admit requests and bound retries

Cause: an entry has to pick a worker from lagging measurements, and to decide early which requests cannot be served in time. Change: a pure router with choice by expected completion, set-aside and probe of failing workers, a queue per service with a bound per class, and the retry budget of the entry. Conclusion: the gateway only carries out decisions.

--- /dev/null
+++ b/internal/order/route/router.go
@@ -0,0 +1,422 @@
+// Package route decides which worker gets a request, which requests wait and
+// which are rejected. It is pure: the time comes with each event, and the caller
+// carries out the decisions.
+//
+// A request goes to the worker with the least expected completion time. If all
+// slots are taken it waits in a bounded queue, unless it could not be completed
+// by its deadline; then it is rejected at once, so that the caller can still act.
+package route
+
+import (
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// Ticket names one attempt to send a request within an entry.
+type Ticket uint64
+
+// Worker is what is known of a worker from elsewhere.
+type Worker struct {
+	ID       unit.InstanceID
+	Service  unit.ServiceID
+	Slots    int  // that this entry may use
+	Draining bool // by the platform's list
+}
+
+// Request is one attempt to send a request.
+type Request struct {
+	Ticket     Ticket
+	Class      unit.ClassID
+	Service    unit.ServiceID
+	Due        time.Time // arrival plus the bound of the class
+	Deadline   time.Time // the response is useless afterwards
+	Idempotent bool
+	Avoid      []unit.InstanceID // workers tried before
+}
+
+// Reason says why a request is rejected. The request has not run.
+type Reason string
+
+// Reasons of rejections.
+const (
+	ReasonNone     Reason = ""
+	ReasonNoWorker Reason = "no worker of the service takes work"
+	ReasonNoSlot   Reason = "this entry holds no slot of the service"
+	ReasonFull     Reason = "too many requests of the class are waiting"
+	ReasonLate     Reason = "the deadline cannot be met"
+)
+
+// Decision answers a request: it is sent to Worker, or rejected for Reason.
+type Decision struct {
+	Ticket Ticket
+	Worker unit.InstanceID
+	Reason Reason
+}
+
+// Verdict says how an exchange with a worker ended.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Succeeded Verdict = iota
+	Neutral           // says nothing about the worker, such as an abandoned request
+	Busy              // the worker had no free slot; not run
+	Failed
+	Dead // no connection could be opened; not run
+)
+
+// End is the end of an exchange.
+type End struct {
+	Verdict  Verdict
+	Latency  time.Duration // to the first byte of the response, if one came
+	Draining bool          // by the worker's own word
+	MayRun   bool          // the worker may still be busy with the request
+}
+
+// Router is the state of the decisions of one entry.
+type Router struct {
+	workers  map[unit.InstanceID]*worker
+	services map[unit.ServiceID]*service
+	classes  map[unit.ClassID]latency
+	queued   map[Ticket]*item
+	sent     map[Ticket]flight
+	sequence uint64
+	changes  []Change
+}
+
+type service struct {
+	workers []*worker // with at least one slot
+	all     int
+	slots   int
+	queue   *queue
+}
+
+// latency is the mean of a class.
+type latency struct {
+	mean     time.Duration
+	measured time.Time
+}
+
+type flight struct {
+	worker *worker
+	class  unit.ClassID
+}
+
+// maxCompared bounds the cost of a choice. The best of 32 is close to the best of
+// the 880 workers on which an entry holds slots at the scale target.
+const maxCompared = 32
+
+// defaultLatency stands for the mean of a class that has no measurement.
+const defaultLatency = 20 * time.Millisecond
+
+// New returns a router without workers.
+func New() *Router {
+	return &Router{
+		workers:  map[unit.InstanceID]*worker{},
+		services: map[unit.ServiceID]*service{},
+		classes:  map[unit.ClassID]latency{},
+		queued:   map[Ticket]*item{},
+		sent:     map[Ticket]flight{},
+	}
+}
+
+// SetWorkers replaces the set of workers and returns decisions on waiting
+// requests.
+func (r *Router) SetWorkers(workers []Worker, now time.Time) []Decision {
+	next := make(map[unit.InstanceID]*worker, len(workers))
+	for _, s := range r.services {
+		s.workers, s.all, s.slots = s.workers[:0], 0, 0
+	}
+	for _, given := range workers {
+		w := r.workers[given.ID]
+		if w == nil {
+			w = &worker{health: Serving}
+		}
+		w.Worker = given
+		next[given.ID] = w
+		s := r.service(given.Service)
+		s.all++
+		if given.Slots > 0 {
+			s.workers = append(s.workers, w)
+			s.slots += given.Slots
+		}
+		r.noteHealth(w, now)
+	}
+	for id, w := range r.workers {
+		if next[id] == nil && w.inUse > 0 { // its slots stay taken if the list has it again soon
+			w.Slots, w.Draining = 0, true
+			next[id] = w
+		}
+	}
+	r.workers = next
+	return r.Tick(now)
+}
+
+// Arrive decides on a request. It reports false if the request waits; a later
+// decision follows then, unless it is abandoned.
+func (r *Router) Arrive(q Request, now time.Time) (Decision, bool) {
+	s := r.service(q.Service)
+	reject := func(reason Reason) (Decision, bool) { return Decision{Ticket: q.Ticket, Reason: reason}, true }
+	switch {
+	case s.all == 0:
+		return reject(ReasonNoWorker)
+	case s.slots == 0:
+		return reject(ReasonNoSlot)
+	case !now.Before(q.Deadline):
+		return reject(ReasonLate)
+	}
+	if s.queue.len() == 0 {
+		if w := r.choose(s, &q, now); w != nil {
+			return r.send(w, &q), true
+		}
+	}
+	switch {
+	case !s.anyTakes(now):
+		return reject(ReasonNoWorker)
+	case s.queue.byClass[q.Class] >= maxQueue:
+		return reject(ReasonFull)
+	case r.late(&q, now, r.wait(s, now)):
+		return reject(ReasonLate)
+	}
+	it := &item{Request: q}
+	s.queue.push(it)
+	r.queued[q.Ticket] = it
+	return Decision{}, false
+}
+
+// Abandon removes a waiting request and reports whether it was still waiting.
+func (r *Router) Abandon(t Ticket) bool {
+	it := r.queued[t]
+	if it == nil {
+		return false
+	}
+	delete(r.queued, t)
+	r.service(it.Service).queue.remove(it)
+	return true
+}
+
+// Ended frees the slot of a request and returns decisions on waiting ones.
+func (r *Router) Ended(t Ticket, e End, now time.Time) []Decision {
+	f, ok := r.sent[t]
+	if !ok {
+		return nil
+	}
+	delete(r.sent, t)
+	w := f.worker
+	w.inUse--
+	mean := r.mean(f.class, now)
+	if e.MayRun {
+		// The slot stays taken for the time within which most requests of the
+		// class end. A longer time would let hung connections use up the slots; a
+		// worker that is still busy says so, and the request is retried.
+		w.busy = append(w.busy, now.Add(4*mean))
+	}
+	if e.Draining {
+		w.drainTill = now.Add(drainWord)
+	}
+	switch e.Verdict {
+	case Succeeded:
+		w.observe(float64(e.Latency)/float64(mean), false, now)
+		r.classes[f.class] = latency{mean: mean + (e.Latency-mean)/16, measured: now}
+		w.succeed()
+	case Busy:
+		if until := now.Add(busyAside); until.After(w.aside) {
+			w.aside = until
+		}
+	case Failed, Dead:
+		w.observe(0, true, now)
+		w.fail(e.Verdict == Dead, now)
+	}
+	r.noteHealth(w, now)
+	return r.dispatch(r.service(w.Service), now)
+}
+
+// Unreachable sets a worker aside that accepts no connection.
+func (r *Router) Unreachable(id unit.InstanceID, now time.Time) {
+	if w := r.workers[id]; w != nil {
+		w.fail(true, now)
+		r.noteHealth(w, now)
+	}
+}
+
+// Allowed reports whether the worker may get a request now. It is asked
+// immediately before a send.
+func (r *Router) Allowed(id unit.InstanceID, now time.Time) bool {
+	w := r.workers[id]
+	return w != nil && !w.draining(now) && w.Slots > 0
+}
+
+// Tick returns decisions on waiting requests that depend on the time only.
+func (r *Router) Tick(now time.Time) []Decision {
+	var all []Decision
+	for _, s := range r.services {
+		all = append(all, r.dispatch(s, now)...)
+	}
+	return all
+}
+
+// Next returns when Tick is due, or zero if no request waits for a time.
+func (r *Router) Next(now time.Time) time.Time {
+	var next time.Time
+	earlier := func(t time.Time) {
+		if t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for _, s := range r.services {
+		if s.queue.len() == 0 {
+			continue
+		}
+		for _, w := range s.workers {
+			earlier(w.aside)
+			earlier(w.drainTill)
+			for _, until := range w.busy {
+				earlier(until)
+			}
+		}
+	}
+	return next
+}
+
+// Waiting returns the number of requests that wait.
+func (r *Router) Waiting() int { return len(r.queued) }
+
+// InUse returns the requests in flight to a worker.
+func (r *Router) InUse(id unit.InstanceID, now time.Time) int {
+	w := r.workers[id]
+	if w == nil {
+		return 0
+	}
+	return w.Slots - w.free(now)
+}
+
+// TakeChanges returns the changes of health since the last call.
+func (r *Router) TakeChanges() []Change {
+	changes := r.changes
+	r.changes = nil
+	return changes
+}
+
+// dispatch sends waiting requests while there are free slots, and rejects those
+// whose deadline can no longer be met.
+func (r *Router) dispatch(s *service, now time.Time) []Decision {
+	var all []Decision
+	for it := s.queue.peek(now); it != nil; it = s.queue.peek(now) {
+		d := Decision{Ticket: it.Ticket}
+		switch {
+		case r.late(&it.Request, now, 0):
+			d.Reason = ReasonLate
+		case s.slots == 0:
+			d.Reason = ReasonNoSlot
+		case !s.anyTakes(now):
+			d.Reason = ReasonNoWorker
+		default:
+			w := r.choose(s, &it.Request, now)
+			if w == nil {
+				return all
+			}
+			d = r.send(w, &it.Request)
+		}
+		s.queue.remove(it)
+		delete(r.queued, it.Ticket)
+		all = append(all, d)
+	}
+	return all
+}
+
+// choose returns the eligible worker with the least expected completion time, or
+// nil. A worker that was tried before comes last. At most maxCompared eligible
+// workers are compared, beginning at another place each time.
+func (r *Router) choose(s *service, q *Request, now time.Time) *worker {
+	var best *worker
+	var least float64
+	compared := 0
+	for i := range s.workers {
+		if compared == maxCompared {
+			break
+		}
+		w := s.workers[(uint64(i)+r.sequence*maxCompared)%uint64(len(s.workers))]
+		if !w.eligible(now) {
+			continue
+		}
+		compared++
+		score := w.score(now)
+		for _, id := range q.Avoid {
+			if id == w.ID {
+				score += 1e6
+			}
+		}
+		switch {
+		case w.asideStep > 0 && q.Idempotent:
+			score = 0 // due for a probe, whose failure can be retried
+		case w.asideStep > 0:
+			score += 1e9
+		}
+		if best == nil || score < least || score == least && w.used < best.used {
+			best, least = w, score
+		}
+	}
+	return best
+}
+
+func (r *Router) send(w *worker, q *Request) Decision {
+	r.sequence++
+	w.used = r.sequence
+	w.inUse++
+	r.sent[q.Ticket] = flight{worker: w, class: q.Class}
+	return Decision{Ticket: q.Ticket, Worker: w.ID}
+}
+
+// late reports whether a request that waits longer would miss its deadline.
+func (r *Router) late(q *Request, now time.Time, wait time.Duration) bool {
+	return now.Add(wait + r.mean(q.Class, now)).After(q.Deadline)
+}
+
+// wait estimates how long a request waits that comes last in the queue.
+func (r *Router) wait(s *service, now time.Time) time.Duration {
+	var work time.Duration
+	for class, n := range s.queue.byClass {
+		work += time.Duration(n) * r.mean(class, now)
+	}
+	return work / time.Duration(max(s.slots, 1))
+}
+
+// mean returns the mean latency of a class. It falls with the age of the last
+// measurement: a class whose requests are all rejected for a high mean would
+// otherwise never be measured again.
+func (r *Router) mean(class unit.ClassID, now time.Time) time.Duration {
+	l, ok := r.classes[class]
+	if !ok {
+		return defaultLatency
+	}
+	age := max(now.Sub(l.measured), 0)
+	return max(time.Duration(float64(l.mean)*float64(halfLife)/float64(halfLife+age)), time.Microsecond)
+}
+
+func (r *Router) service(id unit.ServiceID) *service {
+	s := r.services[id]
+	if s == nil {
+		s = &service{queue: newQueue()}
+		r.services[id] = s
+	}
+	return s
+}
+
+func (r *Router) noteHealth(w *worker, now time.Time) {
+	if h := w.state(now); h != w.health {
+		r.changes = append(r.changes, Change{Worker: w.ID, From: w.health, To: h})
+		w.health = h
+	}
+}
+
+// anyTakes reports whether any worker takes work now or will after being set
+// aside.
+func (s *service) anyTakes(now time.Time) bool {
+	for _, w := range s.workers {
+		if !w.draining(now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/order/route/router_test.go
@@ -0,0 +1,321 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestChoice guards against a worker that is chosen against what was measured of
+// it, and against one that is never tried again.
+func TestChoice(t *testing.T) {
+	ok := func(d time.Duration) End { return End{Verdict: Succeeded, Latency: d} }
+	type event struct {
+		worker unit.InstanceID
+		end    End
+		times  int
+		at     time.Duration
+	}
+	slow := event{"w1", ok(100 * time.Millisecond), 10, 0}
+	fast := event{"w2", ok(10 * time.Millisecond), 10, 0}
+	failed := event{"w1", End{Verdict: Failed}, 3, 0}
+	tests := []struct {
+		name   string
+		events []event
+		after  time.Duration
+		once   bool
+		avoid  unit.InstanceID
+		want   unit.InstanceID
+	}{
+		{name: "slow worker", events: []event{fast, slow}, want: "w2"},
+		{name: "tried before", events: []event{fast, slow}, avoid: "w2", want: "w1"},
+		{name: "one failure", events: []event{{"w1", End{Verdict: Failed}, 1, 0}}, want: "w2"},
+		{name: "failure long ago", events: []event{{"w1", End{Verdict: Failed}, 1, 0}, {"w2", ok(21 * time.Millisecond), 1, time.Hour}}, after: time.Hour, want: "w1"},
+		{name: "set aside", events: []event{failed, {"w2", ok(time.Second), 10, 0}}, want: "w2"},
+		{name: "probed", events: []event{failed}, after: time.Second, want: "w1"},
+		{name: "not probed by a non-idempotent request", events: []event{failed}, after: time.Second, once: true, want: "w2"},
+		{name: "probe succeeded", events: []event{failed, {"w2", ok(time.Second), 10, 0}, {"w1", ok(time.Millisecond), 1, 0}}, want: "w1"},
+		{name: "dead", events: []event{{"w1", End{Verdict: Dead}, 1, 0}}, after: 900 * time.Millisecond, want: "w2"},
+		{name: "busy", events: []event{fast, slow, {"w2", End{Verdict: Busy}, 1, 0}}, want: "w1"},
+		{name: "draining by its own word", events: []event{{"w1", End{Verdict: Succeeded, Draining: true, Latency: time.Millisecond}, 1, 0}}, after: 30 * time.Second, want: "w2"},
+		{name: "may still run", events: []event{{"w1", End{Verdict: Neutral, MayRun: true}, 1, 0}}, want: "w2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			r.SetWorkers([]Worker{{ID: "w1", Service: "s", Slots: 4}, {ID: "w2", Service: "s", Slots: 4}}, start)
+			for _, e := range tt.events {
+				for i := range e.times {
+					ticket := Ticket(100 + i)
+					r.send(r.workers[e.worker], &Request{Ticket: ticket, Class: "c"})
+					r.Ended(ticket, e.end, start.Add(e.at))
+				}
+			}
+			now := start.Add(tt.after)
+			q := request(1, now)
+			q.Idempotent = !tt.once
+			q.Avoid = []unit.InstanceID{tt.avoid}
+			d, _ := r.Arrive(q, now)
+			if diff := cmp.Diff(Decision{Ticket: 1, Worker: tt.want}, d); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestAdmission guards against a request that waits although it cannot meet its
+// deadline, or is rejected although it can.
+func TestAdmission(t *testing.T) {
+	one := []Worker{{ID: "w1", Service: "s", Slots: 1}}
+	tests := []struct {
+		name     string
+		workers  []Worker
+		sent     int
+		waiting  int
+		deadline time.Duration
+		want     Reason
+		waits    bool
+	}{
+		{name: "no worker", want: ReasonNoWorker, deadline: time.Second},
+		{name: "no slot", workers: []Worker{{ID: "w1", Service: "s"}}, want: ReasonNoSlot, deadline: time.Second},
+		{name: "all draining", workers: []Worker{{ID: "w1", Service: "s", Slots: 1, Draining: true}}, want: ReasonNoWorker, deadline: time.Second},
+		{name: "free slot", workers: one, deadline: time.Millisecond},
+		{name: "deadline passed", workers: one, want: ReasonLate},
+		{name: "waits", workers: one, sent: 1, waiting: 10, deadline: time.Second, waits: true},
+		{name: "queue too long for the deadline", workers: one, sent: 1, waiting: 60, deadline: time.Second, want: ReasonLate},
+		{name: "queue full", workers: one, sent: 1, waiting: maxQueue, deadline: time.Hour, want: ReasonFull},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			r.SetWorkers(tt.workers, start)
+			for i := range tt.sent + tt.waiting {
+				r.Arrive(request(Ticket(i), start), start)
+			}
+			q := request(9999, start)
+			q.Deadline = start.Add(tt.deadline)
+			d, decided := r.Arrive(q, start)
+			if decided == tt.waits || d.Reason != tt.want {
+				t.Errorf("decided %v with reason %q, want %v, %q", decided, d.Reason, !tt.waits, tt.want)
+			}
+		})
+	}
+}
+
+// TestOrder guards against a queue that makes timely requests late for the sake
+// of those that are late already.
+func TestOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		dues []time.Duration // by ticket, from 1
+		at   time.Duration
+		want []Ticket
+	}{
+		{"least remaining time first", []time.Duration{3 * time.Second, time.Second, 2 * time.Second}, 0, []Ticket{2, 3, 1}},
+		{"late ones last", []time.Duration{3 * time.Second, time.Second, 2 * time.Second}, 1500 * time.Millisecond, []Ticket{3, 1, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			r.SetWorkers([]Worker{{ID: "w1", Service: "s", Slots: 1}}, start)
+			r.Arrive(request(100, start), start)
+			for i, due := range tt.dues {
+				q := request(Ticket(i+1), start)
+				q.Due = start.Add(due)
+				r.Arrive(q, start)
+			}
+			var got []Ticket
+			for running := Ticket(100); r.Waiting() > 0; {
+				for _, d := range r.Ended(running, End{Verdict: Neutral}, start.Add(tt.at)) {
+					got, running = append(got, d.Ticket), d.Ticket
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("order (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRecovery guards against a class that is rejected for ever because of one
+// slow spell.
+func TestRecovery(t *testing.T) {
+	r := New()
+	r.SetWorkers([]Worker{{ID: "w1", Service: "s", Slots: 1}}, start)
+	for i := range 50 {
+		r.Arrive(request(Ticket(i), start), start)
+		r.Ended(Ticket(i), End{Verdict: Succeeded, Latency: 5 * time.Second}, start)
+	}
+	for _, later := range []time.Duration{0, 5 * time.Minute} {
+		now := start.Add(later)
+		r.Arrive(request(100, now), now)
+		q := request(101, now)
+		q.Deadline = now.Add(time.Second)
+		if _, decided := r.Arrive(q, now); decided != (later == 0) {
+			t.Errorf("after %v: decided %v", later, decided)
+		}
+		r.Abandon(101)
+		r.Ended(100, End{Verdict: Neutral}, now)
+	}
+}
+
+// TestBudget guards against retries that multiply the load of a failing service.
+func TestBudget(t *testing.T) {
+	tests := []struct {
+		name     string
+		requests int // in each of 10 seconds
+		want     int // retries in the last second
+	}{
+		{"no load", 0, 1},
+		{"small load", 5, 5},
+		{"load", 100, 100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b Budget
+			b.Request(start.Add(-time.Hour))
+			for s := range 10 {
+				for range tt.requests {
+					b.Request(start.Add(time.Duration(s) * time.Second))
+				}
+			}
+			got := 0
+			for range 1000 {
+				if b.Retry(start.Add(9 * time.Second)) {
+					got++
+				}
+			}
+			if got != tt.want {
+				t.Errorf("%d retries, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
+// TestRouter guards against more requests at a worker than slots, requests to a
+// draining worker, and requests that get no decision or two.
+func TestRouter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New()
+		now := start
+		var workers []Worker
+		open := map[Ticket]bool{} // waiting
+		sent := map[Ticket]unit.InstanceID{}
+		last := Ticket(0)
+		decide := func(ds ...Decision) {
+			for _, d := range ds {
+				if !open[d.Ticket] {
+					t.Fatalf("second decision on %d", d.Ticket)
+				}
+				delete(open, d.Ticket)
+				if d.Reason != "" {
+					continue
+				}
+				sent[d.Ticket] = d.Worker
+				i := slices.IndexFunc(workers, func(w Worker) bool { return w.ID == d.Worker })
+				if i < 0 || workers[i].Draining || !r.Allowed(d.Worker, now) {
+					t.Fatalf("sent to %s, which takes no work", d.Worker)
+				}
+				if n := r.workers[d.Worker].inUse; n > workers[i].Slots {
+					t.Fatalf("%d requests at %s with %d slots", n, d.Worker, workers[i].Slots)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"set workers": func(t *rapid.T) {
+				workers = nil
+				for i := range 3 {
+					if rapid.Bool().Draw(t, "present") {
+						workers = append(workers, Worker{
+							ID: unit.InstanceID(fmt.Sprint("w", i)), Service: "s",
+							Slots:    rapid.IntRange(0, 3).Draw(t, "slots"),
+							Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+						})
+					}
+				}
+				decide(r.SetWorkers(workers, now)...)
+			},
+			"arrive": func(t *rapid.T) {
+				last++
+				q := request(last, now)
+				q.Due = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "due")) * time.Millisecond)
+				q.Deadline = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond)
+				q.Idempotent = rapid.Bool().Draw(t, "idempotent")
+				open[last] = true
+				if d, decided := r.Arrive(q, now); decided {
+					decide(d)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(sent) == 0 {
+					return
+				}
+				tickets := slices.Sorted(func(yield func(Ticket) bool) {
+					for k := range sent {
+						if !yield(k) {
+							return
+						}
+					}
+				})
+				ticket := rapid.SampledFrom(tickets).Draw(t, "ticket")
+				delete(sent, ticket)
+				decide(r.Ended(ticket, End{
+					Verdict:  rapid.SampledFrom([]Verdict{Succeeded, Neutral, Busy, Failed, Dead}).Draw(t, "verdict"),
+					Latency:  time.Duration(rapid.IntRange(0, 200).Draw(t, "latency")) * time.Millisecond,
+					Draining: rapid.IntRange(0, 9).Draw(t, "draining") == 0,
+					MayRun:   rapid.Bool().Draw(t, "may run"),
+				}, now)...)
+			},
+			"abandon": func(t *rapid.T) {
+				ticket := Ticket(rapid.IntRange(0, int(last)).Draw(t, "ticket"))
+				if got := r.Abandon(ticket); got != open[ticket] {
+					t.Fatalf("abandon of %d: %v", ticket, got)
+				}
+				delete(open, ticket)
+			},
+			"tick": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				decide(r.Tick(now)...)
+			},
+			"": func(t *rapid.T) {
+				if r.Waiting() != len(open) || len(r.sent) != len(sent) {
+					t.Fatalf("%d wait and %d are sent, want %d and %d", r.Waiting(), len(r.sent), len(open), len(sent))
+				}
+				if len(open) > 0 && r.Next(now).IsZero() && len(sent) == 0 {
+					t.Fatal("requests wait for nothing")
+				}
+			},
+		})
+	})
+}
+
+func request(t Ticket, now time.Time) Request {
+	return Request{
+		Ticket: t, Class: "c", Service: "s", Idempotent: true,
+		Due: now.Add(time.Minute), Deadline: now.Add(time.Hour),
+	}
+}
+
+// BenchmarkArrive measures a decision among the workers on which one of 40
+// entries holds a slot at the scale target.
+func BenchmarkArrive(b *testing.B) {
+	r := New()
+	var workers []Worker
+	for i := range 880 {
+		workers = append(workers, Worker{ID: unit.InstanceID(fmt.Sprint("w", i)), Service: "s", Slots: 1})
+	}
+	r.SetWorkers(workers, start)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Arrive(request(1, start), start)
+		r.Ended(1, End{Verdict: Succeeded, Latency: time.Millisecond}, start)
+	}
+}
