bench/replay: measure the policy against plain baselines on seeded traces

Cause: whether classes meet their targets has to be measured, with ratios within one run, before the policy is wired to real workers. Ruled out: replaying real time, which takes hours and hides causes in noise; a model of interference of the same form as the learned one, which would measure the model against itself. The replay fails on overcommitment and on a start in a zone that is out. interference has an advisor for placement and control, joins what the bands say, tries uncertain pairs on one worker in eight, and judges a job by its own ended tasks.

--- /dev/null
+++ b/internal/bench/replay/policy.go
@@ -0,0 +1,460 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/control"
+	"github.com/monsoonfold/monsoonfold/internal/job/interference"
+	"github.com/monsoonfold/monsoonfold/internal/job/placement"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// Policy is one combination of decisions to compare.
+type Policy struct {
+	Name     string
+	FirstFit bool // first fit in place of the index
+	Targets  bool // order by time left in place of static weights, park and quarantine
+	Learn    bool // interference model in placement and choice of victims
+	Control  bool // throttle, checkpoint, stop
+	Sizes    bool // estimated sizes in place of declared ones
+	Save     bool // checkpoint the tasks of a zone that goes out
+	TwoWay   bool // routing by two random choices in place of least completion
+}
+
+// Baseline is the name of the policy that ratios refer to.
+const Baseline = "first-fit"
+
+// Policies returns the policies to compare. The first is the project's.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "monsoonfold", Targets: true, Learn: true, Control: true, Sizes: true, Save: true},
+		{Name: "two-choices", Targets: true, Learn: true, Control: true, Sizes: true, Save: true, TwoWay: true},
+		{Name: "no-model", Targets: true, Control: true, Sizes: true, Save: true},
+		{Name: "first-fit-routed", FirstFit: true},
+		{Name: Baseline, FirstFit: true, TwoWay: true},
+	}
+}
+
+// placer is what the scheduler needs of job/placement.
+type placer interface {
+	Place(class unit.ClassID, size unit.Resources) (unit.InstanceID, bool)
+	Reserve(id unit.InstanceID, ref worker.Ref, class unit.ClassID, size unit.Resources) bool
+	Release(id unit.InstanceID, ref worker.Ref)
+	Upsert(id unit.InstanceID, rack unit.RackID, capacity unit.Resources, open bool)
+	Remove(id unit.InstanceID)
+}
+
+const (
+	retryDelay = 5 * time.Second
+	// baselineAttempts is the number of failures after which the baselines give
+	// a task up.
+	baselineAttempts = 20
+	// parkWorkers is the number of workers on which a job without any task done
+	// must have failed to be parked.
+	parkWorkers = 3
+	// taskLease has to expire before the task of a lost worker starts elsewhere.
+	taskLease = 15 * time.Second
+	// outOfMemoryFactor is the growth of a task's memory after it ran out.
+	outOfMemoryFactor = 1.5
+)
+
+// item is a task as the scheduler knows it.
+type item struct {
+	ref      worker.Ref
+	class    *Class
+	job      *jobState
+	memory   float64 // factor from tasks that ran out of memory
+	failures int
+	ready    time.Duration // not before
+	running  bool
+	over     bool
+	worker   unit.InstanceID
+	zone     unit.ZoneID
+	size     unit.Resources
+	share    float64
+	started  time.Duration
+}
+
+type jobState struct {
+	id           unit.JobID
+	zone         unit.ZoneID
+	declared     unit.Resources
+	declaredWork time.Duration
+	submitted    time.Duration
+	items        []*item
+	done         int
+	peak         interference.Peak
+	failedOn     []unit.InstanceID
+}
+
+// command is what the scheduler asks of a worker.
+type command struct {
+	item *item
+	kind worker.Action
+	why  string
+}
+
+// report is a lagging report of one worker.
+type report struct {
+	worker  unit.InstanceID
+	due     time.Duration
+	samples []interference.Sample
+	tails   []time.Duration
+	signals []control.Signal
+}
+
+// origin is the time at which a replay starts. The decisions take times.
+var origin = time.Unix(0, 0)
+
+// scheduler joins the pure decisions for all zones of a trace, as the
+// dispatchers of the shards would.
+type scheduler struct {
+	policy   Policy
+	classes  []Class
+	zones    []unit.ZoneID
+	out      map[unit.ZoneID]bool
+	shards   map[unit.ZoneID]placer
+	indexes  map[unit.ZoneID]*placement.Index // the same as shards, if an index
+	free     map[unit.ZoneID]unit.Millicores  // unreserved cores
+	workers  map[unit.InstanceID]Worker
+	room     unit.Resources // of a worker for batch work; all of a trace are alike
+	advisor  *interference.Advisor
+	loop     *control.Loop
+	sizes    *interference.Sizes
+	jobs     map[unit.JobID]*jobState
+	pending  []*item
+	running  []*item // by start
+	commands []command
+}
+
+// cores blames tasks by their cores alone, for the policy without a model.
+type cores struct{ capacity unit.Millicores }
+
+// Relief implements control.Blame.
+func (c cores) Relief(_ unit.ClassID, _ unit.InstanceID, _ unit.ClassID, n unit.Millicores) float64 {
+	return float64(n) / float64(c.capacity)
+}
+
+func newScheduler(p Policy, t *Trace) *scheduler {
+	s := &scheduler{
+		policy: p, classes: t.Classes, room: t.Workers[0].Capacity.Sub(t.Workers[0].Reserved),
+		out: map[unit.ZoneID]bool{}, shards: map[unit.ZoneID]placer{}, indexes: map[unit.ZoneID]*placement.Index{},
+		free: map[unit.ZoneID]unit.Millicores{}, workers: map[unit.InstanceID]Worker{},
+		advisor: interference.NewAdvisor(), sizes: interference.NewSizes(), jobs: map[unit.JobID]*jobState{},
+	}
+	s.loop = control.New(cores{t.Workers[0].Capacity.Cores})
+	if p.Learn {
+		s.loop = control.New(s.advisor)
+	}
+	for _, c := range t.Classes {
+		s.advisor.Target(c.Name, c.Kind, c.Target)
+		if c.Kind == spec.KindRequest {
+			s.loop.Target(c.Name, c.Target)
+		}
+	}
+	for _, w := range t.Workers {
+		if _, ok := s.shards[w.Zone]; !ok {
+			s.zones = append(s.zones, w.Zone)
+			switch {
+			case p.FirstFit:
+				s.shards[w.Zone] = placement.NewFirstFit()
+			case p.Learn:
+				s.indexes[w.Zone] = placement.New(s.advisor)
+			default:
+				s.indexes[w.Zone] = placement.New(nil)
+			}
+			if x := s.indexes[w.Zone]; x != nil {
+				s.shards[w.Zone] = x
+			}
+		}
+		s.workers[w.ID] = w
+		s.join(w.ID)
+	}
+	return s
+}
+
+// join adds a worker, which is empty.
+func (s *scheduler) join(id unit.InstanceID) {
+	w := s.workers[id]
+	var serves []unit.ClassID
+	for _, c := range s.classes {
+		if c.Kind == spec.KindRequest {
+			serves = append(serves, c.Name)
+		}
+	}
+	s.advisor.Upsert(id, w.Capacity.Cores, serves)
+	s.upsert(w)
+	s.free[w.Zone] += w.Capacity.Cores - w.Reserved.Cores
+}
+
+func (s *scheduler) upsert(w Worker) {
+	s.shards[w.Zone].Upsert(w.ID, w.Rack, w.Capacity.Sub(w.Reserved), !s.out[w.Zone])
+}
+
+// leave removes a worker whose tasks are lost.
+func (s *scheduler) leave(now time.Duration, id unit.InstanceID) {
+	w := s.workers[id]
+	for _, it := range slices.Clone(s.running) {
+		if it.worker == id {
+			s.vacate(it)
+			s.requeue(it, now, taskLease)
+		}
+	}
+	s.shards[w.Zone].Remove(id)
+	s.advisor.Remove(id)
+	s.loop.Forget(id)
+	s.free[w.Zone] -= w.Capacity.Cores - w.Reserved.Cores
+}
+
+// setZone takes a zone out of service or back. The tasks there are checkpointed
+// if the policy saves them; replicas are stopped, since other zones have theirs.
+func (s *scheduler) setZone(zone unit.ZoneID, out bool) {
+	s.out[zone] = out
+	for _, w := range s.sorted() {
+		if w.Zone == zone {
+			s.upsert(w)
+		}
+	}
+	if !out || !s.policy.Save {
+		return
+	}
+	for _, it := range s.running {
+		if it.zone == zone {
+			kind := worker.ActionCheckpoint
+			if it.class.Kind == spec.KindStanding {
+				kind = worker.ActionStop
+			}
+			s.commands = append(s.commands, command{it, kind, "zone out of service"})
+		}
+	}
+}
+
+func (s *scheduler) sorted() []Worker {
+	var all []Worker
+	for _, w := range s.workers {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func (s *scheduler) submit(now time.Duration, j *Job) []*item {
+	state := &jobState{
+		id: j.ID, zone: j.Zone, declared: j.Declared, declaredWork: j.DeclaredWork.Std(), submitted: now,
+	}
+	i := slices.IndexFunc(s.classes, func(c Class) bool { return c.Name == j.Class })
+	for n := range j.Tasks {
+		state.items = append(state.items, &item{
+			ref:   worker.Ref{Task: unit.TaskID{Job: j.ID, Index: unit.TaskIndex(n)}},
+			class: &s.classes[i], job: state, memory: 1,
+		})
+	}
+	s.jobs[j.ID] = state
+	s.pending = append(s.pending, state.items...)
+	return state.items
+}
+
+func (s *scheduler) cancel(id unit.JobID) {
+	if j, ok := s.jobs[id]; ok {
+		s.drop(j, "cancelled")
+	}
+}
+
+// drop ends all tasks of a job for good.
+func (s *scheduler) drop(j *jobState, why string) {
+	for _, it := range j.items {
+		if it.running && !it.over {
+			s.commands = append(s.commands, command{it, worker.ActionStop, why})
+		}
+		it.over = true
+	}
+}
+
+// ended tells that a task has ended on its worker by itself.
+func (s *scheduler) ended(now time.Duration, it *item, outcome outcome, peak unit.Resources, work time.Duration) {
+	id := it.worker
+	s.vacate(it)
+	if x := s.indexes[it.zone]; x != nil && outcome != outOfMemory {
+		x.Ended(id, it.job.id, outcome == failed, origin.Add(now))
+	}
+	switch outcome {
+	case done:
+		it.over = true
+		it.job.done++
+		it.job.peak.Add(peak)
+		s.sizes.Observe(interference.End{
+			Class: it.class.Name, Declared: it.job.declared, Peak: peak,
+			DeclaredWork: it.job.declaredWork, Work: work,
+		})
+		return
+	case outOfMemory:
+		it.memory *= outOfMemoryFactor
+		s.sizes.Exceeded(it.class.Name, it.job.declared, it.size)
+	case failed:
+		it.failures++
+		if !slices.Contains(it.job.failedOn, id) {
+			it.job.failedOn = append(it.job.failedOn, id)
+		}
+	}
+	if s.policy.Targets && it.job.done == 0 && len(it.job.failedOn) >= parkWorkers && outcome == failed {
+		s.drop(it.job, "parked")
+	} else if !s.policy.Targets && it.failures >= baselineAttempts {
+		it.over = true
+	}
+	s.requeue(it, now, retryDelay)
+}
+
+// stopped tells that a task was stopped or checkpointed as asked.
+func (s *scheduler) stopped(now time.Duration, it *item) {
+	s.vacate(it)
+	s.requeue(it, now, retryDelay)
+}
+
+func (s *scheduler) requeue(it *item, now, delay time.Duration) {
+	if !it.over {
+		it.ready = now + delay
+		s.pending = append(s.pending, it)
+	}
+}
+
+func (s *scheduler) vacate(it *item) {
+	s.shards[it.zone].Release(it.worker, it.ref)
+	s.advisor.Change(it.worker, it.class.Name, -1, -unit.Millicores(float64(it.size.Cores)*it.share))
+	s.free[it.zone] += it.size.Cores
+	s.running = slices.DeleteFunc(s.running, func(o *item) bool { return o == it })
+	it.running = false
+}
+
+// observe takes in a report that has arrived.
+func (s *scheduler) observe(r report) {
+	for i, sample := range r.samples {
+		s.advisor.Observe(r.worker, sample, r.tails[i])
+	}
+	for _, signal := range r.signals {
+		s.loop.Observe(signal)
+	}
+}
+
+// step returns the commands of this moment. Starts are reserved already.
+func (s *scheduler) step(now time.Duration) []command {
+	for _, zone := range s.zones {
+		if x := s.indexes[zone]; x != nil {
+			x.Advance(origin.Add(now))
+		}
+	}
+	commands := s.commands
+	s.commands = nil
+	if s.policy.Control {
+		commands = append(commands, s.protect(now)...)
+	}
+	return append(commands, s.start(now)...)
+}
+
+// protect runs the control loop over the running tasks.
+func (s *scheduler) protect(now time.Duration) []command {
+	ordered := slices.Clone(s.running)
+	slices.SortStableFunc(ordered, func(a, b *item) int { return cmp.Compare(a.worker, b.worker) })
+	tasks := make([]control.Task, 0, len(ordered))
+	for _, it := range ordered {
+		t := control.Task{
+			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Cores: it.size.Cores, Share: it.share,
+			Unsaved: now - it.started, Saves: true, Standing: it.class.Kind == spec.KindStanding,
+		}
+		if !t.Standing {
+			_, bound, _ := s.sizes.Work(it.class.Name, it.job.declaredWork)
+			t.Left = max(bound-(now-it.started), time.Second)
+			t.Deadline = origin.Add(it.job.submitted + it.class.Target.Finish.Std())
+		}
+		tasks = append(tasks, t)
+	}
+	var commands []command
+	for _, a := range s.loop.Step(origin.Add(now), tasks) {
+		i := slices.IndexFunc(ordered, func(it *item) bool { return it.ref == a.Ref })
+		it := ordered[i]
+		if a.Kind == worker.ActionThrottle {
+			s.advisor.Change(it.worker, it.class.Name, 0, unit.Millicores(float64(it.size.Cores)*a.Share)-unit.Millicores(float64(it.size.Cores)*it.share))
+			it.share = a.Share
+		}
+		commands = append(commands, command{it, a.Kind, a.Reason})
+	}
+	return commands
+}
+
+// start places pending tasks in order: by the time left to their target, or by
+// static weight.
+func (s *scheduler) start(now time.Duration) []command {
+	s.pending = slices.DeleteFunc(s.pending, func(it *item) bool { return it.over })
+	slices.SortStableFunc(s.pending, func(a, b *item) int {
+		if s.policy.Targets {
+			return cmp.Compare(s.slack(a), s.slack(b))
+		}
+		return -cmp.Compare(a.class.Weight, b.class.Weight)
+	})
+	// The tasks of a job are alike, so one refusal in a zone holds for all.
+	type attempt struct {
+		zone unit.ZoneID
+		job  *jobState
+		size unit.Resources
+	}
+	refused := map[attempt]bool{}
+	var commands []command
+	for _, it := range s.pending {
+		if it.ready > now {
+			continue
+		}
+		size := s.size(it)
+		for _, zone := range s.order(it) {
+			at := attempt{zone, it.job, size}
+			if s.out[zone] || refused[at] {
+				continue
+			}
+			id, ok := s.shards[zone].Place(it.class.Name, size)
+			next := worker.Ref{Task: it.ref.Task, Attempt: it.ref.Attempt + 1}
+			if !ok || !s.shards[zone].Reserve(id, next, it.class.Name, size) {
+				refused[at] = true
+				continue
+			}
+			it.ref, it.worker, it.zone, it.size, it.share, it.started, it.running = next, id, zone, size, 1, now, true
+			s.advisor.Change(id, it.class.Name, 1, size.Cores)
+			s.free[zone] -= size.Cores
+			s.running = append(s.running, it)
+			commands = append(commands, command{it, worker.ActionStart, ""})
+			break
+		}
+	}
+	s.pending = slices.DeleteFunc(s.pending, func(it *item) bool { return it.running })
+	return commands
+}
+
+// slack is the latest start that still meets the target. Replicas come first.
+func (s *scheduler) slack(it *item) time.Duration {
+	if it.class.Kind == spec.KindStanding {
+		return -1
+	}
+	return it.job.submitted + it.class.Target.Finish.Std()
+}
+
+// size returns what to reserve for a task.
+func (s *scheduler) size(it *item) unit.Resources {
+	size := it.job.declared
+	if s.policy.Sizes && it.class.Kind == spec.KindBatch {
+		size, _ = s.sizes.Size(it.class.Name, size, it.job.peak)
+	}
+	size.Cores = min(size.Cores, s.room.Cores)
+	size.Memory = min(unit.Bytes(float64(size.Memory)*it.memory), s.room.Memory)
+	return size
+}
+
+// order returns the zones in which a task may start, the emptiest first.
+func (s *scheduler) order(it *item) []unit.ZoneID {
+	if it.job.zone != "" {
+		return []unit.ZoneID{it.job.zone}
+	}
+	zones := slices.Clone(s.zones)
+	slices.SortStableFunc(zones, func(a, b unit.ZoneID) int { return cmp.Compare(s.free[b], s.free[a]) })
+	return zones
+}
--- /dev/null
+++ b/internal/bench/replay/world.go
@@ -0,0 +1,596 @@
+package replay
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/control"
+	"github.com/monsoonfold/monsoonfold/internal/job/interference"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+const (
+	tick           = time.Second
+	reportInterval = 5 // ticks
+	reportLag      = 3 * time.Second
+	listLag        = 3 * time.Second // until a failed worker leaves the instance list
+	drainLag       = time.Second     // until entries see that a worker drains
+	requestTimeout = time.Second     // until a request to a dead worker is given up
+	startDelay     = 2 * time.Second // of a task, without progress
+	failAfter      = 3 * time.Second // of a task that fails
+	memoryFillTime = 15 * time.Second
+
+	// taskSpread is the deviation of the logarithm of the sizes within a job.
+	taskSpread = 0.1
+
+	// convexity makes two disturbing tasks worse than their sum, so that the
+	// model, which adds logarithms, is not given its own form.
+	convexity = 1.2
+)
+
+type outcome int
+
+const (
+	done outcome = iota
+	failed
+	outOfMemory
+)
+
+// run is a task as it really is.
+type run struct {
+	*item
+	job     *Job
+	real    unit.Resources
+	age     time.Duration // of this attempt
+	saved   time.Duration // work at full cores that is in a checkpoint
+	work    time.Duration // done in all, of which saved survives a loss
+	outWork time.Duration // work when its zone went out, else 0
+}
+
+// node is a worker as it really is.
+type node struct {
+	Worker
+	up          bool
+	boot        int
+	runs        []*run
+	slow        float64 // 1 without a disturbance from outside
+	slowUntil   time.Duration
+	brokenUntil time.Duration
+	bursts      []burst
+	factor      []float64         // of service times by request class
+	free        [][]time.Duration // by entry: when each of its slots is free
+	busy        time.Duration     // served since the last tick
+	load        float64           // moving average of the utilization of the slots
+	latencies   [][]time.Duration // since the last report, by request class
+	late        []int
+}
+
+type burst struct {
+	class  unit.ClassID
+	factor float64
+	until  time.Duration
+}
+
+// reply is the end of a request.
+type reply struct {
+	at      time.Duration
+	latency time.Duration
+	entry   int
+	node    int
+	class   int
+	boot    int
+}
+
+type replies []reply
+
+func (r replies) Len() int           { return len(r) }
+func (r replies) Less(i, j int) bool { return r[i].at < r[j].at }
+func (r replies) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *replies) Push(x any)        { *r = append(*r, x.(reply)) }
+func (r *replies) Pop() any {
+	last := (*r)[len(*r)-1]
+	*r = (*r)[:len(*r)-1]
+	return last
+}
+
+type timer struct {
+	at time.Duration
+	do func()
+}
+
+// world replays one trace under one policy.
+type world struct {
+	trace    *Trace
+	sched    *scheduler
+	router   router
+	arrivals *rand.Rand // the same for all policies
+	choices  *rand.Rand
+	sizes    *rand.Rand
+	now      time.Duration
+	nodes    []*node
+	byID     map[unit.InstanceID]*node
+	entries  []*entry
+	requests []Class // classes of requests
+	rates    []float64
+	replies  replies
+	runs     map[*item]*run
+	timers   []timer
+	reports  []report
+	result   Result
+	err      error
+}
+
+// Result is what one replay measured.
+type Result struct {
+	Latency    []*hdrhistogram.Histogram // by class of requests, in microseconds
+	Late       []int
+	Requests   []int
+	Unserved   int     // no worker could be chosen
+	Work       float64 // core seconds of batch work that was retained
+	OutWork    float64 // of it, gained while the zone was out
+	Evictions  map[unit.ClassID]int
+	Throttles  int
+	Done       map[unit.ClassID]int
+	Kept, Held float64     // core seconds in the zone when it went out: retained, and all
+	Series     [][]float64 // by class of requests: 99th percentile in seconds per 10 s
+	window     []*hdrhistogram.Histogram
+}
+
+// Replay runs one trace under one policy. Equal arguments give equal results. It
+// fails if the policy overcommits a worker or starts a task in a zone that is
+// out of service.
+func Replay(t *Trace, p Policy) (*Result, error) {
+	w := newWorld(t, p)
+	next := 0
+	for w.now < t.Header.Span.Std() && w.err == nil {
+		for ; next < len(t.Events) && t.Events[next].At.Std() <= w.now; next++ {
+			w.apply(t.Events[next])
+		}
+		w.runTimers()
+		w.advance()
+		w.report()
+		for _, c := range w.sched.step(w.now) {
+			w.obey(c)
+		}
+		w.refresh()
+		w.serve(w.now + tick)
+		w.now += tick
+		if w.now%(10*time.Second) == 0 {
+			w.plotPoint()
+		}
+	}
+	return &w.result, w.err
+}
+
+func newWorld(t *Trace, p Policy) *world {
+	w := &world{
+		trace: t, sched: newScheduler(p, t), router: leastCompletion{},
+		arrivals: rand.New(rand.NewPCG(t.Header.Seed, 101)), choices: rand.New(rand.NewPCG(t.Header.Seed, 102)),
+		sizes: rand.New(rand.NewPCG(t.Header.Seed, 104)),
+		byID:  map[unit.InstanceID]*node{}, runs: map[*item]*run{},
+	}
+	if p.TwoWay {
+		w.router = twoChoices{}
+	}
+	for _, c := range t.Classes {
+		if c.Kind == spec.KindRequest {
+			w.requests = append(w.requests, c)
+		}
+	}
+	n := len(w.requests)
+	w.rates = make([]float64, n)
+	w.result = Result{Late: make([]int, n), Requests: make([]int, n), Series: make([][]float64, n),
+		Evictions: map[unit.ClassID]int{}, Done: map[unit.ClassID]int{}}
+	for range n {
+		w.result.Latency = append(w.result.Latency, hdrhistogram.New(100, 100e6, 3))
+		w.result.window = append(w.result.window, hdrhistogram.New(100, 100e6, 3))
+	}
+	slots := rand.New(rand.NewPCG(t.Header.Seed, 103))
+	for range t.Header.Entries {
+		w.entries = append(w.entries, &entry{lanes: make([]lane, len(t.Workers)), mean: make([]float64, n)})
+	}
+	for i, spec := range t.Workers {
+		node := &node{Worker: spec, up: true, slow: 1, factor: make([]float64, n), latencies: make([][]time.Duration, n),
+			late: make([]int, n), free: make([][]time.Duration, t.Header.Entries)}
+		for range t.Header.Slots {
+			e := slots.IntN(t.Header.Entries) // as rendezvous hashing spreads them
+			node.free[e] = append(node.free[e], 0)
+		}
+		for e := range w.entries {
+			w.entries[e].lanes[i] = lane{slots: len(node.free[e]), open: true, speed: 1}
+		}
+		w.nodes = append(w.nodes, node)
+		w.byID[spec.ID] = node
+	}
+	return w
+}
+
+func (w *world) apply(l Line) {
+	switch l.Kind {
+	case KindRate:
+		w.rates[slices.IndexFunc(w.requests, func(c Class) bool { return c.Name == l.Class })] = l.Rate
+	case KindJob:
+		for _, it := range w.sched.submit(w.now, l.Job) {
+			w.runs[it] = &run{item: it, job: l.Job, real: w.vary(l.Job.Real)}
+		}
+	case KindCancel:
+		w.sched.cancel(l.Job.ID)
+	case KindBurst:
+		for _, id := range l.Workers {
+			w.byID[id].bursts = append(w.byID[id].bursts, burst{l.Class, l.Factor, w.now + l.Span.Std()})
+		}
+	case KindSlow:
+		for _, id := range l.Workers {
+			w.byID[id].slow, w.byID[id].slowUntil = l.Factor, w.now+l.Span.Std()
+		}
+	case KindBroken:
+		for _, id := range l.Workers {
+			w.byID[id].brokenUntil = w.now + l.Span.Std()
+		}
+	case KindFail:
+		for _, id := range l.Workers {
+			if n := w.byID[id]; n.up {
+				w.down(n, listLag)
+				w.after(l.Span.Std(), func() { w.back(n) })
+			}
+		}
+	case KindZoneOut:
+		w.sched.setZone(l.Zone, true)
+		for _, n := range w.nodes {
+			if n.Zone != l.Zone {
+				continue
+			}
+			for _, r := range n.runs {
+				if r.class.Kind == spec.KindBatch {
+					r.outWork = r.work
+					w.result.Held += r.coreSeconds(r.work)
+				}
+			}
+			w.after(drainLag, func() { w.setOpen(n, false) })
+			w.after(l.Span.Std(), func() { w.down(n, 0) })
+		}
+		w.result.OutWork = -w.result.Work
+	case KindZoneIn:
+		w.sched.setZone(l.Zone, false)
+		for _, n := range w.nodes {
+			if n.Zone == l.Zone {
+				w.back(n)
+			}
+		}
+		w.result.OutWork += w.result.Work
+	case KindHeader, KindWorker, KindClass:
+	}
+}
+
+// vary draws the size of one task of a job. The tasks are alike, not equal.
+func (w *world) vary(size unit.Resources) unit.Resources {
+	size.Cores = unit.Millicores(float64(size.Cores) * math.Exp(taskSpread*w.sizes.NormFloat64()))
+	size.Memory = unit.Bytes(float64(size.Memory) * math.Exp(taskSpread*w.sizes.NormFloat64()))
+	return size
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.timers = append(w.timers, timer{w.now + d, do})
+}
+
+func (w *world) runTimers() {
+	var due []timer
+	w.timers = slices.DeleteFunc(w.timers, func(t timer) bool {
+		if t.at <= w.now {
+			due = append(due, t)
+			return true
+		}
+		return false
+	})
+	for _, t := range due {
+		t.do()
+	}
+}
+
+// down takes a worker away with all that runs there.
+func (w *world) down(n *node, lag time.Duration) {
+	if !n.up {
+		return
+	}
+	n.up = false
+	n.boot++
+	for _, r := range n.runs {
+		w.lose(r)
+	}
+	n.runs = nil
+	w.after(lag, func() {
+		w.setOpen(n, false)
+		w.sched.leave(w.now, n.ID)
+	})
+}
+
+func (w *world) back(n *node) {
+	if n.up || w.sched.out[n.Zone] {
+		return
+	}
+	n.up = true
+	w.setOpen(n, true)
+	w.sched.join(n.ID)
+}
+
+func (w *world) setOpen(n *node, open bool) {
+	i := slices.Index(w.nodes, n)
+	for _, e := range w.entries {
+		e.lanes[i].open = open
+	}
+}
+
+func (r *run) coreSeconds(work time.Duration) float64 {
+	return work.Seconds() * float64(r.real.Cores) / 1000
+}
+
+// lose takes back the work of a run that no checkpoint has.
+func (w *world) lose(r *run) {
+	if r.class.Kind == spec.KindBatch {
+		w.result.Work -= r.coreSeconds(r.work - r.saved)
+		w.settle(r, r.saved)
+	}
+	r.work = r.saved
+}
+
+// settle accounts for a run that was in the zone when it went out.
+func (w *world) settle(r *run, kept time.Duration) {
+	if r.outWork > 0 {
+		w.result.Kept += r.coreSeconds(min(r.outWork, kept))
+		r.outWork = 0
+	}
+}
+
+func (w *world) used(r *run) float64 {
+	return float64(min(r.size.Cores, r.real.Cores)) * r.share
+}
+
+// advance moves all running tasks on by one tick.
+func (w *world) advance() {
+	for _, n := range w.nodes {
+		for _, r := range slices.Clone(n.runs) {
+			r.age += tick
+			if r.age > startDelay && r.job.Work > 0 {
+				step := time.Duration(float64(tick) * w.used(r) / float64(r.real.Cores))
+				step = min(step, r.job.Work.Std()-r.work)
+				r.work += step
+				w.result.Work += r.coreSeconds(step)
+			}
+			switch {
+			case (r.job.Fails || w.now < n.brokenUntil) && r.age >= failAfter:
+				w.end(n, r, failed)
+			case r.size.Memory < r.real.Memory && r.age >= memoryFillTime:
+				w.end(n, r, outOfMemory)
+			case r.job.Work > 0 && r.work >= r.job.Work.Std():
+				w.end(n, r, done)
+			}
+		}
+	}
+}
+
+func (w *world) end(n *node, r *run, o outcome) {
+	n.runs = slices.DeleteFunc(n.runs, func(x *run) bool { return x == r })
+	if o == done {
+		w.result.Done[r.class.Name]++
+		w.settle(r, r.work)
+	} else {
+		w.lose(r)
+	}
+	peak := r.real
+	peak.Cores = min(peak.Cores, r.size.Cores)
+	if peak.Cores == r.size.Cores && r.size.Cores < r.real.Cores {
+		// A task held to its size shows only that it would use all of it.
+		peak.Cores = unit.Millicores(1.25 * float64(r.size.Cores))
+	}
+	w.sched.ended(w.now, r.item, o, peak, r.job.Work.Std())
+}
+
+// obey carries out a command of the scheduler.
+func (w *world) obey(c command) {
+	r := w.runs[c.item]
+	n := w.byID[c.item.worker]
+	switch c.kind {
+	case worker.ActionStart:
+		if !n.up {
+			w.sched.stopped(w.now, c.item)
+			return
+		}
+		sum := n.Reserved.Add(r.size)
+		for _, other := range n.runs {
+			sum = sum.Add(other.size)
+		}
+		if !sum.Fits(n.Capacity) {
+			w.err = errors.Errorf("%s at %s: %s is overcommitted by %s", w.sched.policy.Name, w.now, n.ID, r.ref.Task)
+		}
+		if w.sched.out[n.Zone] {
+			w.err = errors.Errorf("%s at %s: %s starts in %s, which is out of service", w.sched.policy.Name, w.now, r.ref.Task, n.Zone)
+		}
+		r.age = 0
+		n.runs = append(n.runs, r)
+	case worker.ActionThrottle:
+		w.result.Throttles++
+	case worker.ActionCheckpoint, worker.ActionStop:
+		i := slices.Index(n.runs, r)
+		if i < 0 {
+			return // it has ended meanwhile
+		}
+		n.runs = slices.Delete(n.runs, i, i+1)
+		if c.kind == worker.ActionCheckpoint {
+			r.saved = r.work
+			w.settle(r, r.saved)
+		}
+		w.lose(r)
+		if !r.over && !w.sched.out[n.Zone] {
+			w.result.Evictions[r.class.Name]++
+		}
+		w.sched.stopped(w.now, c.item)
+	}
+}
+
+// refresh computes how much slower each worker serves requests now.
+func (w *world) refresh() {
+	for _, n := range w.nodes {
+		n.load += 0.3 * (n.busy.Seconds()/tick.Seconds()/float64(w.trace.Header.Slots) - n.load)
+		n.busy = 0
+		n.bursts = slices.DeleteFunc(n.bursts, func(b burst) bool { return b.until <= w.now })
+		if n.slowUntil <= w.now {
+			n.slow = 1
+		}
+		for i, c := range w.requests {
+			disturbance := 0.0
+			for _, r := range n.runs {
+				d := r.class.Harm[c.Name] * w.used(r) / float64(n.Capacity.Cores)
+				for _, b := range n.bursts {
+					if b.class == r.class.Name {
+						d *= b.factor
+					}
+				}
+				disturbance += d
+			}
+			n.factor[i] = n.slow * (1 + (0.6+0.8*min(n.load, 1))*math.Pow(disturbance, convexity))
+		}
+	}
+	for _, e := range w.entries {
+		e.tick()
+	}
+}
+
+// serve replays the requests until a time.
+func (w *world) serve(until time.Duration) {
+	total := 0.0
+	for _, r := range w.rates {
+		total += r
+	}
+	if total == 0 {
+		return
+	}
+	at := w.now
+	for {
+		at += time.Duration(w.arrivals.ExpFloat64() / total * float64(time.Second))
+		if at >= until {
+			break
+		}
+		w.settleReplies(at)
+		w.request(at, total)
+	}
+	w.settleReplies(until)
+}
+
+func (w *world) request(at time.Duration, total float64) {
+	pick, class := w.arrivals.Float64()*total, 0
+	for class < len(w.rates)-1 && pick >= w.rates[class] {
+		pick -= w.rates[class]
+		class++
+	}
+	c := &w.requests[class]
+	work := c.Median.Std().Seconds() * math.Exp(c.Spread*w.arrivals.NormFloat64())
+	e := w.arrivals.IntN(len(w.entries))
+	chosen := w.router.choose(at, w.entries[e].lanes, w.choices)
+	if chosen < 0 {
+		w.result.Unserved++
+		w.count(class, requestTimeout)
+		return
+	}
+	w.entries[e].lanes[chosen].inFlight++
+	n := w.nodes[chosen]
+	hop := w.trace.Header.ZoneDelay.Std()
+	rep := reply{entry: e, node: chosen, class: class, boot: n.boot}
+	if !n.up {
+		rep.latency, rep.boot = requestTimeout, -1
+	} else {
+		slot := 0
+		for i, free := range n.free[e] {
+			if free < n.free[e][slot] {
+				slot = i
+			}
+		}
+		begin := max(at+hop, n.free[e][slot])
+		served := time.Duration(work * n.factor[class] * float64(time.Second))
+		n.free[e][slot] = begin + served
+		n.busy += served
+		rep.latency = begin + served + hop - at + w.trace.Header.CallerWait.Std()
+	}
+	rep.at = at + rep.latency
+	heap.Push(&w.replies, rep)
+}
+
+// settleReplies ends the requests that are due.
+func (w *world) settleReplies(at time.Duration) {
+	for len(w.replies) > 0 && w.replies[0].at <= at {
+		r := heap.Pop(&w.replies).(reply)
+		n := w.nodes[r.node]
+		lost := r.boot != n.boot
+		if lost {
+			r.latency = max(r.latency, requestTimeout)
+		}
+		w.entries[r.entry].ended(r.at, r.node, r.class, r.latency, lost)
+		w.count(r.class, r.latency)
+		if !lost {
+			n.latencies[r.class] = append(n.latencies[r.class], r.latency)
+			if r.latency > w.requests[r.class].Target.Bound.Std() {
+				n.late[r.class]++
+			}
+		}
+	}
+}
+
+func (w *world) count(class int, latency time.Duration) {
+	w.result.Requests[class]++
+	if latency > w.requests[class].Target.Bound.Std() {
+		w.result.Late[class]++
+	}
+	us := min(latency.Microseconds(), 99e6)
+	_ = w.result.Latency[class].RecordValue(us) // in range by the line above
+	_ = w.result.window[class].RecordValue(us)
+}
+
+// report closes the windows that end now, and delivers those that are due.
+func (w *world) report() {
+	for i, n := range w.nodes {
+		if (int(w.now/tick)+i)%reportInterval != 0 || !n.up {
+			continue
+		}
+		r := report{worker: n.ID, due: w.now + reportLag}
+		until := origin.Add(w.now)
+		shares := map[unit.ClassID]float64{}
+		for _, t := range n.runs {
+			shares[t.class.Name] += w.used(t) / float64(n.Capacity.Cores)
+		}
+		for c, class := range w.requests {
+			latencies := n.latencies[c]
+			if len(latencies) > 0 {
+				slices.Sort(latencies)
+				r.samples = append(r.samples, interference.Sample{
+					Time: until, Class: class.Name, Band: interference.BandOf(n.load), Requests: len(latencies),
+					Latency: latencies[len(latencies)/2], Shares: shares,
+				})
+				r.tails = append(r.tails, latencies[int(float64(len(latencies)-1)*class.Target.Percentile/100)])
+				r.signals = append(r.signals, control.Signal{
+					Worker: n.ID, Class: class.Name, From: until.Add(-reportInterval * tick), Until: until,
+					Requests: len(latencies), Late: n.late[c],
+				})
+			}
+			n.latencies[c], n.late[c] = latencies[:0], 0
+		}
+		w.reports = append(w.reports, r)
+	}
+	for len(w.reports) > 0 && w.reports[0].due <= w.now {
+		w.sched.observe(w.reports[0])
+		w.reports = w.reports[1:]
+	}
+}
+
+func (w *world) plotPoint() {
+	for i, h := range w.result.window {
+		w.result.Series[i] = append(w.result.Series[i], float64(h.ValueAtQuantile(99))/1e6)
+		h.Reset()
+	}
+}
--- a/internal/job/control/loop.go
+++ b/internal/job/control/loop.go
@@ -17,8 +17,8 @@
 // Blame estimates what a task does to the requests beside it.
 type Blame interface {
 	// Relief returns by how much the logarithm of the latency of a class of
-	// requests on the worker is expected to fall if the task stops.
-	Relief(requests unit.ClassID, t Task) float64
+	// requests on the worker is expected to fall if a batch class uses fewer cores.
+	Relief(requests unit.ClassID, id unit.InstanceID, batch unit.ClassID, cores unit.Millicores) float64
 }
 
 // Signal is what one lagging report says of one class of requests on a worker.
@@ -242,7 +242,7 @@
 	var victims []victim
 	total := 0.0
 	for _, t := range tasks {
-		if r := l.blame.Relief(class, t); r >= minRelief {
+		if r := l.relief(class, t); r >= minRelief {
 			victims = append(victims, victim{t, r, price(now, t)})
 			total += r
 		}
@@ -320,7 +320,7 @@
 		}
 		relief := minRelief
 		for _, c := range p.classes {
-			relief += max(l.blame.Relief(c, t), 0)
+			relief += max(l.relief(c, t), 0)
 		}
 		if gain := price(now, t) / relief; gain > most {
 			best, most = i, gain
@@ -342,6 +342,10 @@
 	}}
 }
 
+func (l *Loop) relief(requests unit.ClassID, t Task) float64 {
+	return l.blame.Relief(requests, t.Worker, t.Class, unit.Millicores(float64(t.Cores)*t.Share))
+}
+
 func (l *Loop) place(id unit.InstanceID) *place {
 	p, ok := l.places[id]
 	if !ok {
--- a/internal/job/interference/size.go
+++ b/internal/job/interference/size.go
@@ -20,6 +20,11 @@
 	memoryMargin   = 1.15
 	workQuantile   = 0.5
 
+	// minJobTasks is the number of done tasks after which a job is judged by them
+	// alone: the next is above the highest of five in one case of six, and the
+	// margin covers most of these.
+	minJobTasks = 5
+
 	// confidence is the one-sided normal deviate of 95%.
 	confidence = 1.645
 	// smallest bounds the size that is estimated for a task from below.
@@ -67,9 +72,30 @@
 	s.of(class).memory.add(ratio(shortage*float64(given.Memory), float64(declared.Memory)))
 }
 
-// Size returns the size to reserve for a task, and whether it is estimated with
-// confidence. Without confidence it is at least the declared size.
-func (s *Sizes) Size(class unit.ClassID, declared unit.Resources) (unit.Resources, bool) {
+// Peak is what the tasks of one job have used at most. All tasks of a job are
+// alike, so a few of them tell more than the class.
+type Peak struct {
+	Tasks int
+	Most  unit.Resources
+}
+
+// Add counts a task of the job that was done.
+func (p *Peak) Add(peak unit.Resources) {
+	p.Tasks++
+	p.Most.Cores = max(p.Most.Cores, peak.Cores)
+	p.Most.Memory = max(p.Most.Memory, peak.Memory)
+	p.Most.Accelerators = max(p.Most.Accelerators, peak.Accelerators)
+}
+
+// Size returns the size to reserve for a task of a job, and whether it is
+// estimated with confidence. Without confidence it is at least the declared size.
+func (s *Sizes) Size(class unit.ClassID, declared unit.Resources, job Peak) (unit.Resources, bool) {
+	if job.Tasks >= minJobTasks {
+		size := declared
+		size.Cores = max(job.Most.Cores, min(smallestCores, declared.Cores))
+		size.Memory = max(unit.Bytes(memoryMargin*float64(job.Most.Memory)), min(smallestMemory, declared.Memory))
+		return size, true
+	}
 	r, ok := s.classes[class]
 	if !ok {
 		return declared, false
