bench/scenario: share the scenario commands between both programs

Cause: both programs had test commands of their own that start processes, and scenarios over the whole path need both programs in one test.

--- /dev/null
+++ b/internal/bench/scenario/scenario.go
@@ -0,0 +1,227 @@
+// Package scenario has the commands with which testscript scenarios start, pause
+// and kill separate processes. Only tests import it.
+//
+// Besides the commands of testscript there are:
+//
+//	start NAME PROGRAM ARG...     starts a process; waits for its ready line on stdout, a JSON object,
+//	                              writes that to the file NAME and sets NAME_FIELD to the addresses in it
+//	terminate NAME                sends SIGTERM and wants exit code 0
+//	signal SIGNAL NAME            sends KILL, STOP or CONT
+//	ports NAME...                 sets each variable to a free loopback address
+//	expand FILE...                replaces $NAME in the files
+//	fetch METHOD URL [FILE]       sends the file as the body, prints the answer; status 400 and above fails
+//	eventually SPAN PROGRAM ARG...  repeats the program until it succeeds
+//	pause SPAN                    waits, for outages that have to last
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// patience is how long a process may take to get ready, to answer or to end.
+const patience = 60 * time.Second
+
+// Run runs the scripts below the folder testdata of the calling test.
+func Run(t *testing.T) {
+	t.Helper()
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			env.Values[processesKey{}] = processes{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":      startProcess,
+			"terminate":  terminateProcess,
+			"signal":     signalProcess,
+			"ports":      allocatePorts,
+			"expand":     expandFiles,
+			"fetch":      fetch,
+			"eventually": retryProgram,
+			"pause":      pauseScript,
+		},
+	})
+}
+
+// process is one process that a script started.
+type process struct {
+	cmd *exec.Cmd
+	log *logBuffer // its stderr
+}
+
+type processes map[string]*process
+
+type processesKey struct{}
+
+func startProcess(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARG...")
+	}
+	program, err := exec.LookPath(args[1])
+	ts.Check(err)
+	p := &process{cmd: exec.Command(program, args[2:]...), log: &logBuffer{}}
+	p.cmd.Dir = ts.MkAbs(".")
+	p.cmd.Stderr = p.log
+	stdout, err := p.cmd.StdoutPipe()
+	ts.Check(err)
+	ts.Check(p.cmd.Start())
+	ts.Defer(func() {
+		_ = p.cmd.Process.Kill()
+		ts.Logf("[stderr of %s]\n%s", args[0], p.log)
+	})
+	kill := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() })
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	kill.Stop()
+	if err != nil {
+		ts.Fatalf("%s: no ready line: %v\n%s", args[0], err, p.log)
+	}
+	go func() { _, _ = io.Copy(io.Discard, stdout) }() // ends with the process
+	publish(ts, args[0], line)
+	ts.Value(processesKey{}).(processes)[args[0]] = p
+}
+
+// publish writes the ready line to a file and its addresses to variables.
+func publish(ts *testscript.TestScript, name string, line []byte) {
+	ts.Check(os.WriteFile(ts.MkAbs(name), line, 0o600))
+	var ready struct {
+		Address   string
+		Instances []struct{ Upstream, Control string }
+	}
+	ts.Check(json.Unmarshal(line, &ready))
+	ts.Setenv(name+"_address", ready.Address)
+	if len(ready.Instances) > 0 {
+		ts.Setenv(name+"_upstream", ready.Instances[0].Upstream)
+		ts.Setenv(name+"_control", ready.Instances[0].Control)
+	}
+}
+
+func terminateProcess(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: terminate NAME")
+	}
+	p := find(ts, args[0])
+	ts.Check(p.cmd.Process.Signal(syscall.SIGTERM))
+	kill := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() })
+	defer kill.Stop()
+	if err := p.cmd.Wait(); err != nil {
+		ts.Fatalf("%s: %v\n%s", args[0], err, p.log)
+	}
+}
+
+func signalProcess(ts *testscript.TestScript, neg bool, args []string) {
+	signals := map[string]syscall.Signal{
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+	}
+	if neg || len(args) != 2 || signals[args[0]] == 0 {
+		ts.Fatalf("usage: signal KILL|STOP|CONT NAME")
+	}
+	ts.Check(find(ts, args[1]).cmd.Process.Signal(signals[args[0]]))
+}
+
+func find(ts *testscript.TestScript, name string) *process {
+	p := ts.Value(processesKey{}).(processes)[name]
+	if p == nil {
+		ts.Fatalf("no process %s", name)
+	}
+	return p
+}
+
+func allocatePorts(ts *testscript.TestScript, _ bool, names []string) {
+	// All listeners stay open until the last one has its port, so that no port is
+	// given out twice.
+	for _, name := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		ts.Check(err)
+		defer l.Close()
+		ts.Setenv(name, l.Addr().String())
+	}
+}
+
+func expandFiles(ts *testscript.TestScript, _ bool, files []string) {
+	for _, file := range files {
+		data, err := os.ReadFile(ts.MkAbs(file))
+		ts.Check(err)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(os.Expand(string(data), ts.Getenv)), 0o600))
+	}
+}
+
+func fetch(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 || len(args) > 3 {
+		ts.Fatalf("usage: fetch METHOD URL [FILE]")
+	}
+	var body io.Reader
+	if len(args) == 3 {
+		body = strings.NewReader(ts.ReadFile(args[2]))
+	}
+	req, err := http.NewRequest(args[0], args[1], body)
+	ts.Check(err)
+	resp, err := (&http.Client{Timeout: patience}).Do(req)
+	ts.Check(err)
+	defer resp.Body.Close()
+	_, err = io.Copy(ts.Stdout(), resp.Body)
+	ts.Check(err)
+	if failed := resp.StatusCode >= http.StatusBadRequest; failed != neg {
+		ts.Fatalf("status %s", resp.Status)
+	}
+}
+
+func retryProgram(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: eventually SPAN PROGRAM ARG...")
+	}
+	span, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	deadline := time.Now().Add(span)
+	for {
+		err := ts.Exec(args[1], args[2:]...)
+		if (err == nil) != neg {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %s: %s: %v", span, strings.Join(args[1:], " "), err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func pauseScript(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 1 {
+		ts.Fatalf("usage: pause SPAN")
+	}
+	span, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(span)
+}
+
+// logBuffer collects the stderr of a process. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/cmd/standin/worker.go
+++ b/internal/standin/command/worker.go
@@ -1,4 +1,4 @@
-package main
+package command
 
 import (
 	"context"
