--- a/internal/standin/worker/ledger.go
+++ b/internal/standin/worker/ledger.go
@@ -23,13 +23,14 @@
 
 // Audit is what a test needs to check the invariants that workers can see.
 type Audit struct {
-	Runs      []Run          `json:"runs"`
-	Capacity  unit.Resources `json:"capacity"`
-	Committed unit.Resources `json:"committed"` // highest in each component, with the reservation
-	Full      int            `json:"full"`      // starts refused for lack of resources
-	Late      int            `json:"late"`      // starts refused because NotAfter had passed
-	Repeated  int            `json:"repeated"`  // starts of an attempt that was known already
-	Stale     int            `json:"stale"`     // calls refused for their epoch
+	Worker    unit.InstanceID `json:"worker"`
+	Runs      []Run           `json:"runs"`
+	Capacity  unit.Resources  `json:"capacity"`
+	Committed unit.Resources  `json:"committed"` // highest in each component, with the reservation
+	Full      int             `json:"full"`      // starts refused for lack of resources
+	Late      int             `json:"late"`      // starts refused because NotAfter had passed
+	Repeated  int             `json:"repeated"`  // starts of an attempt that was known already
+	Stale     int             `json:"stale"`     // calls refused for their epoch
 
 	Slots       int            `json:"slots"`       // highest number of requests at a time
 	Connections int            `json:"connections"` // highest number of open upstream connections
--- a/internal/standin/worker/server.go
+++ b/internal/standin/worker/server.go
@@ -111,11 +111,21 @@
 // Done implements registry.Service.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// Address returns the IP and port of the upstream.
-func (s *Server) Address() string { return s.requests.Addr().String() }
+// Address returns the IP and port of the upstream, as set before Start.
+func (s *Server) Address() string {
+	if s.requests == nil {
+		return s.settings.Upstream
+	}
+	return s.requests.Addr().String()
+}
 
-// ControlAddress returns the IP and port for task orders.
-func (s *Server) ControlAddress() string { return s.orders.Addr().String() }
+// ControlAddress returns the IP and port for task orders, as set before Start.
+func (s *Server) ControlAddress() string {
+	if s.orders == nil {
+		return s.settings.Control
+	}
+	return s.orders.Addr().String()
+}
 
 // Inject puts faults into force in place of the earlier ones.
 func (s *Server) Inject(f Fault) error {
@@ -145,7 +155,7 @@
 	defer s.mu.Unlock()
 	s.runner.advance(s.now())
 	a := s.runner.ledger.audit(s.boot)
-	a.Capacity = s.settings.Capacity
+	a.Worker, a.Capacity = s.settings.Name, s.settings.Capacity
 	a.Slots, a.Refused, a.Requests = s.audit.Slots, s.audit.Refused, s.audit.Requests
 	a.Keys, a.Checks = maps.Clone(s.audit.Keys), maps.Clone(s.audit.Checks)
 	a.Draining, a.LastRequest, a.LastStart = s.audit.Draining, s.audit.LastRequest, s.audit.LastStart
