--- a/internal/job/worker/client.go
+++ b/internal/job/worker/client.go
@@ -22,7 +22,9 @@
 	// ErrUnavailable says that the call was surely not sent.
 	ErrUnavailable = errors.New("worker unavailable")
 	// ErrUnknown says that the call may have been sent and no whole answer came.
-	// The next Report shows what took effect.
+	// A Report shows what has taken effect so far, but an order still on its way
+	// may take effect later: a start until its NotAfter, any other until the
+	// worker has seen a higher epoch.
 	ErrUnknown = errors.New("outcome of the worker call unknown")
 )
 
@@ -44,11 +46,14 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base: "http://" + address,
-		http: &http.Client{Transport: &http.Transport{
-			MaxConnsPerHost:     1, // keeps the orders of one owner in sequence
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     30 * time.Second,
-		}},
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxConnsPerHost:     1, // keeps the orders of one owner in sequence
+				MaxIdleConnsPerHost: 1,
+				IdleConnTimeout:     30 * time.Second,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}
 }
 
@@ -135,8 +140,8 @@
 			return errors.Errorf("decode stale epoch: %v: %w", err, ErrUnknown)
 		}
 		return stale
-	case status >= http.StatusInternalServerError:
-		return errors.Errorf("status %d: %w", status, ErrUnknown)
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return errors.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
 	}
-	return errors.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
+	return errors.Errorf("status %d: %w", status, ErrUnknown)
 }
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -33,10 +33,13 @@
 func NewClient(address string) *Client {
 	return &Client{
 		base: "http://" + address,
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 8,
-			IdleConnTimeout:     30 * time.Second,
-		}},
+		http: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 8,
+				IdleConnTimeout:     30 * time.Second,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}
 }
 
@@ -201,6 +204,8 @@
 		return errors.Errorf("status %d: %w", status, ErrUnknown)
 	case status >= http.StatusBadRequest:
 		return errors.Errorf("status %d: %s", status, bytes.TrimSpace(data))
+	case status != http.StatusOK:
+		return errors.Errorf("status %d: %w", status, ErrUnknown)
 	}
 	if answer == nil {
 		return nil
--- a/internal/standin/worker/runner.go
+++ b/internal/standin/worker/runner.go
@@ -13,6 +13,10 @@
 	protocol "github.com/monsoonfold/monsoonfold/internal/job/worker"
 )
 
+// longestTask bounds the run time and the progress of a task, so that no sum of
+// them overflows.
+const longestTask = 10000 * time.Hour
+
 // payloadFail is the payload of a task that fails on every worker.
 const payloadFail = "fail"
 
@@ -159,7 +163,7 @@
 	case r.attempts[o.Ref] != nil:
 		r.ledger.repeated++
 		return protocol.CodeOK
-	case !o.Size.Valid() || o.Task.Job == "" || o.Attempt == 0 || o.Work < 0:
+	case !o.Size.Valid() || o.Task.Job == "" || o.Attempt == 0 || o.Work < 0 || o.Work.Std() > longestTask:
 		return protocol.CodeInvalid
 	case now > o.NotAfter || now >= o.LeaseEnd:
 		r.ledger.late++
@@ -175,7 +179,7 @@
 			Ref: o.Ref, Phase: protocol.PhaseRunning, Class: o.Class, Size: o.Size, LeaseEnd: o.LeaseEnd,
 		},
 		notAfter: o.NotAfter,
-		work:     time.Duration(float64(o.Work) * r.scale(o.Task, "work")),
+		work:     time.Duration(min(float64(o.Work)*r.scale(o.Task, "work"), float64(longestTask))),
 		worked:   checkpointProgress(o.Checkpoint),
 		reading:  now,
 		used:     min(1, r.scale(o.Task, "size")),
@@ -238,8 +242,10 @@
 		}
 		until := min(now, a.status.LeaseEnd)
 		share := a.share.last()
-		if left := time.Duration(float64(a.work-a.worked) / share); a.work > 0 && a.reading.Add(left) <= until {
-			r.end(max(a.reading, a.reading.Add(left)), a, protocol.PhaseDone)
+		// Compared as floats: a small share makes the time left exceed a Duration.
+		left := max(0, float64(a.work-a.worked)/share)
+		if a.work > 0 && left <= float64(until.Sub(a.reading)) {
+			r.end(a.reading.Add(time.Duration(left)), a, protocol.PhaseDone)
 			continue
 		}
 		a.worked += time.Duration(float64(until.Sub(a.reading)) * share)
@@ -335,7 +341,7 @@
 func checkpointProgress(id unit.CheckpointID) time.Duration {
 	_, text, _ := strings.Cut(string(id), "@")
 	worked, err := time.ParseDuration(text)
-	if err != nil || worked < 0 {
+	if err != nil || worked < 0 || worked > longestTask {
 		return 0
 	}
 	return worked
--- a/internal/standin/worker/runner_test.go
+++ b/internal/standin/worker/runner_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -121,6 +122,10 @@
 			{second, startOrder(ref, nil), protocol.CodeOK},
 			{2 * second, protocol.Order{Ref: ref, Action: protocol.ActionThrottle, Share: 0.5}, protocol.CodeOK},
 		}, at: 14 * second, wantPhase: protocol.PhaseRunning},
+		{name: "throttle to almost nothing", calls: []call{
+			{second, startOrder(ref, nil), protocol.CodeOK},
+			{2 * second, protocol.Order{Ref: ref, Action: protocol.ActionThrottle, Share: math.SmallestNonzeroFloat64}, protocol.CodeOK},
+		}, at: 14 * second, wantPhase: protocol.PhaseRunning},
 		{name: "throttle lifted", calls: []call{
 			{second, startOrder(ref, nil), protocol.CodeOK},
 			{2 * second, protocol.Order{Ref: ref, Action: protocol.ActionThrottle, Share: 0.5}, protocol.CodeOK},
@@ -264,6 +269,41 @@
 	}
 }
 
+// TestInflation guards against interference that does not depend on the class,
+// the share or the load.
+func TestInflation(t *testing.T) {
+	settings := testSettings
+	settings.Interference = map[unit.ClassID]float64{"batch": 0.8}
+	tests := []struct {
+		name  string
+		class unit.ClassID
+		slots int
+		share float64
+		want  float64
+	}{
+		{"no task of a class that interferes", "quiet", 4, 1, 1},
+		{"all slots in use", "batch", 4, 1, 1.2},
+		{"half the slots in use", "batch", 2, 1, 1.1},
+		{"throttled", "batch", 4, 0.5, 1.1},
+		{"no other request", "batch", 0, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRunner(settings, "boot")
+			fence := protocol.Fence{Shard: "z.0", Epoch: 1}
+			ref := testRef(0, 1)
+			r.orders(second, protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{
+				startOrder(ref, func(o *protocol.Order) { o.Class = test.class }),
+				{Ref: ref, Action: protocol.ActionThrottle, Share: test.share},
+			}})
+			r.setServing(second, test.slots)
+			if got := r.inflation(second); got < test.want-1e-9 || got > test.want+1e-9 {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // TestRunnerInvariants guards against any sequence of calls that overcommits the
 // worker, runs an attempt twice or past its lease, or obeys a stale epoch.
 func TestRunnerInvariants(t *testing.T) {
