standin/caller: measure workers without an entry between

Cause: a load straight at a worker has no outcome header, so every response counted as missing and no latency was recorded; a baseline needs it.

--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -28,6 +28,7 @@
 			sub.Duration(&settings.Length, "", "length", "span within which requests are due")
 			sub.Duration(&settings.Timeout, "", "timeout", "of each request")
 			sub.Float64(&settings.Repeat, "", "repeat", "part of the once requests sent again through the next entry")
+			sub.Bool(&settings.Direct, "", "direct", "the entries are workers, whose responses have no outcome")
 			sub.UInt64(&settings.Seed, "", "seed", "of the arrivals")
 		},
 		run: func(ctx context.Context, stdout io.Writer) error {
--- a/internal/standin/caller/run.go
+++ b/internal/standin/caller/run.go
@@ -122,7 +122,11 @@
 		e.outcome = OutcomeAborted
 		return e
 	}
-	e.outcome, e.worker = judge(resp.StatusCode, resp.Header.Get("Monsoonfold-Outcome"), body, a.check)
+	header := resp.Header.Get("Monsoonfold-Outcome")
+	if l.settings.Direct && header == "" && resp.StatusCode == http.StatusOK {
+		header = string(OutcomeDone)
+	}
+	e.outcome, e.worker = judge(resp.StatusCode, header, body, a.check)
 	return e
 }
 
--- a/internal/standin/caller/settings.go
+++ b/internal/standin/caller/settings.go
@@ -22,6 +22,9 @@
 	// sent a second time at once, through the next entry and with the same
 	// Idempotency-Key.
 	Repeat float64
+	// Direct says that the entries are workers themselves, whose responses have
+	// no outcome: a whole one of the caller's own counts as done.
+	Direct bool
 	Seed   uint64
 }
 
