--- a/internal/desk/command/entry.go
+++ b/internal/desk/command/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/go-faster/errors"
 
@@ -22,6 +23,17 @@
 		if err != nil {
 			return invalid(err)
 		}
-		return assembly.Run(ctx, loaded, newLogger(s.Err, loaded.Level))
+		return assembly.Run(ctx, loaded, newLogger(s.Err, loaded.Level), func(*assembly.Entry) {
+			printReady(s, loaded)
+		})
 	}}
 }
+
+// printReady prints the addresses of a running entry as one JSON line, for
+// scripts that wait for it.
+func printReady(s Streams, loaded settings.Settings) {
+	_ = json.NewEncoder(s.Out).Encode(struct {
+		Address string          `json:"address"` // for callers
+		Listen  settings.Listen `json:"listen"`
+	}{loaded.Listen.Callers, loaded.Listen}) // a closed stdout does not stop an entry
+}
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -39,8 +39,8 @@
 	tasks    map[unit.TaskIndex]*task
 	placed   int
 	replicas unit.TaskIndex // wanted of a standing job at the last look
-	changed  uint64 // number of the last change of the ledger about this job
-	wished   bool   // in Core.wishes
+	changed  uint64         // number of the last change of the ledger about this job
+	wished   bool           // in Core.wishes
 	blocked  time.Time
 	parked   string
 	oversize bool // parked for its size
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -37,7 +37,7 @@
 	beat     time.Time      // time of the next heartbeat
 	retry    time.Time      // no orders before, after a call that had no effect
 	tasks    map[worker.Ref]*task
-	list     []*task // of tasks, in order; nil if it has to be made anew
+	list     []*task               // of tasks, in order; nil if it has to be made anew
 	forget   map[worker.Ref]uint64 // ended attempts, by the change that made the end durable
 	strays   map[worker.Ref]time.Time
 }
