--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -121,7 +121,7 @@
 	for _, n := range slices.Clone(c.order) {
 		live := n.known && n.listed.Live && !n.draining
 		heard := !n.reported.IsZero() && c.now.Sub(n.reported) < silence
-		open := live && heard && !n.stale && len(n.strays) == 0
+		open := live && heard && !n.stale && len(n.strays) == 0 && !n.crowded()
 		if !n.reported.IsZero() && n.silent == heard {
 			n.silent = !heard
 			c.note("worker silent: "+yesNo(n.silent), "heartbeats", n.subject())
@@ -149,6 +149,12 @@
 	}
 }
 
+// crowded reports whether a task that may run here has no reservation, as after a
+// loss of capacity. What the placer takes as free is then too much.
+func (n *node) crowded() bool {
+	return slices.ContainsFunc(n.sorted(), func(t *task) bool { return t.sent && !t.reserved })
+}
+
 // talk sends what is due to each worker with which no exchange is in flight.
 func (c *Core) talk() {
 	for _, n := range c.order {
