job/interference: judge a job by the usage of its running tasks

Cause: on the trace of Saurashtra, memory was reserved for whole workers: the errors of declared sizes are wide, and the 90% quantile of their ratio with the largest seen is several times what most tasks use. Ruled out: trusting declared sizes until 30 tasks of a class have ended, which wastes more than it saves. Change: sizes at a lower quantile, since running out of memory costs little early in a task; a job is known once five of its tasks ran for 20 s or ended; while others wait, an unknown job starts only eight tasks.

--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -58,6 +58,14 @@
 	parkWorkers = 3
 	// taskLease has to expire before the task of a lost worker starts elsewhere.
 	taskLease = 15 * time.Second
+	// measureAge is the age at which a task counts as showing its size.
+	measureAge = 20 * time.Second
+	// heldFactor is the growth of the cores of a task that uses all it has.
+	heldFactor = 1.25
+	// scouts is the number of tasks of a job that may run before its size is
+	// known, if others wait. It has to be more than the tasks that make it known.
+	scouts    = 8
+	scoutTime = 45 * time.Second
 	// outOfMemoryFactor is the growth of a task's memory after it ran out.
 	outOfMemoryFactor = 1.5
 )
@@ -77,6 +85,7 @@
 	size     unit.Resources
 	share    float64
 	started  time.Duration
+	measured bool
 }
 
 type jobState struct {
@@ -89,6 +98,8 @@
 	done         int
 	peak         interference.Peak
 	failedOn     []unit.InstanceID
+	running      int
+	first        time.Duration // start of the first task; 0 before
 }
 
 // command is what the scheduler asks of a worker.
@@ -105,6 +116,15 @@
 	samples []interference.Sample
 	tails   []time.Duration
 	signals []control.Signal
+	usage   []usage
+}
+
+// usage is what a running task used at the time of the report.
+type usage struct {
+	item *item
+	ref  worker.Ref
+	used unit.Resources
+	age  time.Duration
 }
 
 // origin is the time at which a replay starts. The decisions take times.
@@ -113,22 +133,23 @@
 // scheduler joins the pure decisions for all zones of a trace, as the
 // dispatchers of the shards would.
 type scheduler struct {
-	policy   Policy
-	classes  []Class
-	zones    []unit.ZoneID
-	out      map[unit.ZoneID]bool
-	shards   map[unit.ZoneID]placer
-	indexes  map[unit.ZoneID]*placement.Index // the same as shards, if an index
-	free     map[unit.ZoneID]unit.Millicores  // unreserved cores
-	workers  map[unit.InstanceID]Worker
-	room     unit.Resources // of a worker for batch work; all of a trace are alike
-	advisor  *interference.Advisor
-	loop     *control.Loop
-	sizes    *interference.Sizes
-	jobs     map[unit.JobID]*jobState
-	pending  []*item
-	running  []*item // by start
-	commands []command
+	policy    Policy
+	classes   []Class
+	zones     []unit.ZoneID
+	out       map[unit.ZoneID]bool
+	shards    map[unit.ZoneID]placer
+	indexes   map[unit.ZoneID]*placement.Index // the same as shards, if an index
+	free      map[unit.ZoneID]unit.Millicores  // unreserved cores
+	workers   map[unit.InstanceID]Worker
+	room      unit.Resources // of a worker for batch work; all of a trace are alike
+	advisor   *interference.Advisor
+	loop      *control.Loop
+	sizes     *interference.Sizes
+	jobs      map[unit.JobID]*jobState
+	pending   []*item
+	running   []*item // by start
+	commands  []command
+	contended bool // a task found no worker in the last step
 }
 
 // cores blames tasks by their cores alone, for the policy without a model.
@@ -285,7 +306,11 @@
 	case done:
 		it.over = true
 		it.job.done++
-		it.job.peak.Add(peak)
+		if it.measured {
+			it.job.peak.Raise(peak)
+		} else {
+			it.job.peak.Add(peak)
+		}
 		s.sizes.Observe(interference.End{
 			Class: it.class.Name, Declared: it.job.declared, Peak: peak,
 			DeclaredWork: it.job.declaredWork, Work: work,
@@ -327,6 +352,7 @@
 	s.free[it.zone] += it.size.Cores
 	s.running = slices.DeleteFunc(s.running, func(o *item) bool { return o == it })
 	it.running = false
+	it.job.running--
 }
 
 // observe takes in a report that has arrived.
@@ -337,6 +363,27 @@
 	for _, signal := range r.signals {
 		s.loop.Observe(signal)
 	}
+	for _, u := range r.usage {
+		s.measure(u)
+	}
+}
+
+// measure learns the size of a job from its running tasks.
+func (s *scheduler) measure(u usage) {
+	it := u.item
+	if u.ref != it.ref || u.age < measureAge || it.class.Kind != spec.KindBatch {
+		return
+	}
+	used := u.used
+	if used.Cores >= it.size.Cores {
+		used.Cores = unit.Millicores(heldFactor * float64(used.Cores))
+	}
+	if it.measured {
+		it.job.peak.Raise(used)
+		return
+	}
+	it.measured = true
+	it.job.peak.Add(used)
 }
 
 // step returns the commands of this moment. Starts are reserved already.
@@ -401,11 +448,18 @@
 		size unit.Resources
 	}
 	refused := map[attempt]bool{}
+	contended := s.contended
+	s.contended = false
 	var commands []command
 	for _, it := range s.pending {
 		if it.ready > now {
 			continue
 		}
+		if contended && s.policy.Sizes && it.class.Kind == spec.KindBatch && !it.job.peak.Known() &&
+			it.job.running >= scouts && now-it.job.first < scoutTime {
+			s.contended = true
+			continue
+		}
 		size := s.size(it)
 		for _, zone := range s.order(it) {
 			at := attempt{zone, it.job, size}
@@ -416,12 +470,17 @@
 			next := worker.Ref{Task: it.ref.Task, Attempt: it.ref.Attempt + 1}
 			if !ok || !s.shards[zone].Reserve(id, next, it.class.Name, size) {
 				refused[at] = true
+				s.contended = true
 				continue
 			}
 			it.ref, it.worker, it.zone, it.size, it.share, it.started, it.running = next, id, zone, size, 1, now, true
 			s.advisor.Change(id, it.class.Name, 1, size.Cores)
 			s.free[zone] -= size.Cores
 			s.running = append(s.running, it)
+			it.job.running++
+			if it.job.first == 0 {
+				it.job.first = now
+			}
 			commands = append(commands, command{it, worker.ActionStart, ""})
 			break
 		}
--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -386,9 +386,9 @@
 	}
 	peak := r.real
 	peak.Cores = min(peak.Cores, r.size.Cores)
-	if peak.Cores == r.size.Cores && r.size.Cores < r.real.Cores {
+	if r.size.Cores < r.real.Cores {
 		// A task held to its size shows only that it would use all of it.
-		peak.Cores = unit.Millicores(1.25 * float64(r.size.Cores))
+		peak.Cores = unit.Millicores(heldFactor * float64(r.size.Cores))
 	}
 	w.sched.ended(w.now, r.item, o, peak, r.job.Work.Std())
 }
@@ -563,6 +563,10 @@
 		shares := map[unit.ClassID]float64{}
 		for _, t := range n.runs {
 			shares[t.class.Name] += w.used(t) / float64(n.Capacity.Cores)
+			r.usage = append(r.usage, usage{t.item, t.ref, unit.Resources{
+				Cores:  min(t.size.Cores, t.real.Cores),
+				Memory: unit.Bytes(float64(t.real.Memory) * min(1, t.age.Seconds()/memoryFillTime.Seconds())),
+			}, t.age})
 		}
 		for c, class := range w.requests {
 			latencies := n.latencies[c]
--- a/internal/job/interference/size.go
+++ b/internal/job/interference/size.go
@@ -14,11 +14,13 @@
 	maxEnds = 64
 
 	// A task that gets too few cores runs longer; one that gets too little memory
-	// fails. So memory is estimated at a higher quantile, and with a margin.
-	coresQuantile  = 0.8
-	memoryQuantile = 0.9
+	// fails early and is started again with more. Higher quantiles reserve several
+	// times of what most tasks use, since the errors of declared sizes are wide.
+	coresQuantile  = 0.7
+	memoryQuantile = 0.75
 	memoryMargin   = 1.15
 	workQuantile   = 0.5
+	boundQuantile  = 0.9
 
 	// minJobTasks is the number of done tasks after which a job is judged by them
 	// alone: the next is above the highest of five in one case of six, and the
@@ -75,22 +77,31 @@
 // Peak is what the tasks of one job have used at most. All tasks of a job are
 // alike, so a few of them tell more than the class.
 type Peak struct {
-	Tasks int
+	Tasks int // that were done, or ran long enough to show their size
 	Most  unit.Resources
 }
 
-// Add counts a task of the job that was done.
-func (p *Peak) Add(peak unit.Resources) {
+// Add counts a task of the job.
+func (p *Peak) Add(used unit.Resources) {
 	p.Tasks++
-	p.Most.Cores = max(p.Most.Cores, peak.Cores)
-	p.Most.Memory = max(p.Most.Memory, peak.Memory)
-	p.Most.Accelerators = max(p.Most.Accelerators, peak.Accelerators)
+	p.Raise(used)
 }
 
+// Raise notes the usage of a task that is counted already.
+func (p *Peak) Raise(used unit.Resources) {
+	p.Most.Cores = max(p.Most.Cores, used.Cores)
+	p.Most.Memory = max(p.Most.Memory, used.Memory)
+	p.Most.Accelerators = max(p.Most.Accelerators, used.Accelerators)
+}
+
+// Known reports whether the job is judged by its own tasks. Until then it is
+// worth starting only a few of them where capacity is short.
+func (p *Peak) Known() bool { return p.Tasks >= minJobTasks }
+
 // Size returns the size to reserve for a task of a job, and whether it is
 // estimated with confidence. Without confidence it is at least the declared size.
 func (s *Sizes) Size(class unit.ClassID, declared unit.Resources, job Peak) (unit.Resources, bool) {
-	if job.Tasks >= minJobTasks {
+	if job.Known() {
 		size := declared
 		size.Cores = max(job.Most.Cores, min(smallestCores, declared.Cores))
 		size.Memory = max(unit.Bytes(memoryMargin*float64(job.Most.Memory)), min(smallestMemory, declared.Memory))
@@ -126,7 +137,7 @@
 		return declared, declared, false
 	}
 	middle, sureMiddle := r.work.above(workQuantile)
-	upper, sureUpper := r.work.above(memoryQuantile)
+	upper, sureUpper := r.work.above(boundQuantile)
 	return time.Duration(middle * float64(declared)), time.Duration(upper * float64(declared)), sureMiddle && sureUpper
 }
 
