job/worker: name the boot that a batch of orders refers to

Cause: the state machine test of job/dispatch found that a start prepared before a restart of the worker carries a not-after that means nothing on the worker's new clock, and the protocol had no field to tell. Ruled out: comparing clock readings, which may grow past the old ones.

--- a/internal/job/worker/protocol.go
+++ b/internal/job/worker/protocol.go
@@ -52,7 +52,11 @@
 
 // OrderBatch is the body of POST /v1/orders.
 type OrderBatch struct {
-	Fence  Fence   `json:"fence"`
+	Fence Fence `json:"fence"`
+	// Boot names the boot whose clock the times of the orders refer to. A worker
+	// that has restarted since refuses starts as CodeLate: on its new clock the
+	// not-after would mean nothing.
+	Boot   string  `json:"boot"`
 	Orders []Order `json:"orders"`
 }
 
--- a/internal/standin/worker/runner.go
+++ b/internal/standin/worker/runner.go
@@ -72,7 +72,11 @@
 	r.advance(now)
 	reply := protocol.OrderReply{Clock: now, Results: make([]protocol.Result, 0, len(b.Orders))}
 	for _, o := range b.Orders {
-		reply.Results = append(reply.Results, r.order(now, o))
+		result := protocol.Result{Ref: o.Ref, Code: protocol.CodeLate}
+		if o.Action != protocol.ActionStart || b.Boot == r.boot {
+			result = r.order(now, o)
+		}
+		reply.Results = append(reply.Results, result)
 	}
 	return reply, 0, true
 }
