job/dispatch: end-to-end test over the real protocols; replicas by populated shards

Cause: the test with workers in three racks per zone found that replicas were assigned to a shard of the zone that has no workers.

Change: the replicas of a zone are split over its shards with live workers.

Tests: two entries with the stand-in platform and workers run 40 short and 12 long tasks and replicas, hand over by Drain and cancel; a zone goes out and returns.

--- a/internal/job/dispatch/core.go
+++ b/internal/job/dispatch/core.go
@@ -73,9 +73,8 @@
 
 // Settings are what a core is created with.
 type Settings struct {
-	Shard   unit.ShardID
-	Buckets uint16 // of the zone
-	Epoch   unit.Epoch
+	Shard unit.ShardID
+	Epoch unit.Epoch
 	// Inherited is the time from which leases granted by earlier owners have
 	// surely expired.
 	Inherited time.Time
@@ -94,6 +93,8 @@
 	queue     *queue.Queue
 	largest   queue.Largest // of all workers
 	local     queue.Largest // of the shard's workers
+	position  int           // among the siblings
+	siblings  int           // shards of the zone with workers, 0 if this one has none
 	targets   []unit.ShardID
 	rotation  int // position in targets of the next move
 	others    Usage
--- a/internal/job/dispatch/event.go
+++ b/internal/job/dispatch/event.go
@@ -42,11 +42,15 @@
 	}
 
 	// Fleet has the workers of the shard by the instance list, the largest
-	// worker of all, and the shards to which tasks may be moved.
+	// worker of all, and the shards to which tasks may be moved. Of the shards of
+	// the zone, Siblings have live workers, and this one has Position among them;
+	// the replicas of the zone are split over these.
 	Fleet struct {
-		Workers []Listed
-		Largest queue.Largest
-		Targets []unit.ShardID
+		Workers  []Listed
+		Largest  queue.Largest
+		Targets  []unit.ShardID
+		Position int
+		Siblings int
 	}
 
 	// Usage has what each team uses on other shards, as far as it is known.
--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -149,6 +149,7 @@
 	h.listing, h.targets = snapshot.Revision, zones
 	var f Fleet
 	populated := map[unit.ShardID]bool{}
+	siblings := map[uint16]bool{} // buckets of the zone with live workers
 	listed := map[unit.InstanceID]bool{}
 	for _, w := range snapshot.Workers() {
 		if w.Control == "" {
@@ -160,11 +161,15 @@
 		if live && slices.Contains(zones, w.Zone) {
 			populated[id] = true
 		}
+		if live && w.Zone == h.id.Zone {
+			siblings[id.Bucket] = true
+		}
 		if id == h.id {
 			listed[w.ID] = true
 			f.Workers = append(f.Workers, Listed{ID: w.ID, Rack: w.Rack, Capacity: w.Capacity, Live: live})
 		}
 	}
+	f.Position, f.Siblings = position(h.id, siblings)
 	for id := range populated {
 		if id != h.id {
 			f.Targets = append(f.Targets, id)
@@ -177,6 +182,21 @@
 	return f
 }
 
+// position returns the place of a shard among the populated buckets of its zone,
+// and their number, or 0 and 0 if it is not among them.
+func position(id unit.ShardID, siblings map[uint16]bool) (int, int) {
+	if !siblings[id.Bucket] {
+		return 0, 0
+	}
+	before := 0
+	for b := range siblings {
+		if b < id.Bucket {
+			before++
+		}
+	}
+	return before, len(siblings)
+}
+
 type distance uint64
 
 func (d distance) compare(o distance) int {
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -405,8 +405,8 @@
 // their attempt numbers must not be used again.
 func (c *Core) adjustReplicas(j *job) {
 	want := unit.TaskIndex(0)
-	if class, ok := c.queue.Class(j.record.Job.Class); ok && !c.zoneOut {
-		want = unit.TaskIndex(queue.Replicas(class.Target.Replicas, c.Shard.Bucket, max(c.Buckets, 1)))
+	if class, ok := c.queue.Class(j.record.Job.Class); ok && !c.zoneOut && c.siblings > 0 {
+		want = unit.TaskIndex(queue.Replicas(class.Target.Replicas, c.position, c.siblings))
 	}
 	before := j.replicas
 	j.replicas = want
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -86,6 +86,7 @@
 // list takes the workers of the shard by the instance list.
 func (c *Core) list(e Fleet) {
 	c.targets, c.place = e.Targets, true
+	c.position, c.siblings = e.Position, e.Siblings
 	c.local = queueLargest(e.Workers)
 	grown := c.largest != e.Largest
 	c.largest = e.Largest
--- a/internal/job/dispatch/service.go
+++ b/internal/job/dispatch/service.go
@@ -363,7 +363,7 @@
 // previous owner left no leases but those of one term.
 func (s *Service) host(ctx context.Context, id unit.ShardID, held shard.Held, clean bool) {
 	core := New(Settings{
-		Shard: id, Buckets: s.options.Buckets, Epoch: held.Record.Epoch, Placer: s.options.Placer(id),
+		Shard: id, Epoch: held.Record.Epoch, Placer: s.options.Placer(id),
 		Inherited: lease.InheritedExpiry(s.options.Now(), clean),
 	})
 	s.used[id] = held.Record.Epoch
--- /dev/null
+++ b/internal/job/dispatch/service_test.go
@@ -0,0 +1,298 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"go.uber.org/goleak"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/membership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	standinplatform "github.com/monsoonfold/monsoonfold/internal/standin/platform"
+	standinworker "github.com/monsoonfold/monsoonfold/internal/standin/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// fixedConfig is a configuration that is always confirmed. Tests change its
+// document.
+type fixedConfig struct {
+	done chan struct{}
+
+	mu      sync.Mutex
+	current spec.Revision
+}
+
+func (c *fixedConfig) Name() registry.Name                           { return configName }
+func (c *fixedConfig) Start(context.Context, *registry.Kernel) error { return nil }
+func (c *fixedConfig) Stop(context.Context) error                    { close(c.done); return nil }
+func (c *fixedConfig) Done() <-chan struct{}                         { return c.done }
+func (c *fixedConfig) StartUntil() time.Time                         { return time.Now().Add(3 * time.Second) }
+func (c *fixedConfig) NotAfter() time.Time                           { return time.Now().Add(4 * time.Second) }
+
+func (c *fixedConfig) Current() spec.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+func (c *fixedConfig) set(out ...unit.ZoneID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := spec.Document{
+		Classes: []spec.Class{
+			{Name: "quick", Kind: spec.KindBatch, Target: spec.Target{Start: unit.Duration(3 * time.Second)}},
+			{Name: "sync", Kind: spec.KindStanding, Target: spec.Target{Replicas: 2}},
+			{Name: "quote", Kind: spec.KindRequest},
+		},
+		Teams: []spec.Team{{Name: "desk", Quota: unit.Resources{Cores: 1 << 30, Memory: 1 << 50}}},
+	}
+	for _, z := range simZones[:2] {
+		zone := spec.Zone{Name: z}
+		for _, o := range out {
+			zone.Out = zone.Out || o == z
+		}
+		d.Zones = append(d.Zones, zone)
+	}
+	c.current = spec.Revision{Number: c.current.Number + 1, Document: d}
+}
+
+// site is a platform with workers in two zones and entries.
+type site struct {
+	t        *testing.T
+	platform *standinplatform.Server
+	workers  []*standinworker.Server
+}
+
+type siteEntry struct {
+	kernel   *registry.Kernel
+	config   *fixedConfig
+	dispatch *Service
+}
+
+func newSite(t *testing.T) *site {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	s := &site{t: t}
+	var instances []store.Instance
+	for n := range 6 {
+		settings := standinworker.DefaultSettings(unit.InstanceID(fmt.Sprint("w", n)))
+		settings.Zone, settings.Rack = simZones[n%2], unit.RackID(fmt.Sprint("r", n))
+		w := standinworker.New(settings)
+		s.run(w)
+		s.workers = append(s.workers, w)
+		instances = append(instances, w.Instance())
+	}
+	s.platform = standinplatform.NewServer("127.0.0.1:0", instances)
+	s.run(s.platform)
+	return s
+}
+
+func (s *site) run(service registry.Service) {
+	if err := service.Start(s.t.Context(), nil); err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = service.Stop(context.Background()) })
+}
+
+func (s *site) entry(name string, zone unit.ZoneID) *siteEntry {
+	e := &siteEntry{kernel: registry.New(), config: &fixedConfig{done: make(chan struct{})}}
+	e.config.set()
+	e.dispatch = NewService(logr.Discard(), Options{
+		Buckets: 2,
+		Connect: func(address string) Client { return worker.NewClient(address) },
+		Placer:  func(unit.ShardID) Placer { return &firstFit{} },
+		Now:     time.Now,
+	})
+	for _, service := range []registry.Service{
+		store.NewService(s.platform.Address()),
+		membership.New(logr.Discard(), roster.Entry{ID: unit.EntryID(name), Zone: zone}),
+		journal.NewService(time.Now()), listing.New(logr.Discard()), e.config, e.dispatch,
+	} {
+		if err := e.kernel.Register(service); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+	if err := e.kernel.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	return e
+}
+
+func (s *site) stop(e *siteEntry) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if err := e.kernel.Stop(ctx); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// check reports breaches of the invariants that the workers have seen.
+func (s *site) check() map[worker.Phase]int {
+	var audits []standinworker.Audit
+	phases := map[worker.Phase]int{}
+	for _, w := range s.workers {
+		audits = append(audits, w.Audit())
+		for _, run := range w.Audit().Runs {
+			phases[run.Phase]++
+		}
+	}
+	if err := standinworker.CheckAudits(audits, nil); err != nil {
+		s.t.Error(err)
+	}
+	return phases
+}
+
+// await waits until done holds. The limits of the tests cover a takeover.
+func (s *site) await(what string, done func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(40 * time.Second)
+	for !done() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("%s: not within 40 s", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *site) outcome(e *siteEntry, id unit.JobID) (o ledger.Outcome, ended bool) {
+	r, err := e.dispatch.Job(s.t.Context(), id)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	for _, p := range r.Parts {
+		if p.End != nil {
+			o.Done, o.Failed, o.Cancelled = o.Done+p.End.Done, o.Failed+p.End.Failed, o.Cancelled+p.End.Cancelled
+		}
+	}
+	return o, r.Ended()
+}
+
+func testJob(id unit.JobID, class unit.ClassID, tasks unit.TaskIndex, work time.Duration) queue.Job {
+	return queue.Job{
+		ID: id, Class: class, Team: "desk", Tasks: tasks, Work: unit.Duration(work),
+		Size: unit.Resources{Cores: 4000, Memory: 1 << 30}, Author: "test", Time: time.Now().UnixMilli(),
+	}
+}
+
+// TestEndToEnd guards against jobs that do not end, run twice, or are lost when
+// the owner of their shards hands over, through the real protocols.
+func TestEndToEnd(t *testing.T) {
+	s := newSite(t)
+	a, b := s.entry("a", "z1"), s.entry("b", "z2")
+	t.Cleanup(func() { s.stop(b) })
+	ctx := t.Context()
+	submit := func(jobs ...queue.Job) {
+		for _, j := range jobs {
+			if err := a.dispatch.Submit(ctx, j); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	submit(testJob("many", "quick", 40, 300*time.Millisecond))
+	s.await("many ends", func() bool { _, ended := s.outcome(b, "many"); return ended })
+	if o, _ := s.outcome(b, "many"); o != (ledger.Outcome{Done: 40}) {
+		t.Errorf("outcome %+v, want 40 done", o)
+	}
+	submit(testJob("long", "quick", 12, 8*time.Second), testJob("sync", "sync", 0, 0), testJob("gone", "quick", 4, time.Hour))
+	s.await("long, sync and gone run", func() bool { return s.check()[worker.PhaseRunning] == 12+4+4 })
+
+	drain, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	if err := a.dispatch.Drain(drain); err != nil {
+		t.Error(err)
+	}
+	s.stop(a)
+	if err := b.dispatch.Cancel(ctx, "gone"); err != nil {
+		t.Error(err)
+	}
+	s.await("gone ends", func() bool { _, ended := s.outcome(b, "gone"); return ended })
+	s.await("long ends", func() bool { _, ended := s.outcome(b, "long"); return ended })
+	if o, _ := s.outcome(b, "long"); o != (ledger.Outcome{Done: 12}) {
+		t.Errorf("outcome %+v, want 12 done", o)
+	}
+	phases := s.check()
+	if phases[worker.PhaseExpired] > 0 || phases[worker.PhaseRunning] != 4 || phases[worker.PhaseDone] != 52 {
+		t.Errorf("runs by phase: %v, want 52 done, 4 running, none expired", phases)
+	}
+}
+
+// TestZoneOut guards against tasks that stay in a zone out of service, and
+// against replicas that do not come back with it.
+func TestZoneOut(t *testing.T) {
+	s := newSite(t)
+	e := s.entry("a", "z1")
+	t.Cleanup(func() { s.stop(e) })
+	running := func(zone unit.ZoneID) (n int) {
+		for _, w := range s.workers {
+			for _, run := range w.Audit().Runs {
+				if w.Instance().Zone == zone && run.Phase == worker.PhaseRunning {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	for _, j := range []queue.Job{testJob("sync", "sync", 0, 0), testJob("batch", "quick", 20, 6*time.Second)} {
+		if err := e.dispatch.Submit(t.Context(), j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.await("all run", func() bool { return running("z1")+running("z2") == 24 })
+	e.config.set("z1")
+	s.await("z1 is empty", func() bool { return running("z1") == 0 })
+	s.await("batch ends", func() bool { _, ended := s.outcome(e, "batch"); return ended })
+	if o, _ := s.outcome(e, "batch"); o != (ledger.Outcome{Done: 20}) {
+		t.Errorf("outcome %+v, want 20 done", o)
+	}
+	e.config.set()
+	s.await("replicas are back", func() bool { return running("z1") == 2 && running("z2") == 2 })
+	s.check()
+}
+
+// TestSubmit guards against jobs that can never run being accepted, and against
+// a repeated submission that starts a job anew or replaces another one.
+func TestSubmit(t *testing.T) {
+	s := newSite(t)
+	e := s.entry("a", "z1")
+	t.Cleanup(func() { s.stop(e) })
+	change := func(f func(*queue.Job)) queue.Job {
+		j := testJob("j", "quick", 3, 0)
+		j.Time = 1
+		f(&j)
+		return j
+	}
+	tests := []struct {
+		name string
+		job  queue.Job
+		want error
+	}{
+		{"new", change(func(*queue.Job) {}), nil},
+		{"repeated", change(func(*queue.Job) {}), nil},
+		{"other job of this id", change(func(j *queue.Job) { j.Tasks = 4 }), ErrExists},
+		{"no id", change(func(j *queue.Job) { j.ID = "" }), ErrInvalid},
+		{"unknown class", change(func(j *queue.Job) { j.Class = "x" }), ErrInvalid},
+		{"class of requests", change(func(j *queue.Job) { j.Class = "quote" }), ErrInvalid},
+		{"team without quota", change(func(j *queue.Job) { j.Team = "x" }), ErrInvalid},
+		{"no size", change(func(j *queue.Job) { j.Size = unit.Resources{} }), ErrInvalid},
+		{"no tasks", change(func(j *queue.Job) { j.Tasks = 0 }), ErrInvalid},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if err := e.dispatch.Submit(t.Context(), tt.job); !errors.Is(err, tt.want) {
+				t.Errorf("submit: %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -540,7 +540,7 @@
 func (e *simEntry) host(id unit.ShardID, held shard.Held, clean bool) {
 	h := &simHost{entry: e, id: id, epoch: held.Record.Epoch, session: held.Record.Session, held: held}
 	h.core = New(Settings{
-		Shard: id, Buckets: 1, Epoch: h.epoch, Placer: &firstFit{},
+		Shard: id, Epoch: h.epoch, Placer: &firstFit{},
 		Inherited: lease.InheritedExpiry(e.clock(), clean),
 	})
 	e.used[id], e.hosts[id] = h.epoch, h
@@ -575,7 +575,7 @@
 	if e.session == h.session && e.session != "" {
 		c.ValidUntil = e.renewed.Add(registrationSpan)
 	}
-	fleet := Fleet{}
+	fleet := Fleet{Siblings: 1}
 	for _, w := range e.sim.workers {
 		fleet.Largest = fleet.Largest.Include(w.id, simCapacity)
 		if w.zone == h.id.Zone {
--- a/internal/job/queue/queue.go
+++ b/internal/job/queue/queue.go
@@ -253,11 +253,11 @@
 	return ""
 }
 
-// Replicas returns how many of a zone's replicas one of its shards keeps
-// running.
-func Replicas(replicas int, bucket, buckets uint16) int {
-	n := replicas / int(buckets)
-	if int(bucket) < replicas%int(buckets) {
+// Replicas returns how many of a zone's replicas the shard at a position among
+// so many shards keeps running.
+func Replicas(replicas, position, shards int) int {
+	n := replicas / shards
+	if position < replicas%shards {
 		n++
 	}
 	return n
--- a/internal/job/queue/queue_test.go
+++ b/internal/job/queue/queue_test.go
@@ -141,14 +141,14 @@
 // TestReplicas guards against a zone that runs more or fewer replicas than its
 // target, over its shards together.
 func TestReplicas(t *testing.T) {
-	for _, buckets := range []uint16{1, 2, 8} {
+	for _, shards := range []int{1, 2, 8} {
 		for replicas := range 20 {
 			sum := 0
-			for b := range buckets {
-				sum += Replicas(replicas, b, buckets)
+			for position := range shards {
+				sum += Replicas(replicas, position, shards)
 			}
 			if sum != replicas {
-				t.Errorf("%d buckets run %d replicas, want %d", buckets, sum, replicas)
+				t.Errorf("%d shards run %d replicas, want %d", shards, sum, replicas)
 			}
 		}
 	}
