target/config: keep the target document current and take changes of operators

The records config/rev/<n> are a log: each is created once, if absent, and never changed, and config/head points to its end. The alternative, deciding by compare-and-swap of the head after the record is written, lets a writer that died in between block the number, or lets the next writer replace a record to which the head then points. With the log a lost answer is resolved by repeating the create, and whoever finds the head behind moves it on.

An entry waits for a view read after the write, so that no registered entry is missed, and treats entries that left as serving for 12 s.

TestZoneOut does not cover a store that answers one entry, which has no peers in reach, with the past for good; such an entry cannot tell.

--- a/internal/standin/memory/store.go
+++ b/internal/standin/memory/store.go
@@ -62,8 +62,8 @@
 	return &Handle{records: r, done: make(chan struct{}), old: map[store.Key]store.Record{}, calls: map[string]int{}}
 }
 
-// SetFault sets the function that decides on the fault of each call; nil ends
-// all faults.
+// SetFault sets the function that decides on the fault of each call, perhaps of
+// several at a time; nil ends all faults.
 func (h *Handle) SetFault(fault func(method string, key store.Key) Fault) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -207,11 +207,12 @@
 	var none T
 	h.mu.Lock()
 	h.calls[method]++
+	decide := h.fault
+	h.mu.Unlock()
 	fault := FaultNone
-	if h.fault != nil {
-		fault = h.fault(method, key)
+	if decide != nil {
+		fault = decide(method, key)
 	}
-	h.mu.Unlock()
 	if fault == FaultDown || ctx.Err() != nil {
 		return none, store.ErrUnavailable
 	}
--- /dev/null
+++ b/internal/target/config/service_test.go
@@ -0,0 +1,282 @@
+package config
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/standin/memory"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// settled is long enough for all entries to see each other and for the first of
+// them to know of all that left.
+const settled = 14 * time.Second
+
+// TestApply guards against an outcome that says more than is known: accepted
+// while an entry may still act on the old configuration, or not written when it
+// was.
+func TestApply(t *testing.T) {
+	tests := []struct {
+		name    string
+		arrange func(c *cluster, all []*entry)
+		base    unit.Revision
+		wait    time.Duration
+		want    Outcome
+		err     error
+		written bool // the head reaches revision 2 within 10 s after the faults end
+	}{
+		{"accepted", nil, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		{"old base", nil, 0, 3 * time.Second, OutcomeConflict, nil, false},
+		{"base never written", nil, 7, 3 * time.Second, OutcomeConflict, nil, false},
+		{"store down", func(_ *cluster, all []*entry) { all[0].handle.SetFault(down) }, 1, 3 * time.Second,
+			"", store.ErrUnavailable, false},
+		{"answer of the create lost once", func(_ *cluster, all []*entry) {
+			var lost atomic.Bool
+			all[0].handle.SetFault(func(method string, key store.Key) memory.Fault {
+				if method == "Put" && key == "config/rev/2" && lost.CompareAndSwap(false, true) {
+					return memory.FaultLost
+				}
+				return memory.FaultNone
+			})
+		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		{"answers of the head lost", func(_ *cluster, all []*entry) {
+			all[0].handle.SetFault(lose("Put", headKey))
+		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		{"store fails after the create", func(_ *cluster, all []*entry) {
+			var created atomic.Bool
+			all[0].handle.SetFault(func(method string, key store.Key) memory.Fault {
+				if created.Load() {
+					return memory.FaultDown
+				}
+				if method == "Put" && key == "config/rev/2" {
+					created.Store(true)
+					return memory.FaultLost
+				}
+				return memory.FaultNone
+			})
+		}, 1, 3 * time.Second, OutcomeUnknown, nil, true},
+		{"entry unreachable", func(_ *cluster, all []*entry) {
+			all[2].setCut(true)
+			all[2].handle.SetFault(down)
+		}, 1, 3 * time.Second, OutcomePending, nil, true},
+		{"entry unreachable for its registration and 12 s", func(_ *cluster, all []*entry) {
+			all[2].setCut(true)
+			all[2].handle.SetFault(down)
+		}, 1, 25 * time.Second, OutcomeAccepted, nil, true},
+		{"entry cut from the store only", func(_ *cluster, all []*entry) {
+			all[2].handle.SetFault(down)
+		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		{"young entry cannot tell", func(c *cluster, all []*entry) {
+			all[0].Service = c.start(nil).Service
+		}, 1, 3 * time.Second, OutcomePending, nil, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				defer c.stop()
+				time.Sleep(settled)
+				all := c.all()
+				if r, err := all[0].apply(0, "first", zones("a", "b"), 3*time.Second); err != nil || r.Outcome != OutcomeAccepted {
+					t.Fatalf("first change: %v, %v", r.Outcome, err)
+				}
+				if tt.arrange != nil {
+					tt.arrange(c, all)
+				}
+				result, err := all[0].apply(tt.base, "second", zones("a", "c"), tt.wait)
+				if result.Outcome != tt.want || !errors.Is(err, tt.err) {
+					t.Errorf("Apply = %q, %v; want %q, %v", result.Outcome, err, tt.want, tt.err)
+				}
+				if result.Outcome == OutcomeConflict && result.Revision.Operation != "first" {
+					t.Errorf("conflict shows %+v; want the first change", result.Revision)
+				}
+				for _, e := range c.all() {
+					if n := e.Current().Number; result.Outcome == OutcomeAccepted && n < 2 && time.Now().Before(e.ServeUntil()) {
+						t.Errorf("%s serves with revision %d after revision 2 was accepted", e.id, n)
+					}
+					e.setCut(false)
+					e.handle.SetFault(nil)
+				}
+				time.Sleep(10 * time.Second)
+				status, err := all[1].Status(t.Context(), Query{Base: 1, Operation: "second"})
+				if err != nil {
+					t.Error(err)
+				}
+				for _, e := range c.all() {
+					if n := e.Current().Number; (n == 2) != tt.written {
+						t.Errorf("%s has revision %d, second change written = %v", e.id, n, tt.written)
+					}
+				}
+				if want := map[bool]Outcome{true: OutcomeAccepted, false: OutcomeUnknown}[tt.written]; status.Outcome != want {
+					t.Errorf("Status = %q, want %q", status.Outcome, want)
+				}
+			})
+		})
+	}
+}
+
+// TestRestart guards against a started entry that takes an old answer of the
+// store for the configuration while its peers know better.
+func TestRestart(t *testing.T) {
+	tests := []struct {
+		name  string
+		cut   bool // from the peers at first
+		after time.Duration
+		want  unit.Revision
+	}{
+		{"peers in reach", false, 2 * time.Second, 2},
+		{"peers out of reach at first", true, 6 * time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 3)
+				defer c.stop()
+				time.Sleep(settled)
+				all := c.all()
+				if _, err := all[0].apply(0, "1", zones("a"), 3*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				old, err := all[0].handle.Get(t.Context(), headKey)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if _, err := all[0].apply(1, "2", zones("a", "b"), 3*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				e := c.start(func(h *memory.Handle) { h.SetOld(old) })
+				e.setCut(tt.cut)
+				time.Sleep(tt.after)
+				if n := e.Current().Number; tt.want != 0 && n != tt.want {
+					t.Errorf("revision %d, want %d", n, tt.want)
+				}
+				if until := e.StartUntil(); !until.IsZero() {
+					t.Errorf("may start until %v on an old answer of the store", until)
+				}
+				if until := e.ServeUntil(); tt.cut && !until.IsZero() {
+					t.Errorf("may serve until %v without peers, on an old answer of the store", until)
+				}
+				e.handle.ClearOld()
+				e.setCut(false)
+				time.Sleep(2 * time.Second)
+				if n := e.Current().Number; n != 2 || !time.Now().Before(e.StartUntil()) {
+					t.Errorf("revision %d, may start until %v; want revision 2 in use", n, e.StartUntil())
+				}
+			})
+		})
+	}
+}
+
+// TestOutage guards against entries that start tasks during a store outage, stop
+// serving while a majority agrees, or serve alone.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3)
+		defer c.stop()
+		time.Sleep(settled)
+		all := c.all()
+		if _, err := all[0].apply(0, "1", zones("a"), 3*time.Second); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range all {
+			e.handle.SetFault(down)
+		}
+		time.Sleep(10 * time.Minute)
+		for _, e := range all {
+			if now := time.Now(); now.Before(e.NotAfter()) || !now.Before(e.ServeUntil()) {
+				t.Errorf("%s: starts until %v and serves until %v at %v", e.id, e.NotAfter(), e.ServeUntil(), now)
+			}
+		}
+		all[2].setCut(true)
+		time.Sleep(3 * time.Second)
+		if time.Now().Before(all[2].ServeUntil()) {
+			t.Error("an entry without store and peers serves")
+		}
+	})
+}
+
+// TestSetZone guards against a zone change that is lost to an unrelated one, and
+// against one that overrides somebody else's change of the same zone.
+func TestSetZone(t *testing.T) {
+	tests := []struct {
+		name  string
+		other func(d *spec.Document)
+		want  Outcome
+		out   bool
+	}{
+		{"no other change", nil, OutcomeAccepted, true},
+		{"another zone changed", func(d *spec.Document) { d.Zones[1].Out = true }, OutcomeAccepted, true},
+		{"zone removed", func(d *spec.Document) { d.Zones = d.Zones[1:] }, OutcomeConflict, false},
+		{"zone changed", func(d *spec.Document) { d.Zones[0].Out = true }, OutcomeConflict, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 2)
+				defer c.stop()
+				time.Sleep(settled)
+				all := c.all()
+				document := zones("a", "b")
+				if _, err := all[0].apply(0, "1", document, 3*time.Second); err != nil {
+					t.Fatal(err)
+				}
+				if tt.other != nil {
+					// The other change comes between the read and the write.
+					var once atomic.Bool
+					all[0].handle.SetFault(func(method string, key store.Key) memory.Fault {
+						if method == "Put" && key == "config/rev/2" && once.CompareAndSwap(false, true) {
+							tt.other(&document)
+							if _, err := all[1].apply(1, "other", document, time.Second); err != nil {
+								t.Error(err)
+							}
+						}
+						return memory.FaultNone
+					})
+				}
+				result, err := all[0].SetZone(t.Context(), "a", true, "meera", "out")
+				if err != nil || result.Outcome != tt.want {
+					t.Errorf("SetZone = %q, %v; want %q", result.Outcome, err, tt.want)
+				}
+				zone, _ := zoneOf(&result.Revision.Document, "a")
+				if zone.Out != tt.out {
+					t.Errorf("zone out = %v, want %v", zone.Out, tt.out)
+				}
+				if _, err := all[0].SetZone(t.Context(), "x", true, "meera", "none"); !errors.Is(err, ErrZone) {
+					t.Errorf("SetZone of an unknown zone = %v, want %v", err, ErrZone)
+				}
+			})
+		})
+	}
+}
+
+// TestHistory guards against a log that grows without limit, or from which more
+// is deleted than what is no longer kept.
+func TestHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1)
+		defer c.stop()
+		time.Sleep(settled)
+		e := c.all()[0]
+		const changes = kept + 20
+		for n := range unit.Revision(changes) {
+			if _, err := e.apply(n, "op"+string(rune('a'+n%26)), zones("a"), time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		history, err := e.History(context.Background(), 1000)
+		if err != nil || len(history) != kept || history[0].Number != changes || history[kept-1].Number != changes-kept+1 {
+			t.Errorf("%d revisions, %v; want the last %d", len(history), err, kept)
+		}
+		snapshot, err := e.handle.List(t.Context(), revisionPrefix)
+		if err != nil || len(snapshot.Records) != kept {
+			t.Errorf("store keeps %d revisions, %v; want %d", len(snapshot.Records), err, kept)
+		}
+	})
+}
