--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,10 @@
 // Command standin runs stand-ins for the platform, workers and callers.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/monsoonfold/monsoonfold/internal/standin/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:])) }
