job/control: make room for replicas; bench/replay: harder bursts

Cause: a replica without a worker in its zone waited for batch tasks to end. In the traces the bursts reached so few workers that the control loop made no difference, and queues without admission control grew to tens of seconds in the baselines, which flattered the project's ratios. Change: Room returns the cheapest evictions that make a claim fit, if the claim is worth more. Bursts reach 35% of the workers. Entries reject a request that would wait more than 1 s. The table has the part of the replicas alive and a policy without the loop.

--- a/internal/bench/replay/generate.go
+++ b/internal/bench/replay/generate.go
@@ -225,10 +225,10 @@
 // disturb adds bursts of noise, failures of workers, a zone out and back, and a
 // burst of cancellations.
 func (g *generator) disturb() {
-	for range 12 {
+	for range 14 {
 		b := g.firm.batch[g.rng.IntN(len(g.firm.batch))]
-		g.add(Line{Kind: KindBurst, At: g.at(0.05 + 0.9*g.rng.Float64()), Span: g.at(0.02 + 0.05*g.rng.Float64()),
-			Class: b.class.Name, Workers: g.some(0.15), Factor: 2 + 2*g.rng.Float64()})
+		g.add(Line{Kind: KindBurst, At: g.at(0.05 + 0.9*g.rng.Float64()), Span: g.at(0.03 + 0.06*g.rng.Float64()),
+			Class: b.class.Name, Workers: g.some(0.35), Factor: 2.5 + 2.5*g.rng.Float64()})
 	}
 	for range 4 {
 		g.add(Line{Kind: KindSlow, At: g.at(0.05 + 0.9*g.rng.Float64()), Span: g.at(0.01 + 0.03*g.rng.Float64()),
--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -34,6 +34,7 @@
 		{Name: "monsoonfold", Targets: true, Learn: true, Control: true, Sizes: true, Save: true},
 		{Name: "two-choices", Targets: true, Learn: true, Control: true, Sizes: true, Save: true, TwoWay: true},
 		{Name: "no-model", Targets: true, Control: true, Sizes: true, Save: true},
+		{Name: "no-loop", Targets: true, Learn: true, Sizes: true, Save: true},
 		{Name: "first-fit-routed", FirstFit: true},
 		{Name: Baseline, FirstFit: true, TwoWay: true},
 	}
@@ -403,12 +404,18 @@
 
 // protect runs the control loop over the running tasks.
 func (s *scheduler) protect(now time.Duration) []command {
+	ordered, tasks := s.tasks(now)
+	return s.act(ordered, s.loop.Step(origin.Add(now), tasks))
+}
+
+// tasks returns the running tasks by worker, as items and as the loop sees them.
+func (s *scheduler) tasks(now time.Duration) ([]*item, []control.Task) {
 	ordered := slices.Clone(s.running)
 	slices.SortStableFunc(ordered, func(a, b *item) int { return cmp.Compare(a.worker, b.worker) })
 	tasks := make([]control.Task, 0, len(ordered))
 	for _, it := range ordered {
 		t := control.Task{
-			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Cores: it.size.Cores, Share: it.share,
+			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Size: it.size, Share: it.share,
 			Unsaved: now - it.started, Saves: true, Standing: it.class.Kind == spec.KindStanding,
 		}
 		if !t.Standing {
@@ -418,10 +425,14 @@
 		}
 		tasks = append(tasks, t)
 	}
+	return ordered, tasks
+}
+
+func (s *scheduler) act(running []*item, actions []control.Action) []command {
 	var commands []command
-	for _, a := range s.loop.Step(origin.Add(now), tasks) {
-		i := slices.IndexFunc(ordered, func(it *item) bool { return it.ref == a.Ref })
-		it := ordered[i]
+	for _, a := range actions {
+		i := slices.IndexFunc(running, func(it *item) bool { return it.ref == a.Ref })
+		it := running[i]
 		if a.Kind == worker.ActionThrottle {
 			s.advisor.Change(it.worker, it.class.Name, 0, unit.Millicores(float64(it.size.Cores)*a.Share)-unit.Millicores(float64(it.size.Cores)*it.share))
 			it.share = a.Share
@@ -431,6 +442,23 @@
 	return commands
 }
 
+// makeRoom evicts batch tasks for a replica that found no worker in its zone.
+func (s *scheduler) makeRoom(now time.Duration, it *item) []command {
+	running, tasks := s.tasks(now)
+	var hosts []control.Host
+	for i, t := range tasks {
+		if running[i].zone != it.job.zone {
+			continue
+		}
+		if n := len(hosts); n == 0 || hosts[n-1].ID != t.Worker {
+			hosts = append(hosts, control.Host{ID: t.Worker, Free: s.indexes[it.job.zone].Free(t.Worker)})
+		}
+		h := &hosts[len(hosts)-1]
+		h.Tasks = append(h.Tasks, t)
+	}
+	return s.act(running, control.Room(origin.Add(now), control.Claim{Class: it.class.Name, Size: s.size(it), Standing: true}, hosts))
+}
+
 // start places pending tasks in order: by the time left to their target, or by
 // static weight.
 func (s *scheduler) start(now time.Duration) []command {
@@ -485,6 +513,14 @@
 			break
 		}
 	}
+	making := map[unit.ZoneID]bool{} // one replica in a step, whose effect is seen in the next
+	for _, it := range s.pending {
+		zone := it.job.zone
+		if s.policy.Control && it.class.Kind == spec.KindStanding && !it.running && it.ready <= now && !s.out[zone] && !making[zone] {
+			making[zone] = true
+			commands = append(commands, s.makeRoom(now, it)...)
+		}
+	}
 	s.pending = slices.DeleteFunc(s.pending, func(it *item) bool { return it.running })
 	return commands
 }
--- a/internal/bench/replay/run.go
+++ b/internal/bench/replay/run.go
@@ -56,8 +56,11 @@
 	Work      float64 // core hours of batch work that was retained
 	OutWork   float64 // of it, while the zone was out
 	Kept      float64 // part of the work in the zone that survived its absence
+	Alive     float64 // part of the replicas that ran where they should
 	Evictions map[unit.ClassID]int
 	Throttles int
+	alive     float64
+	wanted    float64
 	kept      float64
 	held      float64
 }
@@ -75,15 +78,6 @@
 // Excess returns how far the 99th percentile is over the bound, or 0.
 func (c ClassSummary) Excess() time.Duration { return max(c.P99-c.Bound, 0) }
 
-// Evicted returns the evictions of a kind of classes by the policy itself.
-func (s *Summary) Evicted(classes ...unit.ClassID) int {
-	n := 0
-	for _, c := range classes {
-		n += s.Evictions[c]
-	}
-	return n
-}
-
 // Run replays every firm, policy and seed, and writes one table with a row for
 // each and for all seeds together. Ratios are to the baseline of the same seeds.
 func Run(out io.Writer, o Options) error {
@@ -96,7 +90,7 @@
 		return errors.Errorf("write table: %w", err)
 	}
 	tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "trace\tpolicy\tseed\tclass\tp50\tp99\tp99.9\ttarget\tlate %\texcess ratio\tbatch core-h\tratio\twhile out ratio\tkept\tevictions\tthrottles\t")
+	fmt.Fprintln(tw, "trace\tpolicy\tseed\tclass\tp50\tp99\tp99.9\ttarget\tlate %\texcess ratio\tbatch core-h\tratio\twhile out ratio\tkept\treplicas %\tevictions\tthrottles\t")
 	for _, s := range all {
 		base := find(all, s.Firm, Baseline, s.Seed)
 		for i, c := range s.Classes {
@@ -106,12 +100,15 @@
 			}
 			fmt.Fprintf(tw, "%s\t%s\t%s\t%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%s\t", s.Firm, s.Policy, seed, c.Name,
 				ms(c.P50), ms(c.P99), ms(c.P999), ms(c.Bound), 100*c.Late, excessRatio(c, base, i))
-			if i > 0 || base == nil {
-				fmt.Fprint(tw, "\t\t\t\t\t\t\n")
+			if i > 0 {
+				fmt.Fprint(tw, "\t\t\t\t\t\t\t\n")
 				continue
 			}
-			fmt.Fprintf(tw, "%.2f\t%.2f\t%.2f\t%.2f\t%s\t%d\t\n", s.Work, s.Work/base.Work, s.OutWork/base.OutWork,
-				s.Kept, evictions(s.Evictions), s.Throttles)
+			work, outWork := "?", "?"
+			if base != nil {
+				work, outWork = fmt.Sprintf("%.2f", s.Work/base.Work), fmt.Sprintf("%.2f", s.OutWork/base.OutWork)
+			}
+			fmt.Fprintf(tw, "%.2f\t%s\t%s\t%.2f\t%.2f\t%s\t%d\t\n", s.Work, work, outWork, s.Kept, 100*s.Alive, evictions(s.Evictions), s.Throttles)
 		}
 	}
 	if err := tw.Flush(); err != nil {
@@ -169,7 +166,7 @@
 func summarize(t *Trace, policy string, r *Result) Summary {
 	s := Summary{
 		Firm: t.Header.Firm, Policy: policy, Seed: t.Header.Seed, Work: r.Work / 3600, OutWork: r.OutWork / 3600,
-		Evictions: r.Evictions, Throttles: r.Throttles, kept: r.Kept, held: r.Held,
+		Evictions: r.Evictions, Throttles: r.Throttles, kept: r.Kept, held: r.Held, alive: r.Alive, wanted: r.Wanted,
 	}
 	for _, c := range t.Classes {
 		if c.Kind == spec.KindRequest {
@@ -202,6 +199,8 @@
 		m.Throttles += s.Throttles
 		m.kept += s.kept
 		m.held += s.held
+		m.alive += s.alive
+		m.wanted += s.wanted
 	}
 	m.finish()
 	return m
@@ -214,6 +213,7 @@
 		c.P50, c.P99, c.P999 = at(50), at(99), at(99.9)
 		c.Late = float64(c.lateCount) / float64(max(c.measure, 1))
 	}
+	s.Alive = s.alive / max(s.wanted, 1)
 	s.Kept = 1
 	if s.held > 0 {
 		s.Kept = s.kept / s.held
--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -24,6 +24,7 @@
 	listLag        = 3 * time.Second // until a failed worker leaves the instance list
 	drainLag       = time.Second     // until entries see that a worker drains
 	requestTimeout = time.Second     // until a request to a dead worker is given up
+	maxWait        = time.Second     // after which entries reject a waiting request
 	startDelay     = 2 * time.Second // of a task, without progress
 	failAfter      = 3 * time.Second // of a task that fails
 	memoryFillTime = 15 * time.Second
@@ -133,12 +134,14 @@
 	Latency    []*hdrhistogram.Histogram // by class of requests, in microseconds
 	Late       []int
 	Requests   []int
-	Unserved   int     // no worker could be chosen
+	Rejected   int     // no worker could be chosen, or the wait was too long
 	Work       float64 // core seconds of batch work that was retained
 	OutWork    float64 // of it, gained while the zone was out
 	Evictions  map[unit.ClassID]int
 	Throttles  int
 	Done       map[unit.ClassID]int
+	Alive      float64 // replica seconds, and Wanted those of the target in zones in service
+	Wanted     float64
 	Kept, Held float64     // core seconds in the zone when it went out: retained, and all
 	Series     [][]float64 // by class of requests: 99th percentile in seconds per 10 s
 	window     []*hdrhistogram.Histogram
@@ -156,6 +159,7 @@
 		}
 		w.runTimers()
 		w.advance()
+		w.countReplicas()
 		w.report()
 		for _, c := range w.sched.step(w.now) {
 			w.obey(c)
@@ -376,6 +380,22 @@
 	}
 }
 
+// countReplicas accounts for the replicas that run where they should.
+func (w *world) countReplicas() {
+	for _, n := range w.nodes {
+		for _, r := range n.runs {
+			if r.class.Kind == spec.KindStanding && r.age > startDelay && !w.sched.out[n.Zone] {
+				w.result.Alive += tick.Seconds()
+			}
+		}
+	}
+	for _, l := range w.trace.Events {
+		if l.Kind == KindJob && l.Job.Zone != "" && l.At.Std()+startDelay < w.now && !w.sched.out[l.Job.Zone] {
+			w.result.Wanted += float64(l.Job.Tasks) * tick.Seconds()
+		}
+	}
+}
+
 func (w *world) end(n *node, r *run, o outcome) {
 	n.runs = slices.DeleteFunc(n.runs, func(x *run) bool { return x == r })
 	if o == done {
@@ -495,7 +515,7 @@
 	e := w.arrivals.IntN(len(w.entries))
 	chosen := w.router.choose(at, w.entries[e].lanes, w.choices)
 	if chosen < 0 {
-		w.result.Unserved++
+		w.result.Rejected++
 		w.count(class, requestTimeout)
 		return
 	}
@@ -513,6 +533,12 @@
 			}
 		}
 		begin := max(at+hop, n.free[e][slot])
+		if begin-at > maxWait {
+			w.entries[e].lanes[chosen].inFlight--
+			w.result.Rejected++
+			w.count(class, maxWait)
+			return
+		}
 		served := time.Duration(work * n.factor[class] * float64(time.Second))
 		n.free[e][slot] = begin + served
 		n.busy += served
--- a/internal/job/control/loop.go
+++ b/internal/job/control/loop.go
@@ -35,12 +35,12 @@
 	Ref      worker.Ref
 	Worker   unit.InstanceID
 	Class    unit.ClassID
-	Cores    unit.Millicores // reserved
-	Share    float64         // of its cores; 1 if not throttled
-	Unsaved  time.Duration   // work since its last checkpoint
-	Left     time.Duration   // expected run time at full share; 0 if it runs until stopped
-	Deadline time.Time       // by the target of its class; zero if none
-	Saves    bool            // it can write a checkpoint
+	Size     unit.Resources // reserved
+	Share    float64        // of its cores; 1 if not throttled
+	Unsaved  time.Duration  // work since its last checkpoint
+	Left     time.Duration  // expected run time at full share; 0 if it runs until stopped
+	Deadline time.Time      // by the target of its class; zero if none
+	Saves    bool           // it can write a checkpoint
 	Standing bool
 	Spare    int // standing only: running replicas above the target of its zone
 }
@@ -343,7 +343,7 @@
 }
 
 func (l *Loop) relief(requests unit.ClassID, t Task) float64 {
-	return l.blame.Relief(requests, t.Worker, t.Class, unit.Millicores(float64(t.Cores)*t.Share))
+	return l.blame.Relief(requests, t.Worker, t.Class, unit.Millicores(float64(t.Size.Cores)*t.Share))
 }
 
 func (l *Loop) place(id unit.InstanceID) *place {
@@ -355,36 +355,6 @@
 	return p
 }
 
-const (
-	// standingPrice is the price of throttling a replica: its target is to stay
-	// alive, which throttling does not break.
-	standingPrice = 4.0
-	// unsavedPrice is the work whose loss doubles the price of a task.
-	unsavedPrice = 5 * time.Minute
-	// maxUrgency bounds the price of a task whose deadline is close or past.
-	maxUrgency = 20.0
-)
-
-// price returns what acting on a task costs its own target, where 1 is a task
-// with all the time it wants. It grows as the time left nears the deadline.
-func price(now time.Time, t Task) float64 {
-	cost := 1.0
-	if t.Standing {
-		cost = standingPrice
-		if t.Spare <= 0 {
-			cost *= 2
-		}
-	}
-	if !t.Deadline.IsZero() && t.Left > 0 {
-		slack := 1 - t.Left.Seconds()/max(t.Deadline.Sub(now).Seconds(), 1)
-		cost *= 1 / max(slack, 1/maxUrgency)
-	}
-	if !t.Saves {
-		cost *= 1 + t.Unsaved.Seconds()/unsavedPrice.Seconds()
-	}
-	return cost
-}
-
 // budgetOf returns the part of the requests that may be late.
 func budgetOf(t spec.Target) float64 {
 	return math.Max(1-t.Percentile/100, 1e-4)
--- a/internal/job/control/loop_test.go
+++ b/internal/job/control/loop_test.go
@@ -31,11 +31,11 @@
 		at   int // seconds
 		late int // of 200 requests in the 5 s until then; -1 for no report
 	}
-	noisy := Task{Ref: ref(1), Worker: "w", Class: "noisy", Cores: 1000, Share: 1, Saves: true}
-	mild := Task{Ref: ref(2), Worker: "w", Class: "mild", Cores: 1000, Share: 1, Saves: true}
-	standing := Task{Ref: ref(3), Worker: "w", Class: "sync", Cores: 1000, Share: 1, Saves: true, Standing: true}
-	urgent := Task{Ref: ref(4), Worker: "w", Class: "noisy", Cores: 1000, Share: 1, Saves: true, Left: 55 * time.Minute, Deadline: start.Add(time.Hour)}
-	unsaved := Task{Ref: ref(5), Worker: "w", Class: "noisy", Cores: 1000, Share: 1}
+	noisy := Task{Ref: ref(1), Worker: "w", Class: "noisy", Size: unit.Resources{Cores: 1000}, Share: 1, Saves: true}
+	mild := Task{Ref: ref(2), Worker: "w", Class: "mild", Size: unit.Resources{Cores: 1000}, Share: 1, Saves: true}
+	standing := Task{Ref: ref(3), Worker: "w", Class: "sync", Size: unit.Resources{Cores: 1000}, Share: 1, Saves: true, Standing: true}
+	urgent := Task{Ref: ref(4), Worker: "w", Class: "noisy", Size: unit.Resources{Cores: 1000}, Share: 1, Saves: true, Left: 55 * time.Minute, Deadline: start.Add(time.Hour)}
+	unsaved := Task{Ref: ref(5), Worker: "w", Class: "noisy", Size: unit.Resources{Cores: 1000}, Share: 1}
 	tests := []struct {
 		name  string
 		tasks []Task
@@ -89,3 +89,43 @@
 		})
 	}
 }
+
+// TestRoom guards against a replica that waits while batch work could make way,
+// and evictions that cost more than the claim or gain nothing.
+func TestRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cores := func(n unit.Millicores) unit.Resources { return unit.Resources{Cores: n} }
+	batch := func(n int, size unit.Millicores) Task {
+		return Task{Ref: ref(n), Class: "batch", Size: cores(size), Share: 1, Saves: true}
+	}
+	urgent := batch(9, 4000)
+	urgent.Left, urgent.Deadline = 59*time.Minute, now.Add(time.Hour)
+	replica := Task{Ref: ref(8), Class: "sync", Size: cores(4000), Share: 1, Saves: true, Standing: true}
+	tests := []struct {
+		name  string
+		claim Claim
+		hosts []Host
+		want  []unit.TaskIndex
+	}{
+		{"replica", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{batch(1, 4000)}}}, []unit.TaskIndex{1}},
+		{"fits already", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{batch(1, 4000)}}, {"b", cores(4000), nil}}, nil},
+		{"fewest", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{batch(1, 2000), batch(2, 2000)}}, {"b", cores(0), []Task{batch(3, 4000)}}}, []unit.TaskIndex{3}},
+		{"needless one is kept", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{batch(1, 1000), batch(2, 4000)}}}, []unit.TaskIndex{2}},
+		{"urgent is spared", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{urgent}}}, nil},
+		{"replicas are spared", Claim{Size: cores(4000), Standing: true}, []Host{{"a", cores(0), []Task{replica}}}, nil},
+		{"too large", Claim{Size: cores(9000), Standing: true}, []Host{{"a", cores(0), []Task{batch(1, 4000)}}}, nil},
+		{"batch with time", Claim{Size: cores(4000), Due: now.Add(time.Minute)}, []Host{{"a", cores(0), []Task{batch(1, 4000)}}}, nil},
+		{"batch that is due", Claim{Size: cores(4000), Due: now}, []Host{{"a", cores(0), []Task{batch(1, 4000)}}}, []unit.TaskIndex{1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []unit.TaskIndex
+			for _, a := range Room(now, tt.claim, tt.hosts) {
+				got = append(got, a.Ref.Task.Index)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("victims (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/control/price.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"time"
+)
+
+const (
+	// standingPrice is the price of throttling a replica: its target is to stay
+	// alive, which throttling does not break.
+	standingPrice = 4.0
+	// unsavedPrice is the work whose loss doubles the price of a task.
+	unsavedPrice = 5 * time.Minute
+	// maxUrgency bounds the price of a task whose deadline is close or past.
+	maxUrgency = 20.0
+)
+
+// price returns what acting on a task costs its own target, where 1 is a task
+// with all the time it wants. It grows as the time left nears the deadline.
+func price(now time.Time, t Task) float64 {
+	cost := 1.0
+	if t.Standing {
+		cost = standingPrice
+		if t.Spare <= 0 {
+			cost *= 2
+		}
+	}
+	if !t.Deadline.IsZero() && t.Left > 0 {
+		slack := 1 - t.Left.Seconds()/max(t.Deadline.Sub(now).Seconds(), 1)
+		cost *= 1 / max(slack, 1/maxUrgency)
+	}
+	if !t.Saves {
+		cost *= 1 + t.Unsaved.Seconds()/unsavedPrice.Seconds()
+	}
+	return cost
+}
