--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -247,7 +247,7 @@
 			}
 		}
 	case KindZoneOut:
-		w.sched.setZone(l.Zone, true)
+		w.sched.setZone(w.now, l.Zone, true)
 		for _, n := range w.nodes {
 			if n.Zone != l.Zone {
 				continue
@@ -263,7 +263,7 @@
 		}
 		w.result.OutWork = -w.result.Work
 	case KindZoneIn:
-		w.sched.setZone(l.Zone, false)
+		w.sched.setZone(w.now, l.Zone, false)
 		for _, n := range w.nodes {
 			if n.Zone == l.Zone {
 				w.back(n)
--- a/internal/job/control/loop.go
+++ b/internal/job/control/loop.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -70,8 +71,10 @@
 	// relaxedLimit is the burn that a worker may have while its class as a whole
 	// keeps within half of its budget.
 	relaxedLimit = 3.0
-	// severeBurn calls for throttling every harmful task on a worker at once.
-	severeBurn = 6.0
+	// severeBurn calls for throttling every harmful task on a worker at once, and
+	// extremeBurn for doing so in one step, since each step costs a settled report.
+	severeBurn  = 6.0
+	extremeBurn = 15.0
 	// headroom is the burn below which throttles are undone.
 	headroom = 0.5
 	// minRequests is the least number of requests that shows headroom.
@@ -83,6 +86,9 @@
 	maxHold    = 160 * time.Second
 	regretTime = 60 * time.Second
 
+	// undoneRise bounds the expected rise of the logarithm of the latency by one
+	// undoing of several throttles.
+	undoneRise = 0.1
 	// minRelief is the relief below which acting on a task is pointless.
 	minRelief = 0.02
 	// evictionsPerStep bounds checkpoints and stops in the time of one settled
@@ -253,15 +259,7 @@
 	if !p.undone.IsZero() && now.Sub(p.undone) < regretTime {
 		p.hold = min(2*p.hold, maxHold)
 	}
-	slices.SortStableFunc(victims, func(a, b victim) int {
-		switch x, y := a.relief/a.price, b.relief/b.price; {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(victims, func(a, b victim) int { return -cmp.Compare(a.relief/a.price, b.relief/b.price) })
 	t := l.tallies[signalKey{id, class}]
 	cause := fmt.Sprintf("%s on %s: %.1f of %.0f requests late, burn %.1f, class %.1f", class, id,
 		t.late, t.requests, burn, l.classes[class].burn(budgetOf(l.targets[class])))
@@ -272,6 +270,9 @@
 			continue
 		}
 		share := max(v.Share/2, floorShare)
+		if burn >= extremeBurn {
+			share = floorShare
+		}
 		actions = append(actions, Action{
 			Worker: id, Ref: v.Ref, Class: v.Class, For: class, Kind: worker.ActionThrottle, Share: share,
 			Reason: fmt.Sprintf("%s; %s has %.0f%% of the relief at price %.1f; share %.2f to %.2f",
@@ -310,36 +311,45 @@
 	}}
 }
 
-// undo doubles the share of the throttled task whose own target suffers most for
-// the harm that it does.
+// undo doubles the share of the throttled tasks whose own targets suffer most
+// for the harm that they do: of one, and of more while the expected rise is small.
 func (l *Loop) undo(now time.Time, p *place, tasks []Task) []Action {
-	best, most := -1, 0.0
-	for i, t := range tasks {
+	var throttled []victim
+	for _, t := range tasks {
 		if t.Share >= 1 {
 			continue
 		}
-		relief := minRelief
+		v := victim{Task: t, price: price(now, t)}
 		for _, c := range p.classes {
-			relief += max(l.relief(c, t), 0)
-		}
-		if gain := price(now, t) / relief; gain > most {
-			best, most = i, gain
+			v.relief = max(v.relief, l.relief(c, t))
 		}
+		throttled = append(throttled, v)
 	}
-	if best < 0 {
+	if len(throttled) == 0 {
 		if !p.undone.IsZero() && now.Sub(p.undone) > regretTime {
 			p.hold = firstHold
 		}
 		return nil
 	}
-	t := tasks[best]
-	held := now.Sub(p.calm)
+	slices.SortStableFunc(throttled, func(a, b victim) int {
+		return -cmp.Compare(a.price/(a.relief+minRelief), b.price/(b.relief+minRelief))
+	})
+	var actions []Action
+	rise := 0.0
+	for _, v := range throttled {
+		share := min(2*v.Share, 1)
+		rise += v.relief * (share/v.Share - 1)
+		if len(actions) > 0 && rise > undoneRise {
+			break
+		}
+		actions = append(actions, Action{
+			Worker: v.Worker, Ref: v.Ref, Class: v.Class, Kind: worker.ActionThrottle, Share: share,
+			Reason: fmt.Sprintf("every class on %s has headroom for %s: burn below %.1f; share %.2f to %.2f",
+				v.Worker, now.Sub(p.calm).Round(time.Second), headroom, v.Share, share),
+		})
+	}
 	p.undone, p.calm = now, time.Time{}
-	return []Action{{
-		Worker: t.Worker, Ref: t.Ref, Class: t.Class, Kind: worker.ActionThrottle, Share: min(2*t.Share, 1),
-		Reason: fmt.Sprintf("every class on %s has headroom for %s: burn below %.1f; share %.2f to %.2f",
-			t.Worker, held.Round(time.Second), headroom, t.Share, min(2*t.Share, 1)),
-	}}
+	return actions
 }
 
 func (l *Loop) relief(requests unit.ClassID, t Task) float64 {
--- a/internal/job/interference/advisor.go
+++ b/internal/job/interference/advisor.go
@@ -14,7 +14,7 @@
 	caution = 1.0
 	// margin is the part of the room below the target that placement may use. The
 	// rest is for bursts, which the model cannot foresee.
-	margin = 0.8
+	margin = 0.7
 	// leastRoom is allowed even where a class misses its target without any batch
 	// work, since refusing all of it would not help the class.
 	leastRoom = 0.1
--- a/internal/job/interference/model_test.go
+++ b/internal/job/interference/model_test.go
@@ -163,3 +163,36 @@
 		})
 	}
 }
+
+// BenchmarkHarm measures one judgement of a worker with 4 batch classes and 2
+// classes of requests. Placement makes at most 24 for a start.
+func BenchmarkHarm(b *testing.B) {
+	a := NewAdvisor()
+	serves := []unit.ClassID{"checks", "settlements"}
+	a.Upsert("w", 16000, serves)
+	shares := map[unit.ClassID]float64{}
+	for _, c := range []unit.ClassID{"a", "b", "c", "d"} {
+		a.Change("w", c, 1, 1000)
+		shares[c] = 0.06
+	}
+	for i := range 100 {
+		for _, c := range serves {
+			a.Target(c, spec.KindRequest, spec.Target{Percentile: 99, Bound: unit.Duration(time.Second)})
+			a.Observe("w", Sample{Time: time.Unix(int64(i), 0), Class: c, Band: Band(i % Bands), Requests: 100, Latency: 50 * time.Millisecond, Shares: shares}, 100*time.Millisecond)
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Harm("w", "a", unit.Resources{Cores: 1000})
+	}
+}
+
+// BenchmarkObserve measures one report of one class of requests.
+func BenchmarkObserve(b *testing.B) {
+	m, shares, at := New(), map[unit.ClassID]float64{"a": 0.1, "b": 0.1, "c": 0.1, "d": 0.1}, time.Unix(0, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		at = at.Add(time.Millisecond)
+		m.Observe(Sample{Time: at, Class: "checks", Band: 1, Requests: 100, Latency: 50 * time.Millisecond, Shares: shares})
+	}
+}
