standin/worker: set the boot in the tests of the runner

Cause: starts without the present boot are refused since the field exists, and the runner's tests did not set it. Change: the tests name the boot, and one more table covers the present, an earlier and a missing boot.

--- a/internal/standin/worker/partition_test.go
+++ b/internal/standin/worker/partition_test.go
@@ -44,7 +44,7 @@
 				t.Fatal(err)
 			}
 			r.Cut(test.cut...)
-			_, err = c.Orders(t.Context(), protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{{
+			_, err = c.Orders(t.Context(), protocol.OrderBatch{Fence: fence, Boot: report.Boot, Orders: []protocol.Order{{
 				Ref:    protocol.Ref{Task: unit.TaskID{Job: "j"}, Attempt: 1},
 				Action: protocol.ActionStart, Size: unit.Resources{Cores: 1, Memory: 1},
 				NotAfter: report.Clock.Add(notAfter), LeaseEnd: report.Clock.Add(lease),
--- a/internal/standin/worker/runner_test.go
+++ b/internal/standin/worker/runner_test.go
@@ -151,7 +151,7 @@
 			r.draining, r.failing = test.draining, test.failing
 			fence := protocol.Fence{Shard: "z.0", Epoch: 1}
 			for i, c := range test.calls {
-				reply, _, ok := r.orders(c.at, protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{c.order}})
+				reply, _, ok := r.orders(c.at, protocol.OrderBatch{Boot: "boot", Fence: fence, Orders: []protocol.Order{c.order}})
 				if !ok || reply.Results[0].Code != c.want {
 					t.Errorf("call %d: got %v, want code %q", i, reply.Results, c.want)
 				}
@@ -186,7 +186,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			r := newRunner(testSettings, "boot")
 			r.heartbeat(second, protocol.Heartbeat{Fence: protocol.Fence{Shard: "z.0", Epoch: 5}})
-			batch := protocol.OrderBatch{Fence: test.fence, Orders: []protocol.Order{startOrder(testRef(0, 1), nil)}}
+			batch := protocol.OrderBatch{Boot: "boot", Fence: test.fence, Orders: []protocol.Order{startOrder(testRef(0, 1), nil)}}
 			_, highest, ok := r.orders(2*second, batch)
 			if ok != test.wantOK || !ok && highest != 5 {
 				t.Errorf("orders: got ok %v with epoch %d, want ok %v", ok, highest, test.wantOK)
@@ -204,7 +204,7 @@
 	r := newRunner(testSettings, "boot")
 	fence := protocol.Fence{Shard: "z.0", Epoch: 1}
 	ref := testRef(0, 1)
-	batch := protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{
+	batch := protocol.OrderBatch{Boot: "boot", Fence: fence, Orders: []protocol.Order{
 		startOrder(ref, func(o *protocol.Order) { o.Work = 1 }),
 	}}
 	forget := protocol.Heartbeat{Fence: fence, Forget: []protocol.Ref{ref}}
@@ -235,8 +235,8 @@
 	fence := protocol.Fence{Shard: "z.0", Epoch: 1}
 	ref := testRef(0, 1)
 	r.setServing(0, 2)
-	r.orders(second, protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{startOrder(ref, nil)}})
-	r.orders(3*second, protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{
+	r.orders(second, protocol.OrderBatch{Boot: "boot", Fence: fence, Orders: []protocol.Order{startOrder(ref, nil)}})
+	r.orders(3*second, protocol.OrderBatch{Boot: "boot", Fence: fence, Orders: []protocol.Order{
 		{Ref: ref, Action: protocol.ActionThrottle, Share: 0.5},
 	}})
 	service := func(at unit.WorkerTime) protocol.Usage {
@@ -269,6 +269,33 @@
 	}
 }
 
+// TestBoot guards against a start whose not-after was computed for the clock of an
+// earlier boot.
+func TestBoot(t *testing.T) {
+	tests := []struct {
+		name string
+		boot string
+		want protocol.Code
+	}{
+		{"present boot", "boot", protocol.CodeOK},
+		{"earlier boot", "earlier", protocol.CodeLate},
+		{"no boot", "", protocol.CodeLate},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRunner(testSettings, "boot")
+			batch := protocol.OrderBatch{
+				Fence: protocol.Fence{Shard: "z.0", Epoch: 1}, Boot: test.boot,
+				Orders: []protocol.Order{startOrder(testRef(0, 1), nil)},
+			}
+			reply, _, ok := r.orders(second, batch)
+			if !ok || reply.Results[0].Code != test.want {
+				t.Errorf("got %v, want code %q", reply.Results, test.want)
+			}
+		})
+	}
+}
+
 // TestInflation guards against interference that does not depend on the class,
 // the share or the load.
 func TestInflation(t *testing.T) {
@@ -292,7 +319,7 @@
 			r := newRunner(settings, "boot")
 			fence := protocol.Fence{Shard: "z.0", Epoch: 1}
 			ref := testRef(0, 1)
-			r.orders(second, protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{
+			r.orders(second, protocol.OrderBatch{Boot: "boot", Fence: fence, Orders: []protocol.Order{
 				startOrder(ref, func(o *protocol.Order) { o.Class = test.class }),
 				{Ref: ref, Action: protocol.ActionThrottle, Share: test.share},
 			}})
@@ -332,7 +359,7 @@
 					Share:  rapid.Float64Range(0, 1).Draw(t, "share"), LeaseEnd: now + span.Draw(t, "lease"), NotAfter: now + span.Draw(t, "notafter"),
 				}
 				e := epoch.Draw(t, "epoch")
-				_, _, ok := r.orders(now, protocol.OrderBatch{Fence: protocol.Fence{Shard: "z.0", Epoch: e}, Orders: []protocol.Order{o}})
+				_, _, ok := r.orders(now, protocol.OrderBatch{Boot: "boot", Fence: protocol.Fence{Shard: "z.0", Epoch: e}, Orders: []protocol.Order{o}})
 				if ok != (e >= highest) {
 					t.Fatalf("epoch %d after %d: got %v", e, highest, ok)
 				}
--- a/internal/standin/worker/server_test.go
+++ b/internal/standin/worker/server_test.go
@@ -272,7 +272,7 @@
 		t.Fatal(err)
 	}
 	ref := protocol.Ref{Task: unit.TaskID{Job: "j"}, Attempt: 1}
-	batch := protocol.OrderBatch{Fence: fence, Orders: []protocol.Order{{
+	batch := protocol.OrderBatch{Fence: fence, Boot: report.Boot, Orders: []protocol.Order{{
 		Ref: ref, Action: protocol.ActionStart, Class: "batch", Size: unit.Resources{Cores: 1000, Memory: 1},
 		LeaseEnd: report.Clock.Add(15 * time.Second), NotAfter: report.Clock.Add(4 * time.Second),
 	}}}
