entry/settings: state the region of each zone in place of one's own

Cause: the owner of a shard is chosen by region, so each entry has to know the region of every zone, not only of its own. Change: an optional map; zones without an entry share a region.

--- a/internal/entry/settings/settings.go
+++ b/internal/entry/settings/settings.go
@@ -32,16 +32,18 @@
 // Settings are what one entry has to be told; everything else is configuration
 // that operators state through the target document.
 type Settings struct {
-	Name    string        `json:"name"`
-	Zone    unit.ZoneID   `json:"zone"`
-	Region  string        `json:"region"`
-	Listen  Listen        `json:"listen"`
-	Store   string        `json:"store"` // IP and TCP port
-	Keys    Keys          `json:"keys"`
-	Tokens  string        `json:"tokens"` // file
-	Buckets int           `json:"buckets"`
-	Drain   unit.Duration `json:"drain"`
-	Level   Level         `json:"level"`
+	Name string      `json:"name"`
+	Zone unit.ZoneID `json:"zone"`
+	// Regions has the region of each zone; a zone without one is in the same
+	// region as all others without one.
+	Regions map[unit.ZoneID]string `json:"regions"`
+	Listen  Listen                 `json:"listen"`
+	Store   string                 `json:"store"` // IP and TCP port
+	Keys    Keys                   `json:"keys"`
+	Tokens  string                 `json:"tokens"` // file
+	Buckets int                    `json:"buckets"`
+	Drain   unit.Duration          `json:"drain"`
+	Level   Level                  `json:"level"`
 }
 
 // Listen has the IP and port of each listener.
--- a/internal/entry/settings/settings_test.go
+++ b/internal/entry/settings/settings_test.go
@@ -8,7 +8,7 @@
 )
 
 const valid = `{
-  "name": "entry-1", "zone": "guj-morbi", "region": "guj",
+  "name": "entry-1", "zone": "guj-morbi", "drain": "5s",
   "listen": {"callers": "10.0.0.1:8080", "peers": "10.0.0.1:7443",
              "operators": "10.0.0.1:8443", "metrics": "127.0.0.1:9090"},
   "store": "10.0.0.9:2379",
@@ -26,7 +26,7 @@
 		want string
 	}{
 		{"valid", "", "", ""},
-		{"unknown field", `"region"`, `"regoin"`, "f:1:1: document: missing property 'region'\nf:2:43: /regoin: unknown field"},
+		{"unknown field", `"store"`, `"stroe"`, "f:1:1: document: missing property 'store'\nf:5:3: /stroe: unknown field"},
 		{"wrong type", `"10.0.0.9:2379"`, `2379`, "f:5:3: /store: got number, want string"},
 		{"missing zone", `"zone": "guj-morbi",`, ``, "f:1:1: document: missing property 'zone'"},
 		{"address without port", `"10.0.0.1:8080"`, `"10.0.0.1"`, "f:3:14: /listen/callers: '10.0.0.1' is not valid address: want an IP and port such as 10.0.0.1:8080"},
