job/dispatch: benchmark of a shard at the peak of the scale target

Change: a benchmark of one second of a core with 80 workers, 22 starts per second and about 800 running tasks, with answers that come at once.

--- /dev/null
+++ b/internal/job/dispatch/bench_test.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+	"github.com/monsoonfold/monsoonfold/internal/job/placement"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// bench drives one core at the scale target with answers that come at once.
+type bench struct {
+	core     *Core
+	now      time.Time
+	zero     time.Time
+	document *spec.Document
+	workers  map[unit.InstanceID]map[worker.Ref]*worker.Status
+	ends     map[worker.Ref]unit.WorkerTime
+	revision unit.Revision
+	jobs     int
+	starts   int
+	written  int // bytes of the last ledger
+	writes   int
+}
+
+const (
+	benchWorkers = 80
+	benchRate    = 22               // starts per second: 1,200 over 56 shards
+	benchWork    = 36 * time.Second // about 800 tasks run
+)
+
+func newBench() *bench {
+	zero := time.Unix(1e6, 0)
+	b := &bench{
+		now: zero, zero: zero, workers: map[unit.InstanceID]map[worker.Ref]*worker.Status{},
+		ends: map[worker.Ref]unit.WorkerTime{},
+		document: &spec.Document{
+			Classes: []spec.Class{{Name: "batch", Kind: spec.KindBatch}},
+			Teams:   []spec.Team{{Name: "desk", Quota: unit.Resources{Cores: 1 << 40, Memory: 1 << 60}}},
+			Zones:   []spec.Zone{{Name: "z1"}},
+		},
+	}
+	b.core = New(Settings{Shard: unit.ShardID{Zone: "z1"}, Epoch: 1, Inherited: zero, Placer: placement.NewFirstFit()})
+	f := Fleet{Siblings: 1}
+	for n := range benchWorkers {
+		id := unit.InstanceID(fmt.Sprintf("kyushu-kum-rack-%02d-worker-%03d", n/11, n))
+		b.workers[id] = map[worker.Ref]*worker.Status{}
+		f.Workers = append(f.Workers, Listed{ID: id, Rack: unit.RackID(fmt.Sprint(n / 11)), Capacity: benchCapacity, Live: true})
+		f.Largest = f.Largest.Include(id, benchCapacity)
+	}
+	b.step(f)
+	return b
+}
+
+var benchCapacity = unit.Resources{Cores: 64000, Memory: 250 << 30}
+
+func (b *bench) clock() unit.WorkerTime { return unit.WorkerTime(b.now.Sub(b.zero)) + 1 }
+
+func (b *bench) step(e Event) {
+	for _, a := range b.core.Step(b.now, e) {
+		if answer := b.answer(a); answer != nil {
+			b.step(answer)
+		}
+	}
+}
+
+func (b *bench) answer(a Action) Event {
+	switch a := a.(type) {
+	case ReadLedger:
+		return LedgerRead{}
+	case WriteLedger:
+		b.revision++
+		b.written = len(a.Value)
+		b.writes++
+		return LedgerWritten{Revision: b.revision}
+	case ListJobs:
+		return JobsListed{}
+	case WriteJob:
+		b.revision++
+		return JobWritten{Job: a.Job, Revision: b.revision}
+	case SendOrders:
+		reply := worker.OrderReply{Clock: b.clock()}
+		for _, o := range a.Batch.Orders {
+			b.starts++
+			b.ends[o.Ref] = b.clock().Add(benchWork)
+			b.workers[a.Worker][o.Ref] = &worker.Status{
+				Ref: o.Ref, Phase: worker.PhaseRunning, Class: o.Class, Size: o.Size, LeaseEnd: o.LeaseEnd,
+			}
+			reply.Results = append(reply.Results, worker.Result{Ref: o.Ref, Code: worker.CodeOK})
+		}
+		return Ordered{Worker: a.Worker, Sent: b.now, Received: b.now, Reply: reply}
+	case SendHeartbeat:
+		tasks := b.workers[a.Worker]
+		for _, r := range a.Heartbeat.Renew {
+			tasks[r.Ref].LeaseEnd = r.LeaseEnd
+		}
+		for _, ref := range a.Heartbeat.Forget {
+			delete(tasks, ref)
+			delete(b.ends, ref)
+		}
+		r := worker.Report{Clock: b.clock(), Boot: "b", State: worker.StateServing, Capacity: benchCapacity}
+		for ref, s := range tasks {
+			if b.ends[ref] <= r.Clock {
+				s.Phase = worker.PhaseDone
+			}
+			r.Tasks = append(r.Tasks, *s)
+		}
+		return Reported{Worker: a.Worker, Sent: b.now, Received: b.now, Report: r}
+	}
+	return nil
+}
+
+// second lets one second pass with the jobs that arrive in it.
+func (b *bench) second() {
+	b.jobs++
+	j := queue.Job{
+		ID: unit.JobID(fmt.Sprintf("reconcile-2026-12-04-%06d", b.jobs)), Class: "batch", Team: "desk",
+		Tasks: benchRate, Size: unit.Resources{Cores: 4000, Memory: 1 << 30}, Work: unit.Duration(benchWork),
+		Time: b.now.UnixMilli(),
+	}
+	b.revision++
+	b.step(JobChanged{Job: j.ID, Revision: b.revision, Record: ledger.Record{
+		Job: j, Parts: []ledger.Part{{Shard: b.core.Shard, Count: benchRate}},
+	}})
+	for range time.Second / tickInterval {
+		b.now = b.now.Add(tickInterval)
+		b.step(Confirmed{
+			ValidUntil: b.now.Add(5 * time.Second), StartUntil: b.now.Add(3 * time.Second),
+			NotAfter: b.now.Add(4 * time.Second), Document: b.document,
+		})
+		b.step(Tick{})
+	}
+}
+
+// BenchmarkSecond measures one second of a shard at the peak of the scale target.
+func BenchmarkSecond(b *testing.B) {
+	m := newBench()
+	for range 120 {
+		m.second()
+	}
+	m.starts, m.writes = 0, 0
+	b.ReportAllocs()
+	for b.Loop() {
+		m.second()
+	}
+	placed := 0
+	for _, j := range m.core.jobs {
+		placed += j.placed
+	}
+	b.ReportMetric(float64(m.starts)/float64(b.N), "starts/op")
+	b.ReportMetric(float64(m.writes)/float64(b.N), "writes/op")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(m.starts, 1)), "ns/start")
+	b.ReportMetric(float64(placed), "tasks")
+	b.ReportMetric(float64(m.written), "ledger-B")
+}
