job/dispatch: archive ended jobs, share the teams' usage, evict and observe

Cause: 18,000 jobs per day would stay in the list that each new owner reads; each shard applied a team's quota on its own; policy needs reports and evictions.

Each entry writes what teams use on its shards under its registration every 5 s, if that changed, and reads the others'. Evict passes a step to the owned shards; Options.Observe gets each worker's report.

Ruled out: the usage in the shard records, which would change under the owner's compare-and-swap.

Tests: a table over the archive; two entries that know each other's usage.

--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,7 +40,8 @@
 	held    shard.Held // guarded by Service.mu
 	core    *Core
 	events  chan Event
-	calls   chan Action // to the store; the core has at most a ledger call and a job call in flight
+	calls   chan Action           // to the store; the core has at most a ledger call and a job call in flight
+	usage   atomic.Pointer[Usage] // of the core, for other goroutines
 	done    chan struct{}
 
 	// Of the goroutine that runs the core.
@@ -95,6 +98,8 @@
 			return
 		case <-tick.C:
 			event = Tick{}
+			usage := Usage(maps.Clone(h.core.usage))
+			h.usage.Store(&usage)
 		case event = <-h.events:
 		}
 	}
@@ -321,6 +326,9 @@
 			return unreachable(a)
 		}
 		report, err := client.Heartbeat(ctx, a.Heartbeat)
+		if observe := h.service.options.Observe; err == nil && observe != nil {
+			observe(a.Worker, report)
+		}
 		return Reported{Worker: a.Worker, Sent: sent, Received: now(), Report: report, Fault: workerFault(err)}
 	}
 	return nil
--- a/internal/job/dispatch/jobs.go
+++ b/internal/job/dispatch/jobs.go
@@ -60,6 +60,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := s.records.Get(ctx, archiveKey(j.ID)); !errors.Is(err, store.ErrNotFound) {
+		return s.confirmSubmit(ctx, r, err)
+	}
 	_, err = s.records.Put(ctx, ledger.RecordKey(j.ID), value, store.IfAbsent(), "")
 	if errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrUnknown) {
 		return s.confirmSubmit(ctx, r, err)
@@ -75,7 +78,7 @@
 	found, err := s.Job(ctx, r.Job.ID)
 	switch {
 	case err != nil:
-		return errors.Errorf("submit job %s: %w", r.Job.ID, cause)
+		return errors.Errorf("submit job %s: %w", r.Job.ID, errors.Join(cause, err))
 	case found.Job != r.Job:
 		return errors.Errorf("submit job %s: %w", r.Job.ID, ErrExists)
 	}
@@ -117,16 +120,19 @@
 	return last
 }
 
-// Job returns the record of a job.
+// Job returns the record of a job, also of one that ended within a day.
 func (s *Service) Job(ctx context.Context, id unit.JobID) (ledger.Record, error) {
 	stored, err := s.records.Get(ctx, ledger.RecordKey(id))
+	if errors.Is(err, store.ErrNotFound) {
+		stored, err = s.records.Get(ctx, archiveKey(id))
+	}
 	if err != nil {
 		return ledger.Record{}, errors.Errorf("read job %s: %w", id, err)
 	}
 	return ledger.DecodeRecord(stored.Value)
 }
 
-// Jobs returns the records of all jobs, by id.
+// Jobs returns the records of all jobs but those ended some minutes ago, by id.
 func (s *Service) Jobs(ctx context.Context) ([]ledger.Record, error) {
 	listed, err := s.listJobs(ctx)
 	if err != nil {
--- a/internal/job/dispatch/service.go
+++ b/internal/job/dispatch/service.go
@@ -85,6 +85,9 @@
 	Connect func(address string) Client     // to the control address of a worker
 	Placer  func(shard unit.ShardID) Placer // for a shard that was taken over
 	Now     func() time.Time                // with a monotonic reading
+	// Observe, if not nil, gets each report of a worker, from the goroutine of
+	// that worker.
+	Observe func(unit.InstanceID, worker.Report)
 }
 
 // Service owns shards and runs a Core for each.
@@ -151,6 +154,8 @@
 	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.running.Go(func() { s.own(ctx) })
 	s.running.Go(func() { s.follow(ctx) })
+	s.running.Go(func() { s.archive(ctx) })
+	s.running.Go(func() { s.shareUsage(ctx) })
 	go func() {
 		defer close(s.done)
 		s.running.Wait()
@@ -187,6 +192,17 @@
 	return nil
 }
 
+// Evict asks for a step against an attempt that may run on a worker of an owned
+// shard; otherwise it has no effect.
+func (s *Service) Evict(ctx context.Context, e Evict) {
+	s.mu.Lock()
+	hosts := slices.Collect(maps.Values(s.hosts))
+	s.mu.Unlock()
+	for _, h := range hosts {
+		h.deliver(ctx, e)
+	}
+}
+
 // all returns the hosts, former ones too; s.mu is held.
 func (s *Service) all() []*host {
 	hosts := make([]*host, 0, len(s.hosts)+len(s.former))
--- a/internal/job/dispatch/service_test.go
+++ b/internal/job/dispatch/service_test.go
@@ -296,3 +296,68 @@
 		})
 	}
 }
+
+// TestArchive guards against a list of jobs that grows without limit, and against
+// an ended job that is lost or runs again under its id.
+func TestArchive(t *testing.T) {
+	s := newSite(t)
+	e := s.entry("a", "z1")
+	t.Cleanup(func() { s.stop(e) })
+	ctx := t.Context()
+	ended, standing := testJob("ended", "quick", 2, 10*time.Millisecond), testJob("sync", "sync", 0, 0)
+	for _, j := range []queue.Job{ended, standing} {
+		if err := e.dispatch.Submit(ctx, j); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.await("job ends", func() bool { _, ended := s.outcome(e, "ended"); return ended })
+	tests := []struct {
+		name  string
+		now   time.Time
+		found error // for the ended job
+	}{
+		{"archived", time.Now(), nil},
+		{"kept", time.Now().Add(archiveTime - time.Minute), nil},
+		{"deleted", time.Now().Add(archiveTime + time.Minute), store.ErrNotFound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if err := e.dispatch.sweep(ctx, tt.now); err != nil {
+				t.Fatal(err)
+			}
+			jobs, err := e.dispatch.Jobs(ctx)
+			if err != nil || len(jobs) != 1 || jobs[0].Job != standing {
+				t.Errorf("jobs %v, %v; want the standing one", jobs, err)
+			}
+			if _, err := e.dispatch.Job(ctx, "ended"); !errors.Is(err, tt.found) {
+				t.Errorf("ended job: %v, want %v", err, tt.found)
+			}
+			if tt.found == nil && e.dispatch.Submit(ctx, ended) != nil {
+				t.Error("repeated submission of an archived job fails")
+			}
+		})
+	}
+	if done := s.check()[worker.PhaseDone]; done != 2 {
+		t.Errorf("%d tasks done, want 2", done)
+	}
+}
+
+// TestUsageIsShared guards against a team that gets its quota once from every
+// entry.
+func TestUsageIsShared(t *testing.T) {
+	s := newSite(t)
+	entries := []*siteEntry{s.entry("a", "z1"), s.entry("b", "z2")}
+	for _, e := range entries {
+		t.Cleanup(func() { s.stop(e) })
+	}
+	if err := entries[0].dispatch.Submit(t.Context(), testJob("sync", "sync", 0, 0)); err != nil {
+		t.Fatal(err)
+	}
+	want := unit.Resources{Cores: 4 * 4000, Memory: 4 << 30}
+	for _, e := range entries {
+		s.await("both know the usage of all shards", func() bool {
+			remote, err := e.dispatch.remoteUsage(t.Context())
+			return err == nil && sum(remote, e.dispatch.ownUsage(nil))["desk"] == want
+		})
+	}
+}
