desk/api: serve the HTTP interface for operators

Operators need one interface for targets, zones, jobs, burn, explanations and status, on every entry. An entry's certificate gives no access, though it is of the same authority. Explanations are collected from all entries.

The data of a change moves from target/config to target/change, because desk/api must not import another service's shell.

--- /dev/null
+++ b/internal/desk/api/service.go
@@ -0,0 +1,235 @@
+// Package api is the HTTP interface for operators. It authenticates them, bounds
+// what they send, and passes their requests to the services that decide.
+package api
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// ServiceName is the name of the service in a kernel.
+const ServiceName registry.Name = "api"
+
+// Times and bounds of the server.
+const (
+	headerTimeout  = 5 * time.Second
+	readTimeout    = 15 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = time.Minute
+	callTimeout    = 10 * time.Second // of what a request causes
+	reloadInterval = 30 * time.Second
+	maxHeader      = 16 << 10
+	maxBody        = 64 << 10 // of everything but a target document
+	maxConcurrent  = 64
+)
+
+// config keeps the target document.
+type config interface {
+	Current() spec.Revision
+	StartUntil() time.Time
+	ServeUntil() time.Time
+	Apply(ctx context.Context, c change.Change) (change.Result, error)
+	SetZone(ctx context.Context, zone unit.ZoneID, out bool, author unit.Operator, operation unit.OperationID) (change.Result, error)
+	Status(ctx context.Context, q change.Query) (change.Result, error)
+	History(ctx context.Context, limit int) ([]spec.Revision, error)
+}
+
+// jobs takes and reports jobs.
+type jobs interface {
+	Submit(ctx context.Context, j queue.Job) error
+	Cancel(ctx context.Context, ids ...unit.JobID) error
+	Job(ctx context.Context, id unit.JobID) (ledger.Record, error)
+	Jobs(ctx context.Context) ([]ledger.Record, error)
+}
+
+// budgets reports how fast the error budgets burn.
+type budgets interface {
+	Report(now time.Time) burn.Report
+}
+
+// recorder tells why things happened on this entry.
+type recorder interface {
+	Explain(s journal.Subject) []journal.Event
+	Since() time.Time
+}
+
+// members tells which entries are registered.
+type members interface {
+	Self() unit.EntryID
+	View() roster.View
+	ValidUntil() time.Time
+}
+
+// peers connects to the other entries.
+type peers interface {
+	Call(ctx context.Context, to unit.EntryID, m message.Message) (message.Message, error)
+	Handle(k message.Kind, handler message.Handler)
+}
+
+// Options are the settings of a Service.
+type Options struct {
+	Address     string // IP and TCP port
+	Credentials *credential.Source
+	File        string     // of the operators; read again when it changes
+	Operators   []Operator // in place of a file
+}
+
+// Service serves the API.
+type Service struct {
+	log     logr.Logger
+	options Options
+	gate    *gate
+	http    *http.Server
+	address string
+	cancel  context.CancelFunc
+	done    chan struct{}
+
+	config   config
+	jobs     jobs
+	budgets  budgets
+	recorder recorder
+	members  members
+	peers    peers
+}
+
+// New returns a service that is not yet started.
+func New(log logr.Logger, options Options) *Service {
+	return &Service{log: log, options: options, gate: newGate(options.File), done: make(chan struct{})}
+}
+
+// Name implements registry.Service.
+func (s *Service) Name() registry.Name { return ServiceName }
+
+// Start implements registry.Service.
+func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
+	if err := s.find(k); err != nil {
+		return err
+	}
+	if s.options.File == "" {
+		s.gate.set(s.options.Operators)
+	} else if _, err := s.gate.reload(); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.options.Address)
+	if err != nil {
+		return errors.Errorf("listen for operators: %w", err)
+	}
+	s.address = l.Addr().String()
+	s.peers.Handle(message.KindAsk, s.handleAsk)
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		// Ends with ErrServerClosed at Stop.
+		_ = s.http.Serve(tls.NewListener(l, s.options.Credentials.OperatorServer("http/1.1")))
+	})
+	wg.Go(func() { s.reload(ctx) })
+	go func() {
+		defer close(s.done)
+		wg.Wait()
+	}()
+	return nil
+}
+
+// Stop implements registry.Service.
+func (s *Service) Stop(ctx context.Context) error {
+	s.cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Errorf("shut down operator server: %w", err)
+	}
+	return nil
+}
+
+// Done implements registry.Service.
+func (s *Service) Done() <-chan struct{} { return s.done }
+
+// Address returns the IP and port that operators use.
+func (s *Service) Address() string { return s.address }
+
+// SetOperators replaces the operators at once.
+func (s *Service) SetOperators(operators []Operator) { s.gate.set(operators) }
+
+func (s *Service) find(k *registry.Kernel) error {
+	var faults [6]error
+	s.config, faults[0] = registry.Find[config](k, "config")
+	s.jobs, faults[1] = registry.Find[jobs](k, "dispatch")
+	s.budgets, faults[2] = registry.Find[budgets](k, "burn")
+	s.recorder, faults[3] = registry.Find[recorder](k, journal.ServiceName)
+	s.members, faults[4] = registry.Find[members](k, "membership")
+	s.peers, faults[5] = registry.Find[peers](k, "peers")
+	return errors.Join(faults[:]...)
+}
+
+// reload takes a changed operators' file until the context ends.
+func (s *Service) reload(ctx context.Context) {
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if changed, err := s.gate.reload(); changed || err != nil {
+			s.log.Info("operators read again", "changed", changed, "error", err)
+		}
+	}
+}
+
+func (s *Service) routes() http.Handler {
+	r := chi.NewRouter()
+	r.Use(middleware.Throttle(maxConcurrent))
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) { fail(w, faultPath) })
+	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) { fail(w, faultMethod) })
+	r.Route("/v1", func(r chi.Router) {
+		r.Use(s.authenticate)
+		r.Group(func(r chi.Router) {
+			r.Get("/target", s.handleTarget)
+			r.Get("/target/history", s.handleHistory)
+			r.Get("/target/status", s.handleChangeStatus)
+			r.Get("/zones", s.handleZones)
+			r.Get("/jobs", s.handleJobs)
+			r.Get("/jobs/{id}", s.handleJob)
+			r.Get("/burn", s.handleBurn)
+			r.Get("/explain/{kind}/*", s.handleExplain)
+			r.Get("/status", s.handleStatus)
+		})
+		r.Group(func(r chi.Router) {
+			r.Use(requireOperator)
+			r.Put("/target", s.handlePutTarget)
+			r.Post("/zones/{zone}/out", s.handleZone(true))
+			r.Post("/zones/{zone}/in", s.handleZone(false))
+			r.Post("/jobs", s.handleSubmit)
+			r.Delete("/jobs/{id}", s.handleCancel)
+		})
+	})
+	return r
+}
--- /dev/null
+++ b/internal/desk/api/target.go
@@ -0,0 +1,179 @@
+package api
+
+import (
+	"crypto/rand"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// operationHeader has the operation id of a change. An operator who repeats a
+// change whose answer was lost sends the same one.
+const operationHeader = "Monsoonfold-Operation"
+
+const (
+	defaultHistory = 20
+	maxHistory     = 200
+)
+
+func (s *Service) handleTarget(w http.ResponseWriter, _ *http.Request) {
+	r := s.config.Current()
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(uint64(r.Number), 10)))
+	respond(w, http.StatusOK, r)
+}
+
+func (s *Service) handlePutTarget(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(strings.Trim(r.Header.Get("If-Match"), `"`), 10, 64)
+	if err != nil {
+		fail(w, faultBase)
+		return
+	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxSize))
+	if err != nil {
+		fail(w, faultOf(err))
+		return
+	}
+	document, err := spec.Parse("body", text)
+	if err != nil {
+		fail(w, faultOf(err))
+		return
+	}
+	c := change.Change{
+		Base:      unit.Revision(base),
+		Author:    operatorOf(r).Name,
+		Operation: operationOf(r),
+		Document:  document,
+	}
+	result, err := s.config.Apply(r.Context(), c)
+	s.answerChange(w, r, c.Operation, result, err)
+}
+
+func (s *Service) handleZone(out bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		operation := operationOf(r)
+		zone := unit.ZoneID(chi.URLParam(r, "zone"))
+		result, err := s.config.SetZone(r.Context(), zone, out, operatorOf(r).Name, operation)
+		s.answerChange(w, r, operation, result, err)
+	}
+}
+
+func (s *Service) handleZones(w http.ResponseWriter, _ *http.Request) {
+	r := s.config.Current()
+	respond(w, http.StatusOK, struct {
+		Revision unit.Revision `json:"revision"`
+		Zones    []spec.Zone   `json:"zones"`
+	}{r.Number, r.Document.Zones})
+}
+
+func (s *Service) handleHistory(w http.ResponseWriter, r *http.Request) {
+	limit, ok := number(r, "limit", defaultHistory)
+	if !ok {
+		fail(w, faultQuery("limit"))
+		return
+	}
+	revisions, err := s.config.History(r.Context(), int(min(limit, maxHistory)))
+	if err != nil {
+		fail(w, faultOf(err))
+		return
+	}
+	respond(w, http.StatusOK, struct {
+		Revisions []spec.Revision `json:"revisions"`
+	}{revisions})
+}
+
+// handleChangeStatus tells about a change whose outcome was pending or unknown.
+func (s *Service) handleChangeStatus(w http.ResponseWriter, r *http.Request) {
+	revision, ok := number(r, "revision", 0)
+	if !ok {
+		fail(w, faultQuery("revision"))
+		return
+	}
+	base, ok := number(r, "base", 0)
+	if !ok {
+		fail(w, faultQuery("base"))
+		return
+	}
+	q := change.Query{
+		Revision:  unit.Revision(revision),
+		Base:      unit.Revision(base),
+		Operation: unit.OperationID(r.URL.Query().Get("operation")),
+	}
+	if q.Revision == 0 && q.Operation == "" {
+		fail(w, faultQuery("revision or operation"))
+		return
+	}
+	result, err := s.config.Status(r.Context(), q)
+	if err != nil {
+		fail(w, faultOf(err))
+		return
+	}
+	respond(w, http.StatusOK, result)
+}
+
+// Answer is the body of the answer to a change.
+type Answer struct {
+	change.Result
+	Operation unit.OperationID `json:"operation"`
+	Error     *Fault           `json:"error,omitempty"`
+}
+
+// answerChange tells the outcome of a change. Only an accepted one is a plain
+// success; the others say what to do next.
+func (s *Service) answerChange(w http.ResponseWriter, r *http.Request, operation unit.OperationID, result change.Result, err error) {
+	w.Header().Set(operationHeader, string(operation))
+	s.log.Info("operator change", "operator", operatorOf(r).Name, "method", r.Method, "path", r.URL.Path,
+		"operation", operation, "outcome", result.Outcome, "revision", result.Revision.Number, "error", err)
+	if err != nil {
+		fail(w, faultOf(err))
+		return
+	}
+	answer := Answer{Result: result, Operation: operation}
+	status := http.StatusOK
+	switch result.Outcome {
+	case change.Accepted:
+	case change.Pending:
+		status = http.StatusAccepted
+		answer.Error = &Fault{Code: "pending", Message: "written, and not yet known to be in effect everywhere",
+			Next: "ask GET /v1/target/status?revision=" + strconv.FormatUint(uint64(result.Revision.Number), 10)}
+	case change.Unknown:
+		status = http.StatusGatewayTimeout
+		answer.Error = &Fault{Code: "unknown", Message: "the store's answer was lost; the change may have been written",
+			Next: "repeat the call with the header " + operationHeader + ": " + string(operation)}
+	case change.Conflict:
+		status = http.StatusPreconditionFailed
+		answer.Error = &Fault{Code: "conflict",
+			Message: "revision " + strconv.FormatUint(uint64(result.Revision.Number), 10) + " by " + string(result.Revision.Author) + " came first",
+			Next:    "compare with that revision and send the change with it as the base"}
+	}
+	respond(w, status, answer)
+}
+
+// operationOf returns the operation id of a request, or a new one.
+func operationOf(r *http.Request) unit.OperationID {
+	if id := r.Header.Get(operationHeader); id != "" {
+		return unit.OperationID(id)
+	}
+	return unit.OperationID(rand.Text())
+}
+
+// number returns a number of the query. It reports false if it is malformed.
+func number(r *http.Request, name string, absent uint64) (uint64, bool) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return absent, true
+	}
+	v, err := strconv.ParseUint(text, 10, 64)
+	return v, err == nil
+}
+
+func faultQuery(name string) Fault {
+	return Fault{Code: "query", Message: "query parameter " + name + " is missing or malformed",
+		Next: "correct the parameter and repeat the call", status: http.StatusBadRequest}
+}
--- a/internal/target/config/apply.go
+++ b/internal/target/config/apply.go
@@ -12,6 +12,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
@@ -24,57 +25,12 @@
 	maxName      = 128 // bytes of an operator's name or an operation id
 )
 
-// Errors of the service. Use errors.Is.
-var (
-	// ErrInvalid says that the change itself is at fault.
-	ErrInvalid = errors.New("invalid change")
-	// ErrZone says that the document does not have the zone.
-	ErrZone = errors.New("no such zone")
-)
-
-// Change is a new document by an operator.
-type Change struct {
-	Base      unit.Revision // the revision that the operator had seen
-	Author    unit.Operator
-	Operation unit.OperationID // new for each change, the same when it is repeated
-	Document  spec.Document
-}
-
-// Outcome is what is known about a change.
-type Outcome string
-
-// Outcomes of a change.
-const (
-	OutcomeAccepted Outcome = "accepted" // in effect on every entry that may act
-	OutcomePending  Outcome = "pending"  // written; not yet known to be in effect everywhere
-	OutcomeUnknown  Outcome = "unknown"  // perhaps written; ask again with the operation id
-	OutcomeConflict Outcome = "conflict" // not written; another change came first
-)
-
-// Result tells the outcome of a change.
-type Result struct {
-	Outcome Outcome `json:"outcome"`
-	// Revision is the change as written, or with a conflict the current revision.
-	Revision spec.Revision `json:"revision"`
-	// Missing are the entries that a pending change waits for. It may be empty
-	// while the entry does not know yet which entries there are.
-	Missing []unit.EntryID `json:"missing,omitempty"`
-}
-
-// Query names a change by its revision, or by its operation and the base, which
-// is cheaper than the operation alone.
-type Query struct {
-	Revision  unit.Revision
-	Base      unit.Revision
-	Operation unit.OperationID
-}
-
 // Apply writes a change on top of its base and waits until it is in effect
 // everywhere or the context ends. Repeating a change with the same operation id
 // is safe. The error says that the change was surely not written.
-func (s *Service) Apply(ctx context.Context, c Change) (Result, error) {
+func (s *Service) Apply(ctx context.Context, c change.Change) (change.Result, error) {
 	if err := validate(c); err != nil {
-		return Result{}, err
+		return change.Result{}, err
 	}
 	ctx, cancel := bounded(ctx)
 	defer cancel()
@@ -94,29 +50,29 @@
 		return s.await(ctx, a.revision), nil
 	case verdictDecided:
 		s.remember(a.revision.Number)
-		return Result{Outcome: OutcomePending, Revision: a.revision}, nil
+		return change.Result{Outcome: change.Pending, Revision: a.revision}, nil
 	case verdictUnknown:
 		s.remember(a.revision.Number)
-		return Result{Outcome: OutcomeUnknown, Revision: a.revision}, nil
+		return change.Result{Outcome: change.Unknown, Revision: a.revision}, nil
 	case verdictConflict:
 		return s.conflict(ctx, a.conflict)
 	default:
-		return Result{}, errors.Errorf("apply change: %w", a.cause)
+		return change.Result{}, errors.Errorf("apply change: %w", a.cause)
 	}
 }
 
 // SetZone takes a zone out of service or returns it. If other changes come
 // first, it is applied on top of them, unless one of them changed this zone.
-func (s *Service) SetZone(ctx context.Context, zone unit.ZoneID, out bool, author unit.Operator, operation unit.OperationID) (Result, error) {
+func (s *Service) SetZone(ctx context.Context, zone unit.ZoneID, out bool, author unit.Operator, operation unit.OperationID) (change.Result, error) {
 	ctx, cancel := bounded(ctx)
 	defer cancel()
 	base, err := s.latest(ctx)
 	if err != nil {
-		return Result{}, errors.Errorf("set zone %s: %w", zone, err)
+		return change.Result{}, errors.Errorf("set zone %s: %w", zone, err)
 	}
 	before, ok := zoneOf(&base.Document, zone)
 	if !ok {
-		return Result{}, errors.Errorf("set zone %s: %w", zone, ErrZone)
+		return change.Result{}, errors.Errorf("set zone %s: %w", zone, change.ErrZone)
 	}
 	if before.Out == out {
 		return s.await(ctx, base), nil
@@ -128,14 +84,14 @@
 				document.Zones[i].Out = out
 			}
 		}
-		result, err := s.Apply(ctx, Change{Base: base.Number, Author: author, Operation: operation, Document: document})
-		if err != nil || result.Outcome != OutcomeConflict || result.Revision.Number <= base.Number {
+		result, err := s.Apply(ctx, change.Change{Base: base.Number, Author: author, Operation: operation, Document: document})
+		if err != nil || result.Outcome != change.Conflict || result.Revision.Number <= base.Number {
 			return result, err
 		}
 		for n := base.Number + 1; n <= result.Revision.Number; n++ {
 			r, err := s.getRevision(ctx, n)
 			if err != nil {
-				return Result{}, errors.Errorf("set zone %s: %w", zone, err)
+				return change.Result{}, errors.Errorf("set zone %s: %w", zone, err)
 			}
 			if now, ok := zoneOf(&r.Document, zone); !ok || now != before {
 				return result, nil
@@ -146,7 +102,7 @@
 }
 
 // Status tells what is known now about a change.
-func (s *Service) Status(ctx context.Context, q Query) (Result, error) {
+func (s *Service) Status(ctx context.Context, q change.Query) (change.Result, error) {
 	ctx, cancel := bounded(ctx)
 	defer cancel()
 	n := q.Revision
@@ -159,9 +115,9 @@
 	r, err := s.getRevision(ctx, n)
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		return Result{Outcome: OutcomeUnknown}, nil
+		return change.Result{Outcome: change.Unknown}, nil
 	case err != nil:
-		return Result{}, errors.Errorf("status of change: %w", err)
+		return change.Result{}, errors.Errorf("status of change: %w", err)
 	case q.Operation != "" && r.Operation != q.Operation:
 		return s.conflict(ctx, n)
 	}
@@ -201,8 +157,8 @@
 }
 
 // search looks for an operation whose base is not known.
-func (s *Service) search(ctx context.Context, operation unit.OperationID) (Result, error) {
-	result := Result{Outcome: OutcomeUnknown}
+func (s *Service) search(ctx context.Context, operation unit.OperationID) (change.Result, error) {
+	result := change.Result{Outcome: change.Unknown}
 	err := s.walk(ctx, kept, func(r spec.Revision) bool {
 		if r.Operation != operation {
 			return true
@@ -288,14 +244,14 @@
 }
 
 // await waits until a revision is in effect everywhere or the context ends.
-func (s *Service) await(ctx context.Context, r spec.Revision) Result {
+func (s *Service) await(ctx context.Context, r spec.Revision) change.Result {
 	for {
 		s.mu.Lock()
 		progress := s.progress
 		outcome, missing := s.core.effect(time.Now(), r.Number)
 		s.mu.Unlock()
-		if outcome == OutcomeAccepted || ctx.Err() != nil {
-			return Result{Outcome: outcome, Revision: r, Missing: missing}
+		if outcome == change.Accepted || ctx.Err() != nil {
+			return change.Result{Outcome: outcome, Revision: r, Missing: missing}
 		}
 		select {
 		case <-ctx.Done():
@@ -304,21 +260,21 @@
 	}
 }
 
-func (s *Service) evaluate(r spec.Revision) Result {
+func (s *Service) evaluate(r spec.Revision) change.Result {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	outcome, missing := s.core.effect(time.Now(), r.Number)
-	return Result{Outcome: outcome, Revision: r, Missing: missing}
+	return change.Result{Outcome: outcome, Revision: r, Missing: missing}
 }
 
 // conflict returns the revision that a change lost against. The context may have
 // ended: then the newest revision known here has to do.
-func (s *Service) conflict(ctx context.Context, atLeast unit.Revision) (Result, error) {
+func (s *Service) conflict(ctx context.Context, atLeast unit.Revision) (change.Result, error) {
 	current, err := s.latest(ctx)
 	if err != nil || current.Number < atLeast {
 		current = s.Current()
 	}
-	return Result{Outcome: OutcomeConflict, Revision: current}, nil
+	return change.Result{Outcome: change.Conflict, Revision: current}, nil
 }
 
 // latest reads the revision at the head of the log.
@@ -353,7 +309,7 @@
 	s.unfinished = max(s.unfinished, n)
 }
 
-func validate(c Change) error {
+func validate(c change.Change) error {
 	var faults []error
 	if c.Author == "" || len(c.Author) > maxName {
 		faults = append(faults, errors.Errorf("author: want 1 to %d bytes", maxName))
@@ -367,7 +323,7 @@
 	if len(faults) == 0 {
 		return nil
 	}
-	return errors.Join(append([]error{ErrInvalid}, faults...)...)
+	return errors.Join(append([]error{change.ErrInvalid}, faults...)...)
 }
 
 func zoneOf(d *spec.Document, zone unit.ZoneID) (spec.Zone, bool) {
--- a/internal/target/config/cluster_test.go
+++ b/internal/target/config/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/standin/memory"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
@@ -241,10 +242,10 @@
 }
 
 // apply makes a change with a new operation id and a bounded wait.
-func (e *entry) apply(base unit.Revision, operation string, d spec.Document, wait time.Duration) (Result, error) {
+func (e *entry) apply(base unit.Revision, operation string, d spec.Document, wait time.Duration) (change.Result, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
-	return e.Apply(ctx, Change{Base: base, Author: "meera", Operation: unit.OperationID(operation), Document: d})
+	return e.Apply(ctx, change.Change{Base: base, Author: "meera", Operation: unit.OperationID(operation), Document: d})
 }
 
 func down(string, store.Key) memory.Fault { return memory.FaultDown }
--- a/internal/target/config/core.go
+++ b/internal/target/config/core.go
@@ -6,6 +6,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
@@ -123,16 +124,16 @@
 
 // effect reports whether a revision of the log is in effect everywhere, and if
 // not, which entries it waits for.
-func (c *core) effect(now time.Time, n unit.Revision) (Outcome, []unit.EntryID) {
+func (c *core) effect(now time.Time, n unit.Revision) (change.Outcome, []unit.EntryID) {
 	if n <= c.accepted {
-		return OutcomeAccepted, nil
+		return change.Accepted, nil
 	}
 	missing, complete := c.departures.Missing(now, n, c.head.written)
 	if !complete || len(missing) > 0 || c.head.Number < n {
-		return OutcomePending, missing
+		return change.Pending, missing
 	}
 	c.accepted = n
-	return OutcomeAccepted, nil
+	return change.Accepted, nil
 }
 
 func (c *core) heartbeat(now time.Time, to unit.EntryID) message.Heartbeat {
--- a/internal/target/config/history_test.go
+++ b/internal/target/config/history_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
 )
 
 // operation is the input of one step of a history.
@@ -26,7 +27,7 @@
 
 // observed is the output of one step.
 type observed struct {
-	outcome Outcome // apply; empty for an error
+	outcome change.Outcome // apply; empty for an error
 	number  unit.Revision
 	name    unit.OperationID
 }
@@ -69,17 +70,17 @@
 	written := s
 	written.log, written.count = s.log+string(in.name)+"/", s.count+1
 	switch out.outcome {
-	case OutcomeAccepted, OutcomePending:
+	case change.Accepted, change.Pending:
 		if wins {
 			return []any{written}
 		}
 		return nil
-	case OutcomeUnknown:
+	case change.Unknown:
 		if wins {
 			return []any{s, written}
 		}
 		return []any{s}
-	case OutcomeConflict:
+	case change.Conflict:
 		if wins {
 			return nil
 		}
@@ -147,11 +148,11 @@
 		mu.Lock()
 		defer mu.Unlock()
 		o := porcupine.Operation{ClientId: client, Input: in, Call: int64(call.Sub(began)), Output: out, Return: int64(time.Since(began))}
-		if out.outcome == OutcomeUnknown || out.outcome == OutcomePending {
+		if out.outcome == change.Unknown || out.outcome == change.Pending {
 			o.Return = int64(time.Hour) // it may take effect at any later time
 		}
 		history = append(history, o)
-		if out.outcome == OutcomeAccepted {
+		if out.outcome == change.Accepted {
 			now := int64(time.Since(began))
 			history = append(history, porcupine.Operation{ClientId: client, Input: operation{kind: "accepted"}, Call: now, Output: out, Return: now})
 		}
@@ -213,7 +214,7 @@
 			ended := make(chan time.Time, 1)
 			go func() {
 				result, err := all[0].SetZone(t.Context(), "a", true, "meera", "out")
-				if err != nil || result.Outcome == OutcomeUnknown {
+				if err != nil || result.Outcome == change.Unknown {
 					t.Errorf("SetZone = %q, %v", result.Outcome, err)
 				}
 				ended <- time.Now()
--- a/internal/target/config/service_test.go
+++ b/internal/target/config/service_test.go
@@ -12,6 +12,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/standin/memory"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
@@ -28,13 +29,13 @@
 		arrange func(c *cluster, all []*entry)
 		base    unit.Revision
 		wait    time.Duration
-		want    Outcome
+		want    change.Outcome
 		err     error
 		written bool // the head reaches revision 2 within 10 s after the faults end
 	}{
-		{"accepted", nil, 1, 3 * time.Second, OutcomeAccepted, nil, true},
-		{"old base", nil, 0, 3 * time.Second, OutcomeConflict, nil, false},
-		{"base never written", nil, 7, 3 * time.Second, OutcomeConflict, nil, false},
+		{"accepted", nil, 1, 3 * time.Second, change.Accepted, nil, true},
+		{"old base", nil, 0, 3 * time.Second, change.Conflict, nil, false},
+		{"base never written", nil, 7, 3 * time.Second, change.Conflict, nil, false},
 		{"store down", func(_ *cluster, all []*entry) { all[0].handle.SetFault(down) }, 1, 3 * time.Second,
 			"", store.ErrUnavailable, false},
 		{"answer of the create lost once", func(_ *cluster, all []*entry) {
@@ -45,10 +46,10 @@
 				}
 				return memory.FaultNone
 			})
-		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		}, 1, 3 * time.Second, change.Accepted, nil, true},
 		{"answers of the head lost", func(_ *cluster, all []*entry) {
 			all[0].handle.SetFault(lose("Put", headKey))
-		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		}, 1, 3 * time.Second, change.Accepted, nil, true},
 		{"store fails after the create", func(_ *cluster, all []*entry) {
 			var created atomic.Bool
 			all[0].handle.SetFault(func(method string, key store.Key) memory.Fault {
@@ -61,21 +62,21 @@
 				}
 				return memory.FaultNone
 			})
-		}, 1, 3 * time.Second, OutcomeUnknown, nil, true},
+		}, 1, 3 * time.Second, change.Unknown, nil, true},
 		{"entry unreachable", func(_ *cluster, all []*entry) {
 			all[2].setCut(true)
 			all[2].handle.SetFault(down)
-		}, 1, 3 * time.Second, OutcomePending, nil, true},
+		}, 1, 3 * time.Second, change.Pending, nil, true},
 		{"entry unreachable for its registration and 12 s", func(_ *cluster, all []*entry) {
 			all[2].setCut(true)
 			all[2].handle.SetFault(down)
-		}, 1, 25 * time.Second, OutcomeAccepted, nil, true},
+		}, 1, 25 * time.Second, change.Accepted, nil, true},
 		{"entry cut from the store only", func(_ *cluster, all []*entry) {
 			all[2].handle.SetFault(down)
-		}, 1, 3 * time.Second, OutcomeAccepted, nil, true},
+		}, 1, 3 * time.Second, change.Accepted, nil, true},
 		{"young entry cannot tell", func(c *cluster, all []*entry) {
 			all[0].Service = c.start(nil).Service
-		}, 1, 3 * time.Second, OutcomePending, nil, true},
+		}, 1, 3 * time.Second, change.Pending, nil, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -84,7 +85,7 @@
 				defer c.stop()
 				time.Sleep(settled)
 				all := c.all()
-				if r, err := all[0].apply(0, "first", zones("a", "b"), 3*time.Second); err != nil || r.Outcome != OutcomeAccepted {
+				if r, err := all[0].apply(0, "first", zones("a", "b"), 3*time.Second); err != nil || r.Outcome != change.Accepted {
 					t.Fatalf("first change: %v, %v", r.Outcome, err)
 				}
 				if tt.arrange != nil {
@@ -94,18 +95,18 @@
 				if result.Outcome != tt.want || !errors.Is(err, tt.err) {
 					t.Errorf("Apply = %q, %v; want %q, %v", result.Outcome, err, tt.want, tt.err)
 				}
-				if result.Outcome == OutcomeConflict && result.Revision.Operation != "first" {
+				if result.Outcome == change.Conflict && result.Revision.Operation != "first" {
 					t.Errorf("conflict shows %+v; want the first change", result.Revision)
 				}
 				for _, e := range c.all() {
-					if n := e.Current().Number; result.Outcome == OutcomeAccepted && n < 2 && time.Now().Before(e.ServeUntil()) {
+					if n := e.Current().Number; result.Outcome == change.Accepted && n < 2 && time.Now().Before(e.ServeUntil()) {
 						t.Errorf("%s serves with revision %d after revision 2 was accepted", e.id, n)
 					}
 					e.setCut(false)
 					e.handle.SetFault(nil)
 				}
 				time.Sleep(10 * time.Second)
-				status, err := all[1].Status(t.Context(), Query{Base: 1, Operation: "second"})
+				status, err := all[1].Status(t.Context(), change.Query{Base: 1, Operation: "second"})
 				if err != nil {
 					t.Error(err)
 				}
@@ -114,7 +115,7 @@
 						t.Errorf("%s has revision %d, second change written = %v", e.id, n, tt.written)
 					}
 				}
-				if want := map[bool]Outcome{true: OutcomeAccepted, false: OutcomeUnknown}[tt.written]; status.Outcome != want {
+				if want := map[bool]change.Outcome{true: change.Accepted, false: change.Unknown}[tt.written]; status.Outcome != want {
 					t.Errorf("Status = %q, want %q", status.Outcome, want)
 				}
 			})
@@ -208,13 +209,13 @@
 	tests := []struct {
 		name  string
 		other func(d *spec.Document)
-		want  Outcome
+		want  change.Outcome
 		out   bool
 	}{
-		{"no other change", nil, OutcomeAccepted, true},
-		{"another zone changed", func(d *spec.Document) { d.Zones[1].Out = true }, OutcomeAccepted, true},
-		{"zone removed", func(d *spec.Document) { d.Zones = d.Zones[1:] }, OutcomeConflict, false},
-		{"zone changed", func(d *spec.Document) { d.Zones[0].Out = true }, OutcomeConflict, true},
+		{"no other change", nil, change.Accepted, true},
+		{"another zone changed", func(d *spec.Document) { d.Zones[1].Out = true }, change.Accepted, true},
+		{"zone removed", func(d *spec.Document) { d.Zones = d.Zones[1:] }, change.Conflict, false},
+		{"zone changed", func(d *spec.Document) { d.Zones[0].Out = true }, change.Conflict, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -248,8 +249,8 @@
 				if zone.Out != tt.out {
 					t.Errorf("zone out = %v, want %v", zone.Out, tt.out)
 				}
-				if _, err := all[0].SetZone(t.Context(), "x", true, "meera", "none"); !errors.Is(err, ErrZone) {
-					t.Errorf("SetZone of an unknown zone = %v, want %v", err, ErrZone)
+				if _, err := all[0].SetZone(t.Context(), "x", true, "meera", "none"); !errors.Is(err, change.ErrZone) {
+					t.Errorf("SetZone of an unknown zone = %v, want %v", err, change.ErrZone)
 				}
 			})
 		})
