fleet/membership: tell lost entries from those that stopped

Partners need to know whether an entry that is not registered may still hold slots or serve. An entry writes a lasting record entry/<id>/open before each registration and deletes it after a graceful stop; the one list of entry/ reads both. View.Lost has the ids with a lasting record and no registration. Each registration rewrites it, so an entry that came back keeps its record.

The peer link carries the settled view of the slots in heartbeats.

--- a/internal/fleet/membership/service.go
+++ b/internal/fleet/membership/service.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,11 @@
 // Prefix is the prefix of the keys of registrations; the id of the entry follows.
 const Prefix store.Key = "entry/"
 
+// openSuffix ends the key of the lasting record of an entry. It is written before
+// each registration and deleted after a graceful stop, so that others can tell an
+// entry that was lost, and may still act, from one that has stopped.
+const openSuffix = "/open"
+
 // Times of the registration. The lease is certainly valid for leaseCertain from
 // the send time of a successful renewal; the remaining second of the TTL covers
 // clock drift of the store. A failed call is repeated after retryInterval: at
@@ -38,6 +45,7 @@
 // keeper is the part of the store that the service uses.
 type keeper interface {
 	List(ctx context.Context, prefix store.Key) (store.Snapshot, error)
+	Delete(ctx context.Context, key store.Key, cond store.Condition) error
 	Put(ctx context.Context, key store.Key, value []byte, cond store.Condition, lease store.LeaseID) (unit.Revision, error)
 	Grant(ctx context.Context, ttl time.Duration) (store.Lease, error)
 	Renew(ctx context.Context, id store.LeaseID) error
@@ -52,8 +60,11 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 
+	losses roster.Losses // of the goroutine that reads the view
+
 	mu         sync.Mutex
 	view       roster.View
+	viewed     time.Time     // send time of the read that returned the view
 	lease      store.LeaseID // empty while not registered
 	abandoned  store.LeaseID // of a registration whose outcome is unknown
 	validUntil time.Time
@@ -107,7 +118,13 @@
 			return errors.Errorf("end registration: %w", err)
 		}
 	}
-	return s.revokeAbandoned(ctx)
+	if err := s.revokeAbandoned(ctx); err != nil {
+		return err
+	}
+	if err := s.keeper.Delete(ctx, openKey(s.self.ID), store.Always()); err != nil && !errors.Is(err, store.ErrNotFound) {
+		return errors.Errorf("delete lasting record: %w", err)
+	}
+	return nil
 }
 
 // Done implements registry.Service.
@@ -123,6 +140,13 @@
 	return s.view
 }
 
+// Viewed returns the view and the send time of the read that returned it.
+func (s *Service) Viewed() (roster.View, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view, s.viewed
+}
+
 // Lease returns the lease of the registration, empty while there is none.
 func (s *Service) Lease() store.LeaseID {
 	s.mu.Lock()
@@ -137,8 +161,8 @@
 	return s.validUntil
 }
 
-// Changed returns a channel that is closed when the view's entries or the lease
-// change next. The revision of the view changes with every read and does not count.
+// Changed returns a channel that is closed when the view's entries, its lost
+// entries or the lease change next. The revision of the view changes with every read and does not count.
 func (s *Service) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -199,6 +223,11 @@
 	if err != nil {
 		return errors.Errorf("encode registration: %w", err)
 	}
+	// Written each time, so that its revision rises and nobody deletes it because
+	// of an earlier loss.
+	if _, err := s.keeper.Put(ctx, openKey(s.self.ID), value, store.Always(), ""); err != nil {
+		return errors.Errorf("write lasting record: %w", err)
+	}
 	sent := time.Now()
 	lease, err := s.keeper.Grant(ctx, leaseTTL)
 	if err != nil {
@@ -242,25 +271,38 @@
 }
 
 func (s *Service) read(ctx context.Context) error {
+	sent := time.Now()
 	snapshot, err := s.keeper.List(ctx, Prefix)
 	if err != nil {
 		return errors.Errorf("read view: %w", err)
 	}
-	view, err := parse(snapshot)
+	view, lost, err := parse(snapshot)
 	if err != nil {
 		return err
 	}
+	if !s.adopt(view, sent) {
+		return nil // an old answer
+	}
+	for _, l := range s.losses.Observe(time.Now(), s.self.ID, view, lost) {
+		err := s.keeper.Delete(ctx, openKey(l.ID), store.IfRevision(l.Written))
+		s.log.Info("lasting record of a lost entry deleted", "entry", l.ID, "error", err)
+	}
+	return nil
+}
+
+// adopt takes a view over and reports whether it is not older than the last one.
+func (s *Service) adopt(view roster.View, sent time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if view.Revision < s.view.Revision {
-		return nil // an old answer
+		return false
 	}
 	moved := !view.SameEntries(s.view)
-	s.view = view
+	s.view, s.viewed = view, sent
 	if moved {
 		s.wake()
 	}
-	return nil
+	return true
 }
 
 // wake tells the waiters of a change. The lock is held.
@@ -269,15 +311,30 @@
 	s.changed = make(chan struct{})
 }
 
-func parse(snapshot store.Snapshot) (roster.View, error) {
-	entries := make([]roster.Entry, 0, len(snapshot.Records))
+// parse returns the view and, of the lost entries in it, the lasting records.
+func parse(snapshot store.Snapshot) (roster.View, []roster.Loss, error) {
+	var entries []roster.Entry
+	var open []roster.Loss
 	for _, r := range snapshot.Records {
+		name := strings.TrimPrefix(string(r.Key), string(Prefix))
+		if id, lasting := strings.CutSuffix(name, openSuffix); lasting {
+			open = append(open, roster.Loss{ID: unit.EntryID(id), Written: r.Revision})
+			continue
+		}
 		var e roster.Entry
 		if err := json.Unmarshal(r.Value, &e); err != nil {
-			return roster.View{}, errors.Errorf("decode %s: %w", r.Key, err)
+			return roster.View{}, nil, errors.Errorf("decode %s: %w", r.Key, err)
 		}
-		e.ID = unit.EntryID(r.Key[len(Prefix):])
+		e.ID = unit.EntryID(name)
 		entries = append(entries, e)
 	}
-	return roster.NewView(entries, snapshot.Revision), nil
+	view := roster.NewView(entries, snapshot.Revision)
+	lost := slices.DeleteFunc(open, func(l roster.Loss) bool { return view.Contains(l.ID) })
+	for _, l := range lost {
+		view.Lost = append(view.Lost, l.ID)
+	}
+	slices.Sort(view.Lost)
+	return view, lost, nil
 }
+
+func openKey(id unit.EntryID) store.Key { return Prefix + store.Key(id) + openSuffix }
--- a/internal/fleet/roster/view.go
+++ b/internal/fleet/roster/view.go
@@ -24,6 +24,9 @@
 type View struct {
 	Entries  []Entry       // sorted by id, without duplicates
 	Revision unit.Revision // of the store at the read; two views may differ in it only
+	// Lost are the entries whose registration ended without a graceful stop, or is
+	// about to be made, sorted. They may still hold slots and serve for a while.
+	Lost []unit.EntryID
 }
 
 // NewView returns the view of the entries.
@@ -49,8 +52,11 @@
 	return ok
 }
 
-// SameEntries reports whether both views have equal entries, at whatever revision.
-func (v View) SameEntries(o View) bool { return slices.Equal(v.Entries, o.Entries) }
+// SameEntries reports whether both views have equal entries and equal lost ones,
+// at whatever revision.
+func (v View) SameEntries(o View) bool {
+	return slices.Equal(v.Entries, o.Entries) && slices.Equal(v.Lost, o.Lost)
+}
 
 // Rank returns the entries in order of their rendezvous score for the key,
 // highest first. An entry that comes or goes moves no other pair of entries.
--- a/internal/peer/link/service.go
+++ b/internal/peer/link/service.go
@@ -88,6 +88,8 @@
 	handlers map[message.Kind]message.Handler
 	beat     func(to unit.EntryID) message.Heartbeat
 	heard    func(from unit.EntryID, sent time.Time, answer message.Heartbeat)
+	settled  func() unit.Revision
+	learn    func(peer unit.EntryID, settled unit.Revision)
 }
 
 // New returns a service that is not yet started.
@@ -172,6 +174,20 @@
 	s.beat, s.heard = beat, heard
 }
 
+// SetSettled sets the source of the settled view in this entry's heartbeats.
+func (s *Service) SetSettled(settled func() unit.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settled = settled
+}
+
+// OnSettled sets the receiver of the settled views in the answers of peers.
+func (s *Service) OnSettled(learn func(peer unit.EntryID, settled unit.Revision)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn = learn
+}
+
 // Call sends a message to a peer and returns its answer. It repeats nothing.
 func (s *Service) Call(ctx context.Context, to unit.EntryID, m message.Message) (message.Message, error) {
 	s.mu.Lock()
@@ -252,21 +268,28 @@
 
 func (s *Service) heartbeat(to unit.EntryID) message.Heartbeat {
 	s.mu.Lock()
-	beat := s.beat
+	beat, settled := s.beat, s.settled
 	s.mu.Unlock()
-	if beat == nil {
-		return message.Heartbeat{Age: -1}
+	h := message.Heartbeat{Age: -1}
+	if beat != nil {
+		h = beat(to)
 	}
-	return beat(to)
+	if settled != nil {
+		h.Settled = settled()
+	}
+	return h
 }
 
 func (s *Service) hear(from unit.EntryID, sent time.Time, answer message.Heartbeat) {
 	s.mu.Lock()
-	heard := s.heard
+	heard, learn := s.heard, s.learn
 	s.mu.Unlock()
 	if heard != nil {
 		heard(from, sent, answer)
 	}
+	if learn != nil {
+		learn(from, answer.Settled)
+	}
 }
 
 func quicConfig() *quic.Config {
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -56,6 +56,7 @@
 	Ready         bool          `cbor:"4,keyasint,omitempty"` // the sender may serve
 	Age           time.Duration `cbor:"5,keyasint"`           // since the last confirmation; negative if there was none
 	Load          uint16        `cbor:"6,keyasint,omitempty"` // requests in flight, in thousandths of the slots
+	Settled       unit.Revision `cbor:"7,keyasint,omitempty"` // of the view whose slots the sender has settled on
 }
 
 // Push carries a configuration. It is answered by Ack.
--- a/internal/target/config/cluster_test.go
+++ b/internal/target/config/cluster_test.go
@@ -91,6 +91,17 @@
 	return e
 }
 
+// remove stops an entry gracefully.
+func (c *cluster) remove(e *entry) {
+	c.t.Helper()
+	if err := e.kernel.Stop(context.Background()); err != nil {
+		c.t.Error(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.entries, e.id)
+}
+
 func (c *cluster) all() []*entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
