order/gateway: forward requests with truthful outcomes

Cause: the thin gateway sent everything to the first worker and knew no classes, deadlines, claims, slots or draining. Ruled out: a claim before the slot, which has to be voided for every request that admission rejects; closing a response body that was not read, which reads its rest and kept a caller waiting for 30 s after an oversized response. Spans of slots name the whole wait. An error of the service lowers a worker's rank without setting it aside. The path test now runs over the whole gateway. Conclusion: each injected failure of the request path has a test.

--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -1,47 +1,129 @@
 // Package gateway is the HTTP front end for callers.
+//
+// It finds the class of a request by its route, waits for a slot, claims the id
+// of a non-idempotent request, forwards the request to one worker and says in the
+// header Monsoonfold-Outcome what is certain: done, not-run or unknown.
+//
+// Counters (GET /.monsoonfold/counters):
+//
+//	requests        requests received
+//	done            complete responses passed on
+//	not-run         requests reported as not run
+//	unknown         requests reported as unknown
+//	aborted         responses ended in the middle
+//	abandoned       requests whose caller left before the response began
+//	retries         further attempts after the first
+//	retries-denied  further attempts that the retry budget did not allow
+//	claims          ids of non-idempotent requests that were granted
+//	claims-taken    ids that were claimed before
+//	claims-voided   claims given up because the request did not run
+//	hung            exchanges without a byte within the idle timeout
+//	mismatched      responses to another request
+//	truncated       responses that ended early
+//	oversized       responses over the limit
+//	inflight        requests in progress (a level)
+//	waiting         requests that wait for a slot (a level)
 package gateway
 
 import (
 	"context"
-	"io"
+	"expvar"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/order/claim"
+	"github.com/monsoonfold/monsoonfold/internal/order/slot"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
 // ServiceName is the name of the gateway in a kernel.
 const ServiceName registry.Name = "gateway"
 
-// fleet tells which workers there are.
-type fleet interface {
-	Snapshot() inventory.Snapshot
+// The parts of partners that the gateway uses.
+type (
+	fleet interface {
+		Snapshot() inventory.Snapshot
+		Changed() <-chan struct{}
+	}
+	configuration interface {
+		Current() spec.Revision
+		ServeUntil() time.Time
+		Changed() <-chan struct{}
+	}
+	membership interface {
+		Self() unit.EntryID
+		View() roster.View
+		Changed() <-chan struct{}
+	}
+	claims interface {
+		Claim(ctx context.Context, id unit.RequestID) (claim.Result, error)
+		Void(ctx context.Context, id unit.RequestID, r claim.Result) error
+	}
+	recorder interface{ Record(journal.Event) }
+	budget   interface{ Observe(burn.Sample) }
+)
+
+// Settings of a gateway.
+type Settings struct {
+	Address string        // IP and port for callers
+	Notice  time.Duration // how long the load balancer needs to see that the entry is not ready
+	Rules   slot.Rules
 }
 
-// Gateway forwards each request to one upstream of the service.
+// Gateway forwards requests of callers to workers.
 type Gateway struct {
-	address string
-	service unit.ServiceID
-	fleet   fleet
-	http    *http.Server
-	client  *http.Client
-	done    chan struct{}
+	log      logr.Logger
+	settings Settings
+	address  string
+	http     *http.Server
+	counters *expvar.Map
+
+	fleet      fleet
+	config     configuration
+	membership membership
+	claims     claims
+	journal    recorder
+	burn       budget
+
+	routes   atomic.Pointer[routes]
+	floor    *floor
+	sequence atomic.Uint64 // of request ids
+	inflight atomic.Int64
+	draining atomic.Bool
+	drain    sync.Once
+	drained  error
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
-// New returns a gateway that will listen at address, an IP and port.
-func New(address string, service unit.ServiceID) *Gateway {
-	g := &Gateway{
-		address: address,
-		service: service,
-		client:  &http.Client{Transport: &http.Transport{}},
-		done:    make(chan struct{}),
+// New returns a gateway that is not yet started.
+func New(log logr.Logger, settings Settings) *Gateway {
+	g := &Gateway{log: log, settings: settings, counters: new(expvar.Map).Init(), done: make(chan struct{})}
+	g.counters.Set("inflight", expvar.Func(func() any { return g.inflight.Load() }))
+	g.counters.Set("waiting", expvar.Func(func() any { return g.floor.waitingRequests() }))
+	g.http = &http.Server{
+		Handler:           g.handler(),
+		ReadHeaderTimeout: 5 * time.Second,
+		// Both exceed the longest request, which has deadlines of its own.
+		ReadTimeout:    settings.Rules.Longest + 5*time.Second,
+		WriteTimeout:   settings.Rules.Longest + 10*time.Second,
+		IdleTimeout:    time.Minute,
+		MaxHeaderBytes: 32 << 10,
 	}
-	g.http = &http.Server{Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: 5 * time.Second}
 	return g
 }
 
@@ -49,29 +131,34 @@
 func (g *Gateway) Name() registry.Name { return ServiceName }
 
 // Start implements registry.Service.
-func (g *Gateway) Start(_ context.Context, k *registry.Kernel) error {
-	var err error
-	if g.fleet, err = registry.Find[fleet](k, "fleet"); err != nil {
-		return errors.Errorf("find inventory: %w", err)
+func (g *Gateway) Start(ctx context.Context, k *registry.Kernel) error {
+	if err := g.find(k); err != nil {
+		return err
 	}
-	l, err := net.Listen("tcp", g.address)
+	g.floor = newFloor(slot.New(g.membership.Self(), g.settings.Rules), g.noteHealth)
+	g.refresh()
+	l, err := net.Listen("tcp", g.settings.Address)
 	if err != nil {
 		return errors.Errorf("listen for callers: %w", err)
 	}
 	g.address = l.Addr().String()
+	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	var parts sync.WaitGroup
+	parts.Go(func() { g.run(ctx) })
+	parts.Go(func() { _ = g.http.Serve(l) }) // ends with ErrServerClosed at the drain
 	go func() {
 		defer close(g.done)
-		_ = g.http.Serve(l) // ends with ErrServerClosed at Stop
+		parts.Wait()
+		g.floor.close()
 	}()
 	return nil
 }
 
-// Stop implements registry.Service.
+// Stop implements registry.Service. It drains first.
 func (g *Gateway) Stop(ctx context.Context) error {
-	if err := g.http.Shutdown(ctx); err != nil {
-		return errors.Errorf("shut down gateway: %w", err)
-	}
-	return nil
+	g.Drain(ctx)
+	g.cancel()
+	return g.drained
 }
 
 // Done implements registry.Service.
@@ -80,28 +167,133 @@
 // Address returns the IP and port that callers use.
 func (g *Gateway) Address() string { return g.address }
 
-func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	upstreams := g.fleet.Snapshot().Upstreams(g.service)
-	if len(upstreams) == 0 {
-		w.Header().Set("Monsoonfold-Outcome", "not-run")
-		http.Error(w, "no upstream is live", http.StatusServiceUnavailable)
-		return
+// Counters returns the counters of the package comment.
+func (g *Gateway) Counters() *expvar.Map { return g.counters }
+
+// Ready reports whether the entry may serve requests, holds its slots and is not
+// draining. An entry that has just started holds no slots for a while, and would
+// reject the requests that a load balancer sends it.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.floor.settled() && time.Now().Before(g.config.ServeUntil())
+}
+
+// Drain fails the readiness check, serves until the load balancer has noticed,
+// and returns once the requests in flight are complete or the context ends.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.drain.Do(func() {
+		g.draining.Store(true)
+		g.log.Info("gateway state changed", "draining", true)
+		select {
+		case <-time.After(g.settings.Notice):
+		case <-ctx.Done():
+		}
+		if err := g.http.Shutdown(ctx); err != nil {
+			g.drained = errors.Errorf("shut down gateway: %w", err)
+		}
+	})
+}
+
+func (g *Gateway) find(k *registry.Kernel) error {
+	var faults [6]error
+	g.fleet, faults[0] = registry.Find[fleet](k, "fleet")
+	g.config, faults[1] = registry.Find[configuration](k, "config")
+	g.membership, faults[2] = registry.Find[membership](k, "membership")
+	g.claims, faults[3] = registry.Find[claims](k, claim.ServiceName)
+	g.journal, faults[4] = registry.Find[recorder](k, journal.ServiceName)
+	g.burn, faults[5] = registry.Find[budget](k, "burn")
+	if err := errors.Join(faults[:]...); err != nil {
+		return errors.Errorf("find partners: %w", err)
 	}
-	req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+upstreams[0].Upstream+r.URL.RequestURI(), r.Body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	return nil
+}
+
+func (g *Gateway) handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/.monsoonfold/ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	r.Get("/.monsoonfold/counters", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(g.counters.String())) // the caller may have gone
+	})
+	// Own paths are never forwarded.
+	r.Handle("/.monsoonfold/*", http.NotFoundHandler())
+	own := http.Handler(r)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isOwn(r.URL.Path) {
+			own.ServeHTTP(w, r)
+			return
+		}
+		g.serve(w, r)
+	})
+}
+
+// refreshInterval is short against the spans of slots, which only change at a
+// change of the view or when a wait has passed.
+const refreshInterval = time.Second
+
+// run keeps routes, workers and slots current.
+func (g *Gateway) run(ctx context.Context) {
+	timer := time.NewTimer(refreshInterval)
+	defer timer.Stop()
+	for {
+		// The channels are taken before the reads, so that no change is missed.
+		fleet, config, membership := g.fleet.Changed(), g.config.Changed(), g.membership.Changed()
+		g.refresh()
+		next := time.Now().Add(refreshInterval)
+		for waiting := true; waiting; {
+			due := next
+			if tick := g.floor.next(time.Now()); !tick.IsZero() && tick.Before(due) {
+				due = tick
+			}
+			timer.Reset(time.Until(due))
+			waiting = false
+			select {
+			case <-fleet:
+			case <-config:
+			case <-membership:
+			case <-g.floor.woken:
+				waiting = true
+			case <-timer.C:
+				g.floor.tick(time.Now())
+				waiting = time.Now().Before(next)
+			case <-ctx.Done():
+				return
+			}
+		}
 	}
-	resp, err := g.client.Do(req)
-	if err != nil {
-		w.Header().Set("Monsoonfold-Outcome", "unknown")
-		http.Error(w, err.Error(), http.StatusBadGateway)
-		return
+}
+
+// refresh takes over the configuration, the instance list and the view.
+func (g *Gateway) refresh() {
+	revision := g.config.Current()
+	if old := g.routes.Load(); old == nil || old.revision != revision.Number {
+		g.routes.Store(newRoutes(&revision))
 	}
-	defer resp.Body.Close()
-	w.Header().Set("Monsoonfold-Outcome", "done")
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler) // a cut response must not look whole
+	view := g.membership.View()
+	ids := make([]unit.EntryID, len(view.Entries))
+	for i, e := range view.Entries {
+		ids[i] = e.ID
 	}
+	// The view counts as confirmed up to the confirmation that allows serving: an
+	// answered read of the store, or peers that have this entry in their view.
+	asOf := g.config.ServeUntil().Add(-g.settings.Rules.ViewLife)
+	g.floor.update(g.fleet.Snapshot().Workers(), &revision.Document, ids, view.Revision, asOf, time.Now())
+}
+
+func (g *Gateway) noteHealth(worker unit.InstanceID, from, to string) {
+	g.log.Info("worker state changed", "worker", worker, "from", from, "to", to)
+	g.journal.Record(journal.Event{
+		Time:     time.Now(),
+		Subjects: []journal.Subject{{Kind: journal.KindWorker, ID: string(worker)}},
+		What:     "requests: " + to,
+		Why:      "was " + from,
+	})
+}
+
+// newID returns an id that no other request of the deployment has.
+func (g *Gateway) newID() unit.RequestID {
+	return unit.RequestID(string(g.membership.Self()) + "-" + strconv.FormatUint(g.sequence.Add(1), 36))
 }
--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -1,55 +1,198 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/order/claim"
 	"github.com/monsoonfold/monsoonfold/internal/order/gateway"
+	"github.com/monsoonfold/monsoonfold/internal/order/slot"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/standin/platform"
-	"github.com/monsoonfold/monsoonfold/internal/standin/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
-// TestPath guards against a break anywhere on the path from a caller through an
-// entry to an upstream.
-func TestPath(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	w := worker.NewServer("w1", "127.0.0.1:0")
-	start(ctx, t, w)
-	p := platform.NewServer("127.0.0.1:0", []store.Instance{{
-		ID: "w1", Zone: "guj-morbi", Service: "order-desk",
-		State: store.InstanceLive, Upstream: w.Address(),
-	}})
-	start(ctx, t, p)
-	g := gateway.New("127.0.0.1:0", "order-desk")
-	start(ctx, t, store.NewService(p.Address()), listing.New(logr.Discard()), g)
+// service is the part of a fake that the kernel needs.
+type service struct {
+	name registry.Name
+	done chan struct{}
+}
 
-	resp, err := http.Get("http://" + g.Address() + "/quote")
-	if err != nil {
-		t.Fatal(err)
+func newService(name registry.Name) service                     { return service{name, make(chan struct{})} }
+func (s service) Name() registry.Name                           { return s.name }
+func (s service) Start(context.Context, *registry.Kernel) error { return nil }
+func (s service) Stop(context.Context) error                    { close(s.done); return nil }
+func (s service) Done() <-chan struct{}                         { return s.done }
+func (s service) Changed() <-chan struct{}                      { return nil }
+
+// fakeConfig holds a document with one class per kind of route.
+type fakeConfig struct {
+	service
+	unconfirmed atomic.Bool
+}
+
+func (c *fakeConfig) Current() spec.Revision {
+	target := spec.Target{Percentile: 99, Bound: unit.Duration(30 * time.Millisecond)}
+	return spec.Revision{Number: 1, Document: spec.Document{
+		Zones: []spec.Zone{{Name: "z1"}},
+		Classes: []spec.Class{
+			{Name: "quote", Kind: spec.KindRequest, Service: "s", Target: target, Routes: []spec.Route{{Prefix: "/"}}},
+			{Name: "charge", Kind: spec.KindRequest, Service: "s", Target: target, Routes: []spec.Route{{Prefix: "/charge", Method: "POST", Once: true}}},
+		},
+	}}
+}
+
+func (c *fakeConfig) ServeUntil() time.Time {
+	if c.unconfirmed.Load() {
+		return time.Now().Add(-time.Second)
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		t.Fatal(err)
+	return time.Now().Add(10 * time.Second)
+}
+
+type fakeMembership struct {
+	service
+	self unit.EntryID
+}
+
+func (m fakeMembership) Self() unit.EntryID { return m.self }
+func (m fakeMembership) View() roster.View {
+	return roster.NewView([]roster.Entry{{ID: m.self}}, 1)
+}
+
+type fakeFleet struct {
+	service
+	mu        sync.Mutex
+	instances []store.Instance
+	changed   chan struct{}
+}
+
+func (f *fakeFleet) Snapshot() inventory.Snapshot {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return inventory.NewSnapshot(store.Listing{Instances: f.instances, Revision: 1})
+}
+
+func (f *fakeFleet) Changed() <-chan struct{} { return f.changed }
+
+// fakeStore keeps the records of claims.
+type fakeStore struct {
+	service
+	mu       sync.Mutex
+	records  map[store.Key]store.Record
+	revision unit.Revision
+	down     atomic.Bool
+	lose     atomic.Bool // responses to writes
+}
+
+func (f *fakeStore) Get(_ context.Context, key store.Key) (store.Record, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.records[key]
+	switch {
+	case f.down.Load():
+		return r, store.ErrUnavailable
+	case !ok:
+		return r, store.ErrNotFound
+	}
+	return r, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, key store.Key, value []byte, cond store.Condition, _ store.LeaseID) (unit.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	want := store.IfAbsent()
+	if r, ok := f.records[key]; ok {
+		want = store.IfRevision(r.Revision)
 	}
-	if diff := cmp.Diff("w1 /quote\n", string(body)); diff != "" {
-		t.Errorf("response (-want +got):\n%s", diff)
+	switch {
+	case f.down.Load():
+		return 0, store.ErrUnavailable
+	case cond != want:
+		return 0, store.ErrConflict
 	}
+	f.revision++
+	f.records[key] = store.Record{Key: key, Value: value, Revision: f.revision}
+	if f.lose.Swap(false) {
+		return 0, store.ErrUnknown
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Delete(context.Context, store.Key, store.Condition) error { return nil }
+
+// storeClient is the store as one service of a kernel.
+type storeClient struct {
+	*fakeStore
+	done chan struct{}
+}
+
+func (c storeClient) Stop(context.Context) error { close(c.done); return nil }
+func (c storeClient) Done() <-chan struct{}      { return c.done }
+
+// site is a gateway with everything around it.
+type site struct {
+	gateway *gateway.Gateway
+	config  *fakeConfig
+	fleet   *fakeFleet
+	store   *fakeStore
+	journal *journal.Service
+}
+
+// open starts an entry in front of the workers.
+func open(t testing.TB, records *fakeStore, workers ...string) *site {
+	t.Helper()
+	s := &site{
+		config:  &fakeConfig{service: newService("config")},
+		fleet:   &fakeFleet{service: newService("fleet"), changed: make(chan struct{})},
+		store:   &fakeStore{service: newService(store.ServiceName), records: map[store.Key]store.Record{}},
+		journal: journal.NewService(time.Now()),
+	}
+	if records != nil {
+		s.store = records
+	}
+	for i, address := range workers {
+		s.fleet.instances = append(s.fleet.instances, store.Instance{
+			ID: unit.InstanceID(fmt.Sprint("w", i)), Zone: "z1", Service: "s", State: store.InstanceLive,
+			Upstream: address, Slots: 8, Connections: 64,
+		})
+	}
+	s.gateway = newGateway()
+	start(t, s.config, s.fleet, fakeMembership{newService("membership"), "e1"}, s.journal, burn.NewService(),
+		storeClient{s.store, make(chan struct{})}, claim.New(), s.gateway)
+	return s
+}
+
+// newGateway returns a gateway of a single entry, whose slots nobody held before.
+func newGateway() *gateway.Gateway {
+	rules := slot.DefaultRules()
+	rules.Wait = 0
+	return gateway.New(logr.Discard(), gateway.Settings{Address: "127.0.0.1:0", Rules: rules})
 }
 
 // start runs the services in a kernel of their own until the test ends.
-func start(ctx context.Context, t *testing.T, services ...registry.Service) {
+func start(t testing.TB, services ...registry.Service) {
 	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
 	k := registry.New()
 	for _, s := range services {
 		if err := k.Register(s); err != nil {
@@ -60,8 +203,366 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		if err := k.Stop(context.Background()); err != nil {
+		// A server waits 5 s for connections that were opened and never used.
+		client.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := k.Stop(ctx); err != nil {
 			t.Error(err)
 		}
 	})
 }
+
+// worker is a fake upstream, which writes raw bytes for each request.
+type worker struct {
+	listener net.Listener
+	runs     atomic.Int64
+}
+
+// whole is a complete response with room for the request id.
+const whole = "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nContent-Length: 5\r\n\r\nhello"
+
+// work starts a worker whose handler returns the response to the run with the
+// number, from 1. Without a response it never answers; a response that ends with
+// "CUT" is cut there.
+func work(t testing.TB, respond func(run int64, r *http.Request) string) *worker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &worker{listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			n, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(n, respond)
+		}
+	}()
+	return w
+}
+
+func (w *worker) serve(n net.Conn, respond func(int64, *http.Request) string) {
+	defer n.Close()
+	in := bufio.NewReader(n)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		text, cut := strings.CutSuffix(respond(w.runs.Add(1), r), "CUT")
+		if strings.Contains(text, "%s") {
+			text = fmt.Sprintf(text, r.Header.Get("Monsoonfold-Request"))
+		}
+		_, _ = io.WriteString(n, text)
+		if cut {
+			return
+		}
+	}
+}
+
+func (w *worker) address() string { return w.listener.Addr().String() }
+
+func always(response string) func(int64, *http.Request) string {
+	return func(int64, *http.Request) string { return response }
+}
+
+// call is a request of a caller; its result is "outcome status body", with
+// "aborted" for a body that ended in the middle.
+type call struct {
+	method  string
+	path    string
+	headers map[string]string
+	body    string
+}
+
+func (c call) do(g *gateway.Gateway) string {
+	method := c.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequest(method, "http://"+g.Address()+c.path, strings.NewReader(c.body))
+	if err != nil {
+		return err.Error()
+	}
+	for k, v := range c.headers {
+		r.Header.Set(k, v)
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return "no response"
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	text := fmt.Sprint(resp.Header.Get("Monsoonfold-Outcome"), " ", resp.StatusCode)
+	switch {
+	case err != nil:
+		return text + " aborted"
+	case resp.StatusCode == http.StatusOK:
+		text += " " + string(body)
+	}
+	return text
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 20 * time.Second}
+
+func charge(key string) call {
+	return call{path: "/charge", headers: map[string]string{"Idempotency-Key": key}}
+}
+
+func deadline(d time.Duration) map[string]string {
+	return map[string]string{"Monsoonfold-Deadline": fmt.Sprint(time.Now().Add(d).UnixMilli())}
+}
+
+// TestOutcome guards against an outcome that is not the truth, and against a
+// second run of a request that may run once.
+func TestOutcome(t *testing.T) {
+	const (
+		busy     = "HTTP/1.1 503 Busy\r\nMonsoonfold-Request: %s\r\nMonsoonfold-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"
+		mismatch = "HTTP/1.1 200 OK\r\nMonsoonfold-Request: other\r\nContent-Length: 5\r\n\r\nhello"
+		short    = "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nContent-Length: 50000\r\n\r\nhello"
+	)
+	long := short + strings.Repeat("x", 20_000)
+	first := func(response string) func(int64, *http.Request) string {
+		return func(run int64, _ *http.Request) string {
+			if run == 1 {
+				return response
+			}
+			return whole
+		}
+	}
+	tests := []struct {
+		name    string
+		call    call
+		respond func(int64, *http.Request) string // nil: no worker
+		set     func(*site)
+		want    string
+		runs    int64
+		fewer   bool // the retry budget may allow fewer runs, by the second of the clock
+	}{
+		{name: "complete", call: call{path: "/quote"}, respond: always(whole), want: "done 200 hello", runs: 1},
+		{name: "error of the service", call: call{path: "/quote"}, respond: always(strings.Replace(whole, "200 OK", "500 Oops", 1)), want: "done 500", runs: 1},
+		{name: "no worker", call: call{path: "/quote"}, want: "not-run 503"},
+		{name: "worker refuses connections", call: call{path: "/quote"}, respond: always(whole), set: func(s *site) { s.replaceWorker("127.0.0.1:1") }, want: "not-run 503"},
+		{name: "worker killed in mid response", call: call{path: "/quote"}, respond: always(long + "CUT"), want: "done 200 aborted", runs: 1},
+		{name: "worker killed early in the response", call: call{path: "/quote"}, respond: always(short + "CUT"), want: "no response", runs: 1},
+		{name: "mismatched id, retried", call: call{path: "/quote"}, respond: first(mismatch), want: "done 200 hello", runs: 2},
+		{name: "mismatched id, once", call: charge("k"), respond: first(mismatch), want: "unknown 502", runs: 1},
+		{name: "connection hung, retried", call: call{path: "/quote"}, respond: first(""), want: "done 200 hello", runs: 2},
+		{name: "connection hung, once", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(300*time.Millisecond))}, respond: always(""), want: "unknown 502", runs: 1},
+		{name: "oversized response", call: charge("k"), respond: always(strings.Replace(whole, "5", "99999999999", 1)), want: "unknown 502", runs: 1},
+		{name: "worker busy, once", call: charge("k"), respond: first(busy), want: "done 200 hello", runs: 2},
+		{name: "worker always busy", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(time.Second))}, respond: always(busy), want: "not-run 503", runs: 3, fewer: true},
+		{name: "once without a key", call: call{path: "/charge"}, respond: always(whole), want: "not-run 400"},
+		{name: "once by header, without a key", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Once": "true"}}, respond: always(whole), want: "not-run 400"},
+		{name: "once by route, other method", call: call{method: "GET", path: "/charge"}, respond: always(whole), want: "done 200 hello", runs: 1},
+		{name: "once, store down", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.down.Store(true) }, want: "not-run 503"},
+		{name: "once, store response lost", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.lose.Store(true) }, want: "done 200 hello", runs: 1},
+		{name: "deadline passed", call: call{path: "/quote", headers: deadline(-time.Second)}, respond: always(whole), want: "not-run 503"},
+		{name: "deadline malformed", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Deadline": "soon"}}, respond: always(whole), want: "not-run 400"},
+		{name: "request too large", call: call{path: "/quote", body: strings.Repeat("x", 1<<20+1)}, respond: always(whole), want: "not-run 413"},
+		{name: "no confirmation", call: call{path: "/quote"}, respond: always(whole), set: func(s *site) { s.config.unconfirmed.Store(true) }, want: "not-run 503"},
+		{name: "unknown own path", call: call{path: "/.monsoonfold/other"}, respond: always(whole), want: " 404"},
+		{name: "ready", call: call{method: "GET", path: "/.monsoonfold/ready"}, want: " 200 "},
+		{name: "not ready without confirmation", call: call{method: "GET", path: "/.monsoonfold/ready"}, set: func(s *site) { s.config.unconfirmed.Store(true) }, want: " 503"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			var workers []string
+			w := &worker{}
+			if tt.respond != nil {
+				w = work(t, tt.respond)
+				workers = []string{w.address()}
+			}
+			s := open(t, nil, workers...)
+			if tt.set != nil {
+				tt.set(s)
+			}
+			if diff := cmp.Diff(tt.want, tt.call.do(s.gateway)); diff != "" {
+				t.Errorf("result (-want +got):\n%s\n%s", diff, s.gateway.Counters())
+			}
+			if runs := w.runs.Load(); runs > tt.runs || runs < tt.runs && !tt.fewer {
+				t.Errorf("the worker got %d requests, want %d", runs, tt.runs)
+			}
+		})
+	}
+}
+
+// replaceWorker moves the worker to another address and waits until the gateway
+// has seen it.
+func (s *site) replaceWorker(address string) {
+	s.fleet.set(func(i *store.Instance) { i.Upstream = address })
+}
+
+func (f *fakeFleet) set(change func(*store.Instance)) {
+	f.mu.Lock()
+	instances := append([]store.Instance(nil), f.instances...)
+	for i := range instances {
+		change(&instances[i])
+	}
+	f.instances = instances
+	f.mu.Unlock()
+	// The second send is received after the refresh that followed the first.
+	f.changed <- struct{}{}
+	f.changed <- struct{}{}
+}
+
+func merge(all ...map[string]string) map[string]string {
+	merged := map[string]string{}
+	for _, m := range all {
+		for k, v := range m {
+			merged[k] = v
+		}
+	}
+	return merged
+}
+
+// TestDraining guards against new requests at a worker that drains by the list or
+// by its own word.
+func TestDraining(t *testing.T) {
+	draining := strings.Replace(whole, "\r\n\r\n", "\r\nMonsoonfold-State: draining\r\n\r\n", 1)
+	tests := []struct {
+		name    string
+		respond string
+		set     func(*store.Instance)
+	}{
+		{"by its own word", draining, nil},
+		{"by the list", whole, func(i *store.Instance) { i.State = store.InstanceLeaving }},
+		{"by its zone", whole, func(i *store.Instance) { i.Zone = "out" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := work(t, always(tt.respond))
+			s := open(t, nil, w.address())
+			got := []string{call{path: "/quote"}.do(s.gateway)}
+			if tt.set != nil {
+				s.fleet.set(tt.set)
+			}
+			got = append(got, call{path: "/quote"}.do(s.gateway))
+			if diff := cmp.Diff([]string{"done 200 hello", "not-run 503"}, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestOnce guards against a second run of a non-idempotent request, through two
+// gateways at once or one after the other.
+func TestOnce(t *testing.T) {
+	release := make(chan struct{})
+	w := work(t, func(int64, *http.Request) string {
+		<-release
+		return whole
+	})
+	one := open(t, nil, w.address())
+	other := open(t, one.store, w.address()) // the same store
+	results := make(chan string, 20)
+	for i := range cap(results) {
+		g := []*gateway.Gateway{one.gateway, other.gateway}[i%2]
+		go func() { results <- charge("k").do(g) }()
+	}
+	counts := map[string]int{}
+	for i := range cap(results) {
+		if i == cap(results)-1 {
+			close(release) // the others are answered while the first one runs
+		}
+		counts[<-results]++
+	}
+	counts[charge("k").do(other.gateway)]++
+	if diff := cmp.Diff(map[string]int{"done 200 hello": 1, "unknown 409": 20}, counts); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+	if n := w.runs.Load(); n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
+// TestVoided guards against a key that cannot be used again after a request that
+// did not run.
+func TestVoided(t *testing.T) {
+	w := work(t, always(whole))
+	s := open(t, nil, "127.0.0.1:1")
+	c := charge("k")
+	c.headers = merge(c.headers, deadline(500*time.Millisecond))
+	got := []string{c.do(s.gateway)}
+	s.replaceWorker(w.address())
+	time.Sleep(time.Second) // the worker is set aside for this long after a refused connection
+	got = append(got, charge("k").do(s.gateway))
+	if diff := cmp.Diff([]string{"not-run 503", "done 200 hello"}, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s\n%s", diff, s.gateway.Counters())
+	}
+}
+
+// TestStop guards against a planned stop that drops a request.
+func TestStop(t *testing.T) {
+	w := work(t, func(int64, *http.Request) string {
+		time.Sleep(20 * time.Millisecond)
+		return whole
+	})
+	s := open(t, nil, w.address())
+	stopped := make(chan struct{})
+	var callers sync.WaitGroup
+	var done, bad atomic.Int64
+	for range 8 {
+		callers.Go(func() {
+			for {
+				select {
+				case <-stopped: // as a load balancer that has seen the entry not ready
+					return
+				default:
+				}
+				if got := (call{path: "/quote"}).do(s.gateway); got == "done 200 hello" {
+					done.Add(1)
+				} else {
+					bad.Add(1)
+					t.Errorf("got %s", got)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	close(stopped)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	s.gateway.Drain(ctx)
+	callers.Wait()
+	if s.gateway.Ready() || bad.Load() > 0 || done.Load() < 8 {
+		t.Errorf("ready %v, %d complete, %d not", s.gateway.Ready(), done.Load(), bad.Load())
+	}
+}
+
+// TestPath guards against a break on the path from a caller to an upstream that
+// the platform lists.
+func TestPath(t *testing.T) {
+	w := work(t, always(whole))
+	p := platform.NewServer("127.0.0.1:0", []store.Instance{{
+		ID: "w1", Zone: "z1", Service: "s", State: store.InstanceLive,
+		Upstream: w.address(), Slots: 8, Connections: 64,
+	}})
+	start(t, p)
+	g := newGateway()
+	start(t, store.NewService(p.Address()), listing.New(logr.Discard()), &fakeConfig{service: newService("config")},
+		fakeMembership{newService("membership"), "e1"}, journal.NewService(time.Now()), burn.NewService(), claim.New(), g)
+	got := []string{call{path: "/quote"}.do(g), charge("k").do(g), charge("k").do(g)}
+	if diff := cmp.Diff([]string{"done 200 hello", "done 200 hello", "unknown 409"}, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+}
+
+// BenchmarkForward measures the forwarding path on loopback, with caller, entry
+// and worker in one process.
+func BenchmarkForward(b *testing.B) {
+	w := work(b, always(whole))
+	s := open(b, nil, w.address())
+	c := call{path: "/quote", body: "body"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := c.do(s.gateway); got != "done 200 hello" {
+			b.Fatal(got)
+		}
+	}
+}
--- a/internal/order/route/router.go
+++ b/internal/order/route/router.go
@@ -62,6 +62,7 @@
 	Succeeded Verdict = iota
 	Neutral           // says nothing about the worker, such as an abandoned request
 	Busy              // the worker had no free slot; not run
+	Erred             // the service answered with an error of its own
 	Failed
 	Dead // no connection could be opened; not run
 )
@@ -224,6 +225,10 @@
 		if until := now.Add(busyAside); until.After(w.aside) {
 			w.aside = until
 		}
+	case Erred:
+		// A worker that answers fast with errors must not attract requests. It is
+		// not set aside, since one bad request can fail on every worker.
+		w.observe(0, true, now)
 	case Failed, Dead:
 		w.observe(0, true, now)
 		w.fail(e.Verdict == Dead, now)
--- a/internal/order/route/router_test.go
+++ b/internal/order/route/router_test.go
@@ -38,6 +38,7 @@
 		{name: "slow worker", events: []event{fast, slow}, want: "w2"},
 		{name: "tried before", events: []event{fast, slow}, avoid: "w2", want: "w1"},
 		{name: "one failure", events: []event{{"w1", End{Verdict: Failed}, 1, 0}}, want: "w2"},
+		{name: "errors of the service", events: []event{{"w1", End{Verdict: Erred}, 10, 0}}, want: "w2"},
 		{name: "failure long ago", events: []event{{"w1", End{Verdict: Failed}, 1, 0}, {"w2", ok(21 * time.Millisecond), 1, time.Hour}}, after: time.Hour, want: "w1"},
 		{name: "set aside", events: []event{failed, {"w2", ok(time.Second), 10, 0}}, want: "w2"},
 		{name: "probed", events: []event{failed}, after: time.Second, want: "w1"},
@@ -268,7 +269,7 @@
 				ticket := rapid.SampledFrom(tickets).Draw(t, "ticket")
 				delete(sent, ticket)
 				decide(r.Ended(ticket, End{
-					Verdict:  rapid.SampledFrom([]Verdict{Succeeded, Neutral, Busy, Failed, Dead}).Draw(t, "verdict"),
+					Verdict:  rapid.SampledFrom([]Verdict{Succeeded, Neutral, Busy, Erred, Failed, Dead}).Draw(t, "verdict"),
 					Latency:  time.Duration(rapid.IntRange(0, 200).Draw(t, "latency")) * time.Millisecond,
 					Draining: rapid.IntRange(0, 9).Draw(t, "draining") == 0,
 					MayRun:   rapid.Bool().Draw(t, "may run"),
--- a/internal/order/slot/partition.go
+++ b/internal/order/slot/partition.go
@@ -9,8 +9,8 @@
 //   - An entry uses a view for ViewLife after the send time of the read that
 //     returned it. A view superseded at T is therefore out of use at T + ViewLife,
 //     and the requests started under it have ended Longest later.
-//   - An owner uses a gained slot Takeover + Longest after it adopted the view,
-//     which is after T.
+//   - An owner uses a gained slot Wait after it adopted the view, which is after T.
+//     Wait covers ViewLife, Longest and an allowance for clock drift.
 //   - An entry that gets a slot back within Regain of the last read that showed it
 //     as the owner continues at once: an owner in between is still waiting and
 //     stops before its wait ends.
@@ -31,7 +31,7 @@
 // Rules are the spans that all entries of a deployment must share.
 type Rules struct {
 	ViewLife time.Duration // a view is used this long after it was read
-	Takeover time.Duration // exceeds ViewLife by the allowance for clock drift
+	Wait     time.Duration // before a gained slot is used
 	Longest  time.Duration // bound of one request, from its send to its end
 	Regain   time.Duration // at most Longest, so that an owner in between has stopped
 }
@@ -40,7 +40,7 @@
 func DefaultRules() Rules {
 	return Rules{
 		ViewLife: 10 * time.Second,
-		Takeover: 12 * time.Second,
+		Wait:     12*time.Second + 30*time.Second,
 		Longest:  30 * time.Second,
 		Regain:   30 * time.Second,
 	}
@@ -127,7 +127,7 @@
 	if !changed && !lapsed {
 		return
 	}
-	p.settled = now.Add(p.rules.Takeover + p.rules.Longest)
+	p.settled = now.Add(p.rules.Wait)
 	p.entries = make([]member, len(entries))
 	for i, id := range entries {
 		p.entries[i] = member{id: id, hash: xxhash.Sum64String(string(id))}
@@ -184,6 +184,9 @@
 	return share
 }
 
+// Settled reports whether a view was adopted and its gained slots are in use.
+func (p *Partition) Settled(now time.Time) bool { return !p.asOf.IsZero() && !now.Before(p.settled) }
+
 // UseUntil returns the time at which every slot of the present view ends unless
 // a later read confirms the view.
 func (p *Partition) UseUntil() time.Time { return p.asOf.Add(p.rules.ViewLife) }
--- a/internal/order/upstream/conn.go
+++ b/internal/order/upstream/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -23,6 +24,12 @@
 	keepIdle = 15 * time.Second
 )
 
+// copySize is the size of a buffer for a response body. Idle connections hold
+// none.
+const copySize = 16 << 10
+
+var buffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
 // past is a deadline that ends pending reads and writes.
 var past = time.Unix(1, 0)
 
@@ -185,7 +192,8 @@
 		j.result = failed(Unknown, c.readFault(ErrResponse), err)
 		return false
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read its rest, which may never end. It is
+	// read to its end if the connection is used again.
 	res := &j.result
 	res.Status = resp.StatusCode
 	if got := resp.Header.Get(HeaderRequest); got != string(j.request.ID) {
@@ -211,7 +219,9 @@
 	j.sink.Begin(resp.StatusCode, resp.Header, resp.ContentLength)
 	// A response to HEAD has a length and no body.
 	faults := &reader{from: resp.Body}
-	if _, err := io.Copy(j.sink, faults); err != nil {
+	buffer := buffers.Get().(*[copySize]byte)
+	defer buffers.Put(buffer)
+	if _, err := io.CopyBuffer(j.sink, faults, buffer[:]); err != nil {
 		reason := ErrAbandoned // by a failed write to the caller
 		if faults.err != nil {
 			reason = c.readFault(ErrTruncated)
@@ -258,8 +268,8 @@
 		return errors.Errorf("dial %s: %w", c.pool.address, err)
 	}
 	c.net = n
-	c.in = bufio.NewReaderSize(inbound{c}, 8<<10)
-	c.out = bufio.NewWriterSize(outbound{c}, 8<<10)
+	c.in = bufio.NewReaderSize(inbound{c}, 4<<10)
+	c.out = bufio.NewWriterSize(outbound{c}, 4<<10)
 	return nil
 }
 
--- a/internal/order/upstream/pool_test.go
+++ b/internal/order/upstream/pool_test.go
@@ -36,6 +36,7 @@
 		name    string
 		respond string // %s stands for the request id; empty never responds
 		cut     bool   // the worker closes the connection after responding
+		stays   bool   // the result does not depend on the deadline for the end
 		allow   error
 		want    upstream.Outcome
 		err     error
@@ -47,13 +48,13 @@
 		{name: "interim response first", respond: "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, want: upstream.Done, body: "200 hello", dials: 1},
 		{name: "worker asks to close", respond: strings.Replace(whole, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), want: upstream.Done, body: "200 hello", dials: 2},
 		{name: "extra bytes", respond: whole + "HTTP/1.1 200 OK\r\n", want: upstream.Done, body: "200 hello", dials: 2},
-		{name: "mismatched id", respond: "HTTP/1.1 200 OK\r\nMonsoonfold-Request: other%.0s\r\nContent-Length: 5\r\n\r\nhello", want: upstream.Unknown, err: upstream.ErrMismatch, dials: 2},
+		{name: "mismatched id", respond: "HTTP/1.1 200 OK\r\nMonsoonfold-Request: other%.0s\r\nContent-Length: 50\r\n\r\nhello", stays: true, want: upstream.Unknown, err: upstream.ErrMismatch, dials: 2},
 		{name: "no id", respond: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello%.0s", want: upstream.Unknown, err: upstream.ErrMismatch, dials: 2},
 		{name: "truncated body", respond: strings.Replace(whole, "5", "50", 1), cut: true, want: upstream.Unknown, err: upstream.ErrTruncated, body: "200 hello", dials: 2},
 		{name: "truncated chunks", respond: "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", cut: true, want: upstream.Unknown, err: upstream.ErrTruncated, body: "200 hello", dials: 2},
 		{name: "stalled body", respond: strings.Replace(whole, "5", "50", 1), want: upstream.Unknown, err: upstream.ErrTruncated, body: "200 hello", dials: 2},
 		{name: "unframed body", respond: "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\n\r\nhello", cut: true, want: upstream.Unknown, err: upstream.ErrResponse, dials: 2},
-		{name: "oversized body", respond: strings.Replace(whole, "5", "99999999999", 1), want: upstream.Unknown, err: upstream.ErrOversized, dials: 2},
+		{name: "oversized body", respond: strings.Replace(whole, "5", "99999999999", 1), stays: true, want: upstream.Unknown, err: upstream.ErrOversized, dials: 2},
 		{name: "oversized header", respond: "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nX: " + strings.Repeat("x", 70<<10), want: upstream.Unknown, err: upstream.ErrOversized, dials: 2},
 		{name: "no HTTP", respond: "hello%.0s\r\n\r\n", want: upstream.Unknown, err: upstream.ErrResponse, dials: 2},
 		{name: "closed without response", respond: "%.0s", cut: true, want: upstream.Unknown, err: upstream.ErrTruncated, dials: 2},
@@ -79,7 +80,14 @@
 			var s sink
 			r := request("r1", 300*time.Millisecond)
 			r.Allow = func(time.Time) error { return tt.allow }
+			began := time.Now()
+			if tt.stays {
+				r.EndBy = began.Add(time.Minute)
+			}
 			got := p.Exchange(context.Background(), r, &s)
+			if took := time.Since(began); took > 5*time.Second {
+				t.Errorf("took %v", took)
+			}
 			if got.Outcome != tt.want || !errors.Is(got.Err, tt.err) {
 				t.Errorf("outcome %v, error %v; want %v, %v", got.Outcome, got.Err, tt.want, tt.err)
 			}
