--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -34,6 +34,7 @@
 		{Name: "monsoonfold", Targets: true, Learn: true, Control: true, Sizes: true, Save: true},
 		{Name: "two-choices", Targets: true, Learn: true, Control: true, Sizes: true, Save: true, TwoWay: true},
 		{Name: "no-model", Targets: true, Control: true, Sizes: true, Save: true},
+		{Name: "no-loop", Targets: true, Learn: true, Sizes: true, Save: true},
 		{Name: "first-fit-routed", FirstFit: true},
 		{Name: Baseline, FirstFit: true, TwoWay: true},
 	}
@@ -66,6 +67,9 @@
 	// known, if others wait. It has to be more than the tasks that make it known.
 	scouts    = 8
 	scoutTime = 45 * time.Second
+	// shiftHold is the time until reports show the load that the other zones take
+	// over: a report interval, the lag, and a margin.
+	shiftHold = 12 * time.Second
 	// outOfMemoryFactor is the growth of a task's memory after it ran out.
 	outOfMemoryFactor = 1.5
 )
@@ -149,7 +153,8 @@
 	pending   []*item
 	running   []*item // by start
 	commands  []command
-	contended bool // a task found no worker in the last step
+	shifted   time.Duration // no batch starts until reports show the load after a zone went out
+	contended bool          // a task found no worker in the last step
 }
 
 // cores blames tasks by their cores alone, for the policy without a model.
@@ -233,8 +238,11 @@
 
 // setZone takes a zone out of service or back. The tasks there are checkpointed
 // if the policy saves them; replicas are stopped, since other zones have theirs.
-func (s *scheduler) setZone(zone unit.ZoneID, out bool) {
+func (s *scheduler) setZone(now time.Duration, zone unit.ZoneID, out bool) {
 	s.out[zone] = out
+	if out {
+		s.shifted = now + shiftHold
+	}
 	for _, w := range s.sorted() {
 		if w.Zone == zone {
 			s.upsert(w)
@@ -325,7 +333,7 @@
 			it.job.failedOn = append(it.job.failedOn, id)
 		}
 	}
-	if s.policy.Targets && it.job.done == 0 && len(it.job.failedOn) >= parkWorkers && outcome == failed {
+	if s.policy.Targets && it.class.Kind == spec.KindBatch && it.job.done == 0 && len(it.job.failedOn) >= parkWorkers && outcome == failed {
 		s.drop(it.job, "parked")
 	} else if !s.policy.Targets && it.failures >= baselineAttempts {
 		it.over = true
@@ -403,12 +411,18 @@
 
 // protect runs the control loop over the running tasks.
 func (s *scheduler) protect(now time.Duration) []command {
+	ordered, tasks := s.tasks(now)
+	return s.act(ordered, s.loop.Step(origin.Add(now), tasks))
+}
+
+// tasks returns the running tasks by worker, as items and as the loop sees them.
+func (s *scheduler) tasks(now time.Duration) ([]*item, []control.Task) {
 	ordered := slices.Clone(s.running)
 	slices.SortStableFunc(ordered, func(a, b *item) int { return cmp.Compare(a.worker, b.worker) })
 	tasks := make([]control.Task, 0, len(ordered))
 	for _, it := range ordered {
 		t := control.Task{
-			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Cores: it.size.Cores, Share: it.share,
+			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Size: it.size, Share: it.share,
 			Unsaved: now - it.started, Saves: true, Standing: it.class.Kind == spec.KindStanding,
 		}
 		if !t.Standing {
@@ -418,10 +432,14 @@
 		}
 		tasks = append(tasks, t)
 	}
+	return ordered, tasks
+}
+
+func (s *scheduler) act(running []*item, actions []control.Action) []command {
 	var commands []command
-	for _, a := range s.loop.Step(origin.Add(now), tasks) {
-		i := slices.IndexFunc(ordered, func(it *item) bool { return it.ref == a.Ref })
-		it := ordered[i]
+	for _, a := range actions {
+		i := slices.IndexFunc(running, func(it *item) bool { return it.ref == a.Ref })
+		it := running[i]
 		if a.Kind == worker.ActionThrottle {
 			s.advisor.Change(it.worker, it.class.Name, 0, unit.Millicores(float64(it.size.Cores)*a.Share)-unit.Millicores(float64(it.size.Cores)*it.share))
 			it.share = a.Share
@@ -431,6 +449,23 @@
 	return commands
 }
 
+// makeRoom evicts batch tasks for a replica that found no worker in its zone.
+func (s *scheduler) makeRoom(now time.Duration, it *item) []command {
+	running, tasks := s.tasks(now)
+	var hosts []control.Host
+	for i, t := range tasks {
+		if running[i].zone != it.job.zone {
+			continue
+		}
+		if n := len(hosts); n == 0 || hosts[n-1].ID != t.Worker {
+			hosts = append(hosts, control.Host{ID: t.Worker, Free: s.indexes[it.job.zone].Free(t.Worker)})
+		}
+		h := &hosts[len(hosts)-1]
+		h.Tasks = append(h.Tasks, t)
+	}
+	return s.act(running, control.Room(origin.Add(now), control.Claim{Class: it.class.Name, Size: s.size(it), Standing: true}, hosts))
+}
+
 // start places pending tasks in order: by the time left to their target, or by
 // static weight.
 func (s *scheduler) start(now time.Duration) []command {
@@ -455,6 +490,9 @@
 		if it.ready > now {
 			continue
 		}
+		if s.policy.Control && now < s.shifted && it.class.Kind == spec.KindBatch {
+			continue
+		}
 		if contended && s.policy.Sizes && it.class.Kind == spec.KindBatch && !it.job.peak.Known() &&
 			it.job.running >= scouts && now-it.job.first < scoutTime {
 			s.contended = true
@@ -485,6 +523,14 @@
 			break
 		}
 	}
+	making := map[unit.ZoneID]bool{} // one replica in a step, whose effect is seen in the next
+	for _, it := range s.pending {
+		zone := it.job.zone
+		if s.policy.Control && it.class.Kind == spec.KindStanding && !it.running && it.ready <= now && !s.out[zone] && !making[zone] {
+			making[zone] = true
+			commands = append(commands, s.makeRoom(now, it)...)
+		}
+	}
 	s.pending = slices.DeleteFunc(s.pending, func(it *item) bool { return it.running })
 	return commands
 }
