job/control: undo throttles where no requests are served

Cause: headroom was shown only by requests, so a throttled task stayed throttled for good on a worker that serves none any more. Ruled out: a limit on the time of a throttle, which also ends those that are needed. Change: a worker without a report of requests for 20 s counts as calm. A rapid test checks that no action comes before a later window was reported or the patience is over, that replicas are not evicted, and the bounds of shares.

--- a/internal/job/control/loop.go
+++ b/internal/job/control/loop.go
@@ -103,6 +103,7 @@
 
 type place struct {
 	acted   time.Time // of the last action; zero if none
+	heard   time.Time // end of the newest report
 	fresh   bool      // a report since then has been counted
 	calm    time.Time // since when all classes have headroom; zero if they don't
 	hold    time.Duration
@@ -152,6 +153,9 @@
 	}
 	class.add(s.Until, s.Requests, s.Late, classWindow)
 	p := l.place(s.Worker)
+	if s.Until.After(p.heard) {
+		p.heard = s.Until
+	}
 	if !p.acted.IsZero() && s.From.Before(p.acted.Add(settle)) {
 		return
 	}
@@ -216,6 +220,10 @@
 		}
 		calm = calm && burn < headroom && t.requests >= minRequests
 	}
+	if now.Sub(p.heard) > patience {
+		// The worker serves no requests, so its batch tasks disturb none.
+		worstBurn, calm = 0, true
+	}
 	var actions []Action
 	switch {
 	case worstBurn > 0:
--- a/internal/job/control/loop_test.go
+++ b/internal/job/control/loop_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
@@ -58,6 +60,8 @@
 		{"urgent task is spared", []Task{urgent, noisy}, []step{{5, 10}}, []string{"5 throttle 1"}},
 		{"undone after calm", []Task{noisy}, []step{{5, 10}, {15, 0}, {20, 0}, {26, 0}},
 			[]string{"5 throttle 1", "26 throttle 1"}},
+		{"undone where no requests are served", []Task{noisy}, []step{{5, 10}, {15, 2}, {36, -1}, {47, -1}},
+			[]string{"5 throttle 1", "47 throttle 1"}},
 		{"regret doubles the hold", []Task{noisy}, []step{{5, 10}, {15, 0}, {26, 0}, {36, 10}, {46, 0}, {57, 0}, {67, 0}},
 			[]string{"5 throttle 1", "26 throttle 1", "36 throttle 1", "67 throttle 1"}},
 	}
@@ -150,3 +154,50 @@
 		l.Step(now, tasks)
 	}
 }
+
+// TestInvariants guards, over random reports and steps, against an action before
+// the last one could show, an eviction of a replica without a spare, and a share
+// outside its bounds.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l, now := New(blame{"noisy": 1, "mild": 0.1, "sync": 0.3}), time.Unix(1000, 0)
+		l.Target("quotes", spec.Target{Percentile: 99, Bound: unit.Duration(100 * time.Millisecond)})
+		tasks := []Task{
+			{Ref: ref(1), Worker: "w", Class: "noisy", Size: unit.Resources{Cores: 4000}, Share: 1, Saves: true},
+			{Ref: ref(2), Worker: "w", Class: "mild", Size: unit.Resources{Cores: 2000}, Share: 1},
+			{Ref: ref(3), Worker: "w", Class: "sync", Size: unit.Resources{Cores: 1000}, Share: 1, Saves: true, Standing: true},
+		}
+		var acted, window time.Time // the newest window reported since
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 15).Draw(t, "seconds")) * time.Second)
+			if rapid.Bool().Draw(t, "report") {
+				until := now.Add(-time.Duration(rapid.IntRange(0, 8).Draw(t, "lag")) * time.Second)
+				from := until.Add(-5 * time.Second)
+				if from.After(window) {
+					window = from
+				}
+				l.Observe(Signal{Worker: "w", Class: "quotes", From: from, Until: until, Requests: 200, Late: rapid.IntRange(0, 60).Draw(t, "late")})
+			}
+			actions := l.Step(now, tasks)
+			if len(actions) > 0 && !acted.IsZero() && now.Sub(acted) < patience && window.Before(acted.Add(settle)) {
+				t.Fatalf("acts after %s without a report of a later window: %s", now.Sub(acted), actions[0].Reason)
+			}
+			if len(actions) > 0 {
+				acted, window = now, time.Time{}
+			}
+			for _, a := range actions {
+				i := slices.IndexFunc(tasks, func(t Task) bool { return t.Ref == a.Ref })
+				switch {
+				case a.Kind != worker.ActionThrottle && tasks[i].Standing:
+					t.Fatalf("evicts a replica: %s", a.Reason)
+				case a.Kind != worker.ActionThrottle:
+					tasks = slices.Delete(tasks, i, i+1)
+				case a.Share < floorShare || a.Share > 1 || a.Share == tasks[i].Share:
+					t.Fatalf("share %.2f after %.2f", a.Share, tasks[i].Share)
+				default:
+					tasks[i].Share = a.Share
+				}
+			}
+		}
+	})
+}
