entry/assembly: assemble the whole entry

Cause: configuration, dispatch, claims, gateway and operator API have landed. Change: all services of an entry in one kernel, in the order of their calls; a graceful stop drains the gateway and hands over the shards at the same time.

--- a/internal/entry/assembly/assembly.go
+++ b/internal/entry/assembly/assembly.go
@@ -10,17 +10,29 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/api"
+	"github.com/monsoonfold/monsoonfold/internal/desk/health"
 	"github.com/monsoonfold/monsoonfold/internal/entry/settings"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/membership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/dispatch"
+	"github.com/monsoonfold/monsoonfold/internal/job/placement"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/order/claim"
+	"github.com/monsoonfold/monsoonfold/internal/order/gateway"
+	"github.com/monsoonfold/monsoonfold/internal/order/slot"
 	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
 	"github.com/monsoonfold/monsoonfold/internal/peer/link"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	"github.com/monsoonfold/monsoonfold/internal/target/config"
 )
 
 // Times of an entry.
@@ -37,6 +49,8 @@
 	settings settings.Settings
 	kernel   *registry.Kernel
 	peers    *link.Service
+	gateway  *gateway.Gateway
+	dispatch *dispatch.Service
 }
 
 // Run runs an entry until the context ends, then stops it gracefully. It calls
@@ -67,14 +81,30 @@
 		return nil, err
 	}
 	e := &Entry{settings: s, kernel: registry.New()}
-	e.peers = link.New(log.WithName("peers"), link.Options{Address: s.Listen.Peers, Credentials: credentials, Seed: seedOf(id)})
+	e.peers = link.New(log.WithName("peers"), link.Options{
+		Address: s.Listen.Peers, Credentials: credentials, Seed: xxhash.Sum64String(string(id)),
+	})
+	e.gateway = gateway.New(log.WithName("gateway"), gateway.Settings{
+		Address: s.Listen.Callers, Notice: s.Drain.Std(), Rules: slot.DefaultRules(),
+	})
+	e.dispatch = dispatch.NewService(log.WithName("dispatch"), dispatchOptions(s))
 	self := roster.Entry{ID: id, Zone: s.Zone, Address: s.Listen.Peers}
+	// A service comes after those that it calls, so that they outlive it.
 	services := []registry.Service{
 		store.NewService(s.Store),
 		membership.New(log.WithName("membership"), self),
 		e.peers,
 		journal.NewService(time.Now()),
+		config.New(log.WithName("config")),
 		listing.New(log.WithName("fleet")),
+		burn.NewService(),
+		claim.New(),
+		e.dispatch,
+		e.gateway,
+		api.New(log.WithName("api"), api.Options{
+			Address: s.Listen.Operators, Credentials: credentials, File: s.Tokens,
+		}),
+		health.New(s.Listen.Metrics),
 	}
 	for _, service := range services {
 		if err := e.kernel.Register(service); err != nil {
@@ -84,6 +114,20 @@
 	return e, nil
 }
 
+func dispatchOptions(s settings.Settings) dispatch.Options {
+	regions := map[unit.ZoneID]shard.Region{}
+	for zone, region := range s.Regions {
+		regions[zone] = shard.Region(region)
+	}
+	return dispatch.Options{
+		Buckets: uint16(s.Buckets),
+		Regions: regions,
+		Connect: func(address string) dispatch.Client { return worker.NewClient(address) },
+		Placer:  func(unit.ShardID) dispatch.Placer { return placement.New(nil) },
+		Now:     time.Now,
+	}
+}
+
 // Start starts all services. If one fails, nothing is left running.
 func (e *Entry) Start(ctx context.Context) error {
 	// The peer link listens before the entry registers itself, so that a port
@@ -99,11 +143,16 @@
 	return nil
 }
 
-// Stop stops the entry gracefully.
+// Stop stops the entry gracefully: the gateway stops taking requests and ends
+// those in flight while the shards go to other entries, then all services stop.
 func (e *Entry) Stop() error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Drain.Std()+stopTimeout)
 	defer cancel()
-	if err := e.kernel.Stop(ctx); err != nil {
+	var drains errgroup.Group
+	drains.Go(func() error { e.gateway.Drain(ctx); return nil })
+	drains.Go(func() error { return e.dispatch.Drain(ctx) })
+	drained := drains.Wait()
+	if err := errors.Join(drained, e.kernel.Stop(ctx)); err != nil {
 		return errors.Errorf("stop entry: %w", err)
 	}
 	return nil
@@ -118,7 +167,3 @@
 	}
 	return unit.EntryID(name + "-" + hex.EncodeToString(suffix)), nil
 }
-
-// seedOf returns a seed for the random parts of pauses, which must differ
-// between entries.
-func seedOf(id unit.EntryID) uint64 { return xxhash.Sum64String(string(id)) }
