--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -18,6 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
@@ -250,7 +251,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			header := map[string]string{"Authorization": "Bearer " + tt.token}
 			if tt.header != "" {
-				header[operationHeader] = tt.header
+				header[answer.OperationHeader] = tt.header
 				header["If-Match"] = `"7"`
 			}
 			s.service.SetOperators(nil) // fresh limiters
@@ -259,7 +260,7 @@
 			if status != tt.status || !strings.Contains(body, tt.want) {
 				t.Errorf("%d %s; want %d with %s", status, body, tt.status, tt.want)
 			}
-			var fault struct{ Error *Fault }
+			var fault answer.Failure
 			if err := json.Unmarshal([]byte(body), &fault); err != nil {
 				t.Errorf("answer is no JSON: %v", err)
 			}
--- a/internal/desk/api/fault.go
+++ b/internal/desk/api/fault.go
@@ -6,60 +6,66 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/document"
 )
 
-// Fault is the body of an answer that is not a success.
-type Fault struct {
-	Code    string           `json:"code"`
-	Message string           `json:"message"`
-	Next    string           `json:"next"` // what the operator can do
-	Faults  []document.Fault `json:"faults,omitempty"`
-	status  int
+// fault is an answer that is not a success, with its status.
+type fault struct {
+	answer.Fault
+	status int
+}
+
+func newFault(status int, code, message, next string) fault {
+	return fault{answer.Fault{Code: code, Message: message, Next: next}, status}
 }
 
 // Faults that need no further text.
 var (
-	faultPath   = Fault{Code: "path", Message: "no such path", Next: "check the path; docs/api.md lists them", status: http.StatusNotFound}
-	faultMethod = Fault{Code: "method", Message: "method not allowed here", Next: "check the method; docs/api.md lists them", status: http.StatusMethodNotAllowed}
-	faultAccess = Fault{Code: "access", Message: "no valid bearer token or client certificate", Next: "send the header Authorization: Bearer <token>", status: http.StatusUnauthorized}
-	faultRole   = Fault{Code: "role", Message: "a reader may not change anything", Next: "use a token with the role operator", status: http.StatusForbidden}
-	faultRate   = Fault{Code: "rate", Message: "too many calls", Next: "wait a second and repeat the call", status: http.StatusTooManyRequests}
-	faultBase   = Fault{Code: "base", Message: `header If-Match with the base revision, such as "7", is missing or malformed`,
-		Next: "read the target, edit that revision and send its number", status: http.StatusPreconditionRequired}
-	faultSize = Fault{Code: "size", Message: "body too large", Next: "send a smaller body", status: http.StatusRequestEntityTooLarge}
+	faultPath = newFault(http.StatusNotFound, "path",
+		"no such path", "check the path; docs/api.md lists them")
+	faultMethod = newFault(http.StatusMethodNotAllowed, "method",
+		"method not allowed here", "check the method; docs/api.md lists them")
+	faultAccess = newFault(http.StatusUnauthorized, "access",
+		"no valid bearer token or client certificate", "send the header Authorization: Bearer <token>")
+	faultRole = newFault(http.StatusForbidden, "role",
+		"a reader may not change anything", "use a token with the role operator")
+	faultRate = newFault(http.StatusTooManyRequests, "rate",
+		"too many calls", "wait a second and repeat the call")
+	faultBase = newFault(http.StatusPreconditionRequired, "base",
+		`header If-Match with the base revision, such as "7", is missing or malformed`,
+		"read the target, edit that revision and send its number")
+	faultSize = newFault(http.StatusRequestEntityTooLarge, "size",
+		"body too large", "send a smaller body")
 )
 
 // faultOf returns the answer to an error of a service.
-func faultOf(err error) Fault {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+func faultOf(err error) fault {
+	if _, tooLarge := errors.Into[*http.MaxBytesError](err); tooLarge {
 		return faultSize
 	}
-	f := Fault{Message: err.Error()}
+	if faults, ok := errors.Into[*document.Faults](err); ok {
+		f := newFault(http.StatusUnprocessableEntity, "document", err.Error(), "correct all faults and repeat the call")
+		f.Faults = faults.Faults
+		return f
+	}
 	switch {
 	case errors.Is(err, change.ErrZone), errors.Is(err, store.ErrNotFound):
-		f.Code, f.status, f.Next = "missing", http.StatusNotFound, "list what there is"
+		return newFault(http.StatusNotFound, "missing", err.Error(), "list what there is")
 	case errors.Is(err, store.ErrUnknown):
-		f.Code, f.status, f.Next = "unknown", http.StatusGatewayTimeout, "the call may have taken effect; repeat it with the same id"
+		return newFault(http.StatusGatewayTimeout, "unknown", err.Error(),
+			"the call may have taken effect; repeat it with the same id")
 	case errors.Is(err, store.ErrUnavailable):
-		f.Code, f.status, f.Next = "store", http.StatusServiceUnavailable, "the call had no effect; repeat it when the store is back"
+		return newFault(http.StatusServiceUnavailable, "store", err.Error(),
+			"the call had no effect; repeat it when the store is back")
 	default:
-		f.Code, f.status, f.Next = "rejected", http.StatusUnprocessableEntity, "correct the request and repeat it"
+		return newFault(http.StatusUnprocessableEntity, "rejected", err.Error(), "correct the request and repeat it")
 	}
-	if faults, ok := errors.Into[*document.Faults](err); ok {
-		f.Code, f.Faults, f.Next = "document", faults.Faults, "correct all faults and repeat the call"
-	}
-	return f
 }
 
-func fail(w http.ResponseWriter, f Fault) {
-	respond(w, f.status, struct {
-		Error Fault `json:"error"`
-	}{f})
-}
+func fail(w http.ResponseWriter, f fault) { respond(w, f.status, answer.Failure{Error: &f.Fault}) }
 
 func respond(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/desk/api/jobs.go
+++ b/internal/desk/api/jobs.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 )
 
@@ -47,9 +47,7 @@
 		fail(w, faultOf(err))
 		return
 	}
-	respond(w, http.StatusOK, struct {
-		ID unit.JobID `json:"id"`
-	}{id})
+	respond(w, http.StatusOK, answer.Cancelled{ID: id})
 }
 
 func (s *Service) handleJob(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +65,5 @@
 		fail(w, faultOf(err))
 		return
 	}
-	respond(w, http.StatusOK, struct {
-		Jobs []ledger.Record `json:"jobs"`
-	}{records})
+	respond(w, http.StatusOK, answer.Jobs{Jobs: records})
 }
--- a/internal/desk/api/report.go
+++ b/internal/desk/api/report.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
@@ -20,40 +21,16 @@
 // askTimeout bounds the wait for the journals of the peers.
 const askTimeout = 2 * time.Second
 
-// Explanation is what the entries know about a subject.
-type Explanation struct {
-	Subject journal.Subject `json:"subject"`
-	Entries []EntryEvents   `json:"entries"`
-}
-
-// EntryEvents is what one entry knows about a subject.
-type EntryEvents struct {
-	Entry  unit.EntryID    `json:"entry"`
-	Since  time.Time       `json:"since"` // from when the entry has data
-	Events []journal.Event `json:"events"`
-	Error  string          `json:"error,omitempty"` // why nothing is known from this entry
-}
-
-// Status is the state of one entry.
-type Status struct {
-	Entry         unit.EntryID   `json:"entry"`
-	View          []roster.Entry `json:"view"`
-	Configuration unit.Revision  `json:"configuration"`
-	Author        unit.Operator  `json:"author"`
-	Registered    bool           `json:"registered"`
-	Starts        bool           `json:"starts"` // may start tasks
-	Serves        bool           `json:"serves"` // may serve requests
-}
-
 func (s *Service) handleBurn(w http.ResponseWriter, _ *http.Request) {
 	respond(w, http.StatusOK, s.budgets.Report(time.Now()))
 }
 
 func (s *Service) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	now, current := time.Now(), s.config.Current()
-	respond(w, http.StatusOK, Status{
+	now, current, view := time.Now(), s.config.Current(), s.members.View()
+	respond(w, http.StatusOK, answer.Status{
 		Entry:         s.members.Self(),
-		View:          s.members.View().Entries,
+		View:          view.Entries,
+		Lost:          view.Lost,
 		Configuration: current.Number,
 		Author:        current.Author,
 		Registered:    now.Before(s.members.ValidUntil()),
@@ -75,32 +52,32 @@
 	defer cancel()
 	self := s.members.Self()
 	entries := s.members.View().Entries
-	found := make([]EntryEvents, len(entries))
+	found := make([]answer.EntryEvents, len(entries))
 	var wg sync.WaitGroup
 	for i, e := range entries {
 		if e.ID == self {
-			found[i] = EntryEvents{Entry: self, Since: s.recorder.Since(), Events: s.recorder.Explain(subject)}
+			found[i] = answer.EntryEvents{Entry: self, Since: s.recorder.Since(), Events: s.recorder.Explain(subject)}
 			continue
 		}
 		wg.Go(func() { found[i] = s.ask(ctx, e.ID, subject) })
 	}
 	wg.Wait()
 	if !slices.ContainsFunc(entries, func(e roster.Entry) bool { return e.ID == self }) {
-		found = append(found, EntryEvents{Entry: self, Since: s.recorder.Since(), Events: s.recorder.Explain(subject)})
+		found = append(found, answer.EntryEvents{Entry: self, Since: s.recorder.Since(), Events: s.recorder.Explain(subject)})
 	}
-	respond(w, http.StatusOK, Explanation{Subject: subject, Entries: found})
+	respond(w, http.StatusOK, answer.Explanation{Subject: subject, Entries: found})
 }
 
-func (s *Service) ask(ctx context.Context, peer unit.EntryID, subject journal.Subject) EntryEvents {
+func (s *Service) ask(ctx context.Context, peer unit.EntryID, subject journal.Subject) answer.EntryEvents {
 	reply, err := s.peers.Call(ctx, peer, message.Ask{Subject: subject})
 	if err != nil {
-		return EntryEvents{Entry: peer, Error: err.Error()}
+		return answer.EntryEvents{Entry: peer, Error: err.Error()}
 	}
 	a, ok := reply.(message.Answer)
 	if !ok {
-		return EntryEvents{Entry: peer, Error: "answered by " + reply.Kind().String()}
+		return answer.EntryEvents{Entry: peer, Error: "answered by " + reply.Kind().String()}
 	}
-	return EntryEvents{Entry: peer, Since: a.Since, Events: a.Events}
+	return answer.EntryEvents{Entry: peer, Since: a.Since, Events: a.Events}
 }
 
 func (s *Service) handleAsk(_ context.Context, _ unit.EntryID, m message.Message) (message.Message, error) {
--- a/internal/desk/api/target.go
+++ b/internal/desk/api/target.go
@@ -9,15 +9,12 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
-// operationHeader has the operation id of a change. An operator who repeats a
-// change whose answer was lost sends the same one.
-const operationHeader = "Monsoonfold-Operation"
-
 const (
 	defaultHistory = 20
 	maxHistory     = 200
@@ -66,10 +63,7 @@
 
 func (s *Service) handleZones(w http.ResponseWriter, _ *http.Request) {
 	r := s.config.Current()
-	respond(w, http.StatusOK, struct {
-		Revision unit.Revision `json:"revision"`
-		Zones    []spec.Zone   `json:"zones"`
-	}{r.Number, r.Document.Zones})
+	respond(w, http.StatusOK, answer.Zones{Revision: r.Number, Zones: r.Document.Zones})
 }
 
 func (s *Service) handleHistory(w http.ResponseWriter, r *http.Request) {
@@ -83,9 +77,7 @@
 		fail(w, faultOf(err))
 		return
 	}
-	respond(w, http.StatusOK, struct {
-		Revisions []spec.Revision `json:"revisions"`
-	}{revisions})
+	respond(w, http.StatusOK, answer.History{Revisions: revisions})
 }
 
 // handleChangeStatus tells about a change whose outcome was pending or unknown.
@@ -117,47 +109,40 @@
 	respond(w, http.StatusOK, result)
 }
 
-// Answer is the body of the answer to a change.
-type Answer struct {
-	change.Result
-	Operation unit.OperationID `json:"operation"`
-	Error     *Fault           `json:"error,omitempty"`
-}
-
 // answerChange tells the outcome of a change. Only an accepted one is a plain
 // success; the others say what to do next.
 func (s *Service) answerChange(w http.ResponseWriter, r *http.Request, operation unit.OperationID, result change.Result, err error) {
-	w.Header().Set(operationHeader, string(operation))
+	w.Header().Set(answer.OperationHeader, string(operation))
 	s.log.Info("operator change", "operator", operatorOf(r).Name, "method", r.Method, "path", r.URL.Path,
 		"operation", operation, "outcome", result.Outcome, "revision", result.Revision.Number, "error", err)
 	if err != nil {
 		fail(w, faultOf(err))
 		return
 	}
-	answer := Answer{Result: result, Operation: operation}
+	body := answer.Change{Result: result, Operation: operation}
 	status := http.StatusOK
 	switch result.Outcome {
 	case change.Accepted:
 	case change.Pending:
 		status = http.StatusAccepted
-		answer.Error = &Fault{Code: "pending", Message: "written, and not yet known to be in effect everywhere",
+		body.Error = &answer.Fault{Code: "pending", Message: "written, and not yet known to be in effect everywhere",
 			Next: "ask GET /v1/target/status?revision=" + strconv.FormatUint(uint64(result.Revision.Number), 10)}
 	case change.Unknown:
 		status = http.StatusGatewayTimeout
-		answer.Error = &Fault{Code: "unknown", Message: "the store's answer was lost; the change may have been written",
-			Next: "repeat the call with the header " + operationHeader + ": " + string(operation)}
+		body.Error = &answer.Fault{Code: "unknown", Message: "the store's answer was lost; the change may have been written",
+			Next: "repeat the call with the header " + answer.OperationHeader + ": " + string(operation)}
 	case change.Conflict:
 		status = http.StatusPreconditionFailed
-		answer.Error = &Fault{Code: "conflict",
+		body.Error = &answer.Fault{Code: "conflict",
 			Message: "revision " + strconv.FormatUint(uint64(result.Revision.Number), 10) + " by " + string(result.Revision.Author) + " came first",
 			Next:    "compare with that revision and send the change with it as the base"}
 	}
-	respond(w, status, answer)
+	respond(w, status, body)
 }
 
 // operationOf returns the operation id of a request, or a new one.
 func operationOf(r *http.Request) unit.OperationID {
-	if id := r.Header.Get(operationHeader); id != "" {
+	if id := r.Header.Get(answer.OperationHeader); id != "" {
 		return unit.OperationID(id)
 	}
 	return unit.OperationID(rand.Text())
@@ -173,7 +158,7 @@
 	return v, err == nil
 }
 
-func faultQuery(name string) Fault {
-	return Fault{Code: "query", Message: "query parameter " + name + " is missing or malformed",
-		Next: "correct the parameter and repeat the call", status: http.StatusBadRequest}
+func faultQuery(name string) fault {
+	return newFault(http.StatusBadRequest, "query",
+		"query parameter "+name+" is missing or malformed", "correct the parameter and repeat the call")
 }
