desk/command: add the operators' commands, trial keys and the demo

Cause: an operator needs a command line, and a newcomer one command that shows the main job. Ruled out: printing a scripted report; the demo's report comes from what the callers received and the workers recorded, and it fails if an invariant is violated. Change: target, zone, job, burn, explain, status, keys and demo.

--- a/internal/desk/command/command.go
+++ b/internal/desk/command/command.go
@@ -8,6 +8,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
 )
 
 // Code is the exit code of a command.
@@ -65,16 +67,41 @@
 	return CodeUsage
 }
 
-// attachAll adds every command to the parser and returns those that run, the
-// most specific ones first.
+// group is a set of commands behind one word, such as target show.
+type group struct {
+	name        string
+	description string
+	commands    []func() action
+}
+
+// attachAll adds every command to the parser and returns those that run.
 func attachAll(p *flaggy.Parser) []action {
-	commands := []func() action{newEntry, newCheck}
+	single := []func() action{
+		newEntry, newDemo, newCheck, newKeys, newStatus, newBurn, newExplain,
+	}
+	groups := []group{
+		{"target", "the target document", []func() action{
+			newTargetShow, newTargetDiff, newTargetApply, newTargetHistory, newTargetStatus,
+		}},
+		{"zone", "availability zones", []func() action{newZoneList, newZoneOut, newZoneIn}},
+		{"job", "jobs", []func() action{newJobSubmit, newJobList, newJobShow, newJobCancel}},
+	}
 	var actions []action
-	for _, build := range commands {
+	for _, build := range single {
 		a := build()
 		p.AttachSubcommand(a.sub, 1)
 		actions = append(actions, a)
 	}
+	for _, g := range groups {
+		parent := flaggy.NewSubcommand(g.name)
+		parent.Description = g.description
+		for _, build := range g.commands {
+			a := build()
+			parent.AttachSubcommand(a.sub, 1)
+			actions = append(actions, a)
+		}
+		p.AttachSubcommand(parent, 1)
+	}
 	return actions
 }
 
@@ -93,5 +120,8 @@
 	if f, ok := errors.Into[*failure](err); ok {
 		return f.code
 	}
+	if f, ok := errors.Into[*answer.Fault](err); ok {
+		fmt.Fprintf(s.Err, "next: %s\n", f.Next)
+	}
 	return CodeFailed
 }
--- /dev/null
+++ b/internal/desk/command/explain.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+)
+
+// newExplain builds the command that tells what happened and why.
+func newExplain() action {
+	sub := newSubcommand("explain", "tell what happened to a subject, when and why", "monsoonfold explain zone guj-hazira")
+	var c connection
+	var kind, id string
+	c.attach(sub)
+	sub.AddPositionalValue(&kind, "kind", 1, true, "task, job, request, worker, zone, class or shard")
+	sub.AddPositionalValue(&id, "id", 2, true, "its id; of a task job/index")
+	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
+		dialed, err := c.dial()
+		if err != nil {
+			return err
+		}
+		defer dialed.Close()
+		e, err := dialed.Explain(ctx, journal.Subject{Kind: journal.Kind(kind), ID: id})
+		if err != nil {
+			return called(err)
+		}
+		if c.output == "json" {
+			return printJSON(s.Out, e)
+		}
+		printExplanation(s, e)
+		return nil
+	}}
+}
+
+// printExplanation merges the events of all entries by time and says what each
+// entry cannot know.
+func printExplanation(s Streams, e answer.Explanation) {
+	var events []journal.Event
+	for _, from := range e.Entries {
+		events = append(events, from.Events...)
+	}
+	slices.SortStableFunc(events, func(a, b journal.Event) int { return a.Time.Compare(b.Time) })
+	for _, event := range events {
+		fmt.Fprintf(s.Out, "%s  %s\n", event.Time.UTC().Format(time.RFC3339), event.What)
+		if event.Why != "" {
+			fmt.Fprintf(s.Out, "    because %s\n", event.Why)
+		}
+	}
+	if len(events) == 0 {
+		fmt.Fprintf(s.Out, "nothing is known about %s %s\n", e.Subject.Kind, e.Subject.ID)
+	}
+	for _, from := range e.Entries {
+		if from.Error != "" {
+			fmt.Fprintf(s.Out, "%s did not answer: %s\n", from.Entry, from.Error)
+			continue
+		}
+		fmt.Fprintf(s.Out, "%s knows what happened since %s\n", from.Entry, from.Since.UTC().Format(time.RFC3339))
+	}
+}
--- /dev/null
+++ b/internal/desk/command/joblist.go
@@ -0,0 +1,65 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+)
+
+// newJobList builds the command that lists the jobs.
+func newJobList() action {
+	sub := newSubcommand("list", "list jobs", "monsoonfold job list")
+	var c connection
+	c.attach(sub)
+	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
+		dialed, err := c.dial()
+		if err != nil {
+			return err
+		}
+		defer dialed.Close()
+		records, err := dialed.Jobs(ctx)
+		if err != nil {
+			return called(err)
+		}
+		if c.output == "json" {
+			return printJSON(s.Out, records)
+		}
+		var rows []string
+		for _, r := range records {
+			rows = append(rows, jobRow(r))
+		}
+		return printTable(s.Out, jobHeader, rows)
+	}}
+}
+
+const jobHeader = "JOB\tCLASS\tTEAM\tTASKS\tDONE\tFAILED\tCANCELLED\tSTATE"
+
+func jobRow(r ledger.Record) string {
+	var done, failed, cancelled uint32
+	for _, p := range r.Parts {
+		if p.End != nil {
+			done += uint32(p.End.Done)
+			failed += uint32(p.End.Failed)
+			cancelled += uint32(p.End.Cancelled)
+		}
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s",
+		r.Job.ID, r.Job.Class, r.Job.Team, r.Job.Tasks, done, failed, cancelled, jobState(r))
+}
+
+// jobState returns the state of a job in one word, or why it is parked.
+func jobState(r ledger.Record) string {
+	if r.Ended() {
+		return "ended"
+	}
+	if r.Cancelled {
+		return "cancelling"
+	}
+	for _, p := range r.Parts {
+		if p.Parked != "" {
+			return "parked: " + p.Parked
+		}
+	}
+	return "active"
+}
--- /dev/null
+++ b/internal/desk/command/status.go
@@ -0,0 +1,37 @@
+package command
+
+import (
+	"context"
+	"fmt"
+)
+
+// newStatus builds the command that shows the state of an entry and its view.
+func newStatus() action {
+	sub := newSubcommand("status", "show the state of an entry and which others it sees", "monsoonfold status")
+	var c connection
+	c.attach(sub)
+	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
+		dialed, err := c.dial()
+		if err != nil {
+			return err
+		}
+		defer dialed.Close()
+		status, err := dialed.Status(ctx)
+		if err != nil {
+			return called(err)
+		}
+		if c.output == "json" {
+			return printJSON(s.Out, status)
+		}
+		fmt.Fprintf(s.Out, "entry %s: configuration %d by %s, registered %t, starts tasks %t, serves requests %t\n",
+			status.Entry, status.Configuration, status.Author, status.Registered, status.Starts, status.Serves)
+		var rows []string
+		for _, e := range status.View {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s", e.ID, e.Zone, e.Address))
+		}
+		for _, id := range status.Lost {
+			rows = append(rows, string(id)+"\t\tlost")
+		}
+		return printTable(s.Out, "ENTRY\tZONE\tADDRESS", rows)
+	}}
+}
--- /dev/null
+++ b/internal/desk/command/targetapply.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/target/change"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// newTargetApply builds the command that puts a target file into effect.
+func newTargetApply() action {
+	sub := newSubcommand("apply", "put a target file into effect", "monsoonfold target apply targets.json --base 7")
+	var c connection
+	var file, operation string
+	var base uint64
+	c.attach(sub)
+	sub.AddPositionalValue(&file, "file", 1, true, "target file")
+	sub.UInt64(&base, "b", "base", "revision that the file was edited from; default the one in effect")
+	sub.String(&operation, "", "operation", "operation id of an earlier try whose outcome is unknown")
+	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
+		document, err := loadTarget(file)
+		if err != nil {
+			return invalid(err)
+		}
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Errorf("read target file: %w", err)
+		}
+		dialed, err := c.dial()
+		if err != nil {
+			return err
+		}
+		defer dialed.Close()
+		if base == 0 {
+			r, err := dialed.Target(ctx)
+			if err != nil {
+				return called(err)
+			}
+			base = uint64(r.Number)
+		}
+		result, err := dialed.Apply(ctx, unit.Revision(base), unit.OperationID(operation), text)
+		if err != nil {
+			return called(err)
+		}
+		if result.Outcome == change.Conflict && c.output != "json" {
+			showConflict(s, &result.Revision, &document)
+		}
+		return printChange(s, c.output, result)
+	}}
+}
+
+// showConflict prints how the file differs from what came first.
+func showConflict(s Streams, current *spec.Revision, document *spec.Document) {
+	fmt.Fprintf(s.Out, "from revision %d by %s to your file:\n", current.Number, current.Author)
+	printDiff(s, &current.Document, document)
+}
--- /dev/null
+++ b/internal/desk/keys/keys.go
@@ -0,0 +1,65 @@
+// Package keys makes the keys of a trial: the demo, tests, and a first look. A
+// deployment takes keys of its own authority.
+package keys
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/api"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
+)
+
+// Names of the files.
+const (
+	AuthorityFile   = "ca.pem"
+	CertificateFile = "entry.pem"
+	KeyFile         = "entry.key"
+	TokensFile      = "tokens.json" // for entries: hashes of the operators' tokens
+	TokenFile       = "token"       // for the operator
+)
+
+// Write makes an authority, one certificate for entries at the addresses and a
+// token of one operator, and writes them to the folder.
+func Write(folder string, operator unit.Operator, ips []net.IP) error {
+	authority, err := credential.NewAuthority()
+	if err != nil {
+		return errors.Errorf("make authority: %w", err)
+	}
+	pair, err := authority.Entry(ips...)
+	if err != nil {
+		return errors.Errorf("make certificate: %w", err)
+	}
+	token := rand.Text()
+	tokens, err := json.MarshalIndent(struct {
+		Operators []api.Operator `json:"operators"`
+	}{[]api.Operator{{Name: operator, Role: api.RoleOperator, Token: api.HashToken(token)}}}, "", "  ")
+	if err != nil {
+		return errors.Errorf("encode operators: %w", err)
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return errors.Errorf("make folder: %w", err)
+	}
+	files := []struct {
+		name string
+		data []byte
+	}{
+		{AuthorityFile, pair.Authority},
+		{CertificateFile, pair.Certificate},
+		{KeyFile, pair.Key},
+		{TokensFile, tokens},
+		{TokenFile, []byte(token + "\n")},
+	}
+	for _, f := range files {
+		if err := os.WriteFile(filepath.Join(folder, f.name), f.data, 0o600); err != nil {
+			return errors.Errorf("write key: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/entry/assembly/assembly.go
+++ b/internal/entry/assembly/assembly.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"expvar"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,6 +70,7 @@
 	if err := e.Start(ctx); err != nil {
 		return err
 	}
+	expvar.Publish("gateway", e.gateway.Counters()) // once for each process
 	ready(e)
 	ended := e.kernel.Wait(ctx)
 	return errors.Join(ended, e.Stop())
@@ -143,6 +145,9 @@
 	return nil
 }
 
+// Ready reports whether the entry takes requests of callers.
+func (e *Entry) Ready() bool { return e.gateway.Ready() }
+
 // Stop stops the entry gracefully: the gateway stops taking requests and ends
 // those in flight while the shards go to other entries, then all services stop.
 func (e *Entry) Stop() error {
