job/dispatch: the model delivers every job change and delays starts around their deadlines

Cause: trials without not-after, with another boot's starts, and with stale job records passed the state machine test: such cases were too rare in the model.

Change: the model's watch delivers every version in order, half of the slow messages take up to 6 s, and two actions have starts under way while zones go out or all workers restart. Tests run in parallel; leaks are checked once at the end.

--- a/internal/job/dispatch/core_test.go
+++ b/internal/job/dispatch/core_test.go
@@ -21,6 +21,7 @@
 // doubled messages, pauses, restarts, partitions, store outages and changes of
 // owner. After the faults end, all work must end too.
 func TestInvariants(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t, rapid.Uint64().Draw(t, "seed"))
 		s.drop = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
@@ -40,6 +41,15 @@
 				s.store.publish()
 			}
 		}
+		start := func(t *rapid.T) {
+			clear(s.store.out)
+			s.store.publish()
+			s.advance(2 * time.Second)
+			s.submit(queue.Job{
+				Class: "batch", Tasks: 9, Size: unit.Resources{Cores: 500}, Work: unit.Duration(20 * time.Second),
+			}, false)
+			s.advance(time.Duration(rapid.IntRange(1000, 2500).Draw(t, "ms")) * time.Millisecond)
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"wait":       wait,
 			"wait again": wait,
@@ -65,8 +75,8 @@
 			"cancel": func(t *rapid.T) {
 				id := unit.JobID(fmt.Sprint("j", rapid.IntRange(2, 20).Draw(t, "job")))
 				if j, ok := s.store.jobs[id]; ok {
-					j.Record.Cancelled, j.Revision = true, s.store.next()
-					s.store.jobs[id] = j
+					j.Record.Cancelled = true
+					s.store.putJob(j.Record)
 				}
 			},
 			"zone": func(t *rapid.T) {
@@ -78,20 +88,21 @@
 					takeOut(z)
 				}
 			},
-			// Starts that are under way when a zone goes out are rare otherwise.
+			// Starts that are under way when something happens are rare otherwise.
 			"starts, then zone out": func(t *rapid.T) {
-				clear(s.store.out)
-				s.store.publish()
-				s.advance(2 * time.Second)
-				s.submit(queue.Job{
-					Class: "batch", Tasks: 9, Size: unit.Resources{Cores: 500}, Work: unit.Duration(20 * time.Second),
-				}, false)
-				s.advance(time.Duration(rapid.IntRange(1000, 2500).Draw(t, "ms")) * time.Millisecond)
+				start(t)
 				for _, z := range simZones {
 					takeOut(z)
 				}
 				s.advance(12 * time.Second)
 			},
+			"starts, then restarts": func(t *rapid.T) {
+				start(t)
+				for _, w := range s.workers {
+					w.boot(0)
+				}
+				s.advance(12 * time.Second)
+			},
 			"pause": func(t *rapid.T) { entry.Draw(t, "which").paused = true },
 			"resume": func(t *rapid.T) {
 				if e := entry.Draw(t, "which"); e.paused {
--- a/internal/job/dispatch/service_test.go
+++ b/internal/job/dispatch/service_test.go
@@ -26,6 +26,9 @@
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
+// TestMain guards against goroutines that outlive the service.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // fixedConfig is a configuration that is always confirmed. Tests change its
 // document.
 type fixedConfig struct {
@@ -83,7 +86,7 @@
 }
 
 func newSite(t *testing.T) *site {
-	t.Cleanup(func() { goleak.VerifyNone(t) })
+	t.Parallel()
 	s := &site{t: t}
 	var instances []store.Instance
 	for n := range 6 {
--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -198,8 +198,9 @@
 func (s *sim) chance(p float64) bool { return s.rng.Float64() < p }
 
 func (s *sim) delay() time.Duration {
-	if s.chance(s.slow) {
-		return time.Duration(s.rng.Int64N(int64(30 * time.Second)))
+	if s.chance(s.slow) { // around the deadlines of starts as often as beyond leases
+		longest := []time.Duration{6 * time.Second, 30 * time.Second}[s.rng.IntN(2)]
+		return time.Duration(s.rng.Int64N(int64(longest)))
 	}
 	return time.Duration(s.rng.Int64N(int64(5 * time.Millisecond)))
 }
@@ -250,6 +251,7 @@
 	shards   map[unit.ShardID]shard.Held
 	ledgers  map[unit.ShardID]simRecord
 	jobs     map[unit.JobID]JobChanged
+	watch    []JobChanged // all writes of jobs in order
 	out      map[unit.ZoneID]time.Duration // since when
 	document *spec.Document
 }
@@ -269,6 +271,12 @@
 	return s.revision
 }
 
+func (s *simStore) putJob(r ledger.Record) {
+	j := JobChanged{Job: r.Job.ID, Record: r, Revision: s.next()}
+	s.jobs[j.Job] = j
+	s.watch = append(s.watch, j)
+}
+
 func (s *simStore) expire(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(s.leases)) {
 		if s.leases[id] > now {
@@ -475,9 +483,9 @@
 		for _, id := range slices.Sorted(maps.Keys(st.entries)) {
 			l.view.Entries = append(l.view.Entries, shard.Entry{ID: id, Zone: st.entries[id].zone})
 		}
-		for _, id := range slices.Sorted(maps.Keys(st.jobs)) {
-			if st.jobs[id].Revision > seen {
-				l.jobs = append(l.jobs, st.jobs[id])
+		for _, j := range st.watch {
+			if j.Revision > seen {
+				l.jobs = append(l.jobs, j)
 			}
 		}
 		return l
@@ -661,7 +669,7 @@
 			if st.jobs[a.Job].Revision != a.Revision {
 				return FaultConflict
 			}
-			st.jobs[a.Job] = JobChanged{Job: a.Job, Record: a.Record, Revision: st.next()}
+			st.putJob(a.Record)
 			return st.revision
 		}, func(v any, f Fault) {
 			rev, _ := v.(unit.Revision)
@@ -946,5 +954,5 @@
 			r.Parts = append(r.Parts, ledger.Part{Shard: id, First: at, Count: count})
 		}
 	}
-	s.store.jobs[j.ID] = JobChanged{Job: j.ID, Record: r, Revision: s.store.next()}
+	s.store.putJob(r)
 }
