--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -251,7 +251,7 @@
 	shards   map[unit.ShardID]shard.Held
 	ledgers  map[unit.ShardID]simRecord
 	jobs     map[unit.JobID]JobChanged
-	watch    []JobChanged // all writes of jobs in order
+	watch    []JobChanged                  // all writes of jobs in order
 	out      map[unit.ZoneID]time.Duration // since when
 	document *spec.Document
 }
