--- a/internal/job/dispatch/core_test.go
+++ b/internal/job/dispatch/core_test.go
@@ -58,6 +58,34 @@
 					s.advance(lease.Bound + time.Minute)
 				}
 			},
+			// The case that the renewal bound is for: the owner reaches its workers but
+			// not the store, and its successors reach the store but not the workers.
+			// Successors may also hand over among themselves.
+			"owner cut off": func(t *rapid.T) {
+				z := rapid.SampledFrom(simZones).Draw(t, "zone")
+				clear(s.cut)
+				for _, e := range s.entries {
+					if e.hosts[unit.ShardID{Zone: z}] != nil {
+						s.cut[e.link("store")] = true
+						continue
+					}
+					for _, w := range s.workers {
+						s.cut[e.link(string(w.id))] = w.zone == z
+					}
+				}
+				s.advance(30 * time.Second)
+				if rapid.Bool().Draw(t, "hand over") {
+					for _, e := range s.entries {
+						if h := e.hosts[unit.ShardID{Zone: z}]; h != nil && !s.cut[e.link("store")] {
+							h.step(Release{})
+						}
+					}
+					s.advance(30 * time.Second)
+				}
+				if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+					s.advance(lease.Bound + time.Minute)
+				}
+			},
 			"submit": func(t *rapid.T) {
 				j := queue.Job{
 					Class: "batch", Tasks: unit.TaskIndex(rapid.IntRange(1, 9).Draw(t, "tasks")),
--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
@@ -182,7 +181,7 @@
 	}
 	// Each shard goes through the others in an order of its own, so that the tasks
 	// of a zone that goes out do not all arrive at one place.
-	slices.SortFunc(f.Targets, func(a, b unit.ShardID) int { return h.distance(a).compare(h.distance(b)) })
+	sortByScore(f.Targets, h.id.String())
 	h.sweep(listed)
 	return f
 }
@@ -202,22 +201,6 @@
 	return before, len(siblings)
 }
 
-type distance uint64
-
-func (d distance) compare(o distance) int {
-	switch {
-	case d < o:
-		return -1
-	case d > o:
-		return 1
-	}
-	return 0
-}
-
-func (h *host) distance(id unit.ShardID) distance {
-	return distance(xxhash.Sum64String(h.id.String() + "\x00" + id.String()))
-}
-
 // sweep ends the goroutines of workers that are no longer listed or called.
 func (h *host) sweep(listed map[unit.InstanceID]bool) {
 	now := h.service.options.Now()
--- a/internal/job/dispatch/jobs.go
+++ b/internal/job/dispatch/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -196,10 +197,7 @@
 // jobs by hash, and a large one to all in equal shares. Tasks that find no room
 // are moved by the owners.
 func batchParts(j queue.Job, shards []unit.ShardID) []ledger.Part {
-	score := func(id unit.ShardID) distance {
-		return distance(xxhash.Sum64String(string(j.ID) + "\x00" + id.String()))
-	}
-	slices.SortFunc(shards, func(a, b unit.ShardID) int { return score(a).compare(score(b)) })
+	sortByScore(shards, string(j.ID))
 	if j.Tasks <= wholeTasks && len(shards) > 1 {
 		shards = shards[:1]
 	}
@@ -216,6 +214,12 @@
 	return parts
 }
 
+// sortByScore puts shards into the order of their rendezvous score for a key.
+func sortByScore(shards []unit.ShardID, key string) {
+	score := func(id unit.ShardID) uint64 { return xxhash.Sum64String(key + "\x00" + id.String()) }
+	slices.SortFunc(shards, func(a, b unit.ShardID) int { return cmp.Compare(score(a), score(b)) })
+}
+
 func standingParts(shards []unit.ShardID) []ledger.Part {
 	parts := make([]ledger.Part, 0, len(shards))
 	for n, id := range shards {
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -239,10 +239,10 @@
 		t.notAfter = n.reading.NotAfter(c.notAfter())
 		t.expires = n.reading.Expired(end)
 		n.starts = append(n.starts, t.ref())
-		spec := &t.job.record.Job
+		declared := &t.job.record.Job
 		orders = append(orders, worker.Order{
-			Ref: t.ref(), Action: worker.ActionStart, Class: spec.Class, Size: spec.Size, Work: spec.Work,
-			Payload: spec.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
+			Ref: t.ref(), Action: worker.ActionStart, Class: declared.Class, Size: declared.Size, Work: declared.Work,
+			Payload: declared.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
 		})
 		c.note("starting", "", t.subjects()...)
 	}
