--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -34,6 +34,7 @@
 		{Name: "monsoonfold", Targets: true, Learn: true, Control: true, Sizes: true, Save: true},
 		{Name: "two-choices", Targets: true, Learn: true, Control: true, Sizes: true, Save: true, TwoWay: true},
 		{Name: "no-model", Targets: true, Control: true, Sizes: true, Save: true},
+		{Name: "no-loop", Targets: true, Learn: true, Sizes: true, Save: true},
 		{Name: "first-fit-routed", FirstFit: true},
 		{Name: Baseline, FirstFit: true, TwoWay: true},
 	}
@@ -58,6 +59,17 @@
 	parkWorkers = 3
 	// taskLease has to expire before the task of a lost worker starts elsewhere.
 	taskLease = 15 * time.Second
+	// measureAge is the age at which a task counts as showing its size.
+	measureAge = 20 * time.Second
+	// heldFactor is the growth of the cores of a task that uses all it has.
+	heldFactor = 1.25
+	// scouts is the number of tasks of a job that may run before its size is
+	// known, if others wait. It has to be more than the tasks that make it known.
+	scouts    = 8
+	scoutTime = 45 * time.Second
+	// shiftHold is the time until reports show the load that the other zones take
+	// over: a report interval, the lag, and a margin.
+	shiftHold = 12 * time.Second
 	// outOfMemoryFactor is the growth of a task's memory after it ran out.
 	outOfMemoryFactor = 1.5
 )
@@ -77,6 +89,7 @@
 	size     unit.Resources
 	share    float64
 	started  time.Duration
+	measured bool
 }
 
 type jobState struct {
@@ -89,6 +102,8 @@
 	done         int
 	peak         interference.Peak
 	failedOn     []unit.InstanceID
+	running      int
+	first        time.Duration // start of the first task; 0 before
 }
 
 // command is what the scheduler asks of a worker.
@@ -105,6 +120,15 @@
 	samples []interference.Sample
 	tails   []time.Duration
 	signals []control.Signal
+	usage   []usage
+}
+
+// usage is what a running task used at the time of the report.
+type usage struct {
+	item *item
+	ref  worker.Ref
+	used unit.Resources
+	age  time.Duration
 }
 
 // origin is the time at which a replay starts. The decisions take times.
@@ -113,22 +137,24 @@
 // scheduler joins the pure decisions for all zones of a trace, as the
 // dispatchers of the shards would.
 type scheduler struct {
-	policy   Policy
-	classes  []Class
-	zones    []unit.ZoneID
-	out      map[unit.ZoneID]bool
-	shards   map[unit.ZoneID]placer
-	indexes  map[unit.ZoneID]*placement.Index // the same as shards, if an index
-	free     map[unit.ZoneID]unit.Millicores  // unreserved cores
-	workers  map[unit.InstanceID]Worker
-	room     unit.Resources // of a worker for batch work; all of a trace are alike
-	advisor  *interference.Advisor
-	loop     *control.Loop
-	sizes    *interference.Sizes
-	jobs     map[unit.JobID]*jobState
-	pending  []*item
-	running  []*item // by start
-	commands []command
+	policy    Policy
+	classes   []Class
+	zones     []unit.ZoneID
+	out       map[unit.ZoneID]bool
+	shards    map[unit.ZoneID]placer
+	indexes   map[unit.ZoneID]*placement.Index // the same as shards, if an index
+	free      map[unit.ZoneID]unit.Millicores  // unreserved cores
+	workers   map[unit.InstanceID]Worker
+	room      unit.Resources // of a worker for batch work; all of a trace are alike
+	advisor   *interference.Advisor
+	loop      *control.Loop
+	sizes     *interference.Sizes
+	jobs      map[unit.JobID]*jobState
+	pending   []*item
+	running   []*item // by start
+	commands  []command
+	shifted   time.Duration // no batch starts until reports show the load after a zone went out
+	contended bool          // a task found no worker in the last step
 }
 
 // cores blames tasks by their cores alone, for the policy without a model.
@@ -212,8 +238,11 @@
 
 // setZone takes a zone out of service or back. The tasks there are checkpointed
 // if the policy saves them; replicas are stopped, since other zones have theirs.
-func (s *scheduler) setZone(zone unit.ZoneID, out bool) {
+func (s *scheduler) setZone(now time.Duration, zone unit.ZoneID, out bool) {
 	s.out[zone] = out
+	if out {
+		s.shifted = now + shiftHold
+	}
 	for _, w := range s.sorted() {
 		if w.Zone == zone {
 			s.upsert(w)
@@ -285,7 +314,11 @@
 	case done:
 		it.over = true
 		it.job.done++
-		it.job.peak.Add(peak)
+		if it.measured {
+			it.job.peak.Raise(peak)
+		} else {
+			it.job.peak.Add(peak)
+		}
 		s.sizes.Observe(interference.End{
 			Class: it.class.Name, Declared: it.job.declared, Peak: peak,
 			DeclaredWork: it.job.declaredWork, Work: work,
@@ -300,7 +333,7 @@
 			it.job.failedOn = append(it.job.failedOn, id)
 		}
 	}
-	if s.policy.Targets && it.job.done == 0 && len(it.job.failedOn) >= parkWorkers && outcome == failed {
+	if s.policy.Targets && it.class.Kind == spec.KindBatch && it.job.done == 0 && len(it.job.failedOn) >= parkWorkers && outcome == failed {
 		s.drop(it.job, "parked")
 	} else if !s.policy.Targets && it.failures >= baselineAttempts {
 		it.over = true
@@ -327,6 +360,7 @@
 	s.free[it.zone] += it.size.Cores
 	s.running = slices.DeleteFunc(s.running, func(o *item) bool { return o == it })
 	it.running = false
+	it.job.running--
 }
 
 // observe takes in a report that has arrived.
@@ -337,6 +371,27 @@
 	for _, signal := range r.signals {
 		s.loop.Observe(signal)
 	}
+	for _, u := range r.usage {
+		s.measure(u)
+	}
+}
+
+// measure learns the size of a job from its running tasks.
+func (s *scheduler) measure(u usage) {
+	it := u.item
+	if u.ref != it.ref || u.age < measureAge || it.class.Kind != spec.KindBatch {
+		return
+	}
+	used := u.used
+	if used.Cores >= it.size.Cores {
+		used.Cores = unit.Millicores(heldFactor * float64(used.Cores))
+	}
+	if it.measured {
+		it.job.peak.Raise(used)
+		return
+	}
+	it.measured = true
+	it.job.peak.Add(used)
 }
 
 // step returns the commands of this moment. Starts are reserved already.
@@ -356,12 +411,18 @@
 
 // protect runs the control loop over the running tasks.
 func (s *scheduler) protect(now time.Duration) []command {
+	ordered, tasks := s.tasks(now)
+	return s.act(ordered, s.loop.Step(origin.Add(now), tasks))
+}
+
+// tasks returns the running tasks by worker, as items and as the loop sees them.
+func (s *scheduler) tasks(now time.Duration) ([]*item, []control.Task) {
 	ordered := slices.Clone(s.running)
 	slices.SortStableFunc(ordered, func(a, b *item) int { return cmp.Compare(a.worker, b.worker) })
 	tasks := make([]control.Task, 0, len(ordered))
 	for _, it := range ordered {
 		t := control.Task{
-			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Cores: it.size.Cores, Share: it.share,
+			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Size: it.size, Share: it.share,
 			Unsaved: now - it.started, Saves: true, Standing: it.class.Kind == spec.KindStanding,
 		}
 		if !t.Standing {
@@ -371,10 +432,14 @@
 		}
 		tasks = append(tasks, t)
 	}
+	return ordered, tasks
+}
+
+func (s *scheduler) act(running []*item, actions []control.Action) []command {
 	var commands []command
-	for _, a := range s.loop.Step(origin.Add(now), tasks) {
-		i := slices.IndexFunc(ordered, func(it *item) bool { return it.ref == a.Ref })
-		it := ordered[i]
+	for _, a := range actions {
+		i := slices.IndexFunc(running, func(it *item) bool { return it.ref == a.Ref })
+		it := running[i]
 		if a.Kind == worker.ActionThrottle {
 			s.advisor.Change(it.worker, it.class.Name, 0, unit.Millicores(float64(it.size.Cores)*a.Share)-unit.Millicores(float64(it.size.Cores)*it.share))
 			it.share = a.Share
@@ -384,6 +449,23 @@
 	return commands
 }
 
+// makeRoom evicts batch tasks for a replica that found no worker in its zone.
+func (s *scheduler) makeRoom(now time.Duration, it *item) []command {
+	running, tasks := s.tasks(now)
+	var hosts []control.Host
+	for i, t := range tasks {
+		if running[i].zone != it.job.zone {
+			continue
+		}
+		if n := len(hosts); n == 0 || hosts[n-1].ID != t.Worker {
+			hosts = append(hosts, control.Host{ID: t.Worker, Free: s.indexes[it.job.zone].Free(t.Worker)})
+		}
+		h := &hosts[len(hosts)-1]
+		h.Tasks = append(h.Tasks, t)
+	}
+	return s.act(running, control.Room(origin.Add(now), control.Claim{Class: it.class.Name, Size: s.size(it), Standing: true}, hosts))
+}
+
 // start places pending tasks in order: by the time left to their target, or by
 // static weight.
 func (s *scheduler) start(now time.Duration) []command {
@@ -401,11 +483,21 @@
 		size unit.Resources
 	}
 	refused := map[attempt]bool{}
+	contended := s.contended
+	s.contended = false
 	var commands []command
 	for _, it := range s.pending {
 		if it.ready > now {
 			continue
 		}
+		if s.policy.Control && now < s.shifted && it.class.Kind == spec.KindBatch {
+			continue
+		}
+		if contended && s.policy.Sizes && it.class.Kind == spec.KindBatch && !it.job.peak.Known() &&
+			it.job.running >= scouts && now-it.job.first < scoutTime {
+			s.contended = true
+			continue
+		}
 		size := s.size(it)
 		for _, zone := range s.order(it) {
 			at := attempt{zone, it.job, size}
@@ -416,16 +508,29 @@
 			next := worker.Ref{Task: it.ref.Task, Attempt: it.ref.Attempt + 1}
 			if !ok || !s.shards[zone].Reserve(id, next, it.class.Name, size) {
 				refused[at] = true
+				s.contended = true
 				continue
 			}
 			it.ref, it.worker, it.zone, it.size, it.share, it.started, it.running = next, id, zone, size, 1, now, true
 			s.advisor.Change(id, it.class.Name, 1, size.Cores)
 			s.free[zone] -= size.Cores
 			s.running = append(s.running, it)
+			it.job.running++
+			if it.job.first == 0 {
+				it.job.first = now
+			}
 			commands = append(commands, command{it, worker.ActionStart, ""})
 			break
 		}
 	}
+	making := map[unit.ZoneID]bool{} // one replica in a step, whose effect is seen in the next
+	for _, it := range s.pending {
+		zone := it.job.zone
+		if s.policy.Control && it.class.Kind == spec.KindStanding && !it.running && it.ready <= now && !s.out[zone] && !making[zone] {
+			making[zone] = true
+			commands = append(commands, s.makeRoom(now, it)...)
+		}
+	}
 	s.pending = slices.DeleteFunc(s.pending, func(it *item) bool { return it.running })
 	return commands
 }
