order/slot: use gained slots at once when all others acknowledge the view

Cause: the demo's entries took requests only 43 s after a first start, and an entry that joins or replaces another waits as long, since a gained slot may still be in use by an owner that nobody knows of. Ruled out: a shorter wait, which must cover the longest request; asking the previous owner slot by slot, which a first start has none of; an acknowledgement by revision alone: the property test showed an entry that left and came back between two revisions and owns the slot under the later one only. Change: entries acknowledge in heartbeats the view that they have settled on (revision and fingerprint of its entries); a lost slot is not regained at once after that. Lasting records of lost entries make the view incomplete, and then the wait stays. A view counts as confirmed by its own read while the store takes the entry's renewals. Jobs without a team take that of their class.

--- a/internal/bench/capacity/probes.go
+++ b/internal/bench/capacity/probes.go
@@ -129,7 +129,7 @@
 
 func partition(workers, entries int) *slot.Partition {
 	p := slot.New(entryID(0), slot.DefaultRules())
-	p.Adopt(entryIDs(entries), 1, start, start)
+	p.Adopt(slot.View{Entries: entryIDs(entries), Revision: 1}, start, start)
 	all := make([]slot.Worker, workers)
 	for i := range all {
 		all[i] = slot.Worker{ID: instanceID(i), Slots: workerSlots, Connections: connections}
@@ -149,7 +149,7 @@
 		if gone {
 			present = ids[:n-1]
 		}
-		p.Adopt(present, revision, now, now)
+		p.Adopt(slot.View{Entries: present, Revision: revision}, now, now)
 	}
 }
 
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -46,8 +46,12 @@
      "routes": [{"prefix": "/quote"}], "target": {"percentile": 99, "bound": "250ms"}},
     {"name": "cut-list", "kind": "request", "service": "order-desk",
      "routes": [{"prefix": "/cut-list", "method": "POST", "once": true}], "target": {"percentile": 99, "bound": "1s"}},
-    {"name": "takeoff", "kind": "batch", "target": {"finish": "2m"}},
-    {"name": "feed", "kind": "standing", "target": {"replicas": 2}}
+    {"name": "takeoff", "kind": "batch", "team": "refinery", "target": {"finish": "2m"}},
+    {"name": "feed", "kind": "standing", "team": "shops", "target": {"replicas": 2}}
+  ],
+  "teams": [
+    {"name": "refinery", "quota": {"cores": 200000, "memory": 400000000000}},
+    {"name": "shops", "quota": {"cores": 20000, "memory": 20000000000}}
   ],
   "zones": [{"name": "guj-morbi"}, {"name": "guj-hazira"}, {"name": "guj-vadodara"}]
 }`
--- a/internal/job/dispatch/jobs.go
+++ b/internal/job/dispatch/jobs.go
@@ -40,10 +40,14 @@
 	cancelTries = 8
 )
 
-// Submit writes the record of a job. A repeated submission of the same job has
+// Submit writes the record of a job. A job without a team belongs to the team of
+// its class. A repeated submission of the same job has
 // no further effect. After store.ErrUnknown the job may or may not be there.
 func (s *Service) Submit(ctx context.Context, j queue.Job) error {
 	document := s.config.Current().Document
+	if class, ok := document.Class(j.Class); ok && j.Team == "" {
+		j.Team = class.Team
+	}
 	class, err := check(j, &document)
 	if err != nil {
 		return err
--- a/internal/order/gateway/floor.go
+++ b/internal/order/gateway/floor.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/order/route"
 	"github.com/monsoonfold/monsoonfold/internal/order/slot"
@@ -30,7 +31,8 @@
 	waiting   map[route.Ticket]chan route.Decision
 	workers   map[unit.InstanceID]*station
 	last      route.Ticket
-	started   bool // the first view has settled
+	started   bool              // the first view has settled
+	cleared   roster.Settlement // newest view without a request on a lost slot
 }
 
 // station is a worker with its connections. It is not changed, since requests in
@@ -52,10 +54,10 @@
 }
 
 // update takes over the workers and the view.
-func (f *floor) update(instances []store.Instance, doc *spec.Document, ids []unit.EntryID, revision unit.Revision, asOf, now time.Time) {
+func (f *floor) update(instances []store.Instance, doc *spec.Document, view slot.View, asOf, now time.Time) {
 	f.mu.Lock()
 	defer f.unlock()
-	f.partition.Adopt(ids, revision, asOf, now)
+	f.partition.Adopt(view, asOf, now)
 	limits := make([]slot.Worker, 0, len(instances))
 	for _, i := range instances {
 		limits = append(limits, slot.Worker{ID: i.ID, Slots: i.Slots, Connections: i.Connections})
@@ -89,6 +91,28 @@
 	f.deliver(f.router.SetWorkers(workers, now))
 }
 
+// acknowledged returns the newest view that the entry has adopted without a
+// request left on a slot that it lost.
+func (f *floor) acknowledged() roster.Settlement {
+	f.mu.Lock()
+	defer f.unlock()
+	now := time.Now()
+	for id := range f.workers {
+		if f.router.InUse(id, now) > f.partition.Share(id, now).Slots {
+			return f.cleared
+		}
+	}
+	f.cleared = f.partition.GiveUp()
+	return f.cleared
+}
+
+// acknowledge notes what a peer acknowledged.
+func (f *floor) acknowledge(peer unit.EntryID, settled roster.Settlement) {
+	f.mu.Lock()
+	defer f.unlock()
+	f.partition.Acknowledge(peer, settled, time.Now())
+}
+
 // Reachable implements upstream.Observer.
 func (f *floor) Reachable(worker unit.InstanceID, err error) {
 	if err != nil {
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -66,9 +66,15 @@
 	}
 	membership interface {
 		Self() unit.EntryID
-		View() roster.View
+		Viewed() (roster.View, time.Time)
+		ValidUntil() time.Time
 		Changed() <-chan struct{}
 	}
+	// peers carries the acknowledged views in heartbeats.
+	peers interface {
+		SetSettled(settled func() roster.Settlement)
+		OnSettled(learn func(peer unit.EntryID, settled roster.Settlement))
+	}
 	claims interface {
 		Claim(ctx context.Context, id unit.RequestID) (claim.Result, error)
 		Void(ctx context.Context, id unit.RequestID, r claim.Result) error
@@ -95,6 +101,7 @@
 	fleet      fleet
 	config     configuration
 	membership membership
+	peers      peers
 	claims     claims
 	journal    recorder
 	burn       budget
@@ -136,6 +143,8 @@
 		return err
 	}
 	g.floor = newFloor(slot.New(g.membership.Self(), g.settings.Rules), g.noteHealth)
+	g.peers.SetSettled(g.floor.acknowledged)
+	g.peers.OnSettled(g.floor.acknowledge)
 	g.refresh()
 	l, err := net.Listen("tcp", g.settings.Address)
 	if err != nil {
@@ -194,13 +203,14 @@
 }
 
 func (g *Gateway) find(k *registry.Kernel) error {
-	var faults [6]error
+	var faults [7]error
 	g.fleet, faults[0] = registry.Find[fleet](k, "fleet")
 	g.config, faults[1] = registry.Find[configuration](k, "config")
 	g.membership, faults[2] = registry.Find[membership](k, "membership")
 	g.claims, faults[3] = registry.Find[claims](k, claim.ServiceName)
 	g.journal, faults[4] = registry.Find[recorder](k, journal.ServiceName)
 	g.burn, faults[5] = registry.Find[budget](k, "burn")
+	g.peers, faults[6] = registry.Find[peers](k, "peers")
 	if err := errors.Join(faults[:]...); err != nil {
 		return errors.Errorf("find partners: %w", err)
 	}
@@ -272,15 +282,20 @@
 	if old := g.routes.Load(); old == nil || old.revision != revision.Number {
 		g.routes.Store(newRoutes(&revision))
 	}
-	view := g.membership.View()
-	ids := make([]unit.EntryID, len(view.Entries))
-	for i, e := range view.Entries {
-		ids[i] = e.ID
+	members, viewed := g.membership.Viewed()
+	view := slot.View{Revision: members.Revision, Complete: len(members.Lost) == 0}
+	for _, e := range members.Entries {
+		view.Entries = append(view.Entries, e.ID)
 	}
-	// The view counts as confirmed up to the confirmation that allows serving: an
-	// answered read of the store, or peers that have this entry in their view.
+	now := time.Now()
+	// While the store takes this entry's renewals, only a read of the view confirms
+	// it. In a store outage nobody can join, and peers that have this entry in
+	// their view confirm it.
 	asOf := g.config.ServeUntil().Add(-g.settings.Rules.ViewLife)
-	g.floor.update(g.fleet.Snapshot().Workers(), &revision.Document, ids, view.Revision, asOf, time.Now())
+	if now.Before(g.membership.ValidUntil()) && viewed.Before(asOf) {
+		asOf = viewed
+	}
+	g.floor.update(g.fleet.Snapshot().Workers(), &revision.Document, view, asOf, now)
 }
 
 func (g *Gateway) noteHealth(worker unit.InstanceID, from, to string) {
--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -74,9 +74,16 @@
 }
 
 func (m fakeMembership) Self() unit.EntryID { return m.self }
-func (m fakeMembership) View() roster.View {
-	return roster.NewView([]roster.Entry{{ID: m.self}}, 1)
+func (m fakeMembership) Viewed() (roster.View, time.Time) {
+	return roster.NewView([]roster.Entry{{ID: m.self}}, 1), time.Now()
 }
+func (m fakeMembership) ValidUntil() time.Time { return time.Now().Add(5 * time.Second) }
+
+// fakePeers never acknowledges a view.
+type fakePeers struct{ service }
+
+func (fakePeers) SetSettled(func() roster.Settlement)             {}
+func (fakePeers) OnSettled(func(unit.EntryID, roster.Settlement)) {}
 
 type fakeFleet struct {
 	service
@@ -176,7 +183,7 @@
 		})
 	}
 	s.gateway = newGateway()
-	start(t, s.config, s.fleet, fakeMembership{newService("membership"), "e1"}, s.journal, burn.NewService(),
+	start(t, s.config, s.fleet, fakeMembership{newService("membership"), "e1"}, fakePeers{newService("peers")}, s.journal, burn.NewService(),
 		storeClient{s.store, make(chan struct{})}, claim.New(), s.gateway)
 	return s
 }
@@ -560,7 +567,7 @@
 	start(t, p)
 	g := newGateway()
 	start(t, store.NewService(p.Address()), listing.New(logr.Discard()), &fakeConfig{service: newService("config")},
-		fakeMembership{newService("membership"), "e1"}, journal.NewService(time.Now()), burn.NewService(), claim.New(), g)
+		fakeMembership{newService("membership"), "e1"}, fakePeers{newService("peers")}, journal.NewService(time.Now()), burn.NewService(), claim.New(), g)
 	got := []string{call{path: "/quote"}.do(g), charge("k").do(g), charge("k").do(g)}
 	if diff := cmp.Diff([]string{"done 200 hello", "done 200 hello", "unknown 409"}, got); diff != "" {
 		t.Errorf("results (-want +got):\n%s", diff)
--- a/internal/order/slot/partition.go
+++ b/internal/order/slot/partition.go
@@ -14,6 +14,10 @@
 //   - An entry that gets a slot back within Regain of the last read that showed it
 //     as the owner continues at once: an owner in between is still waiting and
 //     stops before its wait ends.
+//   - An owner uses a gained slot at once if every other entry of its view has
+//     acknowledged that view, or a later one with the same entries, and no entry outside the view may
+//     still hold slots. An entry acknowledges a view once it has adopted it and has
+//     no request left on a slot that it lost; it then regains no lost slot at once.
 //   - A previous owner that has no request left on a lost slot may release it to
 //     the new owner, which ends the wait.
 package slot
@@ -25,6 +29,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
@@ -85,11 +90,22 @@
 
 	entries  []member
 	revision unit.Revision
-	asOf     time.Time // send time of the newest read of the view
-	settled  time.Time // from here on no older view is in use anywhere
+	asOf     time.Time     // send time of the newest read of the view
+	since    unit.Revision // of the view in which these entries were first seen
+	settled  time.Time     // from here on no older view is in use anywhere
+	complete bool          // no entry outside the view may still hold slots
+	members  uint64        // fingerprint of the entries
+	acks     map[unit.EntryID]roster.Settlement
 	workers  map[unit.InstanceID]*shares
 }
 
+// View is a membership view as the partition needs it.
+type View struct {
+	Entries  []unit.EntryID // registered, sorted
+	Revision unit.Revision
+	Complete bool // no entry ended without a graceful stop and may still hold slots
+}
+
 type member struct {
 	id   unit.EntryID
 	hash uint64
@@ -111,25 +127,29 @@
 
 // New returns the partition of the entry self, which holds nothing.
 func New(self unit.EntryID, rules Rules) *Partition {
-	return &Partition{self: self, rules: rules, workers: map[unit.InstanceID]*shares{}}
+	return &Partition{
+		self: self, rules: rules, acks: map[unit.EntryID]roster.Settlement{}, workers: map[unit.InstanceID]*shares{},
+	}
 }
 
 // Adopt takes over a view that was read from the store by a call sent at asOf. A
 // read that is older than the newest one has no effect.
-func (p *Partition) Adopt(entries []unit.EntryID, revision unit.Revision, asOf, now time.Time) {
-	if revision < p.revision || asOf.Before(p.asOf) {
+func (p *Partition) Adopt(v View, asOf, now time.Time) {
+	if v.Revision < p.revision || asOf.Before(p.asOf) {
 		return
 	}
 	lapsed := now.Sub(p.asOf) > p.rules.Regain
-	changed := !slices.EqualFunc(p.entries, entries, func(m member, id unit.EntryID) bool { return m.id == id })
+	changed := !slices.EqualFunc(p.entries, v.Entries, func(m member, id unit.EntryID) bool { return m.id == id })
 	previous := p.asOf
-	p.revision, p.asOf = revision, asOf
+	p.revision, p.asOf, p.complete = v.Revision, asOf, v.Complete
+	defer p.settle(now)
 	if !changed && !lapsed {
 		return
 	}
+	p.since, p.members = v.Revision, roster.Fingerprint(v.Entries)
 	p.settled = now.Add(p.rules.Wait)
-	p.entries = make([]member, len(entries))
-	for i, id := range entries {
+	p.entries = make([]member, len(v.Entries))
+	for i, id := range v.Entries {
 		p.entries[i] = member{id: id, hash: xxhash.Sum64String(string(id))}
 	}
 	for _, s := range p.workers {
@@ -156,7 +176,7 @@
 		s.limits = w
 		for i := len(s.rights); i < w.Slots; i++ {
 			owned := p.owner(s.hash, Index(i)) == p.self
-			s.rights = append(s.rights, right{owned: owned, from: p.settled, gained: p.revision})
+			s.rights = append(s.rights, right{owned: owned, from: p.settled, gained: p.since})
 		}
 		s.rights = s.rights[:w.Slots]
 		next[w.ID] = s
@@ -184,6 +204,28 @@
 	return share
 }
 
+// Acknowledge notes the view that a peer has settled on.
+func (p *Partition) Acknowledge(peer unit.EntryID, settled roster.Settlement, now time.Time) {
+	if settled.Revision > p.acks[peer].Revision {
+		p.acks[peer] = settled
+		p.settle(now)
+	}
+}
+
+// GiveUp returns the adopted view as settled. The entry must have on no worker
+// more requests in flight than its share. It gives up the right to regain lost
+// slots at once, since their new owners may use them from now on.
+func (p *Partition) GiveUp() roster.Settlement {
+	for _, s := range p.workers {
+		for i := range s.rights {
+			if r := &s.rights[i]; !r.owned {
+				r.held = time.Time{}
+			}
+		}
+	}
+	return roster.Settlement{Revision: p.revision, Members: p.members}
+}
+
 // Settled reports whether a view was adopted and its gained slots are in use.
 func (p *Partition) Settled(now time.Time) bool { return !p.asOf.IsZero() && !now.Before(p.settled) }
 
@@ -232,6 +274,34 @@
 	}
 }
 
+// settle ends the wait for the slots gained under views that all others have
+// acknowledged.
+func (p *Partition) settle(now time.Time) {
+	if !p.complete {
+		return
+	}
+	acknowledged := p.revision
+	for _, m := range p.entries {
+		switch a := p.acks[m.id]; {
+		case m.id == p.self:
+		case a.Members != p.members:
+			return
+		default:
+			acknowledged = min(acknowledged, a.Revision)
+		}
+	}
+	if acknowledged >= p.since && p.settled.After(now) {
+		p.settled = now
+	}
+	for _, s := range p.workers {
+		for i := range s.rights {
+			if r := &s.rights[i]; r.owned && r.gained <= acknowledged && r.from.After(now) {
+				r.from = now
+			}
+		}
+	}
+}
+
 func (p *Partition) usable(r *right, now time.Time) bool {
 	return r.owned && !now.Before(r.from) && now.Before(p.UseUntil())
 }
--- a/internal/order/slot/partition_test.go
+++ b/internal/order/slot/partition_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
@@ -19,8 +20,10 @@
 // given up without need.
 func TestViewChange(t *testing.T) {
 	type step struct {
-		at      time.Duration
-		entries []unit.EntryID
+		at       time.Duration
+		entries  []unit.EntryID
+		complete bool
+		acked    bool // by b
 	}
 	both, alone := []unit.EntryID{"a", "b"}, []unit.EntryID{"a"}
 	own := len(ownedBy("a", both))
@@ -30,21 +33,29 @@
 		at    time.Duration
 		want  int
 	}{
+		{"first view without lost entries", []step{{at: 0, entries: alone, complete: true}}, 0, 8},
+		{"unacknowledged view waits", []step{{at: 0, entries: both, complete: true}}, 0, 0},
+		{"acknowledged view is used", []step{{at: 0, entries: both, complete: true, acked: true}}, 0, own},
+		{"a lost entry may hold slots", []step{{at: 0, entries: both, acked: true}}, 0, 0},
 		{"no view", nil, 0, 0},
-		{"first view waits", []step{{0, alone}, {41 * time.Second, alone}}, 41 * time.Second, 0},
-		{"first view is used", []step{{0, alone}, {20 * time.Second, alone}, {41 * time.Second, alone}}, 42 * time.Second, 8},
-		{"view read too long ago", []step{{0, alone}, {20 * time.Second, alone}, {41 * time.Second, alone}}, 51 * time.Second, 0},
-		{"lost slots stop at once", []step{{0, alone}, {25 * time.Second, alone}, {50 * time.Second, both}}, 50 * time.Second, own},
-		{"regained soon", []step{{0, alone}, {25 * time.Second, alone}, {45 * time.Second, alone}, {50 * time.Second, both}, {60 * time.Second, alone}}, 60 * time.Second, 8},
-		{"regained late", []step{{0, alone}, {25 * time.Second, alone}, {50 * time.Second, both}, {70 * time.Second, both}, {90 * time.Second, alone}}, 90 * time.Second, own},
-		{"all waits again after a lapse", []step{{0, alone}, {25 * time.Second, alone}, {50 * time.Second, alone}, {90 * time.Second, alone}}, 90 * time.Second, 0},
+		{"first view waits", []step{{at: 0, entries: alone}, {at: 41 * time.Second, entries: alone}}, 41 * time.Second, 0},
+		{"first view is used", []step{{at: 0, entries: alone}, {at: 20 * time.Second, entries: alone}, {at: 41 * time.Second, entries: alone}}, 42 * time.Second, 8},
+		{"view read too long ago", []step{{at: 0, entries: alone}, {at: 20 * time.Second, entries: alone}, {at: 41 * time.Second, entries: alone}}, 51 * time.Second, 0},
+		{"lost slots stop at once", []step{{at: 0, entries: alone}, {at: 25 * time.Second, entries: alone}, {at: 50 * time.Second, entries: both}}, 50 * time.Second, own},
+		{"regained soon", []step{{at: 0, entries: alone}, {at: 25 * time.Second, entries: alone}, {at: 45 * time.Second, entries: alone}, {at: 50 * time.Second, entries: both}, {at: 60 * time.Second, entries: alone}}, 60 * time.Second, 8},
+		{"regained late", []step{{at: 0, entries: alone}, {at: 25 * time.Second, entries: alone}, {at: 50 * time.Second, entries: both}, {at: 70 * time.Second, entries: both}, {at: 90 * time.Second, entries: alone}}, 90 * time.Second, own},
+		{"all waits again after a lapse", []step{{at: 0, entries: alone}, {at: 25 * time.Second, entries: alone}, {at: 50 * time.Second, entries: alone}, {at: 90 * time.Second, entries: alone}}, 90 * time.Second, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := New("a", DefaultRules())
 			p.SetWorkers([]Worker{{ID: "w", Slots: 8, Connections: 64}})
 			for i, s := range tt.steps {
-				p.Adopt(s.entries, unit.Revision(i+1), start.Add(s.at), start.Add(s.at))
+				p.Adopt(View{Entries: s.entries, Revision: unit.Revision(i + 1), Complete: s.complete}, start.Add(s.at), start.Add(s.at))
+				if s.acked {
+					settled := roster.Settlement{Revision: unit.Revision(i + 1), Members: roster.Fingerprint(s.entries)}
+					p.Acknowledge("b", settled, start.Add(s.at))
+				}
 			}
 			want := Share{Slots: tt.want, Connections: 4 * tt.want}
 			if diff := cmp.Diff(want, p.Share("w", start.Add(tt.at))); diff != "" {
@@ -56,7 +67,7 @@
 
 func ownedBy(id unit.EntryID, entries []unit.EntryID) []Index {
 	p := New(id, DefaultRules())
-	p.Adopt(entries, 1, start, start)
+	p.Adopt(View{Entries: entries, Revision: 1}, start, start)
 	var owned []Index
 	for i := range Index(8) {
 		if p.owner(xxhash.Sum64String("w"), i) == id {
@@ -70,9 +81,18 @@
 type fleet struct {
 	now        time.Time
 	registered []unit.EntryID
+	open       map[unit.EntryID]time.Time // lasting records: when the registration ended, or zero
 	revision   unit.Revision
 	entries    []*entry
 	mail       []Release
+	acks       []ack
+	started    int // entries ever
+}
+
+// ack is an acknowledgement under way.
+type ack struct {
+	from    unit.EntryID
+	settled roster.Settlement
 }
 
 type entry struct {
@@ -84,9 +104,8 @@
 }
 
 type reading struct {
-	entries  []unit.EntryID
-	revision unit.Revision
-	sent     time.Time
+	view View
+	sent time.Time
 }
 
 // TestNeverOvercommitted guards against two entries that use the same slot, or
@@ -94,9 +113,9 @@
 // pauses, lapses of registrations and releases that arrive late.
 func TestNeverOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := &fleet{now: start}
-		for i := range rapid.IntRange(2, 4).Draw(t, "entries") {
-			f.add(unit.EntryID(fmt.Sprint("e", i)))
+		f := &fleet{now: start, open: map[unit.EntryID]time.Time{}}
+		for range rapid.IntRange(2, 4).Draw(t, "entries") {
+			f.entries = append(f.entries, f.newEntry())
 		}
 		pick := func(t *rapid.T) *entry { return f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")] }
 		pass := func(t *rapid.T) {
@@ -129,7 +148,26 @@
 				f.use(pick(t), Index(rapid.IntRange(0, 7).Draw(t, "slot")),
 					time.Duration(rapid.IntRange(0, 30).Draw(t, "s"))*time.Second)
 			},
-			"release": func(t *rapid.T) { f.release(pick(t)) },
+			"release":     func(t *rapid.T) { f.release(pick(t)) },
+			"replace":     func(t *rapid.T) { f.replace(rapid.IntRange(0, len(f.entries)-1).Draw(t, "entry")) },
+			"forget lost": func(*rapid.T) { f.forgetLost() },
+			"acknowledge": func(t *rapid.T) { f.acknowledge(pick(t)) },
+			"hear": func(t *rapid.T) {
+				if len(f.acks) > 0 {
+					a := rapid.SampledFrom(f.acks).Draw(t, "ack") // kept, so it may come again
+					f.hear(pick(t), a)
+				}
+			},
+			"hear all": func(*rapid.T) {
+				for _, e := range f.entries {
+					f.acknowledge(e)
+				}
+				for _, e := range f.entries {
+					for _, a := range f.acks {
+						f.hear(e, a)
+					}
+				}
+			},
 			"deliver": func(t *rapid.T) {
 				if len(f.mail) > 0 {
 					r := rapid.SampledFrom(f.mail).Draw(t, "release") // kept, so it may come again
@@ -143,25 +181,78 @@
 	})
 }
 
-func (f *fleet) add(id unit.EntryID) {
+func (f *fleet) newEntry() *entry {
+	f.started++
+	id := unit.EntryID(fmt.Sprint("e", f.started))
 	e := &entry{id: id, part: New(id, DefaultRules())}
 	e.part.SetWorkers([]Worker{{ID: "w", Slots: 8, Connections: 64}})
-	f.entries = append(f.entries, e)
+	return e
 }
 
+// toggle registers an entry, or ends its registration as a lapsed lease does.
 func (f *fleet) toggle(id unit.EntryID) {
 	f.revision++
 	f.registered = slices.Clone(f.registered)
 	if i := slices.Index(f.registered, id); i >= 0 {
 		f.registered = slices.Delete(f.registered, i, i+1)
+		f.open[id] = f.now
 		return
 	}
+	f.open[id] = time.Time{}
 	f.registered = append(f.registered, id)
 	slices.Sort(f.registered)
 }
 
+// replace stops an idle entry gracefully and starts another in its place.
+func (f *fleet) replace(i int) {
+	e := f.entries[i]
+	if e.inFlight(f.now) {
+		return
+	}
+	if slices.Contains(f.registered, e.id) {
+		f.toggle(e.id)
+	}
+	delete(f.open, e.id)
+	f.revision++
+	f.entries[i] = f.newEntry()
+	f.entries[i].open = e.open
+}
+
+// forgetLost deletes the lasting records of entries that were lost for a minute.
+func (f *fleet) forgetLost() {
+	for id, ended := range f.open {
+		if !ended.IsZero() && f.now.Sub(ended) > time.Minute {
+			delete(f.open, id)
+			f.revision++
+		}
+	}
+}
+
+func (f *fleet) acknowledge(e *entry) {
+	for s, until := range e.busy {
+		if f.now.Before(until) && !e.part.workers["w"].rights[s].owned {
+			return // a request is left on a lost slot
+		}
+	}
+	f.acks = append(f.acks, ack{e.id, e.part.GiveUp()})
+}
+
+func (f *fleet) hear(e *entry, a ack) {
+	if a.from != e.id {
+		e.part.Acknowledge(a.from, a.settled, f.now)
+	}
+}
+
+func (e *entry) inFlight(now time.Time) bool {
+	return slices.ContainsFunc(e.busy[:], now.Before)
+}
+
 func (f *fleet) read(e *entry) {
-	e.reads = append(e.reads, reading{f.registered, f.revision, f.now})
+	v := View{Entries: f.registered, Revision: f.revision, Complete: true}
+	for _, ended := range f.open {
+		v.Complete = v.Complete && ended.IsZero()
+	}
+	e.reads = append(e.reads, reading{v, f.now})
 }
 
 func (f *fleet) adopt(e *entry) {
@@ -170,7 +261,7 @@
 	}
 	r := e.reads[0]
 	e.reads = e.reads[1:]
-	e.part.Adopt(r.entries, r.revision, r.sent, f.now)
+	e.part.Adopt(r.view, r.sent, f.now)
 }
 
 func (f *fleet) use(e *entry, s Index, span time.Duration) {
@@ -183,10 +274,8 @@
 }
 
 func (f *fleet) release(e *entry) {
-	for _, until := range e.busy {
-		if f.now.Before(until) {
-			return
-		}
+	if e.inFlight(f.now) {
+		return
 	}
 	f.mail = append(f.mail, e.part.Release("w", f.now)...)
 }
@@ -229,6 +318,6 @@
 	for b.Loop() {
 		now = now.Add(time.Second)
 		revision++
-		p.Adopt(entries[revision%2:], revision, now, now)
+		p.Adopt(View{Entries: entries[revision%2:], Revision: revision}, now, now)
 	}
 }
--- a/internal/peer/link/service.go
+++ b/internal/peer/link/service.go
@@ -88,8 +88,8 @@
 	handlers map[message.Kind]message.Handler
 	beat     func(to unit.EntryID) message.Heartbeat
 	heard    func(from unit.EntryID, sent time.Time, answer message.Heartbeat)
-	settled  func() unit.Revision
-	learn    func(peer unit.EntryID, settled unit.Revision)
+	settled  func() roster.Settlement
+	learn    func(peer unit.EntryID, settled roster.Settlement)
 }
 
 // New returns a service that is not yet started.
@@ -175,14 +175,14 @@
 }
 
 // SetSettled sets the source of the settled view in this entry's heartbeats.
-func (s *Service) SetSettled(settled func() unit.Revision) {
+func (s *Service) SetSettled(settled func() roster.Settlement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settled = settled
 }
 
 // OnSettled sets the receiver of the settled views in the answers of peers.
-func (s *Service) OnSettled(learn func(peer unit.EntryID, settled unit.Revision)) {
+func (s *Service) OnSettled(learn func(peer unit.EntryID, settled roster.Settlement)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learn = learn
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
@@ -50,13 +51,13 @@
 
 // Heartbeat tells the state of its sender. It is answered by one of the receiver.
 type Heartbeat struct {
-	View          unit.Revision `cbor:"1,keyasint"` // store revision of the sender's view
-	Configuration unit.Revision `cbor:"2,keyasint"`
-	Sees          bool          `cbor:"3,keyasint,omitempty"` // the sender's view has the receiver
-	Ready         bool          `cbor:"4,keyasint,omitempty"` // the sender may serve
-	Age           time.Duration `cbor:"5,keyasint"`           // since the last confirmation; negative if there was none
-	Load          uint16        `cbor:"6,keyasint,omitempty"` // requests in flight, in thousandths of the slots
-	Settled       unit.Revision `cbor:"7,keyasint,omitempty"` // of the view whose slots the sender has settled on
+	View          unit.Revision     `cbor:"1,keyasint"` // store revision of the sender's view
+	Configuration unit.Revision     `cbor:"2,keyasint"`
+	Sees          bool              `cbor:"3,keyasint,omitempty"` // the sender's view has the receiver
+	Ready         bool              `cbor:"4,keyasint,omitempty"` // the sender may serve
+	Age           time.Duration     `cbor:"5,keyasint"`           // since the last confirmation; negative if there was none
+	Load          uint16            `cbor:"6,keyasint,omitempty"` // requests in flight, in thousandths of the slots
+	Settled       roster.Settlement `cbor:"7,keyasint,omitempty"`
 }
 
 // Push carries a configuration. It is answered by Ack.
