order/gateway: resolve paths before routing, and probe all workers in a shortage

Cause: /x/../charge reached the upstream without the at-most-once rule of /charge, and a short outage of all workers left them set aside for up to 30 s. Change: routes match the resolved path; while every worker of a service is set aside, each is probed after 1 s. The stop test now sends requests through the notice period of the load balancer. The outcome tests set their deadlines at the call: set in the table, a deadline of 300 ms had passed in one of three runs before the parallel test began.

--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -181,11 +181,14 @@
 	return s
 }
 
+// notice is how long the load balancer of the tests needs to notice a drain.
+const notice = 300 * time.Millisecond
+
 // newGateway returns a gateway of a single entry, whose slots nobody held before.
 func newGateway() *gateway.Gateway {
 	rules := slot.DefaultRules()
 	rules.Wait = 0
-	return gateway.New(logr.Discard(), gateway.Settings{Address: "127.0.0.1:0", Rules: rules})
+	return gateway.New(logr.Discard(), gateway.Settings{Address: "127.0.0.1:0", Notice: notice, Rules: rules})
 }
 
 // start runs the services in a kernel of their own until the test ends.
@@ -277,6 +280,7 @@
 	path    string
 	headers map[string]string
 	body    string
+	within  time.Duration // the deadline, from the call on; 0 for none
 }
 
 func (c call) do(g *gateway.Gateway) string {
@@ -291,6 +295,9 @@
 	for k, v := range c.headers {
 		r.Header.Set(k, v)
 	}
+	if c.within != 0 {
+		r.Header.Set("Monsoonfold-Deadline", fmt.Sprint(time.Now().Add(c.within).UnixMilli()))
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return "no response"
@@ -313,10 +320,6 @@
 	return call{path: "/charge", headers: map[string]string{"Idempotency-Key": key}}
 }
 
-func deadline(d time.Duration) map[string]string {
-	return map[string]string{"Monsoonfold-Deadline": fmt.Sprint(time.Now().Add(d).UnixMilli())}
-}
-
 // TestOutcome guards against an outcome that is not the truth, and against a
 // second run of a request that may run once.
 func TestOutcome(t *testing.T) {
@@ -352,16 +355,16 @@
 		{name: "mismatched id, retried", call: call{path: "/quote"}, respond: first(mismatch), want: "done 200 hello", runs: 2},
 		{name: "mismatched id, once", call: charge("k"), respond: first(mismatch), want: "unknown 502", runs: 1},
 		{name: "connection hung, retried", call: call{path: "/quote"}, respond: first(""), want: "done 200 hello", runs: 2},
-		{name: "connection hung, once", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(300*time.Millisecond))}, respond: always(""), want: "unknown 502", runs: 1},
+		{name: "connection hung, once", call: call{path: "/charge", headers: charge("k").headers, within: 300 * time.Millisecond}, respond: always(""), want: "unknown 502", runs: 1},
 		{name: "oversized response", call: charge("k"), respond: always(strings.Replace(whole, "5", "99999999999", 1)), want: "unknown 502", runs: 1},
 		{name: "worker busy, once", call: charge("k"), respond: first(busy), want: "done 200 hello", runs: 2},
-		{name: "worker always busy", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(time.Second))}, respond: always(busy), want: "not-run 503", runs: 3, fewer: true},
+		{name: "worker always busy", call: call{path: "/charge", headers: charge("k").headers, within: time.Second}, respond: always(busy), want: "not-run 503", runs: 3, fewer: true},
 		{name: "once without a key", call: call{path: "/charge"}, respond: always(whole), want: "not-run 400"},
 		{name: "once by header, without a key", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Once": "true"}}, respond: always(whole), want: "not-run 400"},
 		{name: "once by route, other method", call: call{method: "GET", path: "/charge"}, respond: always(whole), want: "done 200 hello", runs: 1},
 		{name: "once, store down", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.down.Store(true) }, want: "not-run 503"},
 		{name: "once, store response lost", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.lose.Store(true) }, want: "done 200 hello", runs: 1},
-		{name: "deadline passed", call: call{path: "/quote", headers: deadline(-time.Second)}, respond: always(whole), want: "not-run 503"},
+		{name: "deadline passed", call: call{path: "/quote", within: -time.Second}, respond: always(whole), want: "not-run 503"},
 		{name: "deadline malformed", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Deadline": "soon"}}, respond: always(whole), want: "not-run 400"},
 		{name: "request too large", call: call{path: "/quote", body: strings.Repeat("x", 1<<20+1)}, respond: always(whole), want: "not-run 413"},
 		{name: "no confirmation", call: call{path: "/quote"}, respond: always(whole), set: func(s *site) { s.config.unconfirmed.Store(true) }, want: "not-run 503"},
@@ -411,16 +414,6 @@
 	f.changed <- struct{}{}
 }
 
-func merge(all ...map[string]string) map[string]string {
-	merged := map[string]string{}
-	for _, m := range all {
-		for k, v := range m {
-			merged[k] = v
-		}
-	}
-	return merged
-}
-
 // TestDraining guards against new requests at a worker that drains by the list or
 // by its own word.
 func TestDraining(t *testing.T) {
@@ -487,7 +480,7 @@
 	w := work(t, always(whole))
 	s := open(t, nil, "127.0.0.1:1")
 	c := charge("k")
-	c.headers = merge(c.headers, deadline(500*time.Millisecond))
+	c.within = 500 * time.Millisecond
 	got := []string{c.do(s.gateway)}
 	s.replaceWorker(w.address())
 	time.Sleep(time.Second) // the worker is set aside for this long after a refused connection
@@ -497,41 +490,52 @@
 	}
 }
 
-// TestStop guards against a planned stop that drops a request.
+// TestStop guards against a planned stop that drops a request. The callers come
+// through a load balancer that looks at the readiness of the entry.
 func TestStop(t *testing.T) {
 	w := work(t, func(int64, *http.Request) string {
 		time.Sleep(20 * time.Millisecond)
 		return whole
 	})
 	s := open(t, nil, w.address())
-	stopped := make(chan struct{})
 	var callers sync.WaitGroup
-	var done, bad atomic.Int64
+	var during atomic.Int64
+	drained := make(chan struct{})
 	for range 8 {
 		callers.Go(func() {
-			for {
-				select {
-				case <-stopped: // as a load balancer that has seen the entry not ready
-					return
-				default:
-				}
-				if got := (call{path: "/quote"}).do(s.gateway); got == "done 200 hello" {
-					done.Add(1)
-				} else {
-					bad.Add(1)
+			var seen time.Time
+			for seen.IsZero() || time.Since(seen) < notice/2 {
+				if got := (call{path: "/quote"}).do(s.gateway); got != "done 200 hello" {
 					t.Errorf("got %s", got)
 				}
+				if !s.gateway.Ready() && seen.IsZero() {
+					seen = time.Now()
+				}
+				if !seen.IsZero() {
+					during.Add(1)
+				}
 			}
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	close(stopped)
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	s.gateway.Drain(ctx)
+	go func() {
+		defer close(drained)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		s.gateway.Drain(ctx)
+	}()
 	callers.Wait()
-	if s.gateway.Ready() || bad.Load() > 0 || done.Load() < 8 {
-		t.Errorf("ready %v, %d complete, %d not", s.gateway.Ready(), done.Load(), bad.Load())
+	select {
+	case <-drained:
+		t.Error("drained before the load balancer noticed")
+	default:
+	}
+	if during.Load() <= 8 {
+		t.Errorf("%d requests during the notice", during.Load())
+	}
+	<-drained
+	if got := (call{path: "/quote"}).do(s.gateway); got != "no response" {
+		t.Errorf("after the drain: %s", got)
 	}
 }
 
--- a/internal/order/gateway/routes.go
+++ b/internal/order/gateway/routes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"path"
 	"slices"
 	"strings"
 
@@ -44,10 +45,16 @@
 }
 
 // find returns the route with the longest prefix of the path. A prefix ends at
-// the end of a path segment, so /quote does not match /quotes.
-func (rs *routes) find(method, path string) (classRoute, bool) {
+// the end of a path segment, so /quote does not match /quotes. Dots and repeated
+// slashes are resolved first, as upstreams do; otherwise /x/../charge would evade
+// the route of /charge.
+func (rs *routes) find(method, requested string) (classRoute, bool) {
+	clean := path.Clean("/" + requested)
+	if strings.HasSuffix(requested, "/") && clean != "/" {
+		clean += "/"
+	}
 	for _, r := range rs.all {
-		if (r.Method == "" || r.Method == method) && hasSegments(path, r.Prefix) {
+		if (r.Method == "" || r.Method == method) && hasSegments(clean, r.Prefix) {
 			return r, true
 		}
 	}
--- a/internal/order/route/router.go
+++ b/internal/order/route/router.go
@@ -273,8 +273,9 @@
 		if s.queue.len() == 0 {
 			continue
 		}
+		shortage := s.shortage(now)
 		for _, w := range s.workers {
-			earlier(w.aside)
+			earlier(w.probeAt(shortage))
 			earlier(w.drainTill)
 			for _, until := range w.busy {
 				earlier(until)
@@ -337,12 +338,13 @@
 	var best *worker
 	var least float64
 	compared := 0
+	shortage := s.shortage(now)
 	for i := range s.workers {
 		if compared == maxCompared {
 			break
 		}
 		w := s.workers[(uint64(i)+r.sequence*maxCompared)%uint64(len(s.workers))]
-		if !w.eligible(now) {
+		if !w.eligible(now, shortage) {
 			continue
 		}
 		compared++
@@ -425,3 +427,13 @@
 	}
 	return false
 }
+
+// shortage reports whether every worker that takes work is set aside.
+func (s *service) shortage(now time.Time) bool {
+	for _, w := range s.workers {
+		if w.asideStep == 0 && !w.draining(now) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/order/route/router_test.go
+++ b/internal/order/route/router_test.go
@@ -168,6 +168,42 @@
 	}
 }
 
+// TestShortage guards against workers that all stay set aside long after the
+// common cause of their failures has passed.
+func TestShortage(t *testing.T) {
+	tests := []struct {
+		name    string
+		serving bool // another worker serves
+		after   time.Duration
+		want    bool
+	}{
+		{"at once", false, 0, false},
+		{"all set aside", false, minAside, true},
+		{"another one serves", true, minAside, false},
+		{"another one serves, later", true, 8 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			workers := []Worker{{ID: "w1", Service: "s", Slots: 1}}
+			if tt.serving {
+				workers = append(workers, Worker{ID: "w2", Service: "s", Slots: 1})
+			}
+			r.SetWorkers(workers, start)
+			now := start
+			for range 4 { // set aside for 1, 2, 4 and 8 s
+				r.Unreachable("w1", now)
+				now = r.workers["w1"].aside
+			}
+			now = now.Add(tt.after - 8*time.Second)
+			d, decided := r.Arrive(request(1, now), now)
+			if got := decided && d.Worker == "w1"; got != tt.want {
+				t.Errorf("probed: %v, decision %+v", got, d)
+			}
+		})
+	}
+}
+
 // TestBudget guards against retries that multiply the load of a failing service.
 func TestBudget(t *testing.T) {
 	tests := []struct {
--- a/internal/order/route/worker.go
+++ b/internal/order/route/worker.go
@@ -66,13 +66,23 @@
 
 // eligible reports whether a request may be sent to the worker. A worker that is
 // probed gets one request at a time.
-func (w *worker) eligible(now time.Time) bool {
-	if w.draining(now) || now.Before(w.aside) || w.free(now) <= 0 {
+func (w *worker) eligible(now time.Time, shortage bool) bool {
+	if w.draining(now) || now.Before(w.probeAt(shortage)) || w.free(now) <= 0 {
 		return false
 	}
 	return w.asideStep == 0 || w.inUse == 0
 }
 
+// probeAt returns the time before which the worker is not chosen. In a shortage
+// every worker is probed after minAside, since the cause is likely common to all
+// and a longer wait would outlast it.
+func (w *worker) probeAt(shortage bool) time.Time {
+	if shortage && w.asideStep > minAside {
+		return w.aside.Add(minAside - w.asideStep)
+	}
+	return w.aside
+}
+
 // weight is 1 for a measurement of now and falls with its age.
 func (w *worker) weight(now time.Time) float64 {
 	age := max(now.Sub(w.measured), 0)
