--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
@@ -38,7 +39,8 @@
 	held    shard.Held // guarded by Service.mu
 	core    *Core
 	events  chan Event
-	calls   chan Action // to the store; the core has at most a ledger call and a job call in flight
+	calls   chan Action           // to the store; the core has at most a ledger call and a job call in flight
+	usage   atomic.Pointer[Usage] // of the core, for other goroutines
 	done    chan struct{}
 
 	// Of the goroutine that runs the core.
@@ -95,6 +97,8 @@
 			return
 		case <-tick.C:
 			event = Tick{}
+			usage := Usage(maps.Clone(h.core.usage))
+			h.usage.Store(&usage)
 		case event = <-h.events:
 		}
 	}
@@ -177,7 +181,7 @@
 	}
 	// Each shard goes through the others in an order of its own, so that the tasks
 	// of a zone that goes out do not all arrive at one place.
-	slices.SortFunc(f.Targets, func(a, b unit.ShardID) int { return h.distance(a).compare(h.distance(b)) })
+	sortByScore(f.Targets, h.id.String())
 	h.sweep(listed)
 	return f
 }
@@ -197,22 +201,6 @@
 	return before, len(siblings)
 }
 
-type distance uint64
-
-func (d distance) compare(o distance) int {
-	switch {
-	case d < o:
-		return -1
-	case d > o:
-		return 1
-	}
-	return 0
-}
-
-func (h *host) distance(id unit.ShardID) distance {
-	return distance(xxhash.Sum64String(h.id.String() + "\x00" + id.String()))
-}
-
 // sweep ends the goroutines of workers that are no longer listed or called.
 func (h *host) sweep(listed map[unit.InstanceID]bool) {
 	now := h.service.options.Now()
@@ -323,6 +311,9 @@
 			return unreachable(a)
 		}
 		report, err := client.Heartbeat(ctx, a.Heartbeat)
+		if observe := h.service.options.Observe; err == nil && observe != nil {
+			observe(a.Worker, report)
+		}
 		return Reported{Worker: a.Worker, Sent: sent, Received: now(), Report: report, Fault: workerFault(err)}
 	}
 	return nil
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// wishMoves notes the jobs with tasks that wait for a shard to move to.
+func (c *Core) wishMoves() {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		for _, t := range j.tasks {
+			if t.State == ledger.StateMoving {
+				c.wish(j)
+				break
+			}
+		}
+	}
+}
+
 // writeJobs writes the next job record that has to change, one at a time.
 func (c *Core) writeJobs() {
 	if c.jobWrite != nil || c.jobRead != "" || c.now.Before(c.jobNext) {
@@ -508,116 +521,3 @@
 	n, _ := slices.BinarySearchFunc(c.delayed, d.at, func(e delayed, at time.Time) int { return e.at.Compare(at) })
 	c.delayed = slices.Insert(c.delayed, n, d)
 }
-
-// placePending places pending tasks, the most urgent jobs first.
-func (c *Core) placePending() {
-	if !c.place || c.startDeadline().IsZero() || c.book.size > placeableSize {
-		return
-	}
-	c.place = false
-	for _, id := range c.queue.Order(c.now) {
-		j := c.jobs[id]
-		if reason := c.largest.Oversize(j.record.Job.Size); reason != "" {
-			c.park(j, reason)
-			j.oversize = true
-			continue
-		}
-		for len(c.queue.Pending(id)) > 0 && c.placeOne(j, c.queue.Pending(id)[0]) {
-		}
-	}
-}
-
-// placeOne places a task and reports whether it found room and quota.
-func (c *Core) placeOne(j *job, i unit.TaskIndex) bool {
-	spec := &j.record.Job
-	if !c.queue.WithinQuota(spec, c.usage[spec.Team].Add(c.others[spec.Team])) {
-		if !j.overrun {
-			j.overrun = true
-			c.note("waits", "quota of team "+string(spec.Team)+" is used up", j.subject())
-		}
-		return false
-	}
-	j.overrun = false
-	id, ok := c.choose(j, i)
-	if !ok {
-		if j.blocked.IsZero() {
-			j.blocked = c.now
-		}
-		return false
-	}
-	t := c.entry(j, i)
-	t.Attempt++
-	ref := t.ref()
-	if !c.Placer.Reserve(id, ref, spec.Class, spec.Size) {
-		// The number is used up; no start was sent under it.
-		j.changed = c.change()
-		return false
-	}
-	j.blocked = time.Time{}
-	c.queue.Remove(t.id())
-	t.State, t.Worker = ledger.StatePlaced, id
-	t.attempt = attempt{reserved: true, written: c.change()}
-	j.changed = t.written
-	j.placed++
-	c.count(t)
-	c.node(id).add(t)
-	return true
-}
-
-// choose proposes a worker, but none on which the task has failed if there is
-// another one.
-func (c *Core) choose(j *job, i unit.TaskIndex) (unit.InstanceID, bool) {
-	spec := &j.record.Job
-	id, ok := c.Placer.Place(spec.Class, spec.Size)
-	t := j.tasks[i]
-	if !ok || t == nil || !slices.Contains(t.FailedOn, id) {
-		return id, ok
-	}
-	first := id
-	var closed []*node
-	for ok && slices.Contains(t.FailedOn, id) {
-		n := c.node(id)
-		closed = append(closed, n)
-		c.Placer.Upsert(id, n.listed.Rack, n.capacity, false)
-		id, ok = c.Placer.Place(spec.Class, spec.Size)
-	}
-	for _, n := range closed {
-		c.Placer.Upsert(n.id, n.listed.Rack, n.capacity, true)
-	}
-	if !ok {
-		return first, true
-	}
-	return id, true
-}
-
-// park keeps a job from being placed and says why in its record.
-func (c *Core) park(j *job, reason string) {
-	if j.parked == reason {
-		return
-	}
-	j.parked = reason
-	c.queue.Park(j.id, reason)
-	c.wish(j)
-	if reason == "" {
-		c.note("no longer parked", "a larger worker is listed", j.subject())
-	} else {
-		c.note("parked", reason, j.subject())
-	}
-}
-
-// checkFailures parks a job whose tasks fail on every worker and of which none
-// was done.
-func (c *Core) checkFailures(j *job, reason string) {
-	if j.parked != "" {
-		return
-	}
-	failedOn := map[unit.InstanceID]bool{}
-	for _, t := range j.tasks {
-		for _, id := range t.FailedOn {
-			failedOn[id] = true
-		}
-	}
-	if j.done == 0 && len(j.finished) == 0 && queue.FailsEverywhere(len(failedOn), len(c.order)) {
-		c.park(j, fmt.Sprintf("failed on each of %d workers; last: %s", len(failedOn), reason))
-	}
-}
