--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -287,6 +287,7 @@
 	path    string
 	headers map[string]string
 	body    string
+	within  time.Duration // the deadline, from the call on; 0 for none
 }
 
 func (c call) do(g *gateway.Gateway) string {
@@ -301,6 +302,9 @@
 	for k, v := range c.headers {
 		r.Header.Set(k, v)
 	}
+	if c.within != 0 {
+		r.Header.Set("Monsoonfold-Deadline", fmt.Sprint(time.Now().Add(c.within).UnixMilli()))
+	}
 	resp, err := client.Do(r)
 	if err != nil {
 		return "no response"
@@ -323,10 +327,6 @@
 	return call{path: "/charge", headers: map[string]string{"Idempotency-Key": key}}
 }
 
-func deadline(d time.Duration) map[string]string {
-	return map[string]string{"Monsoonfold-Deadline": fmt.Sprint(time.Now().Add(d).UnixMilli())}
-}
-
 // TestOutcome guards against an outcome that is not the truth, and against a
 // second run of a request that may run once.
 func TestOutcome(t *testing.T) {
@@ -362,16 +362,16 @@
 		{name: "mismatched id, retried", call: call{path: "/quote"}, respond: first(mismatch), want: "done 200 hello", runs: 2},
 		{name: "mismatched id, once", call: charge("k"), respond: first(mismatch), want: "unknown 502", runs: 1},
 		{name: "connection hung, retried", call: call{path: "/quote"}, respond: first(""), want: "done 200 hello", runs: 2},
-		{name: "connection hung, once", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(300*time.Millisecond))}, respond: always(""), want: "unknown 502", runs: 1},
+		{name: "connection hung, once", call: call{path: "/charge", headers: charge("k").headers, within: 300 * time.Millisecond}, respond: always(""), want: "unknown 502", runs: 1},
 		{name: "oversized response", call: charge("k"), respond: always(strings.Replace(whole, "5", "99999999999", 1)), want: "unknown 502", runs: 1},
 		{name: "worker busy, once", call: charge("k"), respond: first(busy), want: "done 200 hello", runs: 2},
-		{name: "worker always busy", call: call{path: "/charge", headers: merge(charge("k").headers, deadline(time.Second))}, respond: always(busy), want: "not-run 503", runs: 3, fewer: true},
+		{name: "worker always busy", call: call{path: "/charge", headers: charge("k").headers, within: time.Second}, respond: always(busy), want: "not-run 503", runs: 3, fewer: true},
 		{name: "once without a key", call: call{path: "/charge"}, respond: always(whole), want: "not-run 400"},
 		{name: "once by header, without a key", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Once": "true"}}, respond: always(whole), want: "not-run 400"},
 		{name: "once by route, other method", call: call{method: "GET", path: "/charge"}, respond: always(whole), want: "done 200 hello", runs: 1},
 		{name: "once, store down", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.down.Store(true) }, want: "not-run 503"},
 		{name: "once, store response lost", call: charge("k"), respond: always(whole), set: func(s *site) { s.store.lose.Store(true) }, want: "done 200 hello", runs: 1},
-		{name: "deadline passed", call: call{path: "/quote", headers: deadline(-time.Second)}, respond: always(whole), want: "not-run 503"},
+		{name: "deadline passed", call: call{path: "/quote", within: -time.Second}, respond: always(whole), want: "not-run 503"},
 		{name: "deadline malformed", call: call{path: "/quote", headers: map[string]string{"Monsoonfold-Deadline": "soon"}}, respond: always(whole), want: "not-run 400"},
 		{name: "request too large", call: call{path: "/quote", body: strings.Repeat("x", 1<<20+1)}, respond: always(whole), want: "not-run 413"},
 		{name: "no confirmation", call: call{path: "/quote"}, respond: always(whole), set: func(s *site) { s.config.unconfirmed.Store(true) }, want: "not-run 503"},
@@ -421,16 +421,6 @@
 	f.changed <- struct{}{}
 }
 
-func merge(all ...map[string]string) map[string]string {
-	merged := map[string]string{}
-	for _, m := range all {
-		for k, v := range m {
-			merged[k] = v
-		}
-	}
-	return merged
-}
-
 // TestDraining guards against new requests at a worker that drains by the list or
 // by its own word.
 func TestDraining(t *testing.T) {
@@ -497,7 +487,7 @@
 	w := work(t, always(whole))
 	s := open(t, nil, "127.0.0.1:1")
 	c := charge("k")
-	c.headers = merge(c.headers, deadline(500*time.Millisecond))
+	c.within = 500 * time.Millisecond
 	got := []string{c.do(s.gateway)}
 	s.replaceWorker(w.address())
 	time.Sleep(time.Second) // the worker is set aside for this long after a refused connection
