cmd/monsoonfold: scenario of the whole path over separate processes

Cause: the parts were tested together only in one process. Change: a script that runs platform, six workers, three entries, callers and an operator as processes: targets, rejected calls, requests, jobs, a parked job, a zone out and back, explain, burn page, graceful stops; commands of the scenarios that audit the workers. Events about a task are found under its job. Conclusion: one request and one job are served end to end by processes.

--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -11,6 +11,13 @@
 //	expand FILE...                replaces $NAME in the files
 //	fetch METHOD URL [FILE]       sends the file as the body, prints the answer; status 400 and above fails
 //	eventually SPAN PROGRAM ARG...  repeats the program until it succeeds
+//	until SPAN REGEXP PROGRAM ARG...  repeats the program until it succeeds and its stdout matches
+//	background NAME PROGRAM ARG...  starts a program whose stdout goes to the file NAME
+//	await NAME                    waits for a background program and wants exit code 0
+//	instances OUT NAME...         joins the ready lines of workers to one instance list
+//	audit RESULT NAME...          checks the invariants over the workers' audits and the callers' result, or -
+//	mark NAME                     sets the variable to the present time
+//	nostarts FROM TO NAME...      no task started on the workers from 5 s after FROM until TO
 //	pause SPAN                    waits, for outages that have to last
 package scenario
 
@@ -23,6 +30,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +61,13 @@
 			"expand":     expandFiles,
 			"fetch":      fetch,
 			"eventually": retryProgram,
+			"until":      retryUntil,
+			"background": startBackground,
+			"await":      awaitBackground,
+			"instances":  mergeInstances,
+			"audit":      audit,
+			"mark":       noteTime,
+			"nostarts":   checkNoStarts,
 			"pause":      pauseScript,
 		},
 	})
@@ -199,6 +214,55 @@
 	}
 }
 
+func retryUntil(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 3 {
+		ts.Fatalf("usage: until SPAN REGEXP PROGRAM ARG...")
+	}
+	span, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	wanted, err := regexp.Compile(args[1])
+	ts.Check(err)
+	deadline := time.Now().Add(span)
+	for {
+		err := ts.Exec(args[2], args[3:]...)
+		if err == nil && wanted.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("not within %s: %s: %v", span, strings.Join(args[2:], " "), err)
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
+func startBackground(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: background NAME PROGRAM ARG...")
+	}
+	program, err := exec.LookPath(args[1])
+	ts.Check(err)
+	out, err := os.Create(ts.MkAbs(args[0]))
+	ts.Check(err)
+	p := &process{cmd: exec.Command(program, args[2:]...), log: &logBuffer{}}
+	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = ts.MkAbs("."), out, p.log
+	ts.Check(p.cmd.Start())
+	ts.Check(out.Close())
+	ts.Defer(func() { _ = p.cmd.Process.Kill() })
+	ts.Value(processesKey{}).(processes)[args[0]] = p
+}
+
+func awaitBackground(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: await NAME")
+	}
+	p := find(ts, args[0])
+	kill := time.AfterFunc(patience, func() { _ = p.cmd.Process.Kill() })
+	defer kill.Stop()
+	if err := p.cmd.Wait(); err != nil {
+		ts.Fatalf("%s: %v\n%s", args[0], err, p.log)
+	}
+}
+
 func pauseScript(ts *testscript.TestScript, _ bool, args []string) {
 	if len(args) != 1 {
 		ts.Fatalf("usage: pause SPAN")
--- a/internal/job/dispatch/attempt.go
+++ b/internal/job/dispatch/attempt.go
@@ -45,6 +45,7 @@
 func (t *task) subjects() []journal.Subject {
 	return []journal.Subject{
 		{Kind: journal.KindTask, ID: t.id().String()},
+		{Kind: journal.KindJob, ID: string(t.id().Job)},
 		{Kind: journal.KindWorker, ID: string(t.Worker)},
 	}
 }
