job/dispatch: missing knowledge evicts nothing

Cause: a new owner that has no revision of the configuration yet took all zones as out of service, and a live worker that is missing from the list counted as draining; both would have checkpointed every running task.

Change: the shell hands over no document before its first revision; only a worker that the list or the worker itself says is draining loses its tasks.

--- a/internal/job/dispatch/bench_test.go
+++ b/internal/job/dispatch/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 // bench drives one core at the scale target with answers that come at once.
 type bench struct {
 	core     *Core
+	fleet    Fleet
 	now      time.Time
 	zero     time.Time
 	document *spec.Document
@@ -24,7 +26,9 @@
 	revision unit.Revision
 	jobs     int
 	starts   int
-	written  int // bytes of the last ledger
+	ledger   []byte // last written
+	records  []JobChanged
+	stops    int // orders against tasks
 	writes   int
 }
 
@@ -45,15 +49,15 @@
 			Zones:   []spec.Zone{{Name: "z1"}},
 		},
 	}
-	b.core = New(Settings{Shard: unit.ShardID{Zone: "z1"}, Epoch: 1, Inherited: zero, Placer: placement.NewFirstFit()})
-	f := Fleet{Siblings: 1}
+	b.core, b.fleet = New(Settings{Shard: unit.ShardID{Zone: "z1"}, Epoch: 1, Inherited: zero, Placer: placement.NewFirstFit()}), Fleet{Siblings: 1}
+	f := &b.fleet
 	for n := range benchWorkers {
 		id := unit.InstanceID(fmt.Sprintf("kyushu-kum-rack-%02d-worker-%03d", n/11, n))
 		b.workers[id] = map[worker.Ref]*worker.Status{}
 		f.Workers = append(f.Workers, Listed{ID: id, Rack: unit.RackID(fmt.Sprint(n / 11)), Capacity: benchCapacity, Live: true})
 		f.Largest = f.Largest.Include(id, benchCapacity)
 	}
-	b.step(f)
+	b.step(*f)
 	return b
 }
 
@@ -72,20 +76,24 @@
 func (b *bench) answer(a Action) Event {
 	switch a := a.(type) {
 	case ReadLedger:
-		return LedgerRead{}
+		return LedgerRead{Value: b.ledger, Revision: b.revision}
 	case WriteLedger:
 		b.revision++
-		b.written = len(a.Value)
+		b.ledger = a.Value
 		b.writes++
 		return LedgerWritten{Revision: b.revision}
 	case ListJobs:
-		return JobsListed{}
+		return JobsListed{Jobs: b.records}
 	case WriteJob:
 		b.revision++
 		return JobWritten{Job: a.Job, Revision: b.revision}
 	case SendOrders:
 		reply := worker.OrderReply{Clock: b.clock()}
 		for _, o := range a.Batch.Orders {
+			if o.Action != worker.ActionStart {
+				b.stops++
+				continue
+			}
 			b.starts++
 			b.ends[o.Ref] = b.clock().Add(benchWork)
 			b.workers[a.Worker][o.Ref] = &worker.Status{
@@ -124,9 +132,11 @@
 		Time: b.now.UnixMilli(),
 	}
 	b.revision++
-	b.step(JobChanged{Job: j.ID, Revision: b.revision, Record: ledger.Record{
+	changed := JobChanged{Job: j.ID, Revision: b.revision, Record: ledger.Record{
 		Job: j, Parts: []ledger.Part{{Shard: b.core.Shard, Count: benchRate}},
-	}})
+	}}
+	b.records = append(b.records, changed)
+	b.step(changed)
 	for range time.Second / tickInterval {
 		b.now = b.now.Add(tickInterval)
 		b.step(Confirmed{
@@ -137,6 +147,55 @@
 	}
 }
 
+// TestMissingKnowledge guards against tasks that are evicted because a new owner
+// does not know the configuration or the list of workers yet, or because a live
+// worker is missing from the list.
+func TestMissingKnowledge(t *testing.T) {
+	tests := []struct {
+		name     string
+		document bool
+		listed   bool
+		leaving  bool
+		evicted  bool
+	}{
+		{"all known", true, true, false, false},
+		{"no configuration", false, true, false, false},
+		{"workers not listed", true, false, false, false},
+		{"neither", false, false, false, false},
+		{"workers leaving", true, true, true, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench()
+			for range 3 {
+				b.second()
+			}
+			b.core = New(Settings{
+				Shard: b.core.Shard, Epoch: 2, Inherited: b.now.Add(time.Hour), Placer: placement.NewFirstFit(),
+			})
+			if !tt.document {
+				b.document = nil
+			}
+			fleet := b.fleet
+			fleet.Workers = slices.Clone(fleet.Workers)
+			for n := range fleet.Workers {
+				fleet.Workers[n].Live = !tt.leaving
+			}
+			if !tt.listed {
+				fleet.Workers = nil
+			}
+			b.step(fleet)
+			b.stops = 0
+			for range 8 {
+				b.second()
+			}
+			if evicted := b.stops > 0; evicted != tt.evicted {
+				t.Errorf("%d orders against running tasks; want some: %v", b.stops, tt.evicted)
+			}
+		})
+	}
+}
+
 // BenchmarkSecond measures one second of a shard at the peak of the scale target.
 func BenchmarkSecond(b *testing.B) {
 	m := newBench()
@@ -156,5 +215,5 @@
 	b.ReportMetric(float64(m.writes)/float64(b.N), "writes/op")
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(max(m.starts, 1)), "ns/start")
 	b.ReportMetric(float64(placed), "tasks")
-	b.ReportMetric(float64(m.written), "ledger-B")
+	b.ReportMetric(float64(len(m.ledger)), "ledger-B")
 }
--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -131,7 +131,9 @@
 	}
 	s.mu.Unlock()
 	c := Confirmed{ValidUntil: valid, StartUntil: s.config.StartUntil(), NotAfter: s.config.NotAfter()}
-	if r := s.config.Current(); h.document == nil || r.Number != h.revision {
+	// Before the first revision is known no zone is; that must not count as all
+	// zones being out of service.
+	if r := s.config.Current(); r.Number != h.revision {
 		h.revision, h.document = r.Number, &r.Document
 	}
 	c.Document = h.document
@@ -142,9 +144,11 @@
 func (h *host) list() Event {
 	snapshot := h.service.fleet.Snapshot()
 	var zones []unit.ZoneID
-	for _, z := range h.document.Zones {
-		if !z.Out {
-			zones = append(zones, z.Name)
+	if h.document != nil {
+		for _, z := range h.document.Zones {
+			if !z.Out {
+				zones = append(zones, z.Name)
+			}
 		}
 	}
 	if h.listing == snapshot.Revision && h.listing != 0 && slices.Equal(zones, h.targets) {
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -124,7 +124,10 @@
 // may not.
 func (c *Core) judgeNodes() {
 	for _, n := range slices.Clone(c.order) {
-		live := n.known && n.listed.Live && !n.draining
+		// A worker that is missing from the list may still run its tasks; only one
+		// that is said to be draining loses them.
+		draining := n.draining || n.known && !n.listed.Live
+		live := n.known && !draining
 		heard := !n.reported.IsZero() && c.now.Sub(n.reported) < silence
 		open := live && heard && !n.stale && len(n.strays) == 0 && !n.crowded()
 		if !n.reported.IsZero() && n.silent == heard {
@@ -142,7 +145,7 @@
 			switch {
 			case !t.sent:
 				c.withdraw(t)
-			case !live:
+			case draining:
 				c.push(t, worker.ActionCheckpoint, "worker is draining")
 			}
 		}
