job/dispatch: decide once per event

Cause: the core went through all its work after each sampled deadline as well as after the event that it was sampled for.

Change: Confirmed, Fleet and Usage only change what the next event is judged by. The model sends the list of workers when it changed, and ticks each second while long times pass.

--- a/internal/job/dispatch/core.go
+++ b/internal/job/dispatch/core.go
@@ -126,21 +126,26 @@
 	}
 }
 
-// Step takes an event and returns the actions that follow from it.
+// Step takes an event and returns the actions that follow from it. Confirmed,
+// Fleet and Usage only change what the next other event is judged by, since the
+// shell samples them before each.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	if c.phase == phaseEnded {
 		return nil
 	}
 	c.now, c.actions = now, nil
 	switch e := e.(type) {
-	case Tick:
-		c.place = true
 	case Confirmed:
 		c.confirm(e)
+		return c.actions
 	case Fleet:
 		c.list(e)
+		return c.actions
 	case Usage:
 		c.others = e
+		return c.actions
+	case Tick:
+		c.place = true
 	case LedgerRead:
 		c.ledgerRead(e)
 	case LedgerWritten:
--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -65,6 +65,8 @@
 	slow    float64
 	double  float64
 	tasks   map[unit.TaskID]*simTask
+	listed  int           // version of the list of workers, from 1
+	tick    time.Duration // between two ticks of an entry
 	jobs    int
 	starts  int
 	broken  string // first violation
@@ -81,6 +83,7 @@
 func newSim(t *rapid.T, seed uint64) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[string]bool{}, tasks: map[unit.TaskID]*simTask{},
+		listed: 1, tick: simTick,
 		store: simStore{
 			leases: map[store.LeaseID]time.Duration{}, entries: map[unit.EntryID]simRegistration{},
 			shards: map[unit.ShardID]shard.Held{}, ledgers: map[unit.ShardID]simRecord{},
@@ -124,6 +127,14 @@
 	s.store.expire(s.now)
 }
 
+// advanceLong lets a long time pass with fewer ticks, which take most of the
+// processor time of the test.
+func (s *sim) advanceLong(d time.Duration) {
+	s.tick = time.Second
+	s.advance(d)
+	s.tick = simTick
+}
+
 func (s *sim) violate(format string, args ...any) {
 	if s.broken == "" {
 		s.broken = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, args...)
