order/gateway: hold small responses until they are complete

Cause: a small response that a worker cut reached the caller as an aborted stream, although nothing had been passed on and another attempt was possible. Ruled out: holding responses of unknown length, which may be event streams. Change: responses of known length up to 32 KB are passed on once complete.

--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -328,6 +328,7 @@
 		mismatch = "HTTP/1.1 200 OK\r\nMonsoonfold-Request: other\r\nContent-Length: 5\r\n\r\nhello"
 		short    = "HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nContent-Length: 50000\r\n\r\nhello"
 	)
+	small := strings.Replace(short, "50000", "50", 1)
 	long := short + strings.Repeat("x", 20_000)
 	first := func(response string) func(int64, *http.Request) string {
 		return func(run int64, _ *http.Request) string {
@@ -351,6 +352,9 @@
 		{name: "no worker", call: call{path: "/quote"}, want: "not-run 503"},
 		{name: "worker refuses connections", call: call{path: "/quote"}, respond: always(whole), set: func(s *site) { s.replaceWorker("127.0.0.1:1") }, want: "not-run 503"},
 		{name: "worker killed in mid response", call: call{path: "/quote"}, respond: always(long + "CUT"), want: "done 200 aborted", runs: 1},
+		{name: "small response truncated, retried", call: call{path: "/quote"}, respond: first(small + "CUT"), want: "done 200 hello", runs: 2},
+		{name: "small response truncated, once", call: charge("k"), respond: first(small + "CUT"), want: "unknown 502", runs: 1},
+		{name: "chunked response truncated", call: call{path: "/quote"}, respond: first("HTTP/1.1 200 OK\r\nMonsoonfold-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\nCUT"), want: "no response", runs: 1},
 		{name: "worker killed early in the response", call: call{path: "/quote"}, respond: always(short + "CUT"), want: "no response", runs: 1},
 		{name: "mismatched id, retried", call: call{path: "/quote"}, respond: first(mismatch), want: "done 200 hello", runs: 2},
 		{name: "mismatched id, once", call: charge("k"), respond: first(mismatch), want: "unknown 502", runs: 1},
--- a/internal/order/gateway/request.go
+++ b/internal/order/gateway/request.go
@@ -55,8 +55,23 @@
 	body    []byte
 	claim   claim.Result
 	last    *station // of the latest attempt
+	answer  answer
 }
 
+// answer is the response of the present attempt.
+type answer struct {
+	status int
+	header http.Header
+	length int64
+	held   []byte // not yet passed on
+	passed bool   // the header was passed on, so no other attempt can follow
+}
+
+// maxHeld bounds the responses that are held until they are complete, so that the
+// caller gets another attempt or an outcome instead of an aborted stream. Only
+// responses of known length are held; others may be streams of events.
+const maxHeld = 32 << 10
+
 // verdict is the end of an order without a complete response.
 type verdict struct {
 	outcome upstream.Outcome
@@ -165,9 +180,10 @@
 		}
 		result := o.attempt(ctx, s, q.Ticket, attempt)
 		if result.Outcome == upstream.Done {
+			o.pass()
 			return nil
 		}
-		if result.Begun {
+		if o.answer.passed {
 			return &verdict{outcome: upstream.Unknown, why: result.Err.Error()}
 		}
 		unknown = unknown || result.Outcome == upstream.Unknown
@@ -312,22 +328,18 @@
 
 // Begin implements upstream.Sink.
 func (o *order) Begin(status int, header http.Header, length int64) {
-	h := o.writer.Header()
-	for k, v := range endToEnd(header) {
-		h[k] = v
-	}
-	h.Del(upstream.HeaderState)
-	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
-		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	o.answer = answer{status: status, header: endToEnd(header), length: length}
+	if length < 0 || length > maxHeld {
+		o.pass()
 	}
-	o.identify(upstream.Done)
-	// A caller that reads slowly must not hold the slot for longer.
-	_ = http.NewResponseController(o.writer).SetWriteDeadline(o.end)
-	o.writer.WriteHeader(status)
 }
 
 // Write implements upstream.Sink.
 func (o *order) Write(p []byte) (int, error) {
+	if !o.answer.passed {
+		o.answer.held = append(o.answer.held, p...)
+		return len(p), nil
+	}
 	n, err := o.writer.Write(p)
 	if err != nil {
 		return n, errors.Errorf("write response: %w", err)
@@ -335,6 +347,29 @@
 	return n, nil
 }
 
+// pass passes on what was held of the response.
+func (o *order) pass() {
+	a := &o.answer
+	if a.passed {
+		return
+	}
+	a.passed = true
+	h := o.writer.Header()
+	for k, v := range a.header {
+		h[k] = v
+	}
+	h.Del(upstream.HeaderState)
+	if a.length >= 0 && a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
+	}
+	o.identify(upstream.Done)
+	// A caller that reads slowly must not hold the slot for longer.
+	_ = http.NewResponseController(o.writer).SetWriteDeadline(o.end)
+	o.writer.WriteHeader(a.status)
+	_, _ = o.writer.Write(a.held) // the caller may have gone
+	a.held = nil
+}
+
 // identify sets the headers of every response.
 func (o *order) identify(outcome upstream.Outcome) {
 	h := o.writer.Header()
