order/claim: fuzz the decoder of claim records

Cause: a damaged record must neither crash an entry nor grant an id. Change: a fuzz test that decodes, encodes and compares.

--- /dev/null
+++ b/internal/order/claim/fuzz_test.go
@@ -0,0 +1,36 @@
+package claim
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// FuzzDecode guards against a damaged record that crashes an entry, or that is
+// read as other claims than it would be written with.
+func FuzzDecode(f *testing.F) {
+	for _, r := range []Record{{}, {Sealed: true}, {claims: []claimed{{Key{1}, 1}, {Key{2}, 2}}}} {
+		data, err := r.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := r.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := Decode(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(r, got, cmp.AllowUnexported(Record{}, claimed{})); diff != "" {
+			t.Errorf("record (-first +second):\n%s", diff)
+		}
+	})
+}
