cmd/monsoonfold: an entry that cannot start ends with one clear error

Cause: a store that cannot be reached gave four lines, two of them about the stop of services that had just started. Change: a failed start reports its own cause only, and errors of the store client are one line; a scenario covers a port in use, an unreachable store, missing keys and settings, and that nothing stays registered.

--- a/internal/kernel/registry/registry.go
+++ b/internal/kernel/registry/registry.go
@@ -82,8 +82,10 @@
 func (k *Kernel) Start(ctx context.Context) error {
 	for _, s := range k.services {
 		if err := s.Start(ctx, k); err != nil {
-			err = errors.Errorf("start service %q: %w", s.Name(), err)
-			return errors.Join(err, k.Stop(ctx))
+			// What fails while the others stop follows from the same cause and
+			// would hide it.
+			_ = k.Stop(ctx)
+			return errors.Errorf("start service %q: %w", s.Name(), err)
 		}
 		k.started++
 		go k.observe(s)
--- a/internal/platform/store/client.go
+++ b/internal/platform/store/client.go
@@ -199,7 +199,7 @@
 	if written && method != http.MethodGet {
 		kind = ErrUnknown
 	}
-	return errors.Join(kind, cause)
+	return errors.Errorf("%v: %w", cause, kind)
 }
 
 func decodeAnswer(status int, data []byte, answer any) error {
