bench/capacity: count team usage and tick the simulated shard

Cause: since the core decides once per event, the simulated shard took up its jobs before its takeover had begun, so the probe without starts had no tasks and failed. The exchange of team usage through the store was not in the model.

Change: the simulation ticks once after the list of workers. A probe measures the list of what 80 teams use on the shards of all entries, and the model adds its reads and writes and the archive of ended jobs.

--- a/internal/bench/capacity/capacity_test.go
+++ b/internal/bench/capacity/capacity_test.go
@@ -119,7 +119,7 @@
 	add(Heap, Line{Slope: 1}, "interference", "connection to a worker", "report of a worker", "view", "instances",
 		"document", "slots", "claims", "burn", "journal", probePeak, probeQuiet)
 	add(Encoded, Line{Slope: 1}, callWorker, callStore, "job record", "push", "document", "claims", "view", "difference",
-		"shard records", "peer exchange")
+		"shard records", "team usage", "peer exchange")
 	for _, p := range []string{probePeak, probeQuiet} {
 		add(Rate, Line{Slope: 0.5}, p+" heartbeats")
 		add(Rate, Line{}, p+" order calls", p+" job writes")
@@ -150,6 +150,10 @@
 		{"renewal of the registration", Cost{Messages: 0.5, Bytes: 0.5 * (1 + tcpPerCall), Writes: 0.5}},
 		{"read of the view", Cost{Messages: 1, Bytes: 1 + tcpPerCall + 5*tcpPerByte, Memory: 5, Reads: 1}},
 		{"heartbeats between entries", Cost{Messages: 16, Bytes: 16}},
+		// The own record is written, and those of 5 entries are read as text.
+		{"team usage on other shards", Cost{
+			Messages: 0.4, Bytes: 0.2*(1+tcpPerCall+5*tcpPerByte) + 0.2*(1+tcpPerCall+0.75*tcpPerByte), Reads: 0.2, Writes: 0.2,
+		}},
 		{"scheduler, placement, connections", Cost{Memory: 2 * (10 + 10*(1+stackSize))}},
 		{"partition of slots", Cost{Memory: 80}},
 	}
--- a/internal/bench/capacity/model.go
+++ b/internal/bench/capacity/model.go
@@ -71,6 +71,7 @@
 	stackSize       = 8 << 10                // of a goroutine that serves a connection
 	collectorFactor = 2                      // heap at GOGC=100 over live heap
 	headSize        = 200                    // of config/head, an upper bound
+	usageInterval   = 5 * time.Second        // job/dispatch
 	probeInterval   = time.Second            // job/dispatch
 	tcpPerCall      = 4 * 52                 // headers of TCP and IPv4: a segment each way, with acknowledgements
 	tcpPerByte      = 1 + 52.0/1448          // further segments of long bodies
@@ -263,6 +264,10 @@
 	list.Memory = m.at("instances", Heap, workers)
 	owners := m.storeCalls(read, 0, m.at("shard records", Encoded, float64(t.Shards)))
 	owners.Cores += m.cores("shard records", float64(t.Shards), read)
+	each := perInterval(usageInterval)
+	usage := m.storeCalls(each, 0, m.at("team usage", Encoded, entries)).
+		Add(m.storeCalls(0, each, m.slope("team usage", Encoded)/textFactor))
+	usage.Cores += m.cores("team usage", entries, each)
 	head := m.storeCalls(read, 0, headSize).Add(m.storeCalls(read/8, 0, 0)) // one in 8 also probes the log
 	head.Memory = m.at("document", Heap, float64(t.Teams))
 	written, conflicts := t.ClaimCalls()
@@ -288,6 +293,7 @@
 		{Owner, "interference model", "job/interference", perShard.model.Times(shards)},
 		{Owner, "scheduler, placement, connections", "job/dispatch, job/placement", perShard.state.Times(shards)},
 		{Owner, "read of the shard records", "job/dispatch, fleet/shard", owners},
+		{Owner, "team usage on other shards", "job/dispatch", usage},
 		{Owner, "watch of job records", "job/dispatch", m.storeCalls(changed+watchIdle, 0, 0).Add(Cost{
 			Bytes: changed * record * textFactor, Cores: m.cores("job record", t.Parts(), changed),
 		})},
@@ -384,7 +390,9 @@
 		{"configuration head, log", read * 9 / 8, 0, headSize},
 		{"configuration change", 0, 2 * perSecond(t.Changes), m.at("document", Encoded, float64(t.Teams))},
 		{"ledger", 0, shards * min(m.at(probePeak+" ledger writes", Rate, workers), 2), m.at(probePeak+" ledger size", Encoded, workers)},
-		{"job record: new, deleted", 0, 2 * perSecond(t.Jobs), m.at("job record", Encoded, t.Parts())},
+		{"team usage", entries * perInterval(usageInterval), 0, m.at("team usage", Encoded, entries)},
+		{"team usage of an entry", 0, entries * perInterval(usageInterval), m.slope("team usage", Encoded) / textFactor},
+		{"job record: new, archived, deleted", 0, 4 * perSecond(t.Jobs), m.at("job record", Encoded, t.Parts())},
 		{"job record: parts ended", 0, shards * m.at(probePeak+" job writes", Rate, workers), m.at("job record", Encoded, t.Parts())},
 		{"shard records", read, 0, m.at("shard records", Encoded, shards)},
 		{"watch of job records", entries * (watchIdle + m.jobChanges(t, true)), 0, m.at("job record", Encoded, t.Parts()) * textFactor},
--- a/internal/bench/capacity/probes.go
+++ b/internal/bench/capacity/probes.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/dispatch"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 	"github.com/monsoonfold/monsoonfold/internal/job/lease"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
@@ -40,6 +41,7 @@
 	{"difference", "changes", "fleet/inventory", []int{1, 10, 40, 160}, prepareDifference},
 	{"view", "entries", "fleet/roster", entrySizes, prepareView},
 	{"shard records", "shards", "fleet/shard", []int{7, 14, 28, 56}, prepareShardRecords},
+	{"team usage", "entries", "job/dispatch", entrySizes, prepareUsage},
 	{"slots", "workers", "order/slot", fleetSizes, prepareSlots},
 	{"slots by entries", "entries", "order/slot", entrySizes, prepareSlotsByEntries},
 	{"release of slots", "slots", "peer/message", []int{50, 200, 800, 3200}, prepareRelease},
@@ -127,6 +129,36 @@
 	}}, err
 }
 
+// prepareUsage lists what 80 teams use on the shards of each entry as the store
+// does, and adds it up as job/dispatch does.
+func prepareUsage(n int) (operation, error) {
+	own := dispatch.Usage{}
+	for i := range teamSizes[len(teamSizes)-1] {
+		own[teamID(i)] = unit.Resources{Cores: 123000, Memory: 250 << 30}
+	}
+	value, err := json.Marshal(own)
+	if err != nil {
+		return operation{}, errors.Errorf("encode usage: %w", err)
+	}
+	list := store.Snapshot{Revision: 123456}
+	for i := range n {
+		list.Records = append(list.Records, store.Record{Key: store.Key("usage/" + entryID(i)), Value: value, Revision: 123456, Lease: "l123456"})
+	}
+	data, err := json.Marshal(list)
+	return operation{encoded: len(data), run: func() {
+		var s store.Snapshot
+		_ = json.Unmarshal(data, &s)
+		total := dispatch.Usage{}
+		for _, r := range s.Records {
+			var u dispatch.Usage
+			_ = json.Unmarshal(r.Value, &u)
+			for team, used := range u {
+				total[team] = total[team].Add(used)
+			}
+		}
+	}}, err
+}
+
 func partition(workers, entries int) *slot.Partition {
 	p := slot.New(entryID(0), slot.DefaultRules())
 	p.Adopt(slot.View{Entries: entryIDs(entries), Revision: 1}, start, start)
--- a/internal/bench/capacity/scheduler.go
+++ b/internal/bench/capacity/scheduler.go
@@ -93,6 +93,7 @@
 		Shard: id, Epoch: 42, Inherited: start, Placer: placement.New(nil),
 	})
 	s.fleet(workers)
+	s.step(dispatch.Tick{}) // begins the takeover
 	work := time.Duration(0)
 	if load.Starts > 0 {
 		work = time.Duration(load.Batch / load.Starts * float64(time.Second))
