--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -24,6 +24,7 @@
 	name    string
 	summary string
 	flags   func(*flaggy.Subcommand)
+	sub     *flaggy.Subcommand // made elsewhere, in place of summary and flags
 	run     func(ctx context.Context, stdout io.Writer) error
 }
 
@@ -38,7 +39,7 @@
 
 // Run runs the subcommand of the arguments and returns the exit code.
 func Run(args []string) int {
-	commands := []*command{newPlatformCommand(), newWorkerCommand(), newCallerCommand()}
+	commands := []*command{newPlatformCommand(), newWorkerCommand(), newCallerCommand(), newReplayCommand(), newCapacityCommand()}
 	parser := newParser(commands)
 	if fault := checkCommand(commands, args); fault != nil {
 		return report(fault, exitUsage)
@@ -70,9 +71,12 @@
 		panic(err) // the template is constant
 	}
 	for _, c := range commands {
-		sub := flaggy.NewSubcommand(c.name)
-		sub.Description = c.summary
-		c.flags(sub)
+		sub := c.sub
+		if sub == nil {
+			sub = flaggy.NewSubcommand(c.name)
+			sub.Description = c.summary
+			c.flags(sub)
+		}
 		parser.AttachSubcommand(sub, 1)
 	}
 	return parser
