report/burn: add up the tallies of all entries

Cause: each entry counts only its own requests, so an operator would have to ask every entry and add the rates by hand. Ruled out: sending every sample to one entry, which grows with the traffic. Change: the entry that is asked fetches the others' counts per 10 s step (at most 360 a class) and reports over all; entries that do not answer are named.

--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -94,7 +94,8 @@
 
 type fakeBurn struct{ fake }
 
-func (fakeBurn) Report(time.Time) burn.Report { return burn.Report{} }
+func (fakeBurn) Report(time.Time, ...[]burn.Tally) burn.Report { return burn.Report{} }
+func (fakeBurn) Tallies(time.Time) []burn.Tally                { return nil }
 
 type fakeMembers struct{ fake }
 
--- a/internal/desk/api/report.go
+++ b/internal/desk/api/report.go
@@ -15,14 +15,46 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 )
 
 // askTimeout bounds the wait for the journals of the peers.
 const askTimeout = 2 * time.Second
 
-func (s *Service) handleBurn(w http.ResponseWriter, _ *http.Request) {
-	respond(w, http.StatusOK, s.budgets.Report(time.Now()))
+// handleBurn adds up the tallies of all entries.
+func (s *Service) handleBurn(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var tallies [][]burn.Tally
+	var missing []unit.EntryID
+	var wg sync.WaitGroup
+	for _, e := range s.members.View().Entries {
+		if e.ID == s.members.Self() {
+			continue
+		}
+		wg.Go(func() {
+			reply, err := s.peers.Call(ctx, e.ID, message.AskBurn{})
+			found, ok := reply.(message.Burn)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || !ok {
+				missing = append(missing, e.ID)
+				return
+			}
+			tallies = append(tallies, found.Tallies)
+		})
+	}
+	wg.Wait()
+	report := s.budgets.Report(time.Now(), tallies...)
+	slices.Sort(missing)
+	report.Missing = missing
+	respond(w, http.StatusOK, report)
+}
+
+func (s *Service) handleAskBurn(context.Context, unit.EntryID, message.Message) (message.Message, error) {
+	return message.Burn{Tallies: s.budgets.Tallies(time.Now())}, nil
 }
 
 func (s *Service) handleStatus(w http.ResponseWriter, _ *http.Request) {
--- a/internal/desk/api/service.go
+++ b/internal/desk/api/service.go
@@ -65,7 +65,8 @@
 
 // budgets reports how fast the error budgets burn.
 type budgets interface {
-	Report(now time.Time) burn.Report
+	Report(now time.Time, others ...[]burn.Tally) burn.Report
+	Tallies(now time.Time) []burn.Tally
 }
 
 // recorder tells why things happened on this entry.
@@ -137,6 +138,7 @@
 	}
 	s.address = l.Addr().String()
 	s.peers.Handle(message.KindAsk, s.handleAsk)
+	s.peers.Handle(message.KindAskBurn, s.handleAskBurn)
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/peer/message/codec.go
+++ b/internal/peer/message/codec.go
@@ -46,6 +46,8 @@
 	KindCancel:    {"cancel", maxSmall, decodeAs[Cancel]},
 	KindAsk:       {"ask", maxSmall, decodeAs[Ask]},
 	KindAnswer:    {"answer", maxMedium, decodeAs[Answer]},
+	KindAskBurn:   {"ask burn", maxSmall, decodeAs[AskBurn]},
+	KindBurn:      {"burn", maxPush, decodeAs[Burn]},
 	KindFault:     {"fault", maxSmall, decodeAs[Fault]},
 	KindDone:      {"done", maxSmall, decodeAs[Done]},
 }
--- a/internal/peer/message/codec_test.go
+++ b/internal/peer/message/codec_test.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
@@ -37,6 +38,11 @@
 	Answer{Since: time.Unix(1, 5).UTC(), Events: []journal.Event{{Time: time.Unix(2, 0).UTC(), What: "started"}}},
 	Fault{Text: "no"},
 	Done{},
+	AskBurn{},
+	Burn{Tallies: []burn.Tally{{
+		Class: "quote", Steps: []burn.Step{{Number: 180_000_000, Good: 9, Bad: 1}},
+		Blames: []burn.Blame{{Kind: burn.CauseZone, Name: "guj-morbi", Count: 1}},
+	}}},
 }
 
 // TestRoundTrip guards against a message that arrives changed, and against a
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -9,6 +9,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
@@ -32,6 +33,8 @@
 	KindAnswer    Kind = 12
 	KindFault     Kind = 13
 	KindDone      Kind = 14
+	KindAskBurn   Kind = 16
+	KindBurn      Kind = 17
 )
 
 // Message is one of the types below.
@@ -128,6 +131,15 @@
 	Events []journal.Event `cbor:"2,keyasint,omitempty"`
 }
 
+// AskBurn asks for the receiver's tallies of the error budgets. It is answered by
+// Burn.
+type AskBurn struct{}
+
+// Burn has the tallies of its sender.
+type Burn struct {
+	Tallies []burn.Tally `cbor:"1,keyasint,omitempty"`
+}
+
 // Fault answers a message that could not be handled.
 type Fault struct {
 	Text string `cbor:"1,keyasint"`
@@ -172,6 +184,12 @@
 // Kind implements Message.
 func (Answer) Kind() Kind { return KindAnswer }
 
+// Kind implements Message.
+func (AskBurn) Kind() Kind { return KindAskBurn }
+
+// Kind implements Message.
+func (Burn) Kind() Kind { return KindBurn }
+
 // Kind implements Message.
 func (Fault) Kind() Kind { return KindFault }
 
--- a/internal/report/burn/budget.go
+++ b/internal/report/burn/budget.go
@@ -63,10 +63,11 @@
 	Points    []Point      `json:"points,omitempty"`
 }
 
-// Report is the burn report of one entry, by class.
+// Report is the burn report by class, over all entries that answered.
 type Report struct {
-	Time  time.Time `json:"time"`
-	Lines []Line    `json:"lines"`
+	Time    time.Time      `json:"time"`
+	Lines   []Line         `json:"lines"`
+	Missing []unit.EntryID `json:"missing,omitempty"` // entries that did not answer
 }
 
 // Accounts counts the samples of all classes.
@@ -94,24 +95,16 @@
 
 // Observe adds a sample.
 func (a *Accounts) Observe(s Sample) {
-	acc := a.classes[s.Class]
-	if acc == nil {
-		acc = &account{causes: map[causeKey]uint64{}}
-		a.classes[s.Class] = acc
-	}
-	at := stepOf(s.Time)
-	c := &acc.counts[at%int64(steps)]
-	if c.step != at {
-		*c = count{step: at}
-	}
+	acc := a.account(s.Class)
+	c := acc.at(stepOf(s.Time))
 	if s.Good {
 		c.good++
 		return
 	}
 	c.bad++
-	acc.blame(causeKey{CauseZone, string(s.Zone)})
-	acc.blame(causeKey{CauseWorker, string(s.Worker)})
-	acc.blame(causeKey{CauseRival, string(s.Rival)})
+	acc.blame(causeKey{CauseZone, string(s.Zone)}, 1)
+	acc.blame(causeKey{CauseWorker, string(s.Worker)}, 1)
+	acc.blame(causeKey{CauseRival, string(s.Rival)}, 1)
 }
 
 // Report returns the report at now for the classes of the document.
@@ -129,14 +122,36 @@
 
 func stepOf(t time.Time) int64 { return t.UnixNano() / int64(step) }
 
-func (a *account) blame(k causeKey) {
+func (a *Accounts) account(class unit.ClassID) *account {
+	acc := a.classes[class]
+	if acc == nil {
+		acc = &account{causes: map[causeKey]uint64{}}
+		a.classes[class] = acc
+	}
+	return acc
+}
+
+// at returns the counts of a step. A step older than the one in its place would
+// lie outside the long window and is counted nowhere.
+func (a *account) at(number int64) *count {
+	c := &a.counts[(number%int64(steps)+int64(steps))%int64(steps)]
+	switch {
+	case c.step < number:
+		*c = count{step: number}
+	case c.step > number:
+		return &count{}
+	}
+	return c
+}
+
+func (a *account) blame(k causeKey, n uint64) {
 	if k.name == "" {
 		return
 	}
 	if _, known := a.causes[k]; !known && len(a.causes) >= maxCauses {
 		a.halveCauses()
 	}
-	a.causes[k]++
+	a.causes[k] += n
 }
 
 // halveCauses makes room by ageing all causes and dropping those that vanish.
--- a/internal/report/burn/budget_test.go
+++ b/internal/report/burn/budget_test.go
@@ -106,3 +106,36 @@
 		}
 	}
 }
+
+// TestTallies guards against a report over several entries that loses or doubles
+// samples.
+func TestTallies(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name      string
+		entries   [][2]int // good and bad samples of each entry
+		age       time.Duration
+		good, bad uint64
+	}{
+		{"none", nil, 0, 0, 0},
+		{"one", [][2]int{{9, 1}}, 0, 9, 1},
+		{"three", [][2]int{{9, 1}, {5, 0}, {0, 4}}, 30 * time.Minute, 14, 5},
+		{"outside the window", [][2]int{{9, 1}}, 61 * time.Minute, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			all := NewAccounts()
+			for _, e := range tt.entries {
+				one := NewAccounts()
+				for i := range e[0] + e[1] {
+					one.Observe(Sample{Time: now.Add(-tt.age), Class: "quote", Good: i < e[0], Zone: "guj-morbi"})
+				}
+				all.Add(one.Tallies(now))
+			}
+			l := all.Report(now, &quotes).Lines[0]
+			if diff := cmp.Diff([]uint64{tt.good, tt.bad}, []uint64{l.Good, l.Bad}); diff != "" {
+				t.Errorf("good and bad (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/report/burn/service.go
+++ b/internal/report/burn/service.go
@@ -61,10 +61,20 @@
 	s.accounts.Observe(sample)
 }
 
-// Report returns the report at now.
-func (s *Service) Report(now time.Time) Report {
+// Report returns the report at now over this entry and the tallies of others.
+func (s *Service) Report(now time.Time, others ...[]Tally) Report {
 	doc := s.config.Current().Document
+	all := NewAccounts()
+	all.Add(s.Tallies(now))
+	for _, tallies := range others {
+		all.Add(tallies)
+	}
+	return all.Report(now, &doc)
+}
+
+// Tallies returns what this entry counted.
+func (s *Service) Tallies(now time.Time) []Tally {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.accounts.Report(now, &doc)
+	return s.accounts.Tallies(now)
 }
--- a/internal/report/burn/text.go
+++ b/internal/report/burn/text.go
@@ -19,6 +19,9 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%.2f%%\t%.2f\t%.2f\t%.0f%%\t%s\t%s\n",
 			l.Class, l.Good, l.Bad, 100*l.Allowed, l.Short, l.Long, 100*l.Left, l.Forecast(), l.CauseText())
 	}
+	for _, id := range r.Missing {
+		fmt.Fprintf(t, "%s did not answer; its requests are not counted\n", id)
+	}
 	if err := t.Flush(); err != nil {
 		return errors.Errorf("write burn table: %w", err)
 	}
@@ -93,7 +96,8 @@
 polyline { fill: none; stroke: #a33; stroke-width: 1.5 }
 </style></head><body>
 <h1>Error budget burn</h1>
-<p>{{.Time.UTC.Format "2006-01-02 15:04:05"}} UTC. A burn rate of 1 uses up the budget within the hour.</p>
+<p>{{.Time.UTC.Format "2006-01-02 15:04:05"}} UTC. A burn rate of 1 uses up the budget within the hour.
+{{range .Missing}}{{.}} did not answer; its requests are not counted. {{end}}</p>
 <table>
 <tr><th>class</th><th>good</th><th>bad</th><th>burn 5m</th><th>burn 1h</th><th>left</th><th>exhausted</th><th>causes</th><th>last hour</th></tr>
 {{range .Lines}}<tr><td>{{.Class}}</td><td>{{.Good}}</td><td>{{.Bad}}</td><td>{{printf "%.2f" .Short}}</td><td>{{printf "%.2f" .Long}}</td>
