peer/message: signals about the requests of workers

The owner of a shard has to know what the requests that go through all entries show of its workers, before it can throttle anything for their targets. The message has one signal for each worker and class of requests. Its size is bounded by a number of signals that the codec test checks against the bound of the kind with names of 50 bytes. A window is sent as its length, not as times, since clocks of entries are not comparable.

--- a/internal/peer/message/codec.go
+++ b/internal/peer/message/codec.go
@@ -48,6 +48,7 @@
 	KindAnswer:    {"answer", maxMedium, decodeAs[Answer]},
 	KindFault:     {"fault", maxSmall, decodeAs[Fault]},
 	KindDone:      {"done", maxSmall, decodeAs[Done]},
+	KindSignals:   {"signals", maxMedium, decodeAs[Signals]},
 }
 
 var (
--- a/internal/peer/message/codec_test.go
+++ b/internal/peer/message/codec_test.go
@@ -36,6 +36,8 @@
 	Answer{Since: time.Unix(1, 5).UTC(), Events: []journal.Event{{Time: time.Unix(2, 0).UTC(), What: "started"}}},
 	Fault{Text: "no"},
 	Done{},
+	Signals{Signals: []Signal{{Worker: "w1", Class: "quote", Span: 2 * time.Second, Requests: 90, Late: 3,
+		Median: 40 * time.Millisecond, Tail: 260 * time.Millisecond, Busy: 4 * time.Second}}},
 }
 
 // TestRoundTrip guards against a message that arrives changed, and against a
@@ -114,3 +116,19 @@
 		}
 	})
 }
+
+// TestSignalsFit guards against a bound on the number of signals under which a
+// message of long names does not fit and all its signals are lost.
+func TestSignalsFit(t *testing.T) {
+	long := strings.Repeat("n", 50)
+	var m Signals
+	for range MaxSignals {
+		m.Signals = append(m.Signals, Signal{
+			Worker: unit.InstanceID(long), Class: unit.ClassID(long), Span: time.Hour, Requests: 1 << 31,
+			Late: 1 << 31, Median: time.Hour, Tail: time.Hour, Busy: time.Hour,
+		})
+	}
+	if _, err := Encode(m); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -31,6 +31,7 @@
 	KindAnswer    Kind = 12
 	KindFault     Kind = 13
 	KindDone      Kind = 14
+	KindSignals   Kind = 15
 )
 
 // Message is one of the types below.
@@ -135,6 +136,29 @@
 // Done answers a message that has no other answer.
 type Done struct{}
 
+// Signal is what the requests of one class that went through the sender showed of
+// one worker in a window that ended when the message was sent.
+type Signal struct {
+	Worker   unit.InstanceID `cbor:"1,keyasint"`
+	Class    unit.ClassID    `cbor:"2,keyasint"`
+	Span     time.Duration   `cbor:"3,keyasint"` // of the window
+	Requests uint32          `cbor:"4,keyasint"`
+	Late     uint32          `cbor:"5,keyasint,omitempty"` // over the bound of the target, or without a response
+	Median   time.Duration   `cbor:"6,keyasint,omitempty"` // of the responses; 0 if there was none
+	Tail     time.Duration   `cbor:"7,keyasint,omitempty"` // at the percentile of the target
+	Busy     time.Duration   `cbor:"8,keyasint,omitempty"` // time that slots of the worker were in use
+}
+
+// Signals has the signals of workers whose shards the receiver owns. It is
+// answered by Done.
+type Signals struct {
+	Signals []Signal `cbor:"1,keyasint"`
+}
+
+// MaxSignals bounds the signals of one message: with names of up to 50 bytes each
+// they fit into the bound of the kind.
+const MaxSignals = 1500
+
 // Kind implements Message.
 func (Hello) Kind() Kind { return KindHello }
 
@@ -176,3 +200,6 @@
 
 // Kind implements Message.
 func (Done) Kind() Kind { return KindDone }
+
+// Kind implements Message.
+func (Signals) Kind() Kind { return KindSignals }
