job/dispatch: let a placer advise on jobs and explain refusals

A placer that follows the targets has to know the job of a task: to hold back batch tasks after a zone went out, to try a job of unknown size with few tasks, and to reserve by an estimate. Adviser is an optional interface of the placer, so that placers without it stay as they are. The size of an attempt is kept with it and sent with its start; after a takeover the report of the worker has it. The notes of an eviction name the class of the task and the class that is protected, and a throttle its share. Owner tells who owns a shard by the records that the service reads anyway, without another read.

job/control: Settled and Acted let the owner of a loop act on a worker itself without the loop taking the old reports for the effect.

--- a/internal/job/control/loop.go
+++ b/internal/job/control/loop.go
@@ -181,6 +181,27 @@
 	}
 }
 
+// Settled reports whether the effect of the last action on a worker can have been
+// seen.
+func (l *Loop) Settled(now time.Time, id unit.InstanceID) bool {
+	p, ok := l.places[id]
+	return !ok || p.settled(now)
+}
+
+// Acted notes an action on a worker that the loop did not ask for itself.
+func (l *Loop) Acted(now time.Time, id unit.InstanceID) { l.acted(now, id, l.place(id)) }
+
+func (p *place) settled(now time.Time) bool {
+	return p.acted.IsZero() || p.fresh || now.Sub(p.acted) >= patience
+}
+
+func (l *Loop) acted(now time.Time, id unit.InstanceID, p *place) {
+	p.acted, p.fresh = now, false
+	for _, c := range p.classes {
+		*l.tallies[signalKey{id, c}] = tally{}
+	}
+}
+
 // Step returns the actions on the running tasks. The tasks of one worker must be
 // adjacent.
 func (l *Loop) Step(now time.Time, tasks []Task) []Action {
@@ -202,7 +223,7 @@
 // step decides for one worker.
 func (l *Loop) step(now time.Time, id unit.InstanceID, tasks []Task) []Action {
 	p := l.place(id)
-	if !p.acted.IsZero() && !p.fresh && now.Sub(p.acted) < patience {
+	if !p.settled(now) {
 		return nil // the effect of the last action is not visible yet
 	}
 	var worst unit.ClassID
@@ -237,10 +258,7 @@
 		actions = l.undo(now, p, tasks)
 	}
 	if len(actions) > 0 {
-		p.acted, p.fresh = now, false
-		for _, c := range p.classes {
-			*l.tallies[signalKey{id, c}] = tally{}
-		}
+		l.acted(now, id, p)
 	}
 	return actions
 }
--- a/internal/job/dispatch/attempt.go
+++ b/internal/job/dispatch/attempt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -22,9 +23,10 @@
 
 // attempt is what the owner knows of a placed attempt besides the ledger.
 type attempt struct {
-	written  uint64 // number of the change that placed it
-	sent     bool   // its start may have reached the worker
-	seen     bool   // the worker has said that it runs
+	written  uint64         // number of the change that placed it
+	size     unit.Resources // reserved, if placed under this epoch
+	sent     bool           // its start may have reached the worker
+	seen     bool           // the worker has said that it runs
 	reserved bool
 	boot     string          // to which the start was sent; empty if an earlier owner sent it
 	notAfter unit.WorkerTime // the worker refuses the start after this reading
@@ -66,28 +68,47 @@
 		if t == nil {
 			continue
 		}
+		subjects := append(t.subjects(), classSubject(t.job.record.Job.Class))
+		if e.For != "" {
+			subjects = append(subjects, classSubject(e.For))
+		}
 		if e.Action == worker.ActionThrottle {
 			t.share = e.Share
 			t.ordered = time.Time{}
-			c.note("throttled", e.Why, t.subjects()...)
+			c.note(fmt.Sprintf("throttled to %.2f of its cores", e.Share), e.Why, subjects...)
 			return
 		}
-		c.push(t, e.Action, e.Why)
+		if withdrawn := !t.sent; c.ask(t, e.Action) || withdrawn {
+			c.note("evicting: "+string(e.Action), e.Why, subjects...)
+		}
+		return
 	}
 }
 
+func classSubject(id unit.ClassID) journal.Subject {
+	return journal.Subject{Kind: journal.KindClass, ID: string(id)}
+}
+
 // push asks for a step against a placed attempt. A step is never taken back, and
 // a stop replaces a checkpoint. An attempt that was not sent is withdrawn.
 func (c *Core) push(t *task, action worker.Action, why string) {
+	subjects := t.subjects()
+	if c.ask(t, action) {
+		c.note("evicting: "+string(action), why, subjects...)
+	}
+}
+
+// ask reports whether the step is a new one against an attempt that was sent.
+func (c *Core) ask(t *task, action worker.Action) bool {
 	if !t.sent {
 		c.withdraw(t)
-		return
+		return false
 	}
 	if t.push == action || t.push == worker.ActionStop {
-		return
+		return false
 	}
 	t.push, t.pushed, t.ordered = action, c.now, time.Time{}
-	c.note("evicting: "+string(action), why, t.subjects()...)
+	return true
 }
 
 // escalate turns a checkpoint that does not end into a stop.
--- a/internal/job/dispatch/core.go
+++ b/internal/job/dispatch/core.go
@@ -36,6 +36,19 @@
 	Remove(id unit.InstanceID)
 }
 
+// Adviser is a Placer that follows the targets of the classes as well.
+type Adviser interface {
+	// Describe tells of a job that has or may get tasks on the shard.
+	Describe(j *queue.Job)
+	// Admit reports whether a task of a job may be placed now, and if not, why.
+	Admit(j *queue.Job) (why string, ok bool)
+	// Size returns what to reserve for a task of a job, and to give to it.
+	Size(j *queue.Job) unit.Resources
+	// Refusal says why Place found no worker for a task of a job, and which worker
+	// came nearest, if any.
+	Refusal(j *queue.Job) (why string, nearest unit.InstanceID)
+}
+
 // Times of the scheduler.
 const (
 	// commitInterval is the least time between two ledger writes of a shard, so
@@ -84,6 +97,7 @@
 // Core is the scheduler of one shard under one epoch.
 type Core struct {
 	Settings
+	adviser   Adviser // the placer, if it is one
 	now       time.Time
 	phase     phase
 	limits    Confirmed
@@ -115,8 +129,10 @@
 
 // New returns a core for an entry that has just claimed the shard.
 func New(s Settings) *Core {
+	adviser, _ := s.Placer.(Adviser)
 	return &Core{
 		Settings: s,
+		adviser:  adviser,
 		queue:    queue.New(),
 		zoneOut:  true,
 		usage:    map[unit.TeamID]unit.Resources{},
--- a/internal/job/dispatch/event.go
+++ b/internal/job/dispatch/event.go
@@ -114,6 +114,7 @@
 		Action worker.Action
 		Share  float64
 		Why    string
+		For    unit.ClassID // whose target asks for it
 	}
 
 	// Lost says that another entry owns the shard.
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -43,8 +43,9 @@
 	wished   bool           // in Core.wishes
 	blocked  time.Time
 	parked   string
-	oversize bool // parked for its size
-	overrun  bool // the team's quota is used up, and the journal says so
+	oversize bool   // parked for its size
+	overrun  bool   // the team's quota is used up, and the journal says so
+	held     string // why the placer admits none of its tasks, if so
 }
 
 // jobWrite is a write of a job record in flight.
@@ -139,6 +140,9 @@
 	c.place = true
 	c.wish(j)
 	c.queue.Put(j.record.Job)
+	if c.adviser != nil {
+		c.adviser.Describe(&j.record.Job)
+	}
 	if len(j.record.Assigned(c.Shard)) == 0 && j.placed == 0 {
 		c.retire(j)
 		return
@@ -551,17 +555,32 @@
 		return false
 	}
 	j.overrun = false
-	id, ok := c.choose(j, i)
+	if c.adviser != nil {
+		if why, ok := c.adviser.Admit(spec); !ok {
+			if why != j.held {
+				c.note("waits", why, j.subject(), classSubject(spec.Class))
+			}
+			j.held = why
+			return false
+		}
+	}
+	j.held = ""
+	size := spec.Size
+	if c.adviser != nil {
+		size = c.adviser.Size(spec)
+	}
+	id, ok := c.choose(j, i, size)
 	if !ok {
 		if j.blocked.IsZero() {
 			j.blocked = c.now
+			c.explainRefusal(j, i)
 		}
 		return false
 	}
 	t := c.entry(j, i)
 	t.Attempt++
 	ref := t.ref()
-	if !c.Placer.Reserve(id, ref, spec.Class, spec.Size) {
+	if !c.Placer.Reserve(id, ref, spec.Class, size) {
 		// The number is used up; no start was sent under it.
 		j.changed = c.change()
 		return false
@@ -569,7 +588,7 @@
 	j.blocked = time.Time{}
 	c.queue.Remove(t.id())
 	t.State, t.Worker = ledger.StatePlaced, id
-	t.attempt = attempt{reserved: true, written: c.change()}
+	t.attempt = attempt{reserved: true, size: size, written: c.change()}
 	j.changed = t.written
 	j.placed++
 	c.count(t)
@@ -577,11 +596,25 @@
 	return true
 }
 
+// explainRefusal notes why a task found no worker.
+func (c *Core) explainRefusal(j *job, i unit.TaskIndex) {
+	if c.adviser == nil {
+		return
+	}
+	why, nearest := c.adviser.Refusal(&j.record.Job)
+	id := unit.TaskID{Job: j.id, Index: i}
+	subjects := []journal.Subject{j.subject(), {Kind: journal.KindTask, ID: id.String()}, classSubject(j.record.Job.Class)}
+	if nearest != "" {
+		subjects = append(subjects, journal.Subject{Kind: journal.KindWorker, ID: string(nearest)})
+	}
+	c.note("not placed", why, subjects...)
+}
+
 // choose proposes a worker, but none on which the task has failed if there is
 // another one.
-func (c *Core) choose(j *job, i unit.TaskIndex) (unit.InstanceID, bool) {
-	spec := &j.record.Job
-	id, ok := c.Placer.Place(spec.Class, spec.Size)
+func (c *Core) choose(j *job, i unit.TaskIndex, size unit.Resources) (unit.InstanceID, bool) {
+	class := j.record.Job.Class
+	id, ok := c.Placer.Place(class, size)
 	t := j.tasks[i]
 	if !ok || t == nil || !slices.Contains(t.FailedOn, id) {
 		return id, ok
@@ -592,7 +625,7 @@
 		n := c.node(id)
 		closed = append(closed, n)
 		c.Placer.Upsert(id, n.listed.Rack, n.capacity, false)
-		id, ok = c.Placer.Place(spec.Class, spec.Size)
+		id, ok = c.Placer.Place(class, size)
 	}
 	for _, n := range closed {
 		c.Placer.Upsert(n.id, n.listed.Rack, n.capacity, true)
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -241,7 +241,7 @@
 		n.starts = append(n.starts, t.ref())
 		spec := &t.job.record.Job
 		orders = append(orders, worker.Order{
-			Ref: t.ref(), Action: worker.ActionStart, Class: spec.Class, Size: spec.Size, Work: spec.Work,
+			Ref: t.ref(), Action: worker.ActionStart, Class: spec.Class, Size: t.size, Work: spec.Work,
 			Payload: spec.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
 		})
 		c.note("starting", "", t.subjects()...)
@@ -271,7 +271,7 @@
 				continue
 			}
 			evicted := t.push != ""
-			t.attempt = attempt{reserved: t.reserved, written: t.written}
+			t.attempt = attempt{reserved: t.reserved, size: t.size, written: t.written}
 			if evicted {
 				c.withdraw(t)
 			}
--- a/internal/job/dispatch/service.go
+++ b/internal/job/dispatch/service.go
@@ -107,6 +107,7 @@
 	hosts    map[unit.ShardID]*host
 	former   map[*host]bool // lost their shard and only renew leases
 	draining bool
+	owners   map[unit.ShardID]unit.EntryID // by the last read of the records
 
 	// Of the goroutine that runs ownership.
 	used   map[unit.ShardID]unit.Epoch // last epoch for which a core was made
@@ -203,6 +204,14 @@
 	}
 }
 
+// Owner returns the entry that owns a shard by the last read of its record, or ""
+// if that had none.
+func (s *Service) Owner(id unit.ShardID) unit.EntryID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owners[id]
+}
+
 // all returns the hosts, former ones too; s.mu is held.
 func (s *Service) all() []*host {
 	hosts := make([]*host, 0, len(s.hosts)+len(s.former))
@@ -249,6 +258,7 @@
 		return errors.Errorf("read shard records: %w", err)
 	}
 	held := map[unit.ShardID]shard.Held{}
+	owners := map[unit.ShardID]unit.EntryID{}
 	for _, r := range snapshot.Records {
 		id, err := unit.ParseShardID(string(r.Key[len("shard/"):]))
 		if err != nil {
@@ -259,7 +269,11 @@
 			return errors.Errorf("read shard record %s: %w", id, err)
 		}
 		held[id] = shard.Held{Record: record, Revision: r.Revision}
+		owners[id] = record.Owner
 	}
+	s.mu.Lock()
+	s.owners = owners
+	s.mu.Unlock()
 	var faults []error
 	for _, id := range s.shards() {
 		if err := s.decide(ctx, id, held[id], view); err != nil {
