job/policy: follow the targets on each owned shard

Tasks were placed without a model of interference, and nothing throttled or evicted for the targets: the policy was wired only in the replay. A Core per shard now joins index, advisor, sizes, loop and room. It is the placer of the dispatcher; the service steps it once a second, feeds it reports and the signals of all entries, and hands its actions to the dispatcher. The hold of 12 s after a zone goes out, the eight tasks of an unknown job, the measure of a job and the time left of a task are in rules.go, which the replay uses too.

Ruled out: events into the goroutine of the shard in place of a mutex, since the placer is called there and must answer at once; and memory reserved below the declared size, since workers have no word for a task that ran out of memory.

Evictions of replicas on several workers in one step could together take a class below its target, as the loop judges each worker for itself; the core counts them together.

--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -9,6 +9,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/control"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 	"github.com/monsoonfold/monsoonfold/internal/job/placement"
+	"github.com/monsoonfold/monsoonfold/internal/job/policy"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
@@ -59,17 +60,6 @@
 	parkWorkers = 3
 	// taskLease has to expire before the task of a lost worker starts elsewhere.
 	taskLease = 15 * time.Second
-	// measureAge is the age at which a task counts as showing its size.
-	measureAge = 20 * time.Second
-	// heldFactor is the growth of the cores of a task that uses all it has.
-	heldFactor = 1.25
-	// scouts is the number of tasks of a job that may run before its size is
-	// known, if others wait. It has to be more than the tasks that make it known.
-	scouts    = 8
-	scoutTime = 45 * time.Second
-	// shiftHold is the time until reports show the load that the other zones take
-	// over: a report interval, the lag, and a margin.
-	shiftHold = 12 * time.Second
 	// outOfMemoryFactor is the growth of a task's memory after it ran out.
 	outOfMemoryFactor = 1.5
 )
@@ -100,10 +90,8 @@
 	submitted    time.Duration
 	items        []*item
 	done         int
-	peak         interference.Peak
+	trial        policy.Trial
 	failedOn     []unit.InstanceID
-	running      int
-	first        time.Duration // start of the first task; 0 before
 }
 
 // command is what the scheduler asks of a worker.
@@ -137,24 +125,23 @@
 // scheduler joins the pure decisions for all zones of a trace, as the
 // dispatchers of the shards would.
 type scheduler struct {
-	policy    Policy
-	classes   []Class
-	zones     []unit.ZoneID
-	out       map[unit.ZoneID]bool
-	shards    map[unit.ZoneID]placer
-	indexes   map[unit.ZoneID]*placement.Index // the same as shards, if an index
-	free      map[unit.ZoneID]unit.Millicores  // unreserved cores
-	workers   map[unit.InstanceID]Worker
-	room      unit.Resources // of a worker for batch work; all of a trace are alike
-	advisor   *interference.Advisor
-	loop      *control.Loop
-	sizes     *interference.Sizes
-	jobs      map[unit.JobID]*jobState
-	pending   []*item
-	running   []*item // by start
-	commands  []command
-	shifted   time.Duration // no batch starts until reports show the load after a zone went out
-	contended bool          // a task found no worker in the last step
+	policy   Policy
+	classes  []Class
+	zones    []unit.ZoneID
+	out      map[unit.ZoneID]bool
+	shards   map[unit.ZoneID]placer
+	indexes  map[unit.ZoneID]*placement.Index // the same as shards, if an index
+	free     map[unit.ZoneID]unit.Millicores  // unreserved cores
+	workers  map[unit.InstanceID]Worker
+	room     unit.Resources // of a worker for batch work; all of a trace are alike
+	advisor  *interference.Advisor
+	loop     *control.Loop
+	sizes    *interference.Sizes
+	jobs     map[unit.JobID]*jobState
+	pending  []*item
+	running  []*item // by start
+	commands []command
+	gate     policy.Gate
 }
 
 // cores blames tasks by their cores alone, for the policy without a model.
@@ -241,7 +228,7 @@
 func (s *scheduler) setZone(now time.Duration, zone unit.ZoneID, out bool) {
 	s.out[zone] = out
 	if out {
-		s.shifted = now + shiftHold
+		s.gate.Shift(origin.Add(now))
 	}
 	for _, w := range s.sorted() {
 		if w.Zone == zone {
@@ -314,11 +301,7 @@
 	case done:
 		it.over = true
 		it.job.done++
-		if it.measured {
-			it.job.peak.Raise(peak)
-		} else {
-			it.job.peak.Add(peak)
-		}
+		it.job.trial.Done(peak, it.measured)
 		s.sizes.Observe(interference.End{
 			Class: it.class.Name, Declared: it.job.declared, Peak: peak,
 			DeclaredWork: it.job.declaredWork, Work: work,
@@ -360,7 +343,7 @@
 	s.free[it.zone] += it.size.Cores
 	s.running = slices.DeleteFunc(s.running, func(o *item) bool { return o == it })
 	it.running = false
-	it.job.running--
+	it.job.trial.Running--
 }
 
 // observe takes in a report that has arrived.
@@ -379,19 +362,9 @@
 // measure learns the size of a job from its running tasks.
 func (s *scheduler) measure(u usage) {
 	it := u.item
-	if u.ref != it.ref || u.age < measureAge || it.class.Kind != spec.KindBatch {
-		return
-	}
-	used := u.used
-	if used.Cores >= it.size.Cores {
-		used.Cores = unit.Millicores(heldFactor * float64(used.Cores))
-	}
-	if it.measured {
-		it.job.peak.Raise(used)
-		return
+	if u.ref == it.ref && it.class.Kind == spec.KindBatch {
+		it.measured = it.job.trial.Measure(u.used, it.size, u.age, it.measured)
 	}
-	it.measured = true
-	it.job.peak.Add(used)
 }
 
 // step returns the commands of this moment. Starts are reserved already.
@@ -423,14 +396,13 @@
 	for _, it := range ordered {
 		t := control.Task{
 			Ref: it.ref, Worker: it.worker, Class: it.class.Name, Size: it.size, Share: it.share,
-			Unsaved: now - it.started, Saves: true, Standing: it.class.Kind == spec.KindStanding,
+			Standing: it.class.Kind == spec.KindStanding,
 		}
-		if !t.Standing {
-			_, bound, _ := s.sizes.Work(it.class.Name, it.job.declaredWork)
-			t.Left = max(bound-(now-it.started), time.Second)
-			t.Deadline = origin.Add(it.job.submitted + it.class.Target.Finish.Std())
+		p := policy.Progress{
+			Started: origin.Add(it.started), Declared: it.job.declaredWork,
+			Submitted: origin.Add(it.job.submitted), Finish: it.class.Target.Finish.Std(),
 		}
-		tasks = append(tasks, t)
+		tasks = append(tasks, p.Estimate(origin.Add(now), t, s.sizes))
 	}
 	return ordered, tasks
 }
@@ -441,7 +413,7 @@
 		i := slices.IndexFunc(running, func(it *item) bool { return it.ref == a.Ref })
 		it := running[i]
 		if a.Kind == worker.ActionThrottle {
-			s.advisor.Change(it.worker, it.class.Name, 0, unit.Millicores(float64(it.size.Cores)*a.Share)-unit.Millicores(float64(it.size.Cores)*it.share))
+			s.advisor.Change(it.worker, it.class.Name, 0, policy.Throttle(it.size.Cores, it.share, a.Share))
 			it.share = a.Share
 		}
 		commands = append(commands, command{it, a.Kind, a.Reason})
@@ -452,17 +424,13 @@
 // makeRoom evicts batch tasks for a replica that found no worker in its zone.
 func (s *scheduler) makeRoom(now time.Duration, it *item) []command {
 	running, tasks := s.tasks(now)
-	var hosts []control.Host
+	var local []control.Task
 	for i, t := range tasks {
-		if running[i].zone != it.job.zone {
-			continue
-		}
-		if n := len(hosts); n == 0 || hosts[n-1].ID != t.Worker {
-			hosts = append(hosts, control.Host{ID: t.Worker, Free: s.indexes[it.job.zone].Free(t.Worker)})
+		if running[i].zone == it.job.zone {
+			local = append(local, t)
 		}
-		h := &hosts[len(hosts)-1]
-		h.Tasks = append(h.Tasks, t)
 	}
+	hosts := policy.Hosts(local, s.indexes[it.job.zone].Free)
 	return s.act(running, control.Room(origin.Add(now), control.Claim{Class: it.class.Name, Size: s.size(it), Standing: true}, hosts))
 }
 
@@ -483,19 +451,15 @@
 		size unit.Resources
 	}
 	refused := map[attempt]bool{}
-	contended := s.contended
-	s.contended = false
+	s.gate.Round()
 	var commands []command
 	for _, it := range s.pending {
 		if it.ready > now {
 			continue
 		}
-		if s.policy.Control && now < s.shifted && it.class.Kind == spec.KindBatch {
-			continue
-		}
-		if contended && s.policy.Sizes && it.class.Kind == spec.KindBatch && !it.job.peak.Known() &&
-			it.job.running >= scouts && now-it.job.first < scoutTime {
-			s.contended = true
+		batch := it.class.Kind == spec.KindBatch
+		if s.policy.Control && batch && s.gate.Shifted(origin.Add(now)) ||
+			s.policy.Sizes && batch && s.gate.Scouting(origin.Add(now), &it.job.trial) {
 			continue
 		}
 		size := s.size(it)
@@ -508,17 +472,14 @@
 			next := worker.Ref{Task: it.ref.Task, Attempt: it.ref.Attempt + 1}
 			if !ok || !s.shards[zone].Reserve(id, next, it.class.Name, size) {
 				refused[at] = true
-				s.contended = true
+				s.gate.Wait()
 				continue
 			}
 			it.ref, it.worker, it.zone, it.size, it.share, it.started, it.running = next, id, zone, size, 1, now, true
 			s.advisor.Change(id, it.class.Name, 1, size.Cores)
 			s.free[zone] -= size.Cores
 			s.running = append(s.running, it)
-			it.job.running++
-			if it.job.first == 0 {
-				it.job.first = now
-			}
+			it.job.trial.Started(origin.Add(now))
 			commands = append(commands, command{it, worker.ActionStart, ""})
 			break
 		}
@@ -547,7 +508,7 @@
 func (s *scheduler) size(it *item) unit.Resources {
 	size := it.job.declared
 	if s.policy.Sizes && it.class.Kind == spec.KindBatch {
-		size, _ = s.sizes.Size(it.class.Name, size, it.job.peak)
+		size, _ = s.sizes.Size(it.class.Name, size, it.job.trial.Peak)
 	}
 	size.Cores = min(size.Cores, s.room.Cores)
 	size.Memory = min(unit.Bytes(float64(size.Memory)*it.memory), s.room.Memory)
--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/control"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
+	"github.com/monsoonfold/monsoonfold/internal/job/policy"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
@@ -408,7 +409,7 @@
 	peak.Cores = min(peak.Cores, r.size.Cores)
 	if r.size.Cores < r.real.Cores {
 		// A task held to its size shows only that it would use all of it.
-		peak.Cores = unit.Millicores(heldFactor * float64(r.size.Cores))
+		peak = policy.Held(peak, r.size)
 	}
 	w.sched.ended(w.now, r.item, o, peak, r.job.Work.Std())
 }
--- /dev/null
+++ b/internal/job/policy/core_test.go
@@ -0,0 +1,328 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/control"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func document(out ...unit.ZoneID) *spec.Document {
+	d := &spec.Document{Classes: []spec.Class{
+		{Name: "quote", Kind: spec.KindRequest, Service: "desk", Target: spec.Target{Percentile: 99, Bound: unit.Duration(50 * time.Millisecond)}},
+		{Name: "noisy", Kind: spec.KindBatch, Target: spec.Target{Finish: unit.Duration(time.Hour)}},
+		{Name: "sync", Kind: spec.KindStanding, Target: spec.Target{Replicas: 2}},
+	}}
+	for _, z := range []unit.ZoneID{"z1", "z2"} {
+		d.Zones = append(d.Zones, spec.Zone{Name: z, Out: slices.Contains(out, z)})
+	}
+	return d
+}
+
+var capacity = unit.Resources{Cores: 8000, Memory: 8 << 30}
+
+func ref(job unit.JobID, index int) worker.Ref {
+	return worker.Ref{Task: unit.TaskID{Job: job, Index: unit.TaskIndex(index)}, Attempt: 1}
+}
+
+func newCore(workers int) *Core {
+	c := NewCore()
+	c.Configure(start, document())
+	fleet := map[unit.InstanceID]Worker{}
+	for n := range workers {
+		id := unit.InstanceID(fmt.Sprint("w", n))
+		fleet[id] = Worker{Service: "desk", Cores: 10000, Slots: 8}
+		c.Upsert(id, "r", capacity, true)
+	}
+	c.SetFleet(fleet)
+	return c
+}
+
+func (c *Core) at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// TestAdmit guards against batch starts while the load of a zone that went out
+// moves, against all tasks of an unknown job taking the room that others wait for,
+// and against rules that hold back replicas or last too long.
+func TestAdmit(t *testing.T) {
+	batch := &queue.Job{ID: "b", Class: "noisy", Tasks: 20, Size: unit.Resources{Cores: 100, Memory: 1 << 20}}
+	standing := &queue.Job{ID: "s", Class: "sync", Size: batch.Size}
+	full := unit.Resources{Cores: 9000, Memory: 1}
+	tests := []struct {
+		name    string
+		prepare func(c *Core)
+		job     *queue.Job
+		at      float64
+		want    string // part of the reason; empty if admitted
+	}{
+		{"quiet", func(*Core) {}, batch, 1, ""},
+		{"zone just out", func(c *Core) { c.Configure(c.at(1), document("z2")) }, batch, 12.9, "went out of service"},
+		{"zone out for long", func(c *Core) { c.Configure(c.at(1), document("z2")) }, batch, 13, ""},
+		{"replica while a zone is out", func(c *Core) { c.Configure(c.at(1), document("z2")) }, standing, 2, ""},
+		{"zone back", func(c *Core) {
+			c.Configure(c.at(-60), document("z2"))
+			c.Configure(c.at(1), document())
+		}, batch, 2, ""},
+		{"seven tasks while others wait", func(c *Core) { fill(c, 7); c.Place("noisy", full); c.Step(c.at(1)) }, batch, 2, ""},
+		{"eight tasks while others wait", func(c *Core) { fill(c, 8); c.Place("noisy", full); c.Step(c.at(1)) }, batch, 2, "size"},
+		{"eight tasks and no other waits", func(c *Core) { fill(c, 8); c.Step(c.at(1)) }, batch, 2, ""},
+		{"eight tasks for long", func(c *Core) { fill(c, 8); c.Place("noisy", full); c.Step(c.at(45)) }, batch, 45, ""},
+		{"size known", func(c *Core) {
+			fill(c, 8)
+			for n := range 8 {
+				c.Report(c.at(21), "w0", worker.Report{Usage: []worker.Usage{{Ref: ref("b", n), Cores: 90, Memory: 1 << 19}}})
+			}
+			c.Place("noisy", full)
+			c.Step(c.at(22))
+		}, batch, 23, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore(1)
+			tt.prepare(c)
+			why, ok := c.Admit(c.at(tt.at), tt.job)
+			if ok != (tt.want == "") || !strings.Contains(why, tt.want) {
+				t.Errorf("Admit: %q, %v; want %q", why, ok, tt.want)
+			}
+		})
+	}
+}
+
+func fill(c *Core, tasks int) {
+	for n := range tasks {
+		c.Reserve(start, "w0", ref("b", n), "noisy", unit.Resources{Cores: 100, Memory: 1 << 20})
+	}
+}
+
+func signal(id unit.InstanceID, requests, late uint32) message.Signal {
+	return message.Signal{
+		Worker: id, Class: "quote", Span: 2 * time.Second, Requests: requests, Late: late,
+		Median: 20 * time.Millisecond, Tail: 60 * time.Millisecond, Busy: time.Second,
+	}
+}
+
+// TestStep guards against a burn without an action, actions by malformed or foreign
+// signals, a throttle that the advisor does not hear of, and against forgetting a
+// throttle of an earlier owner.
+func TestStep(t *testing.T) {
+	task := ref("b", 0)
+	tests := []struct {
+		name   string
+		signal message.Signal
+		report worker.Report
+		want   []string
+	}{
+		{"within target", signal("w0", 100, 1), worker.Report{}, nil},
+		{"over target", signal("w0", 100, 8), worker.Report{}, []string{"throttle b/0 0.50 for quote"}},
+		{"far over target", signal("w0", 100, 60), worker.Report{}, []string{"throttle b/0 0.25 for quote"}},
+		{"throttled by an earlier owner", signal("w0", 100, 60),
+			worker.Report{Tasks: []worker.Status{{Ref: task, Phase: worker.PhaseRunning, Share: 0.25}}}, []string{"checkpoint b/0 0.00 for quote"}},
+		{"worker of another shard", signal("w9", 100, 60), worker.Report{}, nil},
+		{"more late than requests", signal("w0", 10, 60), worker.Report{}, nil},
+		{"ended task", signal("w0", 100, 60),
+			worker.Report{Tasks: []worker.Status{{Ref: task, Phase: worker.PhaseDone}}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore(2)
+			c.Reserve(start, "w0", task, "noisy", unit.Resources{Cores: 8000, Memory: 1 << 30})
+			c.Report(c.at(1), "w0", tt.report)
+			c.Signals(c.at(2), []message.Signal{tt.signal})
+			var got []string
+			for _, a := range c.Step(c.at(3)) {
+				got = append(got, fmt.Sprintf("%s %s %.2f for %s", a.Kind, a.Ref.Task, a.Share, a.For))
+				if a.Reason == "" {
+					t.Error("no reason")
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("actions (-want +got):\n%s", diff)
+			}
+			c.Release("w0", task)
+			if n := c.index.Free("w0"); n != capacity {
+				t.Errorf("free after the release: %v", n)
+			}
+		})
+	}
+}
+
+// TestRefusal guards against a refusal that does not name what is short, or blames
+// resources where the targets of requests are the reason.
+func TestRefusal(t *testing.T) {
+	tests := []struct {
+		name    string
+		size    unit.Resources
+		want    string
+		nearest unit.InstanceID
+	}{
+		{"cores", unit.Resources{Cores: 9000, Memory: 1}, "short of cores", "w0"},
+		{"memory", unit.Resources{Cores: 1, Memory: 9 << 30}, "short of memory", "w0"},
+		{"targets", unit.Resources{Cores: 1000, Memory: 1}, "requests would miss their targets beside noisy", "w0"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore(4)
+			for n := range 2 { // an unknown class is tried on two workers of four
+				c.Reserve(start, unit.InstanceID(fmt.Sprint("w", n+2)), ref("b", n), "noisy", capacity)
+			}
+			if id, ok := c.Place("noisy", tt.size); ok {
+				t.Fatalf("placed on %s", id)
+			}
+			why, nearest := c.Refusal(&queue.Job{ID: "n", Class: "noisy", Size: tt.size})
+			if !strings.Contains(why, tt.want) || nearest != tt.nearest {
+				t.Errorf("Refusal: %q, %s", why, nearest)
+			}
+		})
+	}
+}
+
+// TestQuarantine guards against a worker that fails everything and stays in use
+// without a trace, and against reports that count one failure twice.
+func TestQuarantine(t *testing.T) {
+	c := newCore(4)
+	size := unit.Resources{Cores: 100, Memory: 1}
+	for n := range 3 {
+		r := ref(unit.JobID(fmt.Sprint("j", n%2)), n)
+		c.Reserve(start, "w0", r, "noisy", size)
+		failed := worker.Report{Tasks: []worker.Status{{Ref: r, Phase: worker.PhaseFailed}}}
+		for range 3 {
+			c.Report(c.at(float64(n)), "w0", failed)
+		}
+		if events := c.TakeEvents(); (len(events) == 1) != (n == 2) {
+			t.Fatalf("after %d failures: %v", n+1, events)
+		}
+		c.Release("w0", r)
+	}
+	for range 8 {
+		if id, ok := c.Place("sync", size); !ok || id == "w0" {
+			t.Fatalf("placed on %q, %v", id, ok)
+		}
+	}
+	c.Step(c.at(40))
+	if events := c.TakeEvents(); len(events) != 1 || events[0].What != "probing" {
+		t.Errorf("events %v", events)
+	}
+}
+
+// TestLimits guards against evictions of replicas at or below their target, a second
+// action on a worker before the effect of the first can be seen, and more than a
+// quarter of the workers in quarantine, under any order of events.
+func TestLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.IntRange(1, 9).Draw(t, "workers")
+		c := newCore(workers)
+		var ids []unit.InstanceID
+		for n := range workers {
+			ids = append(ids, unit.InstanceID(fmt.Sprint("w", n)))
+		}
+		acted, seen := map[unit.InstanceID]time.Time{}, map[unit.InstanceID]bool{}
+		next, clock := 0, 0.0
+		running := func(standing bool) (n int) {
+			for _, r := range c.runs {
+				if (r.class == "sync") == standing && !r.ended && r.evicted.IsZero() {
+					n++
+				}
+			}
+			return n
+		}
+		pick := func() unit.InstanceID { return rapid.SampledFrom(ids).Draw(t, "worker") }
+		existing := func() *run {
+			var refs []string
+			byName := map[string]*run{}
+			for k, r := range c.runs {
+				name := fmt.Sprint(k)
+				refs, byName[name] = append(refs, name), r
+			}
+			if len(refs) == 0 {
+				t.Skip("nothing runs")
+			}
+			slices.Sort(refs)
+			return byName[rapid.SampledFrom(refs).Draw(t, "run")]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				class := rapid.SampledFrom([]unit.ClassID{"noisy", "noisy", "sync"}).Draw(t, "class")
+				cores := rapid.SampledFrom([]unit.Millicores{1000, 3000, 8000}).Draw(t, "cores")
+				next++
+				c.Reserve(c.at(clock), pick(), ref(unit.JobID(fmt.Sprint("j", next%3)), next), class, unit.Resources{Cores: cores, Memory: 1 << 30})
+			},
+			"replica without room": func(*rapid.T) { c.Place("sync", unit.Resources{Cores: 8000, Memory: 1 << 30}) },
+			"signal": func(t *rapid.T) {
+				id := pick()
+				g := signal(id, 200, uint32(rapid.SampledFrom([]int{0, 0, 2, 10, 30, 150}).Draw(t, "late")))
+				c.Signals(c.at(clock), []message.Signal{g})
+				if from := c.at(clock).Add(-g.Span); from.Sub(acted[id]) >= 2*time.Second {
+					seen[id] = true
+				}
+			},
+			"end": func(t *rapid.T) {
+				r := existing()
+				phase := rapid.SampledFrom([]worker.Phase{worker.PhaseDone, worker.PhaseFailed, worker.PhaseFailed, worker.PhaseCheckpointed}).Draw(t, "phase")
+				c.Report(c.at(clock), r.worker, worker.Report{Tasks: []worker.Status{{Ref: r.ref, Phase: phase}}})
+				c.Release(r.worker, r.ref)
+			},
+			"step": func(t *rapid.T) {
+				clock += rapid.SampledFrom([]float64{1, 1, 2, 5}).Draw(t, "seconds")
+				before := running(true)
+				evicted := 0
+				step := map[unit.InstanceID]bool{}
+				for _, a := range c.Step(c.at(clock)) {
+					last, ok := acted[a.Worker]
+					if ok && !step[a.Worker] && !seen[a.Worker] && c.at(clock).Sub(last) < 20*time.Second {
+						t.Fatalf("%s: %s on %s, %s after the last action, whose effect was not seen", c.at(clock), a.Kind, a.Worker, c.at(clock).Sub(last))
+					}
+					step[a.Worker] = true
+					if a.Class == "sync" && a.Kind != worker.ActionThrottle {
+						evicted++
+					}
+				}
+				for id := range step {
+					acted[id], seen[id] = c.at(clock), false
+				}
+				if evicted > max(0, before-2) {
+					t.Fatalf("%d of %d replicas evicted, the target is 2", evicted, before)
+				}
+			},
+			"": func(t *rapid.T) {
+				held := 0
+				for _, id := range ids {
+					if _, ok := c.index.Quarantined(id); ok {
+						held++
+					}
+				}
+				if held > max(1, workers/4) {
+					t.Fatalf("%d of %d workers in quarantine", held, workers)
+				}
+			},
+		})
+	})
+}
+
+// TestSpare guards against evictions of replicas on several workers in one step
+// that together take the class below its target, which the loop, judging each
+// worker by itself, does not see.
+func TestSpare(t *testing.T) {
+	c := newCore(3)
+	var actions []control.Action
+	for n, id := range []unit.InstanceID{"w0", "w1", "w2"} {
+		c.Reserve(start, id, ref("s", n), "sync", unit.Resources{Cores: 1000, Memory: 1})
+		actions = append(actions, control.Action{Worker: id, Ref: ref("s", n), Class: "sync", Kind: worker.ActionCheckpoint})
+	}
+	if kept := c.take(c.at(1), actions); len(kept) != 1 {
+		t.Errorf("%d of 3 replicas evicted, the target is 2", len(kept))
+	}
+}
--- /dev/null
+++ b/internal/job/policy/rules.go
@@ -0,0 +1,145 @@
+// Package policy joins placement, interference and control for the dispatcher of
+// a shard: Core decides and is pure; Service is the shell that feeds the cores and
+// carries out what they ask for.
+//
+// The rules of this file are used by the replay of package replay as well, so that
+// its measurements hold for what runs.
+package policy
+
+import (
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/control"
+	"github.com/monsoonfold/monsoonfold/internal/job/interference"
+)
+
+const (
+	// shiftHold is the time until reports show the load that the other zones take
+	// over: a report interval, the lag, and a margin.
+	shiftHold = 12 * time.Second
+	// scouts is the number of tasks of a job that may run before its size is
+	// known, if others wait. It has to be more than the tasks that make it known.
+	scouts    = 8
+	scoutTime = 45 * time.Second
+	// measureAge is the age at which a task counts as showing its size.
+	measureAge = 20 * time.Second
+	// heldFactor is the growth of the cores of a task that uses all it has.
+	heldFactor = 1.25
+)
+
+// Trial is what the tasks of one job have shown of its size.
+type Trial struct {
+	Peak    interference.Peak
+	Running int
+	first   time.Time // start of the first task; zero before
+}
+
+// Started counts a task that starts.
+func (t *Trial) Started(now time.Time) {
+	if t.first.IsZero() {
+		t.first = now
+	}
+	t.Running++
+}
+
+// Measure takes what a running task uses, and reports whether that counts. A task
+// that was measured before is counted once.
+func (t *Trial) Measure(used, size unit.Resources, age time.Duration, measured bool) bool {
+	if age < measureAge {
+		return measured
+	}
+	t.Done(Held(used, size), measured)
+	return true
+}
+
+// Held returns what a task is taken to need by what it used: more, if it used all
+// of its cores.
+func Held(used, size unit.Resources) unit.Resources {
+	if used.Cores >= size.Cores {
+		used.Cores = unit.Millicores(heldFactor * float64(used.Cores))
+	}
+	return used
+}
+
+// Done takes the peak of a task that was done.
+func (t *Trial) Done(peak unit.Resources, measured bool) {
+	if measured {
+		t.Peak.Raise(peak)
+	} else {
+		t.Peak.Add(peak)
+	}
+}
+
+// Gate decides whether batch tasks may be placed at all at a moment. The zero
+// value lets all of them through.
+type Gate struct {
+	until     time.Time // no batch starts before
+	contended bool      // a task found no worker in the last round
+	waiting   bool      // one did in this round
+}
+
+// Shift notes that a zone went out of service.
+func (g *Gate) Shift(now time.Time) { g.until = now.Add(shiftHold) }
+
+// Round begins a round of placement.
+func (g *Gate) Round() { g.contended, g.waiting = g.waiting, false }
+
+// Wait notes that a task found no worker.
+func (g *Gate) Wait() { g.waiting = true }
+
+// Shifted reports whether batch tasks wait for reports that show the load after a
+// zone went out.
+func (g *Gate) Shifted(now time.Time) bool { return now.Before(g.until) }
+
+// Scouting reports whether a job of unknown size has enough tasks running while
+// other tasks wait.
+func (g *Gate) Scouting(now time.Time, t *Trial) bool {
+	if !g.contended || t.Peak.Known() || t.Running < scouts || now.Sub(t.first) >= scoutTime {
+		return false
+	}
+	g.waiting = true // its own tasks wait
+	return true
+}
+
+// Progress is what is known of the run of a task.
+type Progress struct {
+	Started   time.Time
+	Declared  time.Duration // run time
+	Submitted time.Time
+	Finish    time.Duration // by the target of its class; 0 if none
+}
+
+// Estimate completes a running task with its time left and its deadline.
+func (p Progress) Estimate(now time.Time, t control.Task, sizes *interference.Sizes) control.Task {
+	t.Unsaved, t.Saves = now.Sub(p.Started), true
+	if t.Standing {
+		return t
+	}
+	_, bound, _ := sizes.Work(t.Class, p.Declared)
+	t.Left = max(bound-now.Sub(p.Started), time.Second)
+	if p.Finish > 0 {
+		t.Deadline = p.Submitted.Add(p.Finish)
+	}
+	return t
+}
+
+// Hosts groups tasks by worker for control.Room. The tasks of one worker must be
+// adjacent.
+func Hosts(tasks []control.Task, free func(unit.InstanceID) unit.Resources) []control.Host {
+	var hosts []control.Host
+	for _, t := range tasks {
+		if n := len(hosts); n == 0 || hosts[n-1].ID != t.Worker {
+			hosts = append(hosts, control.Host{ID: t.Worker, Free: free(t.Worker)})
+		}
+		h := &hosts[len(hosts)-1]
+		h.Tasks = append(h.Tasks, t)
+	}
+	return hosts
+}
+
+// Throttle returns the change of the cores that a task may use if its share
+// changes.
+func Throttle(cores unit.Millicores, from, to float64) unit.Millicores {
+	return unit.Millicores(float64(cores)*to) - unit.Millicores(float64(cores)*from)
+}
--- /dev/null
+++ b/internal/job/policy/service_test.go
@@ -0,0 +1,255 @@
+package policy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/membership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/dispatch"
+	"github.com/monsoonfold/monsoonfold/internal/job/policy"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/job/worker"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/order/claim"
+	"github.com/monsoonfold/monsoonfold/internal/order/gateway"
+	"github.com/monsoonfold/monsoonfold/internal/order/slot"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/report/burn"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
+	standinplatform "github.com/monsoonfold/monsoonfold/internal/standin/platform"
+	standinworker "github.com/monsoonfold/monsoonfold/internal/standin/worker"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
+)
+
+// bound is the bound of the class of requests. At the load of the test a request
+// takes 80 ms alone, about 150 ms beside the noisy task at full cores, 105 ms at half
+// of them and 90 ms at a quarter.
+const bound = 125 * time.Millisecond
+
+// service is the part of a fake that the kernel needs.
+type service struct {
+	name registry.Name
+	done chan struct{}
+}
+
+func (s service) Name() registry.Name                           { return s.name }
+func (s service) Start(context.Context, *registry.Kernel) error { return nil }
+func (s service) Stop(context.Context) error                    { close(s.done); return nil }
+func (s service) Done() <-chan struct{}                         { return s.done }
+
+// fixedConfig is a configuration that is always confirmed.
+type fixedConfig struct{ service }
+
+func (fixedConfig) StartUntil() time.Time    { return time.Now().Add(3 * time.Second) }
+func (fixedConfig) NotAfter() time.Time      { return time.Now().Add(4 * time.Second) }
+func (fixedConfig) ServeUntil() time.Time    { return time.Now().Add(10 * time.Second) }
+func (fixedConfig) Changed() <-chan struct{} { return nil }
+
+func (fixedConfig) Current() spec.Revision {
+	return spec.Revision{Number: 1, Document: spec.Document{
+		Classes: []spec.Class{
+			{Name: "quote", Kind: spec.KindRequest, Service: "desk", Routes: []spec.Route{{Prefix: "/"}},
+				Target: spec.Target{Percentile: 95, Bound: unit.Duration(bound)}},
+			{Name: "noisy", Kind: spec.KindBatch, Target: spec.Target{Finish: unit.Duration(time.Hour)}},
+		},
+		Teams: []spec.Team{{Name: "team", Quota: unit.Resources{Cores: 1 << 30, Memory: 1 << 50}}},
+		Zones: []spec.Zone{{Name: "z"}},
+	}}
+}
+
+// noPeers is the link of a single entry.
+type noPeers struct{ service }
+
+func (noPeers) Handle(message.Kind, message.Handler) {}
+func (noPeers) Call(context.Context, unit.EntryID, message.Message) (message.Message, error) {
+	return nil, fmt.Errorf("no peers")
+}
+
+// results has the requests of the load by the time of their start.
+type results struct {
+	mu  sync.Mutex
+	all []result
+}
+
+type result struct {
+	begun time.Time
+	late  bool
+}
+
+// load sends a request every 10 ms until the context ends.
+func (r *results) load(ctx context.Context, address string) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	slots := make(chan struct{}, 64)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			continue
+		}
+		calls.Go(func() {
+			begun := time.Now()
+			resp, err := http.Get("http://" + address + "/quote")
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+			}
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.all = append(r.all, result{begun, err != nil || resp.StatusCode != http.StatusOK || time.Since(begun) > bound})
+			<-slots
+		})
+	}
+}
+
+// share returns the part of the requests between two times that were late.
+func (r *results) share(from, until time.Time) (share float64, requests int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	late := 0
+	for _, x := range r.all {
+		if x.begun.Before(from) || x.begun.After(until) {
+			continue
+		}
+		requests++
+		if x.late {
+			late++
+		}
+	}
+	return float64(late) / float64(max(requests, 1)), requests
+}
+
+func run(t *testing.T, s registry.Service) {
+	if err := s.Start(t.Context(), nil); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+}
+
+func await(t *testing.T, what string, limit time.Duration, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !done(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %s", what, limit)
+		}
+	}
+}
+
+// TestNoisyClass guards against parts that decide rightly and are not connected: a
+// batch class pushes requests over their bound, and nothing throttles it, or the
+// throttle brings no relief, or explain does not know of it.
+func TestNoisyClass(t *testing.T) {
+	var instances []store.Instance
+	var workers []*standinworker.Server
+	for n := range 2 {
+		s := standinworker.DefaultSettings(unit.InstanceID(fmt.Sprint("w", n)))
+		s.Zone, s.Rack, s.Service = "z", "r", "desk"
+		s.Slots = 32 // with few, each request more raises the latency by a lot
+		s.Median, s.Sigma, s.UsageLag, s.Seed = 80*time.Millisecond, 0.05, time.Second, uint64(n)
+		s.Interference = map[unit.ClassID]float64{"noisy": 5}
+		w := standinworker.New(s)
+		run(t, w)
+		workers, instances = append(workers, w), append(instances, w.Instance())
+	}
+	platform := standinplatform.NewServer("127.0.0.1:0", instances)
+	run(t, platform)
+
+	events := journal.NewService(time.Now())
+	targets := policy.New(1, time.Now)
+	dispatcher := dispatch.NewService(logr.Discard(), dispatch.Options{
+		Buckets: 1, Connect: func(address string) dispatch.Client { return worker.NewClient(address) },
+		Placer: targets.Placer, Observe: targets.Observe, Now: time.Now,
+	})
+	rules := slot.DefaultRules()
+	rules.Wait = 0 // nobody held the slots before
+	g := gateway.New(logr.Discard(), gateway.Settings{Address: "127.0.0.1:0", Rules: rules})
+	k := registry.New()
+	for _, s := range []registry.Service{
+		store.NewService(platform.Address()),
+		membership.New(logr.Discard(), roster.Entry{ID: "e", Zone: "z"}),
+		noPeers{service{"peers", make(chan struct{})}}, events, fixedConfig{service{"config", make(chan struct{})}},
+		listing.New(logr.Discard()), burn.NewService(), claim.New(), dispatcher, targets, g,
+	} {
+		if err := k.Register(s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		if err := k.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+
+	await(t, "readiness", 10*time.Second, g.Ready)
+	var requests results
+	ctx, stop := context.WithCancel(t.Context())
+	var loading sync.WaitGroup
+	loading.Go(func() { requests.load(ctx, g.Address()) })
+	t.Cleanup(func() { stop(); loading.Wait() })
+	if err := dispatcher.Submit(ctx, queue.Job{
+		ID: "j", Class: "noisy", Team: "team", Tasks: 2, Work: unit.Duration(time.Hour), Author: "test",
+		Size: unit.Resources{Cores: 48000, Memory: 1 << 30}, Time: time.Now().UnixMilli(),
+	}); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "tasks running", 20*time.Second, func() bool {
+		return !slices.ContainsFunc(workers, func(w *standinworker.Server) bool { return len(w.Audit().Runs) == 0 })
+	})
+	noisy := time.Now()
+	throttled := func() map[string]time.Time { // by worker, the first throttle
+		at := map[string]time.Time{}
+		for _, e := range events.Explain(journal.Subject{Kind: journal.KindClass, ID: "quote"}) {
+			if !strings.HasPrefix(e.What, "throttled") {
+				continue
+			}
+			if e.Why == "" {
+				t.Errorf("throttled without a reason: %+v", e)
+			}
+			for _, s := range e.Subjects {
+				if _, ok := at[s.ID]; s.Kind == journal.KindWorker && !ok {
+					at[s.ID] = e.Time
+				}
+			}
+		}
+		return at
+	}
+	await(t, "both workers throttled", 20*time.Second, func() bool { return len(throttled()) == 2 })
+	first := slices.MinFunc(slices.Collect(maps.Values(throttled())), time.Time.Compare)
+	// A second throttle may be needed and comes after 5 s; the first is undone after
+	// 10 s without late requests.
+	quiet := time.Now().Add(6500 * time.Millisecond)
+	time.Sleep(time.Until(quiet.Add(5 * time.Second)))
+	before, n := requests.share(noisy, first)
+	after, m := requests.share(quiet, time.Now().Add(-time.Second))
+	t.Logf("late before: %.2f of %d, after: %.2f of %d", before, n, after, m)
+	if before < 0.2 || after > before/2 {
+		t.Errorf("late before: %.2f of %d, after: %.2f of %d; want the half at most", before, n, after, m)
+	}
+}
