order/gateway: signal latencies by worker to the owners of the shards

The gateway counts per worker and class the requests, the late ones, the slot time and the latencies in 128 buckets a tenth apart, and hands them over every 2 s. The policy service sends one message to each owner. Pairs and signals are bounded.

entry/assembly: the policy service places the tasks of each shard.

--- a/internal/entry/assembly/assembly.go
+++ b/internal/entry/assembly/assembly.go
@@ -21,7 +21,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/dispatch"
-	"github.com/monsoonfold/monsoonfold/internal/job/placement"
+	"github.com/monsoonfold/monsoonfold/internal/job/policy"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/order/claim"
@@ -87,7 +87,8 @@
 	e.gateway = gateway.New(log.WithName("gateway"), gateway.Settings{
 		Address: s.Listen.Callers, Notice: s.Drain.Std(), Rules: slot.DefaultRules(),
 	})
-	e.dispatch = dispatch.NewService(log.WithName("dispatch"), dispatchOptions(s))
+	targets := policy.New(uint16(s.Buckets), time.Now)
+	e.dispatch = dispatch.NewService(log.WithName("dispatch"), dispatchOptions(s, targets))
 	self := roster.Entry{ID: id, Zone: s.Zone, Address: s.Listen.Peers}
 	// A service comes after those that it calls, so that they outlive it.
 	services := []registry.Service{
@@ -100,6 +101,7 @@
 		burn.NewService(),
 		claim.New(),
 		e.dispatch,
+		targets,
 		e.gateway,
 		api.New(log.WithName("api"), api.Options{
 			Address: s.Listen.Operators, Credentials: credentials, File: s.Tokens,
@@ -114,7 +116,7 @@
 	return e, nil
 }
 
-func dispatchOptions(s settings.Settings) dispatch.Options {
+func dispatchOptions(s settings.Settings, targets *policy.Service) dispatch.Options {
 	regions := map[unit.ZoneID]shard.Region{}
 	for zone, region := range s.Regions {
 		regions[zone] = shard.Region(region)
@@ -123,7 +125,8 @@
 		Buckets: uint16(s.Buckets),
 		Regions: regions,
 		Connect: func(address string) dispatch.Client { return worker.NewClient(address) },
-		Placer:  func(unit.ShardID) dispatch.Placer { return placement.New(nil) },
+		Placer:  targets.Placer,
+		Observe: targets.Observe,
 		Now:     time.Now,
 	}
 }
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -45,6 +45,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/order/claim"
 	"github.com/monsoonfold/monsoonfold/internal/order/slot"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
 	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
@@ -75,6 +76,10 @@
 	}
 	recorder interface{ Record(journal.Event) }
 	budget   interface{ Observe(burn.Sample) }
+	signaler interface {
+		// Send carries the signals to those who schedule tasks on the workers.
+		Send(ctx context.Context, signals []message.Signal)
+	}
 )
 
 // Settings of a gateway.
@@ -98,6 +103,8 @@
 	claims     claims
 	journal    recorder
 	burn       budget
+	signals    signaler
+	windows    *windows
 
 	routes   atomic.Pointer[routes]
 	floor    *floor
@@ -112,7 +119,7 @@
 
 // New returns a gateway that is not yet started.
 func New(log logr.Logger, settings Settings) *Gateway {
-	g := &Gateway{log: log, settings: settings, counters: new(expvar.Map).Init(), done: make(chan struct{})}
+	g := &Gateway{log: log, settings: settings, counters: new(expvar.Map).Init(), done: make(chan struct{}), windows: newWindows(time.Now())}
 	g.counters.Set("inflight", expvar.Func(func() any { return g.inflight.Load() }))
 	g.counters.Set("waiting", expvar.Func(func() any { return g.floor.waitingRequests() }))
 	g.http = &http.Server{
@@ -145,6 +152,7 @@
 	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	parts.Go(func() { g.run(ctx) })
+	parts.Go(func() { g.signal(ctx) })
 	parts.Go(func() { _ = g.http.Serve(l) }) // ends with ErrServerClosed at the drain
 	go func() {
 		defer close(g.done)
@@ -194,13 +202,14 @@
 }
 
 func (g *Gateway) find(k *registry.Kernel) error {
-	var faults [6]error
+	var faults [7]error
 	g.fleet, faults[0] = registry.Find[fleet](k, "fleet")
 	g.config, faults[1] = registry.Find[configuration](k, "config")
 	g.membership, faults[2] = registry.Find[membership](k, "membership")
 	g.claims, faults[3] = registry.Find[claims](k, claim.ServiceName)
 	g.journal, faults[4] = registry.Find[recorder](k, journal.ServiceName)
 	g.burn, faults[5] = registry.Find[budget](k, "burn")
+	g.signals, faults[6] = registry.Find[signaler](k, "policy")
 	if err := errors.Join(faults[:]...); err != nil {
 		return errors.Errorf("find partners: %w", err)
 	}
--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/order/claim"
 	"github.com/monsoonfold/monsoonfold/internal/order/gateway"
 	"github.com/monsoonfold/monsoonfold/internal/order/slot"
+	"github.com/monsoonfold/monsoonfold/internal/peer/message"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
@@ -93,6 +94,25 @@
 
 func (f *fakeFleet) Changed() <-chan struct{} { return f.changed }
 
+// fakePolicy keeps the signals that it gets.
+type fakePolicy struct {
+	service
+	mu  sync.Mutex
+	got []message.Signal
+}
+
+func (p *fakePolicy) Send(_ context.Context, signals []message.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.got = append(p.got, signals...)
+}
+
+func (p *fakePolicy) signals() []message.Signal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.got
+}
+
 // fakeStore keeps the records of claims.
 type fakeStore struct {
 	service
@@ -155,6 +175,7 @@
 	fleet   *fakeFleet
 	store   *fakeStore
 	journal *journal.Service
+	policy  *fakePolicy
 }
 
 // open starts an entry in front of the workers.
@@ -165,6 +186,7 @@
 		fleet:   &fakeFleet{service: newService("fleet"), changed: make(chan struct{})},
 		store:   &fakeStore{service: newService(store.ServiceName), records: map[store.Key]store.Record{}},
 		journal: journal.NewService(time.Now()),
+		policy:  &fakePolicy{service: newService("policy")},
 	}
 	if records != nil {
 		s.store = records
@@ -177,7 +199,7 @@
 	}
 	s.gateway = newGateway()
 	start(t, s.config, s.fleet, fakeMembership{newService("membership"), "e1"}, s.journal, burn.NewService(),
-		storeClient{s.store, make(chan struct{})}, claim.New(), s.gateway)
+		storeClient{s.store, make(chan struct{})}, claim.New(), s.policy, s.gateway)
 	return s
 }
 
@@ -546,13 +568,42 @@
 	start(t, p)
 	g := newGateway()
 	start(t, store.NewService(p.Address()), listing.New(logr.Discard()), &fakeConfig{service: newService("config")},
-		fakeMembership{newService("membership"), "e1"}, journal.NewService(time.Now()), burn.NewService(), claim.New(), g)
+		fakeMembership{newService("membership"), "e1"}, journal.NewService(time.Now()), burn.NewService(), claim.New(),
+		&fakePolicy{service: newService("policy")}, g)
 	got := []string{call{path: "/quote"}.do(g), charge("k").do(g), charge("k").do(g)}
 	if diff := cmp.Diff([]string{"done 200 hello", "done 200 hello", "unknown 409"}, got); diff != "" {
 		t.Errorf("results (-want +got):\n%s", diff)
 	}
 }
 
+// TestSignals guards against a worker of which the owner of its shard hears
+// nothing, or of which late requests are left out.
+func TestSignals(t *testing.T) {
+	w := work(t, func(run int64, _ *http.Request) string {
+		if run == 2 {
+			time.Sleep(60 * time.Millisecond) // over the bound of the class
+		}
+		return whole
+	})
+	s := open(t, nil, w.address())
+	for range 3 {
+		call{path: "/quote"}.do(s.gateway)
+	}
+	var requests, late uint32
+	for deadline := time.Now().Add(10 * time.Second); requests < 3 && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		requests, late = 0, 0
+		for _, g := range s.policy.signals() {
+			if g.Worker != "w0" || g.Class != "quote" || g.Span <= 0 || g.Median <= 0 || g.Busy <= 0 {
+				t.Fatalf("signal %+v", g)
+			}
+			requests, late = requests+g.Requests, late+g.Late
+		}
+	}
+	if requests != 3 || late < 1 {
+		t.Errorf("%d requests, %d late", requests, late)
+	}
+}
+
 // BenchmarkForward measures the forwarding path on loopback, with caller, entry
 // and worker in one process.
 func BenchmarkForward(b *testing.B) {
--- a/internal/order/gateway/request.go
+++ b/internal/order/gateway/request.go
@@ -55,6 +55,7 @@
 	body    []byte
 	claim   claim.Result
 	last    *station // of the latest attempt
+	sent    time.Time
 }
 
 // verdict is the end of an order without a complete response.
@@ -240,6 +241,7 @@
 		return upstream.Result{Outcome: upstream.NotRun, Err: errDraining}
 	}
 	now := time.Now()
+	o.sent = now
 	firstByteBy := o.end
 	if !o.once {
 		idle := min(max(idleFactor*o.route.class.Target.Bound.Std(), minIdle), maxIdle)
@@ -381,6 +383,10 @@
 	}
 	if o.last != nil {
 		s.Worker, s.Zone = o.last.instance.ID, o.last.instance.Zone
+		o.gateway.windows.add(passage{
+			worker: s.Worker, class: s.Class, percentile: o.route.class.Target.Percentile,
+			latency: now.Sub(o.arrived), busy: now.Sub(o.sent), done: done, late: !s.Good,
+		})
 	}
 	o.gateway.burn.Observe(s)
 }
