job/dispatch, job/policy: test advised sizes, and the way of signals

The model of the invariants runs with a placer that gives tasks sizes other than declared, which change with time, and at times admits no batch task: P1 must hold by the sizes that are sent. The signals of an entry go to the owners of the shards in one message each, which fits.

--- a/internal/job/dispatch/core_test.go
+++ b/internal/job/dispatch/core_test.go
@@ -23,6 +23,7 @@
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t, rapid.Uint64().Draw(t, "seed"))
+		s.advise = rapid.Bool().Draw(t, "advise")
 		s.drop = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "drop")
 		s.slow = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "slow")
 		s.double = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "double")
--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -33,6 +33,27 @@
 	tasks    map[worker.Ref]unit.Resources
 }
 
+// advised is a placer that gives tasks other sizes than the declared ones, which
+// change with time, and at times admits no batch task.
+type advised struct {
+	firstFit
+	sim *sim
+}
+
+func (a *advised) Describe(*queue.Job) {}
+
+func (a *advised) Admit(j *queue.Job) (why string, ok bool) {
+	return "closed", j.Class != "batch" || a.sim.now/(5*time.Second)%4 != 0
+}
+
+func (a *advised) Size(j *queue.Job) unit.Resources {
+	size := j.Size
+	size.Cores = min(size.Cores*unit.Millicores(1+a.sim.now/(7*time.Second)%4)/2, max(simCapacity.Cores, size.Cores))
+	return size
+}
+
+func (a *advised) Refusal(*queue.Job) (why string, nearest unit.InstanceID) { return "no room", "" }
+
 func (f *firstFit) free(id unit.InstanceID) unit.Resources {
 	free := f.workers[id].capacity
 	for _, size := range f.workers[id].tasks {
@@ -119,6 +140,7 @@
 type sim struct {
 	t       *rapid.T
 	rng     *rand.Rand
+	advise  bool          // the placers advise
 	now     time.Duration // true time
 	seq     int
 	agenda  agenda
@@ -539,8 +561,12 @@
 
 func (e *simEntry) host(id unit.ShardID, held shard.Held, clean bool) {
 	h := &simHost{entry: e, id: id, epoch: held.Record.Epoch, session: held.Record.Session, held: held}
+	var placer Placer = &firstFit{}
+	if e.sim.advise {
+		placer = &advised{sim: e.sim}
+	}
 	h.core = New(Settings{
-		Shard: id, Epoch: h.epoch, Placer: &firstFit{},
+		Shard: id, Epoch: h.epoch, Placer: placer,
 		Inherited: lease.InheritedExpiry(e.clock(), clean),
 	})
 	e.used[id], e.hosts[id] = h.epoch, h
--- a/internal/job/policy/service_test.go
+++ b/internal/job/policy/service_test.go
@@ -13,10 +13,13 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/membership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/shard"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/dispatch"
 	"github.com/monsoonfold/monsoonfold/internal/job/policy"
@@ -156,6 +159,109 @@
 	}
 }
 
+// sendSite is an entry e1 that owns shard z.0 beside e2, which owns z.1; z.2 has no
+// owner.
+type sendSite struct {
+	service
+	mu   sync.Mutex
+	sent map[unit.EntryID][]int // signals of each message
+	last message.Signals
+}
+
+func (s *sendSite) Self() unit.EntryID                    { return "e1" }
+func (s *sendSite) Evict(context.Context, dispatch.Evict) {}
+func (s *sendSite) Handle(message.Kind, message.Handler)  {}
+func (s *sendSite) Owner(id unit.ShardID) unit.EntryID {
+	return []unit.EntryID{"e1", "e2", ""}[id.Bucket]
+}
+func (s *sendSite) Snapshot() inventory.Snapshot {
+	var all []store.Instance
+	for n := range 3000 {
+		all = append(all, store.Instance{ID: unit.InstanceID(fmt.Sprint("w", n)), Zone: "z", Rack: unit.RackID(fmt.Sprint(n))})
+	}
+	return inventory.NewSnapshot(store.Listing{Instances: all, Revision: 1})
+}
+
+func (s *sendSite) Call(_ context.Context, to unit.EntryID, m message.Message) (message.Message, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.last = m.(message.Signals)
+	s.sent[to] = append(s.sent[to], len(s.last.Signals))
+	return message.Done{}, nil
+}
+
+// named lets one fake be several services.
+type named struct {
+	*sendSite
+	name registry.Name
+	done chan struct{}
+}
+
+func (n named) Name() registry.Name        { return n.name }
+func (n named) Stop(context.Context) error { close(n.done); return nil }
+func (n named) Done() <-chan struct{}      { return n.done }
+
+// TestSend guards against messages to entries that do not own the worker's shard,
+// more than one message to an owner, and messages that are too large to be sent.
+func TestSend(t *testing.T) {
+	site := &sendSite{sent: map[unit.EntryID][]int{}}
+	s := policy.New(3, time.Now)
+	k := registry.New()
+	for _, name := range []registry.Name{"membership", "peers", "fleet", "dispatch"} {
+		if err := k.Register(named{site, name, make(chan struct{})}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, x := range []registry.Service{fixedConfig{service{"config", make(chan struct{})}}, journal.NewService(time.Now()), s} {
+		if err := k.Register(x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := k.Stop(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	tests := []struct {
+		name    string
+		classes int
+		want    int // signals to e2
+	}{
+		{"one class", 1, 0},
+		{"more than fit", 3, message.MaxSignals},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clear(site.sent)
+			var signals []message.Signal
+			owned := 0
+			for _, w := range site.Snapshot().Workers() {
+				for c := range tt.classes {
+					signals = append(signals, message.Signal{Worker: w.ID, Class: unit.ClassID(fmt.Sprint(c)), Requests: uint32(10 + c)})
+				}
+				if shard.Of(w.Zone, w.Rack, 3).Bucket == 1 {
+					owned++
+				}
+			}
+			want := min(owned*tt.classes, message.MaxSignals)
+			if tt.want > 0 && want != tt.want {
+				t.Fatalf("%d signals are too few for the test", owned*tt.classes)
+			}
+			s.Send(t.Context(), signals)
+			if diff := cmp.Diff(map[unit.EntryID][]int{"e2": {want}}, site.sent); diff != "" {
+				t.Errorf("signals of each message (-want +got):\n%s", diff)
+			}
+			busiest := slices.ContainsFunc(site.last.Signals, func(g message.Signal) bool { return int(g.Requests) == 9+tt.classes })
+			if _, err := message.Encode(site.last); err != nil || !busiest {
+				t.Errorf("encode: %v; the busiest are sent: %v", err, busiest)
+			}
+		})
+	}
+}
+
 // TestNoisyClass guards against parts that decide rightly and are not connected: a
 // batch class pushes requests over their bound, and nothing throttles it, or the
 // throttle brings no relief, or explain does not know of it.
@@ -214,7 +320,7 @@
 	loading.Go(func() { requests.load(ctx, g.Address()) })
 	t.Cleanup(func() { stop(); loading.Wait() })
 	if err := dispatcher.Submit(ctx, queue.Job{
-		ID: "j", Class: "noisy", Team: "team", Tasks: 2, Work: unit.Duration(time.Hour), Author: "test",
+		ID: "j", Class: "noisy", Team: "team", Tasks: 3, Work: unit.Duration(time.Hour), Author: "test",
 		Size: unit.Resources{Cores: 48000, Memory: 1 << 30}, Time: time.Now().UnixMilli(),
 	}); err != nil {
 		t.Fatal(err)
@@ -241,6 +347,12 @@
 		return at
 	}
 	await(t, "both workers throttled", 20*time.Second, func() bool { return len(throttled()) == 2 })
+	explained := slices.ContainsFunc(events.Explain(journal.Subject{Kind: journal.KindClass, ID: "noisy"}), func(e journal.Event) bool {
+		return e.What == "not placed" && strings.Contains(e.Why, "short of cores")
+	})
+	if !explained {
+		t.Error("the journal does not say why the third task has no worker")
+	}
 	first := slices.MinFunc(slices.Collect(maps.Values(throttled())), time.Time.Compare)
 	// A second throttle may be needed and comes after 5 s; the first is undone after
 	// 10 s without late requests.
