--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -124,7 +124,10 @@
 // may not.
 func (c *Core) judgeNodes() {
 	for _, n := range slices.Clone(c.order) {
-		live := n.known && n.listed.Live && !n.draining
+		// A worker that is missing from the list may still run its tasks; only one
+		// that is said to be draining loses them.
+		draining := n.draining || n.known && !n.listed.Live
+		live := n.known && !draining
 		heard := !n.reported.IsZero() && c.now.Sub(n.reported) < silence
 		open := live && heard && !n.stale && len(n.strays) == 0 && !n.crowded()
 		if !n.reported.IsZero() && n.silent == heard {
@@ -142,7 +145,7 @@
 			switch {
 			case !t.sent:
 				c.withdraw(t)
-			case !live:
+			case draining:
 				c.push(t, worker.ActionCheckpoint, "worker is draining")
 			}
 		}
@@ -239,10 +242,10 @@
 		t.notAfter = n.reading.NotAfter(c.notAfter())
 		t.expires = n.reading.Expired(end)
 		n.starts = append(n.starts, t.ref())
-		spec := &t.job.record.Job
+		declared := &t.job.record.Job
 		orders = append(orders, worker.Order{
-			Ref: t.ref(), Action: worker.ActionStart, Class: spec.Class, Size: t.size, Work: spec.Work,
-			Payload: spec.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
+			Ref: t.ref(), Action: worker.ActionStart, Class: declared.Class, Size: t.size, Work: declared.Work,
+			Payload: declared.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
 		})
 		c.note("starting", "", t.subjects()...)
 	}
--- a/internal/job/policy/service_test.go
+++ b/internal/job/policy/service_test.go
@@ -77,7 +77,9 @@
 // noPeers is the link of a single entry.
 type noPeers struct{ service }
 
-func (noPeers) Handle(message.Kind, message.Handler) {}
+func (noPeers) Handle(message.Kind, message.Handler)                   {}
+func (noPeers) SetSettled(func() roster.Settlement)                    {}
+func (noPeers) OnSettled(func(peer unit.EntryID, s roster.Settlement)) {}
 func (noPeers) Call(context.Context, unit.EntryID, message.Message) (message.Message, error) {
 	return nil, fmt.Errorf("no peers")
 }
