--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -112,7 +112,10 @@
 	if to == "e3" {
 		return nil, errors.New("out of reach")
 	}
-	return message.Answer{Events: []journal.Event{{What: m.(message.Ask).Subject.ID}}}, nil
+	if ask, ok := m.(message.Ask); ok {
+		return message.Answer{Events: []journal.Event{{What: ask.Subject.ID}}}, nil
+	}
+	return message.Burn{}, nil
 }
 
 type server struct {
@@ -240,7 +243,7 @@
 		{"cancel", "DELETE", "/v1/jobs/j", "secret", "", "", 504, `"code":"unknown"`},
 		{"no such job", "GET", "/v1/jobs/j", "look", "", "", 404, `"code":"missing"`},
 		{"jobs", "GET", "/v1/jobs", "look", "", "", 503, `"code":"store"`},
-		{"burn", "GET", "/v1/burn", "look", "", "", 200, "{"},
+		{"burn names entries that did not answer", "GET", "/v1/burn", "look", "", "", 200, `"missing":["e3"]`},
 		{"explain", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"what":"own"`},
 		{"explain of peers", "GET", "/v1/explain/task/j%2F1", "look", "", "", 200, `"what":"j/1"`},
 		{"explain without a peer", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"error":"out of reach"`},
--- a/internal/job/dispatch/firstfit_test.go
+++ b/internal/job/dispatch/firstfit_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 )
 
@@ -68,3 +70,24 @@
 	delete(f.workers, id)
 	f.order = slices.DeleteFunc(f.order, func(o unit.InstanceID) bool { return o == id })
 }
+
+// advised is a placer that gives tasks other sizes than the declared ones, which
+// change with time, and at times admits no batch task.
+type advised struct {
+	firstFit
+	sim *sim
+}
+
+func (a *advised) Describe(*queue.Job) {}
+
+func (a *advised) Admit(j *queue.Job) (why string, ok bool) {
+	return "closed", j.Class != "batch" || a.sim.now/(5*time.Second)%4 != 0
+}
+
+func (a *advised) Size(j *queue.Job) unit.Resources {
+	size := j.Size
+	size.Cores = min(size.Cores*unit.Millicores(1+a.sim.now/(7*time.Second)%4)/2, max(simCapacity.Cores, size.Cores))
+	return size
+}
+
+func (a *advised) Refusal(*queue.Job) (why string, nearest unit.InstanceID) { return "no room", "" }
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -43,8 +43,9 @@
 	wished   bool           // in Core.wishes
 	blocked  time.Time
 	parked   string
-	oversize bool // parked for its size
-	overrun  bool // the team's quota is used up, and the journal says so
+	oversize bool   // parked for its size
+	overrun  bool   // the team's quota is used up, and the journal says so
+	held     string // why the placer admits none of its tasks, if so
 }
 
 // jobWrite is a write of a job record in flight.
@@ -139,6 +140,9 @@
 	c.place = true
 	c.wish(j)
 	c.queue.Put(j.record.Job)
+	if c.adviser != nil {
+		c.adviser.Describe(&j.record.Job)
+	}
 	if len(j.record.Assigned(c.Shard)) == 0 && j.placed == 0 {
 		c.retire(j)
 		return
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -244,7 +244,7 @@
 		n.starts = append(n.starts, t.ref())
 		declared := &t.job.record.Job
 		orders = append(orders, worker.Order{
-			Ref: t.ref(), Action: worker.ActionStart, Class: declared.Class, Size: declared.Size, Work: declared.Work,
+			Ref: t.ref(), Action: worker.ActionStart, Class: declared.Class, Size: t.size, Work: declared.Work,
 			Payload: declared.Payload, Checkpoint: t.Checkpoint, LeaseEnd: end, NotAfter: t.notAfter,
 		})
 		c.note("starting", "", t.subjects()...)
@@ -274,7 +274,7 @@
 				continue
 			}
 			evicted := t.push != ""
-			t.attempt = attempt{reserved: t.reserved, written: t.written}
+			t.attempt = attempt{reserved: t.reserved, size: t.size, written: t.written}
 			if evicted {
 				c.withdraw(t)
 			}
--- a/internal/job/dispatch/place.go
+++ b/internal/job/dispatch/place.go
@@ -8,6 +8,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
+	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 )
 
 // placePending places pending tasks, the most urgent jobs first.
@@ -39,17 +40,32 @@
 		return false
 	}
 	j.overrun = false
-	id, ok := c.choose(j, i)
+	if c.adviser != nil {
+		if why, ok := c.adviser.Admit(declared); !ok {
+			if why != j.held {
+				c.note("waits", why, j.subject(), classSubject(declared.Class))
+			}
+			j.held = why
+			return false
+		}
+	}
+	j.held = ""
+	size := declared.Size
+	if c.adviser != nil {
+		size = c.adviser.Size(declared)
+	}
+	id, ok := c.choose(j, i, size)
 	if !ok {
 		if j.blocked.IsZero() {
 			j.blocked = c.now
+			c.explainRefusal(j, i)
 		}
 		return false
 	}
 	t := c.entry(j, i)
 	t.Attempt++
 	ref := t.ref()
-	if !c.Placer.Reserve(id, ref, declared.Class, declared.Size) {
+	if !c.Placer.Reserve(id, ref, declared.Class, size) {
 		// The number is used up; no start was sent under it.
 		j.changed = c.change()
 		return false
@@ -57,7 +73,7 @@
 	j.blocked = time.Time{}
 	c.queue.Remove(t.id())
 	t.State, t.Worker = ledger.StatePlaced, id
-	t.attempt = attempt{reserved: true, written: c.change()}
+	t.attempt = attempt{reserved: true, size: size, written: c.change()}
 	j.changed = t.written
 	j.placed++
 	c.count(t)
@@ -65,11 +81,25 @@
 	return true
 }
 
+// explainRefusal notes why a task found no worker.
+func (c *Core) explainRefusal(j *job, i unit.TaskIndex) {
+	if c.adviser == nil {
+		return
+	}
+	why, nearest := c.adviser.Refusal(&j.record.Job)
+	id := unit.TaskID{Job: j.id, Index: i}
+	subjects := []journal.Subject{j.subject(), {Kind: journal.KindTask, ID: id.String()}, classSubject(j.record.Job.Class)}
+	if nearest != "" {
+		subjects = append(subjects, journal.Subject{Kind: journal.KindWorker, ID: string(nearest)})
+	}
+	c.note("not placed", why, subjects...)
+}
+
 // choose proposes a worker, but none on which the task has failed if there is
 // another one.
-func (c *Core) choose(j *job, i unit.TaskIndex) (unit.InstanceID, bool) {
-	declared := &j.record.Job
-	id, ok := c.Placer.Place(declared.Class, declared.Size)
+func (c *Core) choose(j *job, i unit.TaskIndex, size unit.Resources) (unit.InstanceID, bool) {
+	class := j.record.Job.Class
+	id, ok := c.Placer.Place(class, size)
 	t := j.tasks[i]
 	if !ok || t == nil || !slices.Contains(t.FailedOn, id) {
 		return id, ok
@@ -80,7 +110,7 @@
 		n := c.node(id)
 		closed = append(closed, n)
 		c.Placer.Upsert(id, n.listed.Rack, n.capacity, false)
-		id, ok = c.Placer.Place(declared.Class, declared.Size)
+		id, ok = c.Placer.Place(class, size)
 	}
 	for _, n := range closed {
 		c.Placer.Upsert(n.id, n.listed.Rack, n.capacity, true)
--- a/internal/job/dispatch/sim_test.go
+++ b/internal/job/dispatch/sim_test.go
@@ -54,6 +54,7 @@
 type sim struct {
 	t       *rapid.T
 	rng     *rand.Rand
+	advise  bool          // the placers advise
 	now     time.Duration // true time
 	seq     int
 	agenda  agenda
--- a/internal/job/dispatch/simentry_test.go
+++ b/internal/job/dispatch/simentry_test.go
@@ -263,8 +263,12 @@
 
 func (e *simEntry) host(id unit.ShardID, held shard.Held, clean bool) {
 	h := &simHost{entry: e, id: id, epoch: held.Record.Epoch, session: held.Record.Session, held: held}
+	var placer Placer = &firstFit{}
+	if e.sim.advise {
+		placer = &advised{sim: e.sim}
+	}
 	h.core = New(Settings{
-		Shard: id, Epoch: h.epoch, Placer: &firstFit{},
+		Shard: id, Epoch: h.epoch, Placer: placer,
 		Inherited: lease.InheritedExpiry(e.clock(), clean),
 	})
 	e.used[id], e.hosts[id] = h.epoch, h
--- a/internal/peer/message/codec.go
+++ b/internal/peer/message/codec.go
@@ -50,6 +50,7 @@
 	KindBurn:      {"burn", maxPush, decodeAs[Burn]},
 	KindFault:     {"fault", maxSmall, decodeAs[Fault]},
 	KindDone:      {"done", maxSmall, decodeAs[Done]},
+	KindSignals:   {"signals", maxMedium, decodeAs[Signals]},
 }
 
 var (
