--- a/internal/job/dispatch/event.go
+++ b/internal/job/dispatch/event.go
@@ -176,11 +176,9 @@
 
 	// SendOrders sends a batch to a worker. Deadline, if not zero, is compared
 	// with the time immediately before the send; after it nothing is sent and
-	// the answer is FaultNoEffect. Boot is the boot of the worker whose clock
-	// the orders refer to.
+	// the answer is FaultNoEffect.
 	SendOrders struct {
 		Worker   unit.InstanceID
-		Boot     string
 		Deadline time.Time
 		Batch    worker.OrderBatch
 	}
--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -305,9 +305,7 @@
 		if !a.Deadline.IsZero() && !sent.Before(a.Deadline) {
 			return unreachable(a)
 		}
-		batch := a.Batch
-		batch.Boot = a.Boot
-		reply, err := client.Orders(ctx, batch)
+		reply, err := client.Orders(ctx, a.Batch)
 		return Ordered{Worker: a.Worker, Sent: sent, Received: now(), Reply: reply, Fault: workerFault(err)}
 	case SendHeartbeat:
 		sent := now()
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -212,8 +212,8 @@
 	}
 	n.busy = true
 	c.actions = append(c.actions, SendOrders{
-		Worker: n.id, Boot: n.reading.Boot, Deadline: deadline,
-		Batch: worker.OrderBatch{Fence: c.fence(), Orders: orders},
+		Worker: n.id, Deadline: deadline,
+		Batch: worker.OrderBatch{Fence: c.fence(), Boot: n.reading.Boot, Orders: orders},
 	})
 }
 
--- a/internal/job/dispatch/simworker_test.go
+++ b/internal/job/dispatch/simworker_test.go
@@ -84,7 +84,7 @@
 		at := w.attempts[o.Ref]
 		switch {
 		case o.Action == worker.ActionStart:
-			r.Code = w.begin(o, a.Boot)
+			r.Code = w.begin(o, a.Batch.Boot)
 		case at == nil:
 			r.Code = worker.CodeMissing
 		case at.Phase != worker.PhaseRunning:
