fleet/roster: bound serving by peers, and hold lost entries that may be a majority

Cause: two of three entries, cut off together from the store and from the third, each count the other's heartbeat as a majority of their old view. The third accepted a change 12 s after their registrations had ended, and they served the old revision without end. Their lasting records were deleted after 60 s.

Ruled out: a longer DepartureSpan for all lost entries, which would hold back every change for G after a single crash; the store revision of lasting records as proof that another entry was registered before, since an entry that registers again may still hold its view from before.

Change: heartbeats of peers count for at most PeerSpan = 75 min after the last answered store read; an entry that never read the store does not serve by them. Losses finds lost groups that may be a majority of a view that one of them holds, and the view names them in Held. They stay missing for changes, and their records are kept, for PeerSpan + 12 s; when the group shrinks, for 12 s more. Two rows of TestServeUntil had no store read at all: one now wants no serving, the other got a read, so that it still checks which heartbeat counts. TestLosses follows the new signature with the same expectations.

--- a/internal/fleet/membership/service.go
+++ b/internal/fleet/membership/service.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
@@ -276,33 +277,32 @@
 	if err != nil {
 		return errors.Errorf("read view: %w", err)
 	}
-	view, lost, err := parse(snapshot)
+	view, registered, lost, err := parse(snapshot)
 	if err != nil {
 		return err
 	}
-	if !s.adopt(view, sent) {
+	if view.Revision < s.View().Revision {
 		return nil // an old answer
 	}
-	for _, l := range s.losses.Observe(time.Now(), s.self.ID, view, lost) {
+	held, due := s.losses.Observe(time.Now(), s.self.ID, view, registered, lost)
+	view.Held = held
+	s.adopt(view, sent)
+	for _, l := range due {
 		err := s.keeper.Delete(ctx, openKey(l.ID), store.IfRevision(l.Written))
 		s.log.Info("lasting record of a lost entry deleted", "entry", l.ID, "error", err)
 	}
 	return nil
 }
 
-// adopt takes a view over and reports whether it is not older than the last one.
-func (s *Service) adopt(view roster.View, sent time.Time) bool {
+// adopt takes a view over. Only the goroutine that reads views calls it.
+func (s *Service) adopt(view roster.View, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if view.Revision < s.view.Revision {
-		return false
-	}
 	moved := !view.SameEntries(s.view)
 	s.view, s.viewed = view, sent
 	if moved {
 		s.wake()
 	}
-	return true
 }
 
 // wake tells the waiters of a change. The lock is held.
@@ -311,30 +311,32 @@
 	s.changed = make(chan struct{})
 }
 
-// parse returns the view and, of the lost entries in it, the lasting records.
-func parse(snapshot store.Snapshot) (roster.View, []roster.Loss, error) {
+// parse returns the view, the records of its registrations, and the lasting
+// records of its lost entries, all sorted by id.
+func parse(snapshot store.Snapshot) (view roster.View, registered, lost []roster.Record, err error) {
 	var entries []roster.Entry
-	var open []roster.Loss
+	var open []roster.Record
 	for _, r := range snapshot.Records {
 		name := strings.TrimPrefix(string(r.Key), string(Prefix))
 		if id, lasting := strings.CutSuffix(name, openSuffix); lasting {
-			open = append(open, roster.Loss{ID: unit.EntryID(id), Written: r.Revision})
+			open = append(open, roster.Record{ID: unit.EntryID(id), Written: r.Revision})
 			continue
 		}
 		var e roster.Entry
 		if err := json.Unmarshal(r.Value, &e); err != nil {
-			return roster.View{}, nil, errors.Errorf("decode %s: %w", r.Key, err)
+			return roster.View{}, nil, nil, errors.Errorf("decode %s: %w", r.Key, err)
 		}
 		e.ID = unit.EntryID(name)
 		entries = append(entries, e)
+		registered = append(registered, roster.Record{ID: e.ID, Written: r.Revision})
 	}
-	view := roster.NewView(entries, snapshot.Revision)
-	lost := slices.DeleteFunc(open, func(l roster.Loss) bool { return view.Contains(l.ID) })
+	view = roster.NewView(entries, snapshot.Revision)
+	lost = slices.DeleteFunc(open, func(l roster.Record) bool { return view.Contains(l.ID) })
+	slices.SortFunc(lost, func(a, b roster.Record) int { return cmp.Compare(a.ID, b.ID) })
 	for _, l := range lost {
 		view.Lost = append(view.Lost, l.ID)
 	}
-	slices.Sort(view.Lost)
-	return view, lost, nil
+	return view, registered, lost, nil
 }
 
 func openKey(id unit.EntryID) store.Key { return Prefix + store.Key(id) + openSuffix }
--- a/internal/fleet/roster/confirmation.go
+++ b/internal/fleet/roster/confirmation.go
@@ -21,6 +21,12 @@
 // heartbeats that still counted at the end of the registration.
 const DepartureSpan = 12 * time.Second
 
+// PeerSpan bounds how long the heartbeats of peers replace the store, from the
+// last answered read: as long as the renewal bound of task leases, so that an
+// hour of partition between regions is covered. Entries that are cut off
+// together, and see each other only, stop after it.
+const PeerSpan = 75 * time.Minute
+
 // Beat is what a heartbeat of a peer says about the rules.
 type Beat struct {
 	Configuration unit.Revision // that the peer has
@@ -78,13 +84,14 @@
 func (c *Confirmation) NotAfter() time.Time { return after(c.confirmed, notAfterSpan) }
 
 // ServeUntil returns the time after which no request may be served: from the
-// store, or from a majority of the view including self, whichever is later. A
+// store, or from a majority of the view including self, whichever is later, and
+// at most PeerSpan after the last answered read. A
 // view of one has no peer to tell it that it was cut off, so it relies on the
 // store alone.
 func (c *Confirmation) ServeUntil(self unit.EntryID, v View, own unit.Revision) time.Time {
 	until := after(c.confirmed, serveSpan)
 	needed := len(v.Entries) / 2 // peers that make a majority together with self
-	if needed == 0 || !v.Contains(self) {
+	if needed == 0 || !v.Contains(self) || c.confirmed.IsZero() {
 		return until
 	}
 	var sent []time.Time
@@ -97,7 +104,11 @@
 		return until
 	}
 	slices.SortFunc(sent, func(a, b time.Time) int { return b.Compare(a) })
-	if byPeers := sent[needed-1].Add(heartbeatSpan); byPeers.After(until) {
+	byPeers := sent[needed-1].Add(heartbeatSpan)
+	if bound := c.confirmed.Add(PeerSpan); byPeers.After(bound) {
+		byPeers = bound
+	}
+	if byPeers.After(until) {
 		return byPeers
 	}
 	return until
--- a/internal/fleet/roster/departure.go
+++ b/internal/fleet/roster/departure.go
@@ -61,7 +61,8 @@
 		}
 	}
 	for id, t := range d.left {
-		if d.known[id] < r && now.Sub(t) <= DepartureSpan {
+		held := slices.Contains(d.view.Held, id)
+		if d.known[id] < r && (held || now.Sub(t) <= DepartureSpan) {
 			missing[id] = true
 		}
 	}
--- a/internal/fleet/roster/loss.go
+++ b/internal/fleet/roster/loss.go
@@ -15,36 +15,106 @@
 	lossOthers = 10 * time.Second
 )
 
-// Loss is the lasting record of an entry that has no registration.
-type Loss struct {
+const (
+	// holdSpan is how long a lost entry may be kept serving by others that are
+	// lost too. It was seen lost at least 3 s after its last answered read; the
+	// rest of DepartureSpan covers 4.5 s of clock drift over PeerSpan.
+	holdSpan = PeerSpan + DepartureSpan
+	// viewLag bounds the age of an entry's view when its registration is last
+	// seen: 6 s of the lease, 1 s between reads, and the time of two store calls.
+	viewLag = 10 * time.Second
+)
+
+// Record is the store record of a registration, or the lasting record of an entry.
+type Record struct {
 	ID      unit.EntryID
 	Written unit.Revision // store revision of the record; a new registration rewrites it
 }
 
-// Losses remembers since when entries are lost. The zero value is ready for use.
+// Losses remembers since when entries are lost, and which others were registered
+// before that. The zero value is ready for use.
 type Losses struct {
-	since map[Loss]time.Time
+	since      map[Record]time.Time       // lost entries, by lasting record
+	registered map[Record]time.Time       // when a registration was first seen
+	last       map[unit.EntryID]time.Time // when a registration was last seen
+	majority   time.Time                  // when lost entries could last form a majority
 }
 
-// Observe takes the lost entries of a view that was received at now and returns
-// those whose records self may delete.
-func (l *Losses) Observe(now time.Time, self unit.EntryID, v View, lost []Loss) []Loss {
-	since := make(map[Loss]time.Time, len(lost))
-	var due []Loss
+// Observe takes the registrations and the lost entries of a view that was
+// received at now. It returns those lost entries that others may keep serving,
+// and the records that self may delete.
+func (l *Losses) Observe(now time.Time, self unit.EntryID, v View, registered, lost []Record) (held []unit.EntryID, due []Record) {
+	l.remember(now, registered, lost)
+	if l.majorityLost(now) {
+		l.majority = now
+	}
 	for _, x := range lost {
-		first, known := l.since[x]
-		if !known {
-			first = now
+		// Heartbeats that arrived while there was a majority count for a while.
+		if !l.majority.IsZero() && now.Sub(l.majority) <= DepartureSpan && !l.expired(now, x) {
+			held = append(held, x.ID)
 		}
-		since[x] = first
 		wait := lossSpan
 		if e, ok := v.First(string(x.ID), nil); !ok || e.ID != self {
 			wait += lossOthers
 		}
-		if now.Sub(first) >= wait {
+		if now.Sub(l.since[x]) >= wait && now.Sub(l.majority) >= wait {
 			due = append(due, x)
 		}
 	}
-	l.since = since
-	return due
+	return held, due
+}
+
+func (l *Losses) remember(now time.Time, registered, lost []Record) {
+	since := make(map[Record]time.Time, len(lost))
+	seen := make(map[Record]time.Time, len(registered))
+	last := make(map[unit.EntryID]time.Time, len(registered)+len(lost))
+	for _, x := range lost {
+		since[x] = now
+		if first, known := l.since[x]; known {
+			since[x] = first
+		}
+		if t, known := l.last[x.ID]; known {
+			last[x.ID] = t
+		}
+	}
+	for _, r := range registered {
+		seen[r] = now
+		if first, known := l.registered[r]; known {
+			seen[r] = first
+		}
+		last[r.ID] = now
+	}
+	l.since, l.registered, l.last = since, seen, last
+}
+
+// majorityLost reports whether the lost entries may be a majority of the view
+// that one of them still holds. That view has at least those entries that were
+// registered well before the loss and still are. An entry whose registration was
+// never seen here may hold any view. One entry alone has nobody to answer its
+// heartbeats.
+func (l *Losses) majorityLost(now time.Time) bool {
+	lost := len(l.since)
+	if lost < 2 {
+		return false
+	}
+	for x := range l.since {
+		if l.expired(now, x) {
+			continue
+		}
+		view := lost
+		if t, known := l.last[x.ID]; known {
+			for _, first := range l.registered {
+				if t.Sub(first) >= viewLag {
+					view++
+				}
+			}
+		}
+		if lost >= view/2+1 {
+			return true
+		}
+	}
+	return false
 }
+
+// expired reports whether a lost entry has certainly stopped serving.
+func (l *Losses) expired(now time.Time, x Record) bool { return now.Sub(l.since[x]) > holdSpan }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,7 +56,7 @@
 
 // TestServeUntil guards against serving on heartbeats that do not count: of a
 // minority, of a peer that has dropped this entry, has a newer configuration, or
-// is not in the view.
+// is not in the view, and of any peer long after the last answer of the store.
 func TestServeUntil(t *testing.T) {
 	type beat struct {
 		peer unit.EntryID
@@ -74,9 +75,12 @@
 		{"nothing known", three, 0, nil, 0},
 		{"store alone", three, 5, nil, 15},
 		{"majority of three", three, 5, []beat{{"b", 20, good}}, 22},
-		{"majority without store since start", three, 0, []beat{{"b", 20, good}}, 22},
+		{"majority without store since start", three, 0, []beat{{"b", 20, good}}, 0},
+		{"majority shortly before the bound", three, 5, []beat{{"b", 4500, good}}, 4502},
+		{"majority at the bound", three, 5, []beat{{"b", 4504, good}}, 4505},
+		{"majority after the bound", three, 5, []beat{{"b", 9000, good}}, 4505},
 		{"store later than peers", three, 15, []beat{{"b", 20, good}}, 25},
-		{"oldest needed heartbeat counts", viewOf(1, "a", "b", "c", "d", "e"), 0,
+		{"oldest needed heartbeat counts", viewOf(1, "a", "b", "c", "d", "e"), 5,
 			[]beat{{"b", 20, good}, {"c", 18, good}, {"d", 19, good}}, 21},
 		{"half of four is no majority", viewOf(1, "a", "b", "c", "d"), 5, []beat{{"b", 20, good}}, 15},
 		{"peer dropped this entry", three, 5, []beat{{"b", 20, Beat{Configuration: 7}}}, 15},
@@ -123,6 +127,10 @@
 		v.Lost = ids
 		return v
 	}
+	held := func(v View, ids ...unit.EntryID) View {
+		v.Lost, v.Held = ids, ids
+		return v
+	}
 	both := observed{0, viewOf(4, "a", "b")}
 	tests := []struct {
 		name     string
@@ -139,6 +147,9 @@
 		{"lost for a short time", []observed{both, {20, lost(viewOf(9, "a"), "b")}}, []unit.EntryID{"a"}, 32, []unit.EntryID{"b"}, true},
 		{"lost for long", []observed{both, {20, lost(viewOf(9, "a"), "b")}}, []unit.EntryID{"a"}, 32.1, nil, true},
 		{"lost for long in several views", []observed{both, {20, lost(viewOf(9, "a"), "b")}, {31, lost(viewOf(10, "a"), "b")}}, []unit.EntryID{"a"}, 32.1, nil, true},
+		{"held for long", []observed{both, {20, held(viewOf(9, "a"), "b")}}, []unit.EntryID{"a"}, 600, []unit.EntryID{"b"}, true},
+		{"held and released", []observed{both, {20, held(viewOf(9, "a"), "b")}, {600, lost(viewOf(9, "a"), "b")}}, []unit.EntryID{"a"}, 600, nil, true},
+		{"held and has it", []observed{both, {20, held(viewOf(9, "a"), "b")}}, []unit.EntryID{"a", "b"}, 600, nil, true},
 		{"lost and has it", []observed{both, {20, lost(viewOf(9, "a"), "b")}}, []unit.EntryID{"a", "b"}, 21, nil, true},
 		{"lost before the first view", []observed{{0, lost(viewOf(9, "a"), "b")}}, []unit.EntryID{"a"}, 12, []unit.EntryID{"b"}, true},
 		{"stopped gracefully", []observed{both, {20, viewOf(9, "a")}}, []unit.EntryID{"a"}, 20, nil, true},
@@ -172,31 +183,31 @@
 	if other == owner.ID {
 		other = view.Entries[1].ID
 	}
-	x5, x6 := Loss{"x", 5}, Loss{"x", 6}
+	x5, x6 := Record{"x", 5}, Record{"x", 6}
 	type observed struct {
 		at   float64
-		lost []Loss
+		lost []Record
 	}
 	tests := []struct {
 		name string
 		self unit.EntryID
 		seen []observed
-		want []Loss // due at the last one
+		want []Record // due at the last one
 	}{
-		{"first seen", owner.ID, []observed{{0, []Loss{x5}}}, nil},
-		{"before its time", owner.ID, []observed{{0, []Loss{x5}}, {59, []Loss{x5}}}, nil},
-		{"due", owner.ID, []observed{{0, []Loss{x5}}, {60, []Loss{x5}}}, []Loss{x5}},
-		{"due at the other later", other, []observed{{0, []Loss{x5}}, {60, []Loss{x5}}}, nil},
-		{"due at the other", other, []observed{{0, []Loss{x5}}, {70, []Loss{x5}}}, []Loss{x5}},
-		{"back in between", owner.ID, []observed{{0, []Loss{x5}}, {30, nil}, {31, []Loss{x5}}, {80, []Loss{x5}}}, nil},
-		{"registered in between without being seen", owner.ID, []observed{{0, []Loss{x5}}, {50, []Loss{x6}}, {80, []Loss{x6}}}, nil},
+		{"first seen", owner.ID, []observed{{0, []Record{x5}}}, nil},
+		{"before its time", owner.ID, []observed{{0, []Record{x5}}, {59, []Record{x5}}}, nil},
+		{"due", owner.ID, []observed{{0, []Record{x5}}, {60, []Record{x5}}}, []Record{x5}},
+		{"due at the other later", other, []observed{{0, []Record{x5}}, {60, []Record{x5}}}, nil},
+		{"due at the other", other, []observed{{0, []Record{x5}}, {70, []Record{x5}}}, []Record{x5}},
+		{"back in between", owner.ID, []observed{{0, []Record{x5}}, {30, nil}, {31, []Record{x5}}, {80, []Record{x5}}}, nil},
+		{"registered in between without being seen", owner.ID, []observed{{0, []Record{x5}}, {50, []Record{x6}}, {80, []Record{x6}}}, nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var l Losses
-			var due []Loss
+			var due []Record
 			for _, o := range tt.seen {
-				due = l.Observe(at(o.at), tt.self, view, o.lost)
+				_, due = l.Observe(at(o.at), tt.self, view, nil, o.lost)
 			}
 			if diff := cmp.Diff(tt.want, due); diff != "" {
 				t.Errorf("due (-want +got):\n%s", diff)
@@ -204,3 +215,71 @@
 		})
 	}
 }
+
+// TestHeld guards against lost entries that keep each other serving and no longer
+// count, and against a smaller group that blocks changes for the whole bound.
+func TestHeld(t *testing.T) {
+	type observed struct {
+		at         float64
+		registered string // one letter each; upper case for a second registration
+		lost       string
+	}
+	records := func(letters string) []Record {
+		var all []Record
+		for _, c := range letters {
+			id := unit.EntryID(strings.ToLower(string(c)))
+			all = append(all, Record{id, unit.Revision(c)})
+		}
+		return all
+	}
+	const bound = 75*60 + 12 // seconds
+	tests := []struct {
+		name string
+		seen []observed
+		held string
+		due  string // at the last one
+	}{
+		{"one of three", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "ab", "c"}}, "", ""},
+		{"two of three", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {620, "a", "bc"}}, "bc", ""},
+		{"two of four", []observed{{0, "abcd", ""}, {15, "abcd", ""}, {20, "ab", "cd"}, {100, "ab", "cd"}}, "", "cd"},
+		{"three of five", []observed{{0, "abcde", ""}, {15, "abcde", ""}, {20, "ab", "cde"}, {100, "ab", "cde"}}, "cde", ""},
+		{"one after the other", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "ab", "c"}, {40, "a", "bc"}}, "bc", ""},
+		{"one alone of one", []observed{{0, "a", ""}, {20, "", "a"}}, "", ""},
+		{"two, others registered after the loss", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {30, "adef", "bc"}}, "bc", ""},
+		{"two, others registered shortly before the loss", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "abcdef", ""}, {25, "adef", "bc"}}, "bc", ""},
+		{"two, others registered long before the loss", []observed{{0, "abc", ""}, {10, "abcdef", ""}, {20, "abcdef", ""}, {25, "adef", "bc"}}, "", ""},
+		{"two of four, one registered again", []observed{{0, "abcd", ""}, {15, "abcd", ""}, {20, "ab", "cd"}, {30, "aB", "cd"}}, "cd", ""},
+		{"lost before the first view", []observed{{0, "abcdef", "xy"}}, "xy", ""},
+		{"one is back", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {619, "a", "bc"}, {620, "aB", "c"}, {631, "aB", "c"}}, "c", ""},
+		{"one is back for long", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {619, "a", "bc"}, {620, "aB", "c"}, {640, "aB", "c"}}, "", ""},
+		{"one is back and the other is deleted", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {619, "a", "bc"}, {620, "aB", "c"}, {691, "aB", "c"}}, "", "c"},
+		{"at the bound", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {20 + bound, "a", "bc"}}, "bc", ""},
+		{"after the bound", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {20 + bound, "a", "bc"}, {21 + bound, "a", "bc"}}, "", ""},
+		{"deleted after the bound", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {20 + bound, "a", "bc"}, {91 + bound, "a", "bc"}}, "", "bc"},
+		{"the later one counts to its own bound", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "ab", "c"}, {30, "a", "bc"}, {25 + bound, "a", "bc"}}, "b", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l Losses
+			var held, due string
+			for _, o := range tt.seen {
+				registered := records(o.registered)
+				var ids []unit.EntryID
+				for _, r := range registered {
+					ids = append(ids, r.ID)
+				}
+				h, d := l.Observe(at(o.at), "a", viewOf(1, ids...), registered, records(o.lost))
+				held, due = "", ""
+				for _, id := range h {
+					held += string(id)
+				}
+				for _, r := range d {
+					due += string(r.ID)
+				}
+			}
+			if held != tt.held || due != tt.due {
+				t.Errorf("held %q, due %q; want held %q, due %q", held, due, tt.held, tt.due)
+			}
+		})
+	}
+}
--- a/internal/target/config/cluster_test.go
+++ b/internal/target/config/cluster_test.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	cut      bool // from all peers
+	side     int  // of a partition; entries reach only those on their own side
 	delays   *rand.Rand
 	handlers map[message.Kind]message.Handler
 	beats    func(to unit.EntryID) message.Heartbeat
@@ -131,6 +132,18 @@
 	e.cut = cut
 }
 
+func (e *entry) setSide(side int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.side = side
+}
+
+func (e *entry) sideOf() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.side
+}
+
 func (e *entry) isCut() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -186,7 +199,7 @@
 	f.cluster.mu.Lock()
 	peer := f.cluster.entries[to]
 	f.cluster.mu.Unlock()
-	if peer == nil || peer.isCut() || f.isCut() {
+	if peer == nil || peer.isCut() || f.isCut() || peer.sideOf() != f.sideOf() {
 		return nil, errors.Errorf("%s is out of reach", to)
 	}
 	return peer, nil
