--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -59,8 +59,8 @@
 // jobs are what the operator of the demo submits.
 var jobs = []queue.Job{
 	{ID: "feed", Class: "feed", Tasks: 1, Size: unit.Resources{Cores: 1000, Memory: 1 << 30}},
-	{ID: "refinery-7", Class: "takeoff", Tasks: 60, Size: unit.Resources{Cores: 4000, Memory: 4 << 30}, Work: unit.Duration(8 * time.Second)},
-	{ID: "refinery-8", Class: "takeoff", Tasks: 40, Size: unit.Resources{Cores: 8000, Memory: 8 << 30}, Work: unit.Duration(12 * time.Second)},
+	{ID: "refinery-7", Class: "takeoff", Tasks: 30, Size: unit.Resources{Cores: 4000, Memory: 4 << 30}, Work: unit.Duration(8 * time.Second)},
+	{ID: "refinery-8", Class: "takeoff", Tasks: 20, Size: unit.Resources{Cores: 8000, Memory: 8 << 30}, Work: unit.Duration(12 * time.Second)},
 	{ID: "too-large", Class: "takeoff", Tasks: 1, Size: unit.Resources{Cores: 900_000, Memory: 1 << 30}, Work: unit.Duration(time.Second)},
 }
 
