fleet/membership: let an operator forget lost entries, and show what they block

Cause: held lost entries keep changes pending for up to 75 min, even when their instances are known to be gone, and status only named them.

Ruled out: to delete the record without a condition, since the entry may register between the read and the delete; its registration rewrites the record first, so the delete by revision then fails.

A registered entry is rejected. The API's "lost" in /v1/status is now a list of objects: entry, since, and whether it holds back changes and slots; the command prints for how long.

--- a/internal/desk/answer/answer.go
+++ b/internal/desk/answer/answer.go
@@ -63,6 +63,11 @@
 	ID unit.JobID `json:"id"`
 }
 
+// Forgotten names a lost entry whose lasting record was deleted.
+type Forgotten struct {
+	ID unit.EntryID `json:"id"`
+}
+
 // Explanation is what the entries know about a subject.
 type Explanation struct {
 	Subject journal.Subject `json:"subject"`
@@ -77,11 +82,19 @@
 	Error  string          `json:"error,omitempty"` // why nothing is known from this entry
 }
 
+// Lost is an entry whose registration ended without a graceful stop.
+type Lost struct {
+	Entry   unit.EntryID `json:"entry"`
+	Since   time.Time    `json:"since"`   // when the answering entry first saw it lost
+	Changes bool         `json:"changes"` // holds back changes that it does not have
+	Slots   bool         `json:"slots"`   // delays the use of gained slots
+}
+
 // Status is the state of one entry.
 type Status struct {
 	Entry         unit.EntryID   `json:"entry"`
 	View          []roster.Entry `json:"view"`
-	Lost          []unit.EntryID `json:"lost,omitempty"`
+	Lost          []Lost         `json:"lost,omitempty"`
 	Configuration unit.Revision  `json:"configuration"`
 	Author        unit.Operator  `json:"author"`
 	Registered    bool           `json:"registered"`
--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -103,6 +103,19 @@
 	return roster.NewView([]roster.Entry{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}, 1)
 }
 func (fakeMembers) ValidUntil() time.Time { return time.Time{} }
+func (fakeMembers) Lost() []roster.Loss {
+	return []roster.Loss{{ID: "gone", Since: time.Now().Add(-time.Hour)}, {ID: "held", Since: time.Now().Add(-time.Hour), Held: true}}
+}
+func (fakeMembers) Forget(_ context.Context, id unit.EntryID) error {
+	switch id {
+	case "lost":
+		return nil
+	case "late":
+		return store.ErrUnknown
+	default:
+		return store.ErrNotFound
+	}
+}
 
 type fakePeers struct{ fake }
 
@@ -239,11 +252,19 @@
 		{"cancel", "DELETE", "/v1/jobs/j", "secret", "", "", 504, `"code":"unknown"`},
 		{"no such job", "GET", "/v1/jobs/j", "look", "", "", 404, `"code":"missing"`},
 		{"jobs", "GET", "/v1/jobs", "look", "", "", 503, `"code":"store"`},
+		{"reader forgets an entry", "DELETE", "/v1/entries/lost", "look", "", "", 403, `"code":"role"`},
+		{"forget an entry", "DELETE", "/v1/entries/lost", "secret", "", "", 200, `"id":"lost"`},
+		{"forget, answer of the store lost", "DELETE", "/v1/entries/late", "secret", "", "", 504, `"code":"unknown"`},
+		{"forget no lost entry", "DELETE", "/v1/entries/none", "secret", "", "", 404, `"code":"missing"`},
+		{"journal of a forgotten entry", "GET", "/v1/explain/entry/lost", "look", "", "", 200, `operator meera states that the instance is gone`},
+		{"journal of an entry that is not lost", "GET", "/v1/explain/entry/none", "look", "", "", 200, `"events":[]`},
 		{"burn", "GET", "/v1/burn", "look", "", "", 200, "{"},
 		{"explain", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"what":"own"`},
 		{"explain of peers", "GET", "/v1/explain/task/j%2F1", "look", "", "", 200, `"what":"j/1"`},
 		{"explain without a peer", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"error":"out of reach"`},
 		{"status", "GET", "/v1/status", "look", "", "", 200, `"registered":false,"starts":false,"serves":true`},
+		{"status of a lost entry", "GET", "/v1/status", "look", "", "", 200, `"changes":false,"slots":true},{"entry":"held"`},
+		{"status of a held entry", "GET", "/v1/status", "look", "", "", 200, `"changes":true,"slots":true}]`},
 		{"no such path", "GET", "/v1/weights", "look", "", "", 404, `"code":"path"`},
 		{"no such method", "DELETE", "/v1/target", "secret", "", "", 405, `"code":"method"`},
 	}
--- a/internal/desk/api/report.go
+++ b/internal/desk/api/report.go
@@ -27,10 +27,16 @@
 
 func (s *Service) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	now, current, view := time.Now(), s.config.Current(), s.members.View()
+	var lost []answer.Lost
+	for _, l := range s.members.Lost() {
+		lost = append(lost, answer.Lost{
+			Entry: l.ID, Since: l.Since, Changes: l.Held || now.Sub(l.Since) <= roster.DepartureSpan, Slots: true,
+		})
+	}
 	respond(w, http.StatusOK, answer.Status{
 		Entry:         s.members.Self(),
 		View:          view.Entries,
-		Lost:          view.Lost,
+		Lost:          lost,
 		Configuration: current.Number,
 		Author:        current.Author,
 		Registered:    now.Before(s.members.ValidUntil()),
--- a/internal/desk/api/service.go
+++ b/internal/desk/api/service.go
@@ -68,17 +68,20 @@
 	Report(now time.Time) burn.Report
 }
 
-// recorder tells why things happened on this entry.
+// recorder keeps and tells why things happened on this entry.
 type recorder interface {
+	Record(e journal.Event)
 	Explain(s journal.Subject) []journal.Event
 	Since() time.Time
 }
 
-// members tells which entries are registered.
+// members tells which entries are registered, and forgets lost ones.
 type members interface {
 	Self() unit.EntryID
 	View() roster.View
 	ValidUntil() time.Time
+	Lost() []roster.Loss
+	Forget(ctx context.Context, id unit.EntryID) error
 }
 
 // peers connects to the other entries.
@@ -229,6 +232,7 @@
 			r.Post("/zones/{zone}/in", s.handleZone(false))
 			r.Post("/jobs", s.handleSubmit)
 			r.Delete("/jobs/{id}", s.handleCancel)
+			r.Delete("/entries/{id}", s.handleForget)
 		})
 	})
 	return r
--- a/internal/desk/client/client.go
+++ b/internal/desk/client/client.go
@@ -145,6 +145,12 @@
 	return c.call(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(id)), http.Header{}, nil, &cancelled)
 }
 
+// Forget states that the instance of a lost entry is gone.
+func (c *Client) Forget(ctx context.Context, id unit.EntryID) error {
+	var forgotten answer.Forgotten
+	return c.call(ctx, http.MethodDelete, "/v1/entries/"+url.PathEscape(string(id)), http.Header{}, nil, &forgotten)
+}
+
 // Job returns the record of a job.
 func (c *Client) Job(ctx context.Context, id unit.JobID) (ledger.Record, error) {
 	var r ledger.Record
--- a/internal/desk/command/explain.go
+++ b/internal/desk/command/explain.go
@@ -16,7 +16,7 @@
 	var c connection
 	var kind, id string
 	c.attach(sub)
-	sub.AddPositionalValue(&kind, "kind", 1, true, "task, job, request, worker, zone, class or shard")
+	sub.AddPositionalValue(&kind, "kind", 1, true, "task, job, request, worker, zone, class, shard or entry")
 	sub.AddPositionalValue(&id, "id", 2, true, "its id; of a task job/index")
 	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
 		dialed, err := c.dial()
--- a/internal/desk/command/status.go
+++ b/internal/desk/command/status.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"time"
 )
 
 // newStatus builds the command that shows the state of an entry and its view.
@@ -29,9 +31,20 @@
 		for _, e := range status.View {
 			rows = append(rows, fmt.Sprintf("%s\t%s\t%s", e.ID, e.Zone, e.Address))
 		}
-		for _, id := range status.Lost {
-			rows = append(rows, string(id)+"\t\tlost")
+		if err := printTable(s.Out, "ENTRY\tZONE\tADDRESS", rows); err != nil || len(status.Lost) == 0 {
+			return err
+		}
+		rows = nil
+		for _, l := range status.Lost {
+			var holds []string
+			if l.Changes {
+				holds = append(holds, "changes")
+			}
+			if l.Slots {
+				holds = append(holds, "slots")
+			}
+			rows = append(rows, fmt.Sprintf("%s\t%v\t%s", l.Entry, time.Since(l.Since).Truncate(time.Second), strings.Join(holds, ", ")))
 		}
-		return printTable(s.Out, "ENTRY\tZONE\tADDRESS", rows)
+		return printTable(s.Out, "LOST\tFOR\tBLOCKS", rows)
 	}}
 }
--- /dev/null
+++ b/internal/fleet/membership/forget.go
@@ -0,0 +1,54 @@
+package membership
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+)
+
+// ErrRegistered says that an entry is registered, and therefore not lost.
+var ErrRegistered = errors.New("the entry is registered")
+
+// Forget deletes the lasting record of a lost entry, which then counts as
+// stopped. It is safe only if the entry's process is surely gone. An entry that
+// has no lasting record is reported as store.ErrNotFound.
+func (s *Service) Forget(ctx context.Context, id unit.EntryID) error {
+	snapshot, err := s.keeper.List(ctx, Prefix)
+	if err != nil {
+		return errors.Errorf("forget entry %s: %w", id, err)
+	}
+	view, _, lost, err := parse(snapshot)
+	if err != nil {
+		return errors.Errorf("forget entry %s: %w", id, err)
+	}
+	if view.Contains(id) {
+		return errors.Errorf("forget entry %s: %w", id, ErrRegistered)
+	}
+	record, ok := find(lost, id)
+	if !ok {
+		return errors.Errorf("forget entry %s: %w", id, store.ErrNotFound)
+	}
+	// A registration rewrites the record first, so that one that was made since
+	// the read fails the condition.
+	err = s.keeper.Delete(ctx, openKey(id), store.IfRevision(record.Written))
+	if errors.Is(err, store.ErrConflict) {
+		return errors.Errorf("forget entry %s: %w since", id, ErrRegistered)
+	}
+	if err != nil {
+		return errors.Errorf("forget entry %s: %w", id, err)
+	}
+	return nil
+}
+
+func find(records []roster.Record, id unit.EntryID) (roster.Record, bool) {
+	for _, r := range records {
+		if r.ID == id {
+			return r, true
+		}
+	}
+	return roster.Record{}, false
+}
--- a/internal/fleet/membership/service.go
+++ b/internal/fleet/membership/service.go
@@ -65,6 +65,7 @@
 
 	mu         sync.Mutex
 	view       roster.View
+	lost       []roster.Loss // of the view; not changed
 	viewed     time.Time     // send time of the read that returned the view
 	lease      store.LeaseID // empty while not registered
 	abandoned  store.LeaseID // of a registration whose outcome is unknown
@@ -148,6 +149,14 @@
 	return s.view, s.viewed
 }
 
+// Lost returns what is known of the lost entries of the view, sorted by id. The
+// result is shared and must not be changed.
+func (s *Service) Lost() []roster.Loss {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
 // Lease returns the lease of the registration, empty while there is none.
 func (s *Service) Lease() store.LeaseID {
 	s.mu.Lock()
@@ -284,9 +293,13 @@
 	if view.Revision < s.View().Revision {
 		return nil // an old answer
 	}
-	held, due := s.losses.Observe(time.Now(), s.self.ID, view, registered, lost)
-	view.Held = held
-	s.adopt(view, sent)
+	known, due := s.losses.Observe(time.Now(), s.self.ID, view, registered, lost)
+	for _, l := range known {
+		if l.Held {
+			view.Held = append(view.Held, l.ID)
+		}
+	}
+	s.adopt(view, known, sent)
 	for _, l := range due {
 		err := s.keeper.Delete(ctx, openKey(l.ID), store.IfRevision(l.Written))
 		s.log.Info("lasting record of a lost entry deleted", "entry", l.ID, "error", err)
@@ -295,11 +308,11 @@
 }
 
 // adopt takes a view over. Only the goroutine that reads views calls it.
-func (s *Service) adopt(view roster.View, sent time.Time) {
+func (s *Service) adopt(view roster.View, lost []roster.Loss, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	moved := !view.SameEntries(s.view)
-	s.view, s.viewed = view, sent
+	s.view, s.lost, s.viewed = view, lost, sent
 	if moved {
 		s.wake()
 	}
--- a/internal/fleet/membership/service_test.go
+++ b/internal/fleet/membership/service_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
@@ -179,3 +180,55 @@
 		})
 	}
 }
+
+// TestForget guards against the deletion of the lasting record of an entry that
+// is registered, or was until the record was read.
+func TestForget(t *testing.T) {
+	tests := []struct {
+		name    string
+		id      unit.EntryID
+		arrange func(a, b *process)
+		err     error
+		kept    bool // the lasting record of a
+	}{
+		{"lost", "a", nil, nil, false},
+		{"unknown", "x", nil, store.ErrNotFound, true},
+		{"registered", "a", func(a, _ *process) {
+			a.handle.SetFault(nil)
+			time.Sleep(3 * time.Second)
+		}, ErrRegistered, true},
+		{"registers at the same time", "a", func(a, b *process) {
+			b.handle.SetFault(func(method string, key store.Key) memory.Fault {
+				if method == "Delete" && key == openKey("a") {
+					a.handle.SetFault(nil)
+					time.Sleep(3 * time.Second)
+				}
+				return memory.FaultNone
+			})
+		}, ErrRegistered, true},
+		{"store down", "a", func(_, b *process) { b.handle.SetFault(down) }, store.ErrUnavailable, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				records := memory.NewRecords()
+				a, b := startProcess(t, records, "a"), startProcess(t, records, "b")
+				a.handle.SetFault(down)
+				time.Sleep(10 * time.Second)
+				if tt.arrange != nil {
+					tt.arrange(a, b)
+				}
+				if err := b.service.Forget(t.Context(), tt.id); !errors.Is(err, tt.err) {
+					t.Errorf("Forget = %v, want %v", err, tt.err)
+				}
+				a.handle.SetFault(nil)
+				b.handle.SetFault(nil)
+				if _, err := b.handle.Get(t.Context(), openKey("a")); (err == nil) != tt.kept {
+					t.Errorf("lasting record: %v, want kept = %v", err, tt.kept)
+				}
+				a.stop(t)
+				b.stop(t)
+			})
+		})
+	}
+}
--- a/internal/fleet/roster/loss.go
+++ b/internal/fleet/roster/loss.go
@@ -31,6 +31,13 @@
 	Written unit.Revision // store revision of the record; a new registration rewrites it
 }
 
+// Loss is what is known of a lost entry.
+type Loss struct {
+	ID    unit.EntryID
+	Since time.Time // when it was first seen lost
+	Held  bool      // as of View.Held
+}
+
 // Losses remembers since when entries are lost, and which others were registered
 // before that. The zero value is ready for use.
 type Losses struct {
@@ -41,18 +48,17 @@
 }
 
 // Observe takes the registrations and the lost entries of a view that was
-// received at now. It returns those lost entries that others may keep serving,
+// received at now. It returns what is known of the lost entries, in their order,
 // and the records that self may delete.
-func (l *Losses) Observe(now time.Time, self unit.EntryID, v View, registered, lost []Record) (held []unit.EntryID, due []Record) {
+func (l *Losses) Observe(now time.Time, self unit.EntryID, v View, registered, lost []Record) (known []Loss, due []Record) {
 	l.remember(now, registered, lost)
 	if l.majorityLost(now) {
 		l.majority = now
 	}
 	for _, x := range lost {
 		// Heartbeats that arrived while there was a majority count for a while.
-		if !l.majority.IsZero() && now.Sub(l.majority) <= DepartureSpan && !l.expired(now, x) {
-			held = append(held, x.ID)
-		}
+		held := !l.majority.IsZero() && now.Sub(l.majority) <= DepartureSpan && !l.expired(now, x)
+		known = append(known, Loss{ID: x.ID, Since: l.since[x], Held: held})
 		wait := lossSpan
 		if e, ok := v.First(string(x.ID), nil); !ok || e.ID != self {
 			wait += lossOthers
@@ -61,7 +67,7 @@
 			due = append(due, x)
 		}
 	}
-	return held, due
+	return known, due
 }
 
 func (l *Losses) remember(now time.Time, registered, lost []Record) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -270,8 +270,10 @@
 				}
 				h, d := l.Observe(at(o.at), "a", viewOf(1, ids...), registered, records(o.lost))
 				held, due = "", ""
-				for _, id := range h {
-					held += string(id)
+				for _, x := range h {
+					if x.Held {
+						held += string(x.ID)
+					}
 				}
 				for _, r := range d {
 					due += string(r.ID)
--- a/internal/report/journal/journal.go
+++ b/internal/report/journal/journal.go
@@ -19,6 +19,7 @@
 	KindZone    Kind = "zone"
 	KindClass   Kind = "class"
 	KindShard   Kind = "shard"
+	KindEntry   Kind = "entry"
 )
 
 // Subject is what an event is about.
--- a/internal/target/config/cluster_test.go
+++ b/internal/target/config/cluster_test.go
@@ -103,6 +103,17 @@
 	delete(c.entries, e.id)
 }
 
+// kill ends an entry whose store handle is down, so that its lasting record stays.
+func (c *cluster) kill(e *entry) {
+	c.t.Helper()
+	if err := e.kernel.Stop(context.Background()); !errors.Is(err, store.ErrUnavailable) {
+		c.t.Errorf("end %s: %v, want %v", e.id, err, store.ErrUnavailable)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.entries, e.id)
+}
+
 func (c *cluster) all() []*entry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/target/config/lost_test.go
+++ b/internal/target/config/lost_test.go
@@ -27,6 +27,14 @@
 		{"shortly before the bound", nil, 74 * time.Minute, change.Pending, []unit.EntryID{"e2", "e3"}},
 		{"after the bound", nil, 76 * time.Minute, change.Accepted, nil},
 		{"seen by a started entry", func(c *cluster, _ []*entry) { c.start(nil) }, 10 * time.Minute, change.Pending, []unit.EntryID{"e2", "e3"}},
+		{"both forgotten", func(c *cluster, lost []*entry) {
+			for _, e := range lost {
+				c.kill(e)
+				if err := c.all()[0].members.Forget(t.Context(), e.id); err != nil {
+					t.Error(err)
+				}
+			}
+		}, 30 * time.Second, change.Accepted, nil},
 		{"one is back", func(_ *cluster, lost []*entry) {
 			lost[0].setSide(0)
 			lost[0].handle.SetFault(nil)
