order/gateway: bound the open connections of callers and operators

Cause: the servers for callers and operators bounded requests and idle time, but not connections. Clients without access could take the memory and the file descriptors of an entry with connections that they do not use.

Ruled out: to close further connections at once, since a load balancer then takes a busy entry for a failed one; an own listener, since x/net/netutil has one that is well kept.

Change: netutil.LimitListener around both listeners, 1,024 connections of callers and 256 of operators; further ones wait in the socket's backlog. golang.org/x/net is now imported directly, while go.mod still marks it as indirect; the build accepts that, and go mod tidy would move the line.

--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -318,6 +318,41 @@
 	}
 }
 
+// TestConnections guards against clients without access that take the memory and
+// the file descriptors of an entry with connections that they do not use.
+func TestConnections(t *testing.T) {
+	s := startServer(t, Options{Operators: operators, Connections: 1})
+	idle, err := net.Dial("tcp", s.service.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	configuration := &tls.Config{RootCAs: s.roots}
+	tests := []struct {
+		name   string
+		free   bool // the idle connection is closed first
+		wait   time.Duration
+		served bool
+	}{
+		{"at the bound", false, 500 * time.Millisecond, false},
+		{"place given back", true, 4 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.free {
+				idle.Close()
+			}
+			c, err := tls.DialWithDialer(&net.Dialer{Timeout: tt.wait}, "tcp", s.service.Address(), configuration)
+			if err == nil {
+				c.Close()
+			}
+			if (err == nil) != tt.served {
+				t.Errorf("handshake: %v; want served = %v", err, tt.served)
+			}
+		})
+	}
+}
+
 // TestRate guards against one operator who takes the calls of another.
 func TestRate(t *testing.T) {
 	s := startServer(t, Options{Operators: operators})
--- a/internal/desk/api/service.go
+++ b/internal/desk/api/service.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/net/netutil"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -42,6 +44,10 @@
 	maxHeader      = 16 << 10
 	maxBody        = 64 << 10 // of everything but a target document
 	maxConcurrent  = 64
+	// maxConnections bounds open connections, idle ones included: those of all
+	// operators and of callers that do not identify themselves. Further ones wait
+	// in the backlog of the socket.
+	maxConnections = 256
 )
 
 // config keeps the target document.
@@ -96,6 +102,7 @@
 	Credentials *credential.Source
 	File        string     // of the operators; read again when it changes
 	Operators   []Operator // in place of a file
+	Connections int        // open at a time; 0 for maxConnections
 }
 
 // Service serves the API.
@@ -139,6 +146,7 @@
 		return errors.Errorf("listen for operators: %w", err)
 	}
 	s.address = l.Addr().String()
+	l = netutil.LimitListener(l, cmp.Or(s.options.Connections, maxConnections))
 	s.peers.Handle(message.KindAsk, s.handleAsk)
 	s.http = &http.Server{
 		Handler:           s.routes(),
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -26,6 +26,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -38,6 +39,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/net/netutil"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
@@ -83,11 +85,19 @@
 	budget   interface{ Observe(burn.Sample) }
 )
 
+// maxConnections bounds open connections of callers, idle ones included, which
+// take about 20 KB each. Further ones wait in the backlog of the socket until one
+// is closed.
+const maxConnections = 1024
+
 // Settings of a gateway.
 type Settings struct {
 	Address string        // IP and port for callers
 	Notice  time.Duration // how long the load balancer needs to see that the entry is not ready
 	Rules   slot.Rules
+	// Connections bounds those of callers that are open at a time; 0 stands for
+	// maxConnections.
+	Connections int
 }
 
 // Gateway forwards requests of callers to workers.
@@ -151,6 +161,7 @@
 		return errors.Errorf("listen for callers: %w", err)
 	}
 	g.address = l.Addr().String()
+	l = netutil.LimitListener(l, cmp.Or(g.settings.Connections, maxConnections))
 	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	parts.Go(func() { g.run(ctx) })
--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -166,6 +166,12 @@
 
 // open starts an entry in front of the workers.
 func open(t testing.TB, records *fakeStore, workers ...string) *site {
+	t.Helper()
+	return openGateway(t, records, newGateway(), workers...)
+}
+
+// openGateway is open with a gateway of other settings.
+func openGateway(t testing.TB, records *fakeStore, g *gateway.Gateway, workers ...string) *site {
 	t.Helper()
 	s := &site{
 		config:  &fakeConfig{service: newService("config")},
@@ -182,7 +188,7 @@
 			Upstream: address, Slots: 8, Connections: 64,
 		})
 	}
-	s.gateway = newGateway()
+	s.gateway = g
 	start(t, s.config, s.fleet, fakeMembership{newService("membership"), "e1"}, fakePeers{newService("peers")}, s.journal, burn.NewService(),
 		storeClient{s.store, make(chan struct{})}, claim.New(), s.gateway)
 	return s
