fleet/roster: state how an outage of the observer counts for lost entries

Cause: an attempt to count the view as the observer last saw it, so that entries that register again after a store outage still count, is wrong: while the observer is cut off, the lost entries may see the others leave and hold a view of themselves only. The table had no row against it.

--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -249,6 +249,7 @@
 		{"two, others registered shortly before the loss", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "abcdef", ""}, {25, "adef", "bc"}}, "bc", ""},
 		{"two, others registered long before the loss", []observed{{0, "abc", ""}, {10, "abcdef", ""}, {20, "abcdef", ""}, {25, "adef", "bc"}}, "", ""},
 		{"two of four, one registered again", []observed{{0, "abcd", ""}, {15, "abcd", ""}, {20, "ab", "cd"}, {30, "aB", "cd"}}, "cd", ""},
+		{"two of five, after an outage of the observer and two others", []observed{{0, "abcde", ""}, {15, "abcde", ""}, {300, "", "abcde"}, {301, "ABC", "de"}, {314, "ABC", "de"}}, "de", ""},
 		{"lost before the first view", []observed{{0, "abcdef", "xy"}}, "xy", ""},
 		{"one is back", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {619, "a", "bc"}, {620, "aB", "c"}, {631, "aB", "c"}}, "c", ""},
 		{"one is back for long", []observed{{0, "abc", ""}, {15, "abc", ""}, {20, "a", "bc"}, {619, "a", "bc"}, {620, "aB", "c"}, {640, "aB", "c"}}, "", ""},
