--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -31,12 +31,14 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -157,16 +159,58 @@
 }
 
 func allocatePorts(ts *testscript.TestScript, _ bool, names []string) {
-	// All listeners stay open until the last one has its port, so that no port is
-	// given out twice.
 	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := nextAddress()
 		ts.Check(err)
-		defer l.Close()
-		ts.Setenv(name, l.Addr().String())
+		ts.Setenv(name, address)
 	}
 }
 
+// Ports given out lie below the range from which the system takes ports for
+// outgoing connections and port 0, so that nothing takes one before its process
+// starts.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var ports struct {
+	mu   sync.Mutex
+	next int
+}
+
+// nextAddress returns a loopback address that is free for TCP and UDP.
+func nextAddress() (string, error) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.next == 0 {
+		ports.next = firstPort + os.Getpid()%(lastPort-firstPort) // apart from other test processes
+	}
+	for range lastPort - firstPort {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
+		if ports.next++; ports.next == lastPort {
+			ports.next = firstPort
+		}
+		if free(address) {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free port")
+}
+
+func free(address string) bool {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer l.Close()
+	p, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return false
+	}
+	return p.Close() == nil
+}
+
 func expandFiles(ts *testscript.TestScript, _ bool, files []string) {
 	for _, file := range files {
 		data, err := os.ReadFile(ts.MkAbs(file))
--- a/internal/desk/api/api_test.go
+++ b/internal/desk/api/api_test.go
@@ -104,6 +104,19 @@
 	return roster.NewView([]roster.Entry{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}, 1)
 }
 func (fakeMembers) ValidUntil() time.Time { return time.Time{} }
+func (fakeMembers) Lost() []roster.Loss {
+	return []roster.Loss{{ID: "gone", Since: time.Now().Add(-time.Hour)}, {ID: "held", Since: time.Now().Add(-time.Hour), Held: true}}
+}
+func (fakeMembers) Forget(_ context.Context, id unit.EntryID) error {
+	switch id {
+	case "lost":
+		return nil
+	case "late":
+		return store.ErrUnknown
+	default:
+		return store.ErrNotFound
+	}
+}
 
 type fakePeers struct{ fake }
 
@@ -244,10 +257,18 @@
 		{"no such job", "GET", "/v1/jobs/j", "look", "", "", 404, `"code":"missing"`},
 		{"jobs", "GET", "/v1/jobs", "look", "", "", 503, `"code":"store"`},
 		{"burn names entries that did not answer", "GET", "/v1/burn", "look", "", "", 200, `"missing":["e3"]`},
+		{"reader forgets an entry", "DELETE", "/v1/entries/lost", "look", "", "", 403, `"code":"role"`},
+		{"forget an entry", "DELETE", "/v1/entries/lost", "secret", "", "", 200, `"id":"lost"`},
+		{"forget, answer of the store lost", "DELETE", "/v1/entries/late", "secret", "", "", 504, `"code":"unknown"`},
+		{"forget no lost entry", "DELETE", "/v1/entries/none", "secret", "", "", 404, `"code":"missing"`},
+		{"journal of a forgotten entry", "GET", "/v1/explain/entry/lost", "look", "", "", 200, `operator meera states that the instance is gone`},
+		{"journal of an entry that is not lost", "GET", "/v1/explain/entry/none", "look", "", "", 200, `"events":[]`},
 		{"explain", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"what":"own"`},
 		{"explain of peers", "GET", "/v1/explain/task/j%2F1", "look", "", "", 200, `"what":"j/1"`},
 		{"explain without a peer", "GET", "/v1/explain/task/j/1", "look", "", "", 200, `"error":"out of reach"`},
 		{"status", "GET", "/v1/status", "look", "", "", 200, `"registered":false,"starts":false,"serves":true`},
+		{"status of a lost entry", "GET", "/v1/status", "look", "", "", 200, `"changes":false,"slots":true},{"entry":"held"`},
+		{"status of a held entry", "GET", "/v1/status", "look", "", "", 200, `"changes":true,"slots":true}]`},
 		{"no such path", "GET", "/v1/weights", "look", "", "", 404, `"code":"path"`},
 		{"no such method", "DELETE", "/v1/target", "secret", "", "", 405, `"code":"method"`},
 	}
@@ -301,6 +322,41 @@
 	}
 }
 
+// TestConnections guards against clients without access that take the memory and
+// the file descriptors of an entry with connections that they do not use.
+func TestConnections(t *testing.T) {
+	s := startServer(t, Options{Operators: operators, Connections: 1})
+	idle, err := net.Dial("tcp", s.service.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	configuration := &tls.Config{RootCAs: s.roots}
+	tests := []struct {
+		name   string
+		free   bool // the idle connection is closed first
+		wait   time.Duration
+		served bool
+	}{
+		{"at the bound", false, 500 * time.Millisecond, false},
+		{"place given back", true, 4 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.free {
+				idle.Close()
+			}
+			c, err := tls.DialWithDialer(&net.Dialer{Timeout: tt.wait}, "tcp", s.service.Address(), configuration)
+			if err == nil {
+				c.Close()
+			}
+			if (err == nil) != tt.served {
+				t.Errorf("handshake: %v; want served = %v", err, tt.served)
+			}
+		})
+	}
+}
+
 // TestRate guards against one operator who takes the calls of another.
 func TestRate(t *testing.T) {
 	s := startServer(t, Options{Operators: operators})
--- a/internal/desk/api/service.go
+++ b/internal/desk/api/service.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -14,6 +15,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/net/netutil"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -42,6 +44,10 @@
 	maxHeader      = 16 << 10
 	maxBody        = 64 << 10 // of everything but a target document
 	maxConcurrent  = 64
+	// maxConnections bounds open connections, idle ones included: those of all
+	// operators and of callers that do not identify themselves. Further ones wait
+	// in the backlog of the socket.
+	maxConnections = 256
 )
 
 // config keeps the target document.
@@ -69,17 +75,20 @@
 	Tallies(now time.Time) []burn.Tally
 }
 
-// recorder tells why things happened on this entry.
+// recorder keeps and tells why things happened on this entry.
 type recorder interface {
+	Record(e journal.Event)
 	Explain(s journal.Subject) []journal.Event
 	Since() time.Time
 }
 
-// members tells which entries are registered.
+// members tells which entries are registered, and forgets lost ones.
 type members interface {
 	Self() unit.EntryID
 	View() roster.View
 	ValidUntil() time.Time
+	Lost() []roster.Loss
+	Forget(ctx context.Context, id unit.EntryID) error
 }
 
 // peers connects to the other entries.
@@ -94,6 +103,7 @@
 	Credentials *credential.Source
 	File        string     // of the operators; read again when it changes
 	Operators   []Operator // in place of a file
+	Connections int        // open at a time; 0 for maxConnections
 }
 
 // Service serves the API.
@@ -137,6 +147,7 @@
 		return errors.Errorf("listen for operators: %w", err)
 	}
 	s.address = l.Addr().String()
+	l = netutil.LimitListener(l, cmp.Or(s.options.Connections, maxConnections))
 	s.peers.Handle(message.KindAsk, s.handleAsk)
 	s.peers.Handle(message.KindAskBurn, s.handleAskBurn)
 	s.http = &http.Server{
@@ -231,6 +242,7 @@
 			r.Post("/zones/{zone}/in", s.handleZone(false))
 			r.Post("/jobs", s.handleSubmit)
 			r.Delete("/jobs/{id}", s.handleCancel)
+			r.Delete("/entries/{id}", s.handleForget)
 		})
 	})
 	return r
