job/policy: hold no batch work back for requests that nobody sends

Without signals a pair of classes stays uncertain, and an uncertain batch class is tried on one worker in eight, two at least. On a shard whose workers have a service but no requests, each batch class would have stayed on two workers for good. A worker now counts as serving a class only while signals of it come, and for the first 10 s of an owner, which cannot have heard any. TestIdle has the cases; on 8 workers a class gets 8 in place of 2.

--- a/internal/job/policy/core.go
+++ b/internal/job/policy/core.go
@@ -25,6 +25,10 @@
 	// roomInterval is the time between two evictions for replicas without a
 	// worker: the checkpoint of the first and the start of the replica.
 	roomInterval = 10 * time.Second
+	// idleTime is the time without a signal after which a worker counts as serving
+	// no requests of a class, so that batch work is not held back for requests that
+	// nobody sends. Entries send every 2 s, and hear of a new owner within 2 s.
+	idleTime = 10 * time.Second
 	// jobMemory is how long a job without a task here is remembered. It bounds the
 	// memory, at the price of trying the job with few tasks again.
 	jobMemory = 10 * time.Minute
@@ -54,6 +58,8 @@
 	claims  map[unit.ClassID]unit.Resources // replicas without a worker since the last step
 	roomed  time.Time                       // of the last evictions for a replica
 	events  []journal.Event
+	born    time.Time // of the first document
+	now     time.Time // of the last document, step or signal
 }
 
 // host is a worker of the shard.
@@ -61,6 +67,7 @@
 	open     bool
 	capacity unit.Resources // for tasks
 	signals  merge
+	heard    map[unit.ClassID]time.Time // last signal
 }
 
 // work is a job as far as it matters here.
@@ -100,6 +107,10 @@
 
 // Configure takes a target document.
 func (c *Core) Configure(now time.Time, d *spec.Document) {
+	c.now = now
+	if c.born.IsZero() {
+		c.born = now
+	}
 	zones := map[unit.ZoneID]bool{}
 	for _, z := range d.Zones {
 		zones[z.Name] = z.Out
@@ -132,24 +143,25 @@
 }
 
 // advise tells the advisor the cores of a worker and which classes of requests it
-// serves.
+// serves. Before signals can have come, it is taken to serve all of its service.
 func (c *Core) advise(id unit.InstanceID) {
-	at := c.fleet[id]
+	at, h := c.fleet[id], c.hosts[id]
 	var serves []unit.ClassID
 	for name, class := range c.classes {
-		if class.Kind == spec.KindRequest && class.Service == at.Service {
+		busy := c.now.Sub(c.born) < idleTime || c.now.Sub(h.heard[name]) < idleTime
+		if class.Kind == spec.KindRequest && class.Service == at.Service && busy {
 			serves = append(serves, name)
 		}
 	}
 	slices.Sort(serves)
-	c.advisor.Upsert(id, max(at.Cores, c.hosts[id].capacity.Cores), serves)
+	c.advisor.Upsert(id, max(at.Cores, h.capacity.Cores), serves)
 }
 
 // Upsert adds or changes a worker. Reservations stay.
 func (c *Core) Upsert(id unit.InstanceID, rack unit.RackID, capacity unit.Resources, open bool) {
 	h, ok := c.hosts[id]
 	if !ok {
-		h = &host{}
+		h = &host{heard: map[unit.ClassID]time.Time{}}
 		c.hosts[id] = h
 	}
 	h.capacity, h.open = capacity, open
@@ -365,9 +377,11 @@
 	for _, id := range c.index.Advance(now) {
 		c.note(now, "probing", "the quarantine is over for one task", subject(journal.KindWorker, string(id)))
 	}
+	c.now = now
 	c.gate.Round()
 	for _, id := range slices.Sorted(maps.Keys(c.hosts)) {
 		c.learn(now, id)
+		c.advise(id)
 	}
 	tasks := c.tasks(now)
 	actions := append(c.loop.Step(now, tasks), c.makeRoom(now, tasks)...)
--- a/internal/job/policy/core_test.go
+++ b/internal/job/policy/core_test.go
@@ -190,6 +190,45 @@
 	}
 }
 
+// TestIdle guards against batch work that is held back for requests that nobody
+// sends, and against placing it freely before a new owner can have heard of them.
+func TestIdle(t *testing.T) {
+	tests := []struct {
+		name    string
+		signals []float64 // times of signals of all workers
+		at      float64
+		want    int // workers that get a task
+	}{
+		{"new owner", nil, 9, 2},
+		{"no requests", nil, 11, 8},
+		{"requests", []float64{2, 8}, 11, 2},
+		{"requests that ended", []float64{2, 8}, 19, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCore(8)
+			for _, at := range tt.signals {
+				for id := range c.hosts {
+					c.Signals(c.at(at), []message.Signal{signal(id, 5, 0)})
+				}
+			}
+			c.Step(c.at(tt.at))
+			got := 0
+			for n := range 9 {
+				id, ok := c.Place("noisy", capacity)
+				if !ok {
+					break
+				}
+				c.Reserve(c.at(tt.at), id, ref("b", n), "noisy", capacity)
+				got++
+			}
+			if got != tt.want {
+				t.Errorf("placed on %d workers, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestQuarantine guards against a worker that fails everything and stays in use
 // without a trace, and against reports that count one failure twice.
 func TestQuarantine(t *testing.T) {
--- a/internal/job/policy/signal.go
+++ b/internal/job/policy/signal.go
@@ -10,6 +10,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/control"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
 const (
@@ -41,6 +42,7 @@
 
 // Signals takes what an entry saw of the workers of the shard; others are left out.
 func (c *Core) Signals(now time.Time, signals []message.Signal) {
+	c.now = now
 	for _, s := range signals {
 		h := c.hosts[s.Worker]
 		if h == nil || s.Span <= 0 || s.Span > maxSpan || s.Late > s.Requests || s.Busy < 0 {
@@ -50,6 +52,10 @@
 			Worker: s.Worker, Class: s.Class, From: now.Add(-s.Span - sendTimeout), Until: now,
 			Requests: int(s.Requests), Late: int(s.Late),
 		})
+		if c.classes[s.Class].Kind != spec.KindRequest {
+			continue // removed from the document, or not yet known here
+		}
+		h.heard[s.Class] = now
 		h.signals.add(now, s)
 	}
 }
