job/policy: urgent classes do not wait after a zone goes out

Cause: no batch task started for 12 s after a zone went out, so work that has to start within 3 s missed its target then. Ruled out: dropping the hold, without which moved tasks land beside load that no report shows yet.

--- a/internal/bench/replay/policy.go
+++ b/internal/bench/replay/policy.go
@@ -458,7 +458,7 @@
 			continue
 		}
 		batch := it.class.Kind == spec.KindBatch
-		if s.policy.Control && batch && s.gate.Shifted(origin.Add(now)) ||
+		if s.policy.Control && batch && s.gate.Shifted(origin.Add(now), it.class.Target.Start.Std()) ||
 			s.policy.Sizes && batch && s.gate.Scouting(origin.Add(now), &it.job.trial) {
 			continue
 		}
--- a/internal/job/policy/core.go
+++ b/internal/job/policy/core.go
@@ -245,7 +245,7 @@
 	switch {
 	case c.classes[j.Class].Kind != spec.KindBatch:
 		return "", true
-	case c.gate.Shifted(now):
+	case c.gate.Shifted(now, c.classes[j.Class].Target.Start.Std()):
 		return "a zone went out of service, and the load that moves is not in the reports yet", false
 	case c.gate.Scouting(now, &known.trial):
 		return "other tasks wait, and the first tasks of this job have to show its size", false
--- a/internal/job/policy/rules.go
+++ b/internal/job/policy/rules.go
@@ -89,8 +89,11 @@
 func (g *Gate) Wait() { g.waiting = true }
 
 // Shifted reports whether batch tasks wait for reports that show the load after a
-// zone went out.
-func (g *Gate) Shifted(now time.Time) bool { return now.Before(g.until) }
+// zone went out. Tasks that have to start sooner than that do not wait; start is
+// the target of their class, or 0.
+func (g *Gate) Shifted(now time.Time, start time.Duration) bool {
+	return now.Before(g.until) && (start == 0 || start >= shiftHold)
+}
 
 // Scouting reports whether a job of unknown size has enough tasks running while
 // other tasks wait.
