peer/message: remove the kinds that nothing sends

Cause: claims through a home entry, the release of single slots, and jobs passed between entries were planned as messages; claims are arbitrated by the store, slots are acknowledged by view, and jobs are read from the store. Ruled out: keeping them for later, since a reader takes them for part of the protocol. Change: the kinds, the release of slots and its probe go; the remaining kinds are numbered anew, as nothing was released. Heartbeats lose the load that nobody filled in.

--- a/internal/order/slot/partition.go
+++ b/internal/order/slot/partition.go
@@ -18,8 +18,6 @@
 //     acknowledged that view, or a later one with the same entries, and no entry outside the view may
 //     still hold slots. An entry acknowledges a view once it has adopted it and has
 //     no request left on a slot that it lost; it then regains no lost slot at once.
-//   - A previous owner that has no request left on a lost slot may release it to
-//     the new owner, which ends the wait.
 package slot
 
 import (
@@ -69,14 +67,6 @@
 	Connections int
 }
 
-// Release passes a lost slot on to its new owner.
-type Release struct {
-	Worker   unit.InstanceID
-	Slot     Index
-	To       unit.EntryID
-	Revision unit.Revision // of the view in which To is the owner
-}
-
 // Share is what an entry may use of one worker at one time.
 type Share struct {
 	Slots       int
@@ -233,47 +223,6 @@
 // a later read confirms the view.
 func (p *Partition) UseUntil() time.Time { return p.asOf.Add(p.rules.ViewLife) }
 
-// Release gives up the lost slots of a worker, of which the entry must have no
-// more requests in flight than its share, and returns what to tell the new
-// owners. Slots lost longer ago than Regain are not passed on, since another
-// entry may use them by now.
-func (p *Partition) Release(worker unit.InstanceID, now time.Time) []Release {
-	s := p.workers[worker]
-	if s == nil {
-		return nil
-	}
-	var all []Release
-	for i := range s.rights {
-		r := &s.rights[i]
-		if r.owned || r.held.IsZero() {
-			continue
-		}
-		held := r.held
-		r.held = time.Time{}
-		if now.Sub(held) > p.rules.Regain {
-			continue
-		}
-		if to := p.owner(s.hash, Index(i)); to != "" {
-			all = append(all, Release{Worker: worker, Slot: Index(i), To: to, Revision: p.revision})
-		}
-	}
-	return all
-}
-
-// Accept ends the wait for a slot that its previous owner released. A release
-// under a view before the gain is ignored, since others may have owned the slot
-// in between.
-func (p *Partition) Accept(r Release, now time.Time) {
-	s := p.workers[r.Worker]
-	if r.To != p.self || s == nil || int(r.Slot) >= len(s.rights) || now.Sub(p.asOf) > p.rules.Regain {
-		return
-	}
-	own := &s.rights[r.Slot]
-	if own.owned && own.gained <= r.Revision && own.from.After(now) {
-		own.from = now
-	}
-}
-
 // settle ends the wait for the slots gained under views that all others have
 // acknowledged.
 func (p *Partition) settle(now time.Time) {
--- a/internal/peer/message/message.go
+++ b/internal/peer/message/message.go
@@ -8,7 +8,6 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 	"github.com/monsoonfold/monsoonfold/internal/report/burn"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
@@ -24,18 +23,13 @@
 	KindPush      Kind = 3
 	KindAck       Kind = 4
 	KindPull      Kind = 5
-	KindClaim     Kind = 6
-	KindClaimed   Kind = 7
-	KindRelease   Kind = 8
-	KindSubmit    Kind = 9
-	KindCancel    Kind = 10
-	KindAsk       Kind = 11
-	KindAnswer    Kind = 12
-	KindFault     Kind = 13
-	KindDone      Kind = 14
-	KindSignals   Kind = 15
-	KindAskBurn   Kind = 16
-	KindBurn      Kind = 17
+	KindAsk       Kind = 6
+	KindAnswer    Kind = 7
+	KindFault     Kind = 8
+	KindDone      Kind = 9
+	KindSignals   Kind = 10
+	KindAskBurn   Kind = 11
+	KindBurn      Kind = 12
 )
 
 // Message is one of the types below.
@@ -60,7 +54,6 @@
 	Sees          bool              `cbor:"3,keyasint,omitempty"` // the sender's view has the receiver
 	Ready         bool              `cbor:"4,keyasint,omitempty"` // the sender may serve
 	Age           time.Duration     `cbor:"5,keyasint"`           // since the last confirmation; negative if there was none
-	Load          uint16            `cbor:"6,keyasint,omitempty"` // requests in flight, in thousandths of the slots
 	Settled       roster.Settlement `cbor:"7,keyasint,omitempty"`
 }
 
@@ -77,50 +70,6 @@
 // Pull asks for the receiver's configuration. It is answered by Push.
 type Pull struct{}
 
-// Claim asks the home entry of a bucket to claim requests. It is answered by
-// Claimed.
-type Claim struct {
-	Requests []unit.RequestID `cbor:"1,keyasint"`
-}
-
-// ClaimOutcome is the outcome of one claim.
-type ClaimOutcome string
-
-// Outcomes of a claim.
-const (
-	ClaimGranted ClaimOutcome = "granted" // the claim is written and new
-	ClaimTaken   ClaimOutcome = "taken"   // the request was claimed before
-	ClaimUnknown ClaimOutcome = "unknown" // the claim may or may not be written
-	ClaimFailed  ClaimOutcome = "failed"  // the claim is surely not written
-)
-
-// Claimed has the outcomes in the order of the requests.
-type Claimed struct {
-	Outcomes []ClaimOutcome `cbor:"1,keyasint"`
-}
-
-// Slot is one request slot of a worker.
-type Slot struct {
-	Worker unit.InstanceID `cbor:"1,keyasint"`
-	Number uint16          `cbor:"2,keyasint"`
-}
-
-// Release gives up slots and shards. It is answered by Done.
-type Release struct {
-	Slots  []Slot         `cbor:"1,keyasint,omitempty"`
-	Shards []unit.ShardID `cbor:"2,keyasint,omitempty"`
-}
-
-// Submit hands a job to the owner of a shard. It is answered by Done.
-type Submit struct {
-	Job queue.Job `cbor:"1,keyasint"`
-}
-
-// Cancel cancels a job. It is answered by Done.
-type Cancel struct {
-	Job unit.JobID `cbor:"1,keyasint"`
-}
-
 // Ask asks for the events about a subject. It is answered by Answer.
 type Ask struct {
 	Subject journal.Subject `cbor:"1,keyasint"`
@@ -187,21 +136,6 @@
 // Kind implements Message.
 func (Pull) Kind() Kind { return KindPull }
 
-// Kind implements Message.
-func (Claim) Kind() Kind { return KindClaim }
-
-// Kind implements Message.
-func (Claimed) Kind() Kind { return KindClaimed }
-
-// Kind implements Message.
-func (Release) Kind() Kind { return KindRelease }
-
-// Kind implements Message.
-func (Submit) Kind() Kind { return KindSubmit }
-
-// Kind implements Message.
-func (Cancel) Kind() Kind { return KindCancel }
-
 // Kind implements Message.
 func (Ask) Kind() Kind { return KindAsk }
 
