order/gateway: test the checks at the send and a stop with requests in flight

Cause: for each invariant one mechanism at a time is switched off on a scratch copy. By reading, no test covered these: the renewal bound in the wait for inherited leases, the check of a worker immediately before the send, and a request in flight when the notice of a drain ends.

Change: TestInheritedExpiry, TestAllowed, TestAllowedAtSend and TestStopInFlight. The fake store of the gateway tests calls a function before each write, so that a claim can be held back.

Ruled out: more runs of the property tests, which look at decisions and not at what changes between a decision and its send.

--- a/internal/job/lease/lease_test.go
+++ b/internal/job/lease/lease_test.go
@@ -103,3 +103,24 @@
 		})
 	}
 }
+
+// TestInheritedExpiry guards against a successor that starts a task again while
+// the former owner, cut off from the store, may still renew its lease.
+func TestInheritedExpiry(t *testing.T) {
+	at := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		released bool
+		want     time.Duration
+	}{
+		{"released", true, 15*time.Second + 100*time.Millisecond},
+		{"not released", false, 75*time.Minute + 15*time.Second + 4515*time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := InheritedExpiry(at, tt.released).Sub(at); got != tt.want {
+				t.Errorf("expired after %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/order/gateway/fault_test.go
+++ b/internal/order/gateway/fault_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 )
 
@@ -116,6 +117,51 @@
 	}
 }
 
+// TestAllowedAtSend guards against a request that is sent although the worker, its
+// zone or the confirmation ended after the worker was chosen. The store holds back
+// the claim meanwhile.
+func TestAllowedAtSend(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(*site)
+		want string
+		runs int64
+	}{
+		{"no change", func(*site) {}, "done 200 hello", 1},
+		{"worker draining", func(s *site) {
+			s.fleet.set(func(i *store.Instance) { i.State = store.InstanceLeaving })
+		}, "not-run 503", 0},
+		{"zone out", func(s *site) { s.fleet.set(func(i *store.Instance) { i.Zone = "out" }) }, "not-run 503", 0},
+		{"confirmation", func(s *site) { s.config.unconfirmed.Store(true) }, "not-run 503", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reached, release := make(chan struct{}), make(chan struct{})
+			var once sync.Once
+			records := &fakeStore{
+				service: newService(store.ServiceName), records: map[store.Key]store.Record{},
+				before: func() {
+					once.Do(func() { close(reached) })
+					<-release
+				},
+			}
+			w := work(t, always(whole))
+			s := open(t, records, w.address())
+			result := make(chan string, 1)
+			go func() { result <- charge("k").do(s.gateway) }()
+			<-reached
+			tt.set(s)
+			close(release)
+			if got := <-result; got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+			if n := w.runs.Load(); n != tt.runs {
+				t.Errorf("the worker got %d requests, want %d", n, tt.runs)
+			}
+		})
+	}
+}
+
 // TestExplained guards against a rejection, an unknown outcome or a change of a
 // worker's state that operators cannot find in the journal.
 func TestExplained(t *testing.T) {
--- a/internal/order/gateway/gateway_test.go
+++ b/internal/order/gateway/gateway_test.go
@@ -108,6 +108,7 @@
 	revision unit.Revision
 	down     atomic.Bool
 	lose     atomic.Bool // responses to writes
+	before   func()      // called before each write, unless nil
 }
 
 func (f *fakeStore) Get(_ context.Context, key store.Key) (store.Record, error) {
@@ -124,6 +125,9 @@
 }
 
 func (f *fakeStore) Put(_ context.Context, key store.Key, value []byte, cond store.Condition, _ store.LeaseID) (unit.Revision, error) {
+	if f.before != nil {
+		f.before()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	want := store.IfAbsent()
@@ -550,6 +554,48 @@
 	}
 }
 
+// TestStopInFlight guards against a planned stop that cuts a request which lasts
+// longer than the notice of the load balancer.
+func TestStopInFlight(t *testing.T) {
+	tests := []struct {
+		name string
+		call call
+	}{
+		{"idempotent", call{path: "/quote"}},
+		{"once", charge("k")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reached, release := make(chan struct{}), make(chan struct{})
+			w := work(t, func(int64, *http.Request) string {
+				close(reached)
+				<-release
+				return whole
+			})
+			s := open(t, nil, w.address())
+			result, drained := make(chan string, 1), make(chan struct{})
+			go func() { result <- tt.call.do(s.gateway) }()
+			<-reached
+			go func() {
+				defer close(drained)
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				defer cancel()
+				s.gateway.Drain(ctx)
+			}()
+			select {
+			case <-drained:
+				t.Error("drained with a request in flight")
+			case <-time.After(2 * notice):
+			}
+			close(release)
+			if got := <-result; got != "done 200 hello" {
+				t.Errorf("got %s", got)
+			}
+			<-drained
+		})
+	}
+}
+
 // TestPath guards against a break on the path from a caller to an upstream that
 // the platform lists.
 func TestPath(t *testing.T) {
--- a/internal/order/route/router_test.go
+++ b/internal/order/route/router_test.go
@@ -356,3 +356,44 @@
 		r.Ended(1, End{Verdict: Succeeded, Latency: time.Millisecond}, start)
 	}
 }
+
+// TestAllowed guards against a send to a worker that stopped taking work between
+// the decision and the send.
+func TestAllowed(t *testing.T) {
+	serving := Worker{ID: "w1", Service: "s", Slots: 2}
+	tests := []struct {
+		name   string
+		change func(*Router)
+		want   bool
+	}{
+		{"no change", func(*Router) {}, true},
+		{"draining by the list", func(r *Router) {
+			w := serving
+			w.Draining = true
+			r.SetWorkers([]Worker{w}, start)
+		}, false},
+		{"draining by its own word", func(r *Router) {
+			r.Arrive(request(2, start), start)
+			r.Ended(2, End{Verdict: Succeeded, Latency: time.Millisecond, Draining: true}, start)
+		}, false},
+		{"slots lost", func(r *Router) {
+			w := serving
+			w.Slots = 0
+			r.SetWorkers([]Worker{w}, start)
+		}, false},
+		{"left the list", func(r *Router) { r.SetWorkers(nil, start) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			r.SetWorkers([]Worker{serving}, start)
+			if d, decided := r.Arrive(request(1, start), start); !decided || d.Worker != "w1" {
+				t.Fatalf("decision %+v, %v", d, decided)
+			}
+			tt.change(r)
+			if got := r.Allowed("w1", start); got != tt.want {
+				t.Errorf("allowed: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
