--- a/internal/job/dispatch/start_test.go
+++ b/internal/job/dispatch/start_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
+	"github.com/monsoonfold/monsoonfold/internal/job/placement"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
@@ -39,6 +40,18 @@
 			}
 			b.step(b.fleet)
 		}, 0, 0, 0},
+		{"workers run unknown attempts", func(b *bench, _ *Confirmed) {
+			for _, n := range b.core.order {
+				n.strays[worker.Ref{Task: unit.TaskID{Job: "former"}, Attempt: 1}] = b.now
+			}
+		}, 0, 0, 0},
+		{"workers run attempts without a reservation", func(b *bench, _ *Confirmed) {
+			for i, n := range b.core.order {
+				former := &task{job: newJob("former"), Task: ledger.Task{Index: unit.TaskIndex(i), Worker: n.id, Attempt: 1, State: ledger.StatePlaced}}
+				former.sent, former.expires = true, b.now.Add(time.Hour)
+				n.add(former)
+			}
+		}, 0, 0, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -156,3 +169,31 @@
 		Parts: []ledger.Part{{Shard: b.core.Shard, Count: tasks}},
 	}})
 }
+
+// TestLateCheckpoint guards against work that is resumed from a checkpoint of an
+// earlier attempt than the last one.
+func TestLateCheckpoint(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt unit.Attempt // whose checkpoint comes late
+		want    unit.CheckpointID
+	}{
+		{"of an earlier attempt", 1, "second"},
+		{"of the same attempt", 2, "second"},
+		{"of a later attempt", 3, "late"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := New(Settings{Shard: unit.ShardID{Zone: "z1"}, Epoch: 1, Placer: placement.NewFirstFit()})
+			j := newJob("j")
+			waiting := &task{job: j, Task: ledger.Task{State: ledger.StateWaiting, Attempt: 3, After: 2, Checkpoint: "second"}}
+			c.jobs[j.id], j.tasks[0] = j, waiting
+			c.lateResult(worker.Status{
+				Ref: worker.Ref{Task: waiting.id(), Attempt: tt.attempt}, Phase: worker.PhaseCheckpointed, Checkpoint: "late",
+			})
+			if waiting.Checkpoint != tt.want {
+				t.Errorf("resumes from %q, want %q", waiting.Checkpoint, tt.want)
+			}
+		})
+	}
+}
