order/upstream: test requests that were written in part

TestAbandoned did not look at the connection.

Change: TestPartlyWritten has a worker that stops reading, and one that closes, in the middle of a request. TestAbandoned wants the connection closed.

--- a/internal/order/upstream/pool_test.go
+++ b/internal/order/upstream/pool_test.go
@@ -141,12 +141,57 @@
 	if got.Outcome != upstream.Unknown || !errors.Is(got.Err, upstream.ErrAbandoned) {
 		t.Errorf("got %v, %v", got.Outcome, got.Err)
 	}
+	w.waitClosed(t, 1)
 	got = p.Exchange(ctx, request("r", 20*time.Second), &sink{})
 	if got.Outcome != upstream.NotRun {
 		t.Errorf("request abandoned before the send: got %v, %v", got.Outcome, got.Err)
 	}
 }
 
+// TestPartlyWritten guards against a request that is reported as not run although
+// the worker received the first part of it.
+func TestPartlyWritten(t *testing.T) {
+	tests := []struct {
+		name  string
+		reads int64 // bytes that the worker takes before it stops
+		cut   bool  // the worker closes the connection then
+	}{
+		{"worker stops reading", 100, false},
+		{"worker closes in mid request", 100, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			release, ended := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(ended)
+				n, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer n.Close()
+				_, _ = io.CopyN(io.Discard, n, tt.reads)
+				if !tt.cut {
+					<-release
+				}
+			}()
+			p := pool(t, l.Addr().String(), 1)
+			r := request("r", 150*time.Millisecond)
+			r.Body = make([]byte, 32<<20) // more than the buffers of both sockets hold
+			got := p.Exchange(context.Background(), r, &sink{})
+			if got.Outcome != upstream.Unknown || !errors.Is(got.Err, upstream.ErrWrite) {
+				t.Errorf("got %v, %v", got.Outcome, got.Err)
+			}
+			close(release)
+			l.Close()
+			<-ended
+		})
+	}
+}
+
 // TestHang guards against a worker that is taken for dead, or for alive, after
 // one of its connections hung.
 func TestHang(t *testing.T) {
