--- a/internal/order/claim/bucket_test.go
+++ b/internal/order/claim/bucket_test.go
@@ -272,6 +272,45 @@
 	}
 }
 
+// TestSeal guards against an id that is granted in both periods, when an entry
+// whose clock is behind claims it in a period that another entry has left.
+func TestSeal(t *testing.T) {
+	tests := []struct {
+		name   string
+		loaded bool // the entry behind has read the record before
+	}{
+		{"record not read before", false},
+		{"record read before", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m := &model{records: map[Period]Record{}, revs: map[Period]unit.Revision{}}
+			claim := func(b *Bucket, key Key, nonce Nonce, now time.Time) Verdict {
+				b.Add(Call{Ticket: Ticket(nonce), Key: key, Nonce: nonce, Deadline: now.Add(time.Second)})
+				verdict := Unavailable
+				for range 3 { // a conflict takes another write
+					for _, a := range drive(b, m, now, func(Action) *Reply { return nil }) {
+						verdict = a.Verdict
+					}
+					now = now.Add(window)
+				}
+				return verdict
+			}
+			var behind, ahead Bucket
+			if tt.loaded {
+				claim(&behind, Key{1}, 1, base)
+			}
+			got := []Verdict{
+				claim(&ahead, Key{2}, 2, base.Add(2*time.Minute)),
+				claim(&behind, Key{2}, 3, base.Add(30*time.Second)),
+			}
+			if diff := cmp.Diff([]Verdict{Granted, Taken}, got); diff != "" {
+				t.Errorf("verdicts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // lostOnce loses the response to the first claim, which was applied or not, and
 // perhaps fails the read after it.
 func lostOnce(applied, down bool) func(*model, Action) *Reply {
--- a/internal/order/slot/partition_test.go
+++ b/internal/order/slot/partition_test.go
@@ -65,6 +65,36 @@
 	}
 }
 
+// TestAcknowledge guards against a slot that is used at once on the word of an
+// entry that has settled on a view with other entries, whose owners may still use
+// the slot.
+func TestAcknowledge(t *testing.T) {
+	both := []unit.EntryID{"a", "b"}
+	tests := []struct {
+		name     string
+		revision unit.Revision
+		entries  []unit.EntryID // of the view that b has settled on
+		want     int
+	}{
+		{"same view", 5, both, len(ownedBy("a", both))},
+		{"later view with the same entries", 6, both, len(ownedBy("a", both))},
+		{"later view with another entry", 6, []unit.EntryID{"a", "b", "c"}, 0},
+		{"later view without this entry", 6, []unit.EntryID{"b"}, 0},
+		{"earlier view with the same entries", 4, both, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := New("a", DefaultRules())
+			p.SetWorkers([]Worker{{ID: "w", Slots: 8, Connections: 64}})
+			p.Adopt(View{Entries: both, Revision: 5, Complete: true}, start, start)
+			p.Acknowledge("b", roster.Settlement{Revision: tt.revision, Members: roster.Fingerprint(tt.entries)}, start)
+			if got := p.Share("w", start).Slots; got != tt.want {
+				t.Errorf("%d slots, want %d", got, tt.want)
+			}
+		})
+	}
+}
+
 func ownedBy(id unit.EntryID, entries []unit.EntryID) []Index {
 	p := New(id, DefaultRules())
 	p.Adopt(View{Entries: entries, Revision: 1}, start, start)
