--- a/internal/job/dispatch/start_test.go
+++ b/internal/job/dispatch/start_test.go
@@ -197,3 +197,39 @@
 		})
 	}
 }
+
+// TestReleaseWaits guards against a shard that is given up while a call is in
+// flight, whose effect the successor would not know of.
+func TestReleaseWaits(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(b *bench, busy bool)
+		want bool // given up at once
+	}{
+		{"nothing in flight", func(*bench, bool) {}, true},
+		{"exchange with a worker", func(b *bench, busy bool) { b.core.order[3].busy = busy }, false},
+		{"ledger call", func(b *bench, busy bool) { b.core.book.calling = busy }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newBench()
+			b.tick(b.confirmed())
+			b.now = b.now.Add(commitInterval)
+			b.tick(b.confirmed())
+			if b.core.phase != phaseActive {
+				t.Fatalf("phase %d, want active", b.core.phase)
+			}
+			tt.set(b, true)
+			b.step(Release{})
+			if got := b.core.phase == phaseEnded; got != tt.want {
+				t.Errorf("given up at once: %v, want %v", got, tt.want)
+			}
+			tt.set(b, false)
+			b.now = b.now.Add(commitInterval)
+			b.tick(b.confirmed())
+			if b.core.phase != phaseEnded {
+				t.Error("not given up")
+			}
+		})
+	}
+}
