--- a/internal/bench/capacity/wire.go
+++ b/internal/bench/capacity/wire.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/quic-go/quic-go"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/job/worker"
 	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
