--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -93,6 +93,18 @@
 	return Condition{kind: conditionRevision, revision: r}
 }
 
+// Holds reports whether the condition holds for a key that exists with the record
+// or does not exist.
+func (c Condition) Holds(r Record, exists bool) bool {
+	switch c.kind {
+	case conditionAbsent:
+		return !exists
+	case conditionRevision:
+		return exists && r.Revision == c.revision
+	}
+	return true
+}
+
 // InstanceState is the state of an instance in the platform's list.
 type InstanceState string
 
