--- a/internal/job/dispatch/core_test.go
+++ b/internal/job/dispatch/core_test.go
@@ -9,6 +9,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/lease"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
--- a/internal/job/policy/core_test.go
+++ b/internal/job/policy/core_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/control"
 	"github.com/monsoonfold/monsoonfold/internal/job/queue"
--- a/internal/target/config/attempt_test.go
+++ b/internal/target/config/attempt_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 	"github.com/monsoonfold/monsoonfold/internal/target/spec"
