--- a/internal/bench/seed/seed.go
+++ b/internal/bench/seed/seed.go
@@ -5,6 +5,7 @@
 
 import (
 	"flag"
+	"strconv"
 
 	_ "pgregory.net/rapid" // registers the flag
 )
@@ -14,3 +15,17 @@
 		panic(err)
 	}
 }
+
+// Search makes the properties of the package run more and longer sequences than
+// the library does by default, for faults that only long ones reach. Flags on the
+// command line still win.
+func Search(checks, steps int) {
+	for _, f := range []struct {
+		name  string
+		value int
+	}{{"rapid.checks", checks}, {"rapid.steps", steps}} {
+		if err := flag.Set(f.name, strconv.Itoa(f.value)); err != nil {
+			panic(err)
+		}
+	}
+}
--- a/internal/fleet/shard/shard_test.go
+++ b/internal/fleet/shard/shard_test.go
@@ -8,11 +8,13 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
+	"github.com/monsoonfold/monsoonfold/internal/bench/seed"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
 
+func init() { seed.Search(500, 100) }
+
 var regions = map[unit.ZoneID]Region{"z1": "east", "z2": "east", "z3": "west"}
 
 // TestRanking guards against an owner in the zone of its workers, or in another
--- a/internal/order/claim/bucket_test.go
+++ b/internal/order/claim/bucket_test.go
@@ -11,10 +11,12 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
+	"github.com/monsoonfold/monsoonfold/internal/bench/seed"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
+func init() { seed.Search(500, 100) }
+
 // base lies a minute before the end of a period.
 var base = time.Unix(100*int64(period/time.Second)-60, 0)
 
--- a/internal/order/slot/partition_test.go
+++ b/internal/order/slot/partition_test.go
@@ -10,11 +10,13 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
+	"github.com/monsoonfold/monsoonfold/internal/bench/seed"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
+func init() { seed.Search(500, 100) }
+
 var start = time.Unix(1000, 0)
 
 // TestViewChange guards against a slot that is used too early after a gain, or
