job/dispatch: at most 8 parts of a job, and a pause between watches

Ruled out: the end of a part in a record of its own, which needs a second record to be read at each takeover; larger parts for all jobs, which leave shards of a small fleet empty. Conclusion: urgent work waits at most 500 ms longer of its 3 s.

--- a/internal/job/dispatch/jobs.go
+++ b/internal/job/dispatch/jobs.go
@@ -34,6 +34,13 @@
 	// maxReplicas is the room for replicas that each shard gets in the tasks of a
 	// standing job.
 	maxReplicas = 1024
+	// watchPause is the least time between two watches. Without it each change of
+	// a job record, of which there are over 100 a second at the peak, would be an
+	// answer of its own to every entry.
+	watchPause = 500 * time.Millisecond
+	// maxParts bounds the parts of a job. Each end of a part writes the whole
+	// record, which every entry reads.
+	maxParts = 8
 	// wholeTasks is the number of tasks up to which a job goes to one shard.
 	wholeTasks = 8
 	// cancelTries bounds the attempts to change a record that others change too.
@@ -198,13 +205,15 @@
 }
 
 // batchParts assigns the tasks of a job: a small job to one shard, which spreads
-// jobs by hash, and a large one to all in equal shares. Tasks that find no room
-// are moved by the owners.
+// jobs by hash, and a large one to maxParts of them in equal shares. Tasks that
+// find no room are moved by the owners.
 func batchParts(j queue.Job, shards []unit.ShardID) []ledger.Part {
 	sortByScore(shards, string(j.ID))
-	if j.Tasks <= wholeTasks && len(shards) > 1 {
-		shards = shards[:1]
+	most := maxParts
+	if j.Tasks <= wholeTasks {
+		most = 1
 	}
+	shards = shards[:min(len(shards), most)]
 	var parts []ledger.Part
 	var first unit.TaskIndex
 	for n, id := range shards {
@@ -294,6 +303,10 @@
 				h.deliver(ctx, c)
 			}
 		}
+		select {
+		case <-time.After(watchPause):
+		case <-ctx.Done():
+		}
 	}
 }
 
--- a/internal/report/journal/journal.go
+++ b/internal/report/journal/journal.go
@@ -36,10 +36,10 @@
 	Why      string    `json:"why,omitempty"` // the reason, and what was ruled out
 }
 
-// Bounds of a journal. At about 250 bytes an event, 16,384 events take 4 MB of
+// Bounds of a journal. At about 545 bytes an event, 8,192 events take 4.5 MB of
 // the 32 MB that control may take on an instance.
 const (
-	maxEvents     = 16384
+	maxEvents     = 8192
 	maxPerSubject = 64
 )
 
