--- a/internal/desk/command/explain.go
+++ b/internal/desk/command/explain.go
@@ -7,33 +7,22 @@
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
 	"github.com/monsoonfold/monsoonfold/internal/report/journal"
 )
 
 // newExplain builds the command that tells what happened and why.
 func newExplain() action {
 	sub := newSubcommand("explain", "tell what happened to a subject, when and why", "monsoonfold explain zone guj-hazira")
-	var c connection
 	var kind, id string
-	c.attach(sub)
 	sub.AddPositionalValue(&kind, "kind", 1, true, "task, job, request, worker, zone, class, shard or entry")
 	sub.AddPositionalValue(&id, "id", 2, true, "its id; of a task job/index")
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		e, err := dialed.Explain(ctx, journal.Subject{Kind: journal.Kind(kind), ID: id})
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, e)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) (answer.Explanation, error) {
+		return c.Explain(ctx, journal.Subject{Kind: journal.Kind(kind), ID: id})
+	}, func(s Streams, e answer.Explanation) error {
 		printExplanation(s, e)
 		return nil
-	}}
+	})
 }
 
 // printExplanation merges the events of all entries by time and says what each
--- a/internal/desk/command/joblist.go
+++ b/internal/desk/command/joblist.go
@@ -4,33 +4,22 @@
 	"context"
 	"fmt"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
 )
 
 // newJobList builds the command that lists the jobs.
 func newJobList() action {
 	sub := newSubcommand("list", "list jobs", "monsoonfold job list")
-	var c connection
-	c.attach(sub)
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		records, err := dialed.Jobs(ctx)
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, records)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) ([]ledger.Record, error) {
+		return c.Jobs(ctx)
+	}, func(s Streams, records []ledger.Record) error {
 		var rows []string
 		for _, r := range records {
 			rows = append(rows, jobRow(r))
 		}
 		return printTable(s.Out, jobHeader, rows)
-	}}
+	})
 }
 
 const jobHeader = "JOB\tCLASS\tTEAM\tTASKS\tDONE\tFAILED\tCANCELLED\tSTATE"
--- a/internal/desk/command/jobshow.go
+++ b/internal/desk/command/jobshow.go
@@ -4,29 +4,19 @@
 	"context"
 	"fmt"
 
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
 )
 
 // newJobShow builds the command that shows one job with its parts.
 func newJobShow() action {
 	sub := newSubcommand("show", "show one job and where its tasks are", "monsoonfold job show takeoff-17")
-	var c connection
 	var id string
-	c.attach(sub)
 	sub.AddPositionalValue(&id, "id", 1, true, "job id")
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		r, err := dialed.Job(ctx, unit.JobID(id))
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, r)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) (ledger.Record, error) {
+		return c.Job(ctx, unit.JobID(id))
+	}, func(s Streams, r ledger.Record) error {
 		if err := printTable(s.Out, jobHeader, []string{jobRow(r)}); err != nil {
 			return err
 		}
@@ -42,5 +32,5 @@
 			rows = append(rows, fmt.Sprintf("%s\t%d\t%d\t%s", p.Shard, p.First, p.Count, state))
 		}
 		return printTable(s.Out, "SHARD\tFIRST\tTASKS\tSTATE", rows)
-	}}
+	})
 }
--- a/internal/desk/command/status.go
+++ b/internal/desk/command/status.go
@@ -5,26 +5,17 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
 )
 
 // newStatus builds the command that shows the state of an entry and its view.
 func newStatus() action {
 	sub := newSubcommand("status", "show the state of an entry and which others it sees", "monsoonfold status")
-	var c connection
-	c.attach(sub)
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		status, err := dialed.Status(ctx)
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, status)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) (answer.Status, error) {
+		return c.Status(ctx)
+	}, func(s Streams, status answer.Status) error {
 		fmt.Fprintf(s.Out, "entry %s: configuration %d by %s, registered %t, starts tasks %t, serves requests %t\n",
 			status.Entry, status.Configuration, status.Author, status.Registered, status.Starts, status.Serves)
 		var rows []string
@@ -46,5 +37,5 @@
 			rows = append(rows, fmt.Sprintf("%s\t%v\t%s", l.Entry, time.Since(l.Since).Truncate(time.Second), strings.Join(holds, ", ")))
 		}
 		return printTable(s.Out, "LOST\tFOR\tBLOCKS", rows)
-	}}
+	})
 }
--- a/internal/desk/command/targethistory.go
+++ b/internal/desk/command/targethistory.go
@@ -4,28 +4,19 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
+	"github.com/monsoonfold/monsoonfold/internal/target/spec"
 )
 
 // newTargetHistory builds the command that tells who changed what and when.
 func newTargetHistory() action {
 	sub := newSubcommand("history", "who changed what and when", "monsoonfold target history --limit 5")
-	var c connection
 	limit := 20
-	c.attach(sub)
 	sub.Int(&limit, "n", "limit", "number of revisions, newest first; at most 200 are kept")
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		revisions, err := dialed.History(ctx, limit)
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, revisions)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) ([]spec.Revision, error) {
+		return c.History(ctx, limit)
+	}, func(s Streams, revisions []spec.Revision) error {
 		for i, r := range revisions {
 			at := time.UnixMilli(r.Time).UTC().Format(time.RFC3339)
 			fmt.Fprintf(s.Out, "revision %d by %s at %s\n", r.Number, r.Author, at)
@@ -34,5 +25,5 @@
 			}
 		}
 		return nil
-	}}
+	})
 }
--- a/internal/desk/command/zonelist.go
+++ b/internal/desk/command/zonelist.go
@@ -2,26 +2,17 @@
 
 import (
 	"context"
+
+	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
+	"github.com/monsoonfold/monsoonfold/internal/desk/client"
 )
 
 // newZoneList builds the command that lists the availability zones.
 func newZoneList() action {
 	sub := newSubcommand("list", "list availability zones", "monsoonfold zone list")
-	var c connection
-	c.attach(sub)
-	return action{sub: sub, run: func(ctx context.Context, s Streams) error {
-		dialed, err := c.dial()
-		if err != nil {
-			return err
-		}
-		defer dialed.Close()
-		zones, err := dialed.Zones(ctx)
-		if err != nil {
-			return called(err)
-		}
-		if c.output == "json" {
-			return printJSON(s.Out, zones)
-		}
+	return query(sub, func(ctx context.Context, c *client.Client) (answer.Zones, error) {
+		return c.Zones(ctx)
+	}, func(s Streams, zones answer.Zones) error {
 		var rows []string
 		for _, z := range zones.Zones {
 			state := "in service"
@@ -31,5 +22,5 @@
 			rows = append(rows, string(z.Name)+"\t"+state)
 		}
 		return printTable(s.Out, "ZONE\tSTATE", rows)
-	}}
+	})
 }
