cmd/monsoonfold: scenarios of a cut from the store and of urgent work

Cause: no test cut a real entry process from the store, and the start of urgent work within 3 s was not checked anywhere.

--- a/internal/bench/scenario/audit.go
+++ b/internal/bench/scenario/audit.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -70,6 +71,35 @@
 	}
 }
 
+// checkStarts runs "starts SPAN FROM JOB COUNT NAME...": so many tasks of the job
+// started on the workers, each within the span after FROM, noted by mark.
+func checkStarts(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 5 {
+		ts.Fatalf("usage: starts SPAN FROM JOB COUNT NAME...")
+	}
+	span, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	from, err := time.Parse(time.RFC3339Nano, args[1])
+	ts.Check(err)
+	want, err := strconv.Atoi(args[3])
+	ts.Check(err)
+	count := 0
+	for _, a := range readAudits(ts, args[4:]) {
+		for _, r := range a.Runs {
+			if string(r.Task.Job) != args[2] {
+				continue
+			}
+			count++
+			if took := r.Start.Sub(from); took > span {
+				ts.Fatalf("worker %s started %s after %s, want %s", a.Worker, r.Task, took, span)
+			}
+		}
+	}
+	if count != want {
+		ts.Fatalf("%d starts of job %s, want %d", count, args[2], want)
+	}
+}
+
 func readInstances(ts *testscript.TestScript, names []string) []store.Instance {
 	var all []store.Instance
 	for _, name := range names {
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -18,6 +18,10 @@
 //	audit RESULT NAME...          checks the invariants over the workers' audits and the callers' result, or -
 //	mark NAME                     sets the variable to the present time
 //	nostarts FROM TO NAME...      no task started on the workers from 5 s after FROM until TO
+//	starts SPAN FROM JOB COUNT NAME...  so many tasks of the job started within the span after FROM
+//	relay NAME TARGET             starts a TCP relay to the target and sets NAME_address
+//	cut NAME                      cuts both directions of a relay
+//	heal NAME                     ends the cut
 //	pause SPAN                    waits, for outages that have to last
 package scenario
 
@@ -53,6 +57,7 @@
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = processes{}
+			env.Values[relaysKey{}] = relays{}
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -66,10 +71,14 @@
 			"until":      retryUntil,
 			"background": startBackground,
 			"await":      awaitBackground,
+			"relay":      startRelay,
+			"cut":        cutRelay,
+			"heal":       healRelay,
 			"instances":  mergeInstances,
 			"audit":      audit,
 			"mark":       noteTime,
 			"nostarts":   checkNoStarts,
+			"starts":     checkStarts,
 			"pause":      pauseScript,
 		},
 	})
