all: standard terms in place of private ones

Cause: a reading as a newcomer found names that need explaining: floor and station of the gateway, keeper of the store clients, roll of the platform stand-in, talk, wish, crowded and stray of the dispatcher, rival of the burn samples. Change: dispatcher, endpoint, storeClient, bucketWriter, instanceList, sendDue, markRecord, overcommitted, stopUnknown, antagonist.

--- a/internal/fleet/membership/forget.go
+++ b/internal/fleet/membership/forget.go
@@ -17,7 +17,7 @@
 // stopped. It is safe only if the entry's process is surely gone. An entry that
 // has no lasting record is reported as store.ErrNotFound.
 func (s *Service) Forget(ctx context.Context, id unit.EntryID) error {
-	snapshot, err := s.keeper.List(ctx, Prefix)
+	snapshot, err := s.store.List(ctx, Prefix)
 	if err != nil {
 		return errors.Errorf("forget entry %s: %w", id, err)
 	}
@@ -34,7 +34,7 @@
 	}
 	// A registration rewrites the record first, so that one that was made since
 	// the read fails the condition.
-	err = s.keeper.Delete(ctx, openKey(id), store.IfRevision(record.Written))
+	err = s.store.Delete(ctx, openKey(id), store.IfRevision(record.Written))
 	if errors.Is(err, store.ErrConflict) {
 		return errors.Errorf("forget entry %s: %w since", id, ErrRegistered)
 	}
--- a/internal/fleet/membership/service.go
+++ b/internal/fleet/membership/service.go
@@ -43,8 +43,8 @@
 	retryInterval = 500 * time.Millisecond
 )
 
-// keeper is the part of the store that the service uses.
-type keeper interface {
+// storeClient is the part of the store that the service uses.
+type storeClient interface {
 	List(ctx context.Context, prefix store.Key) (store.Snapshot, error)
 	Delete(ctx context.Context, key store.Key, cond store.Condition) error
 	Put(ctx context.Context, key store.Key, value []byte, cond store.Condition, lease store.LeaseID) (unit.Revision, error)
@@ -57,7 +57,7 @@
 type Service struct {
 	log    logr.Logger
 	self   roster.Entry
-	keeper keeper
+	store  storeClient
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -86,7 +86,7 @@
 // registers once the store is back.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
 	var err error
-	if s.keeper, err = registry.Find[keeper](k, store.ServiceName); err != nil {
+	if s.store, err = registry.Find[storeClient](k, store.ServiceName); err != nil {
 		return errors.Errorf("find store: %w", err)
 	}
 	registration := s.renew(ctx)
@@ -116,14 +116,14 @@
 	s.lease, s.validUntil = "", time.Time{}
 	s.mu.Unlock()
 	if lease != "" {
-		if err := s.keeper.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
+		if err := s.store.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
 			return errors.Errorf("end registration: %w", err)
 		}
 	}
 	if err := s.revokeAbandoned(ctx); err != nil {
 		return err
 	}
-	if err := s.keeper.Delete(ctx, openKey(s.self.ID), store.Always()); err != nil && !errors.Is(err, store.ErrNotFound) {
+	if err := s.store.Delete(ctx, openKey(s.self.ID), store.Always()); err != nil && !errors.Is(err, store.ErrNotFound) {
 		return errors.Errorf("delete lasting record: %w", err)
 	}
 	return nil
@@ -209,7 +209,7 @@
 	if lease == "" {
 		return s.register(ctx)
 	}
-	err := s.keeper.Renew(ctx, lease)
+	err := s.store.Renew(ctx, lease)
 	if errors.Is(err, store.ErrNotFound) {
 		s.log.Info("registration expired", "entry", s.self.ID)
 		s.hold("", time.Time{})
@@ -235,16 +235,16 @@
 	}
 	// Written each time, so that its revision rises and nobody deletes it because
 	// of an earlier loss.
-	if _, err := s.keeper.Put(ctx, openKey(s.self.ID), value, store.Always(), ""); err != nil {
+	if _, err := s.store.Put(ctx, openKey(s.self.ID), value, store.Always(), ""); err != nil {
 		return errors.Errorf("write lasting record: %w", err)
 	}
 	sent := time.Now()
-	lease, err := s.keeper.Grant(ctx, leaseTTL)
+	lease, err := s.store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return errors.Errorf("register: %w", err)
 	}
 	key := Prefix + store.Key(s.self.ID)
-	if _, err := s.keeper.Put(ctx, key, value, store.IfAbsent(), lease.ID); err != nil {
+	if _, err := s.store.Put(ctx, key, value, store.IfAbsent(), lease.ID); err != nil {
 		s.mu.Lock()
 		s.abandoned = lease.ID
 		s.mu.Unlock()
@@ -261,7 +261,7 @@
 	if lease == "" {
 		return nil
 	}
-	if err := s.keeper.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
+	if err := s.store.Revoke(ctx, lease); err != nil && !errors.Is(err, store.ErrNotFound) {
 		return errors.Errorf("revoke lease of a failed registration: %w", err)
 	}
 	s.mu.Lock()
@@ -282,7 +282,7 @@
 
 func (s *Service) read(ctx context.Context) error {
 	sent := time.Now()
-	snapshot, err := s.keeper.List(ctx, Prefix)
+	snapshot, err := s.store.List(ctx, Prefix)
 	if err != nil {
 		return errors.Errorf("read view: %w", err)
 	}
@@ -301,7 +301,7 @@
 	}
 	s.adopt(view, known, sent)
 	for _, l := range due {
-		err := s.keeper.Delete(ctx, openKey(l.ID), store.IfRevision(l.Written))
+		err := s.store.Delete(ctx, openKey(l.ID), store.IfRevision(l.Written))
 		s.log.Info("lasting record of a lost entry deleted", "entry", l.ID, "error", err)
 	}
 	return nil
--- a/internal/job/dispatch/attempt.go
+++ b/internal/job/dispatch/attempt.go
@@ -180,7 +180,7 @@
 		c.queue.Remove(t.id())
 		j.done++
 		c.finish(t)
-		c.wish(j)
+		c.markRecord(j)
 	case s.Phase == worker.PhaseCheckpointed && s.Attempt > t.After:
 		t.Checkpoint, t.After = s.Checkpoint, s.Attempt
 	}
@@ -204,7 +204,7 @@
 	t.attempt = attempt{}
 	t.job.changed = c.change()
 	c.place = true
-	c.wish(t.job)
+	c.markRecord(t.job)
 }
 
 // wait lets a task wait for its next attempt, if there is to be one.
--- a/internal/job/dispatch/core.go
+++ b/internal/job/dispatch/core.go
@@ -196,16 +196,16 @@
 		c.takeOver()
 	case phaseActive:
 		c.expire()
-		c.judgeNodes()
+		c.updateNodes()
 		c.adjust()
 		c.placePending()
 		c.writeJobs()
 		c.writeLedger()
-		c.talk()
+		c.sendDue()
 	case phaseReleasing:
 		c.release()
 	case phaseLost:
-		c.talk()
+		c.sendDue()
 		c.endLost()
 	}
 }
--- a/internal/job/dispatch/job.go
+++ b/internal/job/dispatch/job.go
@@ -137,7 +137,7 @@
 // adopt compares the record of a job with what the shard has of it.
 func (c *Core) adopt(j *job) {
 	c.place = true
-	c.wish(j)
+	c.markRecord(j)
 	c.queue.Put(j.record.Job)
 	if c.adviser != nil {
 		c.adviser.Describe(&j.record.Job)
@@ -214,7 +214,7 @@
 		delete(j.tasks, t.Index)
 	}
 	j.changed = c.change()
-	c.wish(j)
+	c.markRecord(j)
 }
 
 func (j *job) sorted() []*task {
--- a/internal/job/dispatch/move.go
+++ b/internal/job/dispatch/move.go
@@ -10,21 +10,21 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
 )
 
-// wish notes that the record of a job may have to change.
-func (c *Core) wish(j *job) {
+// markRecord notes that the record of a job may have to change.
+func (c *Core) markRecord(j *job) {
 	if !j.wished {
 		j.wished = true
 		c.wishes = append(c.wishes, j.id)
 	}
 }
 
-// wishMoves notes the jobs with tasks that wait for a shard to move to.
-func (c *Core) wishMoves() {
+// markMoves notes the jobs with tasks that wait for a shard to move to.
+func (c *Core) markMoves() {
 	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
 		j := c.jobs[id]
 		for _, t := range j.tasks {
 			if t.State == ledger.StateMoving {
-				c.wish(j)
+				c.markRecord(j)
 				break
 			}
 		}
@@ -79,7 +79,7 @@
 		t.Hops = min(t.Hops+hops, maxHops)
 	}
 	j.changed = c.change()
-	c.wish(j)
+	c.markRecord(j)
 	c.note(fmt.Sprintf("moving %d tasks to other shards", n), why, j.subject(), c.subject())
 }
 
--- a/internal/job/dispatch/node.go
+++ b/internal/job/dispatch/node.go
@@ -39,7 +39,7 @@
 	tasks    map[worker.Ref]*task
 	list     []*task               // of tasks, in order; nil if it has to be made anew
 	forget   map[worker.Ref]uint64 // ended attempts, by the change that made the end durable
-	strays   map[worker.Ref]time.Time
+	unknowns map[worker.Ref]time.Time
 }
 
 func (n *node) subject() journal.Subject {
@@ -74,7 +74,7 @@
 	if n == nil {
 		n = &node{
 			id: id, tasks: map[worker.Ref]*task{},
-			forget: map[worker.Ref]uint64{}, strays: map[worker.Ref]time.Time{},
+			forget: map[worker.Ref]uint64{}, unknowns: map[worker.Ref]time.Time{},
 		}
 		c.nodes[id] = n
 		i, _ := slices.BinarySearchFunc(c.order, id, func(n *node, id unit.InstanceID) int { return cmp.Compare(n.id, id) })
@@ -87,7 +87,7 @@
 func (c *Core) list(e Fleet) {
 	if !slices.Equal(c.targets, e.Targets) {
 		c.targets = e.Targets
-		c.wishMoves()
+		c.markMoves()
 	}
 	c.place = true
 	c.position, c.siblings = e.Position, e.Siblings
@@ -120,16 +120,16 @@
 	return l
 }
 
-// judgeNodes decides which workers may get tasks, and takes tasks off those that
+// updateNodes decides which workers may get tasks, and takes tasks off those that
 // may not.
-func (c *Core) judgeNodes() {
+func (c *Core) updateNodes() {
 	for _, n := range slices.Clone(c.order) {
 		// A worker that is missing from the list may still run its tasks; only one
 		// that is said to be draining loses them.
 		draining := n.draining || n.known && !n.listed.Live
 		live := n.known && !draining
 		heard := !n.reported.IsZero() && c.now.Sub(n.reported) < silence
-		open := live && heard && !n.stale && len(n.strays) == 0 && !n.crowded()
+		open := live && heard && !n.stale && len(n.unknowns) == 0 && !n.overcommitted()
 		if !n.reported.IsZero() && n.silent == heard {
 			n.silent = !heard
 			c.note("worker silent: "+yesNo(n.silent), "heartbeats", n.subject())
@@ -149,7 +149,7 @@
 				c.push(t, worker.ActionCheckpoint, "worker is draining")
 			}
 		}
-		if !n.known && !n.busy && len(n.tasks) == 0 && len(n.strays) == 0 {
+		if !n.known && !n.busy && len(n.tasks) == 0 && len(n.unknowns) == 0 {
 			c.Placer.Remove(n.id)
 			delete(c.nodes, n.id)
 			c.order = slices.DeleteFunc(c.order, func(o *node) bool { return o == n })
@@ -157,16 +157,16 @@
 	}
 }
 
-// crowded reports whether a task that may run here has no reservation, as after a
+// overcommitted reports whether a task that may run here has no reservation, as after a
 // loss of capacity. What the placer takes as free is then too much.
-func (n *node) crowded() bool {
+func (n *node) overcommitted() bool {
 	return slices.ContainsFunc(n.sorted(), func(t *task) bool { return t.sent && !t.reserved })
 }
 
-// talk sends what is due to each worker with which no exchange is in flight. A
+// sendDue sends what is due to each worker with which no exchange is in flight. A
 // heartbeat comes first: orders that are repeated in vain must not let the leases
 // of the other tasks run out.
-func (c *Core) talk() {
+func (c *Core) sendDue() {
 	for _, n := range c.order {
 		if n.busy || n.stale {
 			continue
@@ -284,7 +284,7 @@
 			c.over(t, s)
 			n.forget[s.Ref] = c.book.changes
 		case s.Phase == worker.PhaseRunning:
-			c.stray(n, s)
+			c.stopUnknown(n, s)
 		case n.forget[s.Ref] == 0 && c.lateResult(s):
 			n.forget[s.Ref] = c.book.changes
 		}
@@ -294,10 +294,10 @@
 			c.unlisted(t)
 		}
 	}
-	for ref := range n.strays {
+	for ref := range n.unknowns {
 		if !running[ref] {
 			c.Placer.Release(n.id, ref)
-			delete(n.strays, ref)
+			delete(n.unknowns, ref)
 		}
 	}
 }
@@ -319,13 +319,13 @@
 	c.over(t, status)
 }
 
-// stray stops an attempt that the ledger does not have on this worker. Until it
+// stopUnknown stops an attempt that the ledger does not have on this worker. Until it
 // has ended, its resources are not used for anything else.
-func (c *Core) stray(n *node, s worker.Status) {
-	if _, ok := n.strays[s.Ref]; ok {
+func (c *Core) stopUnknown(n *node, s worker.Status) {
+	if _, ok := n.unknowns[s.Ref]; ok {
 		return
 	}
-	n.strays[s.Ref] = time.Time{}
+	n.unknowns[s.Ref] = time.Time{}
 	c.Placer.Reserve(n.id, s.Ref, s.Class, s.Size)
 	c.note("stopping unknown attempt", "not in the ledger", n.subject(),
 		journal.Subject{Kind: journal.KindTask, ID: s.Task.String()})
--- a/internal/job/dispatch/order.go
+++ b/internal/job/dispatch/order.go
@@ -20,9 +20,9 @@
 			t.ordered = c.now
 		}
 	}
-	for _, ref := range sortedRefs(n.strays) {
-		if c.now.Sub(n.strays[ref]) >= orderInterval && len(orders) < maxOrders {
-			n.strays[ref] = c.now
+	for _, ref := range sortedRefs(n.unknowns) {
+		if c.now.Sub(n.unknowns[ref]) >= orderInterval && len(orders) < maxOrders {
+			n.unknowns[ref] = c.now
 			orders = append(orders, worker.Order{Ref: ref, Action: worker.ActionStop})
 		}
 	}
--- a/internal/job/dispatch/place.go
+++ b/internal/job/dispatch/place.go
@@ -128,7 +128,7 @@
 	}
 	j.parked = reason
 	c.queue.Park(j.id, reason)
-	c.wish(j)
+	c.markRecord(j)
 	if reason == "" {
 		c.note("no longer parked", "a larger worker is listed", j.subject())
 	} else {
--- a/internal/job/dispatch/record.go
+++ b/internal/job/dispatch/record.go
@@ -133,7 +133,7 @@
 	if j == nil {
 		return
 	}
-	c.wish(j)
+	c.markRecord(j)
 	if e.Fault != FaultNoEffect {
 		c.jobRead = e.Job
 		c.actions = append(c.actions, ReadJob{Job: e.Job})
--- a/internal/job/dispatch/start_test.go
+++ b/internal/job/dispatch/start_test.go
@@ -42,7 +42,7 @@
 		}, 0, 0, 0},
 		{"workers run unknown attempts", func(b *bench, _ *Confirmed) {
 			for _, n := range b.core.order {
-				n.strays[worker.Ref{Task: unit.TaskID{Job: "former"}, Attempt: 1}] = b.now
+				n.unknowns[worker.Ref{Task: unit.TaskID{Job: "former"}, Attempt: 1}] = b.now
 			}
 		}, 0, 0, 0},
 		{"workers run attempts without a reservation", func(b *bench, _ *Confirmed) {
--- a/internal/order/claim/service.go
+++ b/internal/order/claim/service.go
@@ -39,7 +39,7 @@
 // Service claims ids in the store. It has one goroutine for each bucket.
 type Service struct {
 	records records
-	keepers [buckets]*keeper
+	writers [buckets]*bucketWriter
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -57,19 +57,19 @@
 		return errors.Errorf("find store: %w", err)
 	}
 	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	for i := range s.keepers {
-		s.keepers[i] = &keeper{
+	for i := range s.writers {
+		s.writers[i] = &bucketWriter{
 			number:  i,
 			records: s.records,
 			calls:   make(chan *request),
 			waiting: map[Ticket]*request{},
 			done:    make(chan struct{}),
 		}
-		go s.keepers[i].run(ctx)
+		go s.writers[i].run(ctx)
 	}
 	go func() {
 		defer close(s.done)
-		for _, k := range s.keepers {
+		for _, k := range s.writers {
 			<-k.done
 		}
 	}()
@@ -92,7 +92,7 @@
 	// Nonces have to differ between entries, so they come from a source that is
 	// seeded per process.
 	c := Call{Key: KeyOf(id), Nonce: Nonce(rand.Uint64())}
-	v, err := s.keeper(c.Key).submit(ctx, c)
+	v, err := s.writer(c.Key).submit(ctx, c)
 	if err != nil {
 		return Result{Verdict: Unavailable}, errors.Errorf("claim request: %w", err)
 	}
@@ -106,7 +106,7 @@
 		return nil
 	}
 	c := Call{Key: KeyOf(id), Nonce: r.nonce, Void: true}
-	v, err := s.keeper(c.Key).submit(ctx, c)
+	v, err := s.writer(c.Key).submit(ctx, c)
 	if err == nil && v != Voided {
 		err = errUnavailable
 	}
@@ -116,13 +116,13 @@
 	return nil
 }
 
-func (s *Service) keeper(k Key) *keeper { return s.keepers[int(k[0])%buckets] }
+func (s *Service) writer(k Key) *bucketWriter { return s.writers[int(k[0])%buckets] }
 
 // errUnavailable says that the store did not confirm a change.
 var errUnavailable = errors.New("store does not answer")
 
-// keeper runs one bucket. All fields belong to its goroutine but for the channels.
-type keeper struct {
+// bucketWriter runs one bucket. All fields belong to its goroutine but for the channels.
+type bucketWriter struct {
 	number  int
 	records records
 	calls   chan *request
@@ -134,14 +134,14 @@
 }
 
 // request is a call with the channel for its verdict. Whoever sets ended first,
-// the waiting caller or the keeper, decides whether the verdict counts.
+// the waiting caller or the bucketWriter, decides whether the verdict counts.
 type request struct {
 	call    Call
 	verdict chan Verdict
 	ended   atomic.Bool
 }
 
-func (k *keeper) submit(ctx context.Context, c Call) (Verdict, error) {
+func (k *bucketWriter) submit(ctx context.Context, c Call) (Verdict, error) {
 	if err := ctx.Err(); err != nil {
 		return 0, err
 	}
@@ -168,7 +168,7 @@
 	return <-r.verdict, nil
 }
 
-func (k *keeper) run(ctx context.Context) {
+func (k *bucketWriter) run(ctx context.Context) {
 	defer close(k.done)
 	defer k.abort()
 	timer := time.NewTimer(0)
@@ -197,7 +197,7 @@
 }
 
 // collect takes the calls that arrived during a store call, to share a write.
-func (k *keeper) collect() {
+func (k *bucketWriter) collect() {
 	for {
 		select {
 		case r := <-k.calls:
@@ -208,14 +208,14 @@
 	}
 }
 
-func (k *keeper) add(r *request) {
+func (k *bucketWriter) add(r *request) {
 	k.last++
 	r.call.Ticket = k.last
 	k.waiting[k.last] = r
 	k.bucket.Add(r.call)
 }
 
-func (k *keeper) deliver(answers []Answer) {
+func (k *bucketWriter) deliver(answers []Answer) {
 	for _, a := range answers {
 		r := k.waiting[a.Ticket]
 		delete(k.waiting, a.Ticket)
@@ -231,7 +231,7 @@
 	}
 }
 
-func (k *keeper) abort() {
+func (k *bucketWriter) abort() {
 	for _, r := range k.waiting {
 		if r.ended.CompareAndSwap(false, true) {
 			r.verdict <- Unavailable
@@ -239,7 +239,7 @@
 	}
 }
 
-func (k *keeper) perform(ctx context.Context, a Action) Reply {
+func (k *bucketWriter) perform(ctx context.Context, a Action) Reply {
 	key := store.Key("claim/" + strconv.Itoa(k.number) + "." + strconv.FormatInt(int64(a.Period), 10))
 	switch a.Verb {
 	case Read:
@@ -251,7 +251,7 @@
 	return Reply{}
 }
 
-func (k *keeper) get(ctx context.Context, key store.Key) Reply {
+func (k *bucketWriter) get(ctx context.Context, key store.Key) Reply {
 	found, err := k.records.Get(ctx, key)
 	if errors.Is(err, store.ErrNotFound) {
 		return Reply{Status: Absent}
@@ -266,7 +266,7 @@
 	return Reply{Record: r, Revision: found.Revision}
 }
 
-func (k *keeper) put(ctx context.Context, key store.Key, a Action) Reply {
+func (k *bucketWriter) put(ctx context.Context, key store.Key, a Action) Reply {
 	value, err := a.Record.Encode()
 	if err != nil {
 		return Reply{Status: Failed}
--- a/internal/order/claim/service_test.go
+++ b/internal/order/claim/service_test.go
@@ -18,7 +18,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
 
-// TestMain guards against keepers that outlive their service.
+// TestMain guards against writers that outlive their service.
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 // memory is a store in memory, which can delay, fail and lose.
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -123,22 +123,22 @@
 	signals    signaler
 	windows    *windows
 
-	routes   atomic.Pointer[routes]
-	floor    *floor
-	sequence atomic.Uint64 // of request ids
-	inflight atomic.Int64
-	draining atomic.Bool
-	drain    sync.Once
-	drained  error
-	cancel   context.CancelFunc
-	done     chan struct{}
+	routes     atomic.Pointer[routes]
+	dispatcher *dispatcher
+	sequence   atomic.Uint64 // of request ids
+	inflight   atomic.Int64
+	draining   atomic.Bool
+	drain      sync.Once
+	drained    error
+	cancel     context.CancelFunc
+	done       chan struct{}
 }
 
 // New returns a gateway that is not yet started.
 func New(log logr.Logger, settings Settings) *Gateway {
 	g := &Gateway{log: log, settings: settings, counters: new(expvar.Map).Init(), done: make(chan struct{}), windows: newWindows(time.Now())}
 	g.counters.Set("inflight", expvar.Func(func() any { return g.inflight.Load() }))
-	g.counters.Set("waiting", expvar.Func(func() any { return g.floor.waitingRequests() }))
+	g.counters.Set("waiting", expvar.Func(func() any { return g.dispatcher.waitingRequests() }))
 	g.http = &http.Server{
 		Handler:           g.handler(),
 		ReadHeaderTimeout: 5 * time.Second,
@@ -159,9 +159,9 @@
 	if err := g.find(k); err != nil {
 		return err
 	}
-	g.floor = newFloor(slot.New(g.membership.Self(), g.settings.Rules), g.noteHealth)
-	g.peers.SetSettled(g.floor.acknowledged)
-	g.peers.OnSettled(g.floor.acknowledge)
+	g.dispatcher = newDispatcher(slot.New(g.membership.Self(), g.settings.Rules), g.noteHealth)
+	g.peers.SetSettled(g.dispatcher.acknowledged)
+	g.peers.OnSettled(g.dispatcher.acknowledge)
 	g.refresh()
 	l, err := net.Listen("tcp", g.settings.Address)
 	if err != nil {
@@ -177,7 +177,7 @@
 	go func() {
 		defer close(g.done)
 		parts.Wait()
-		g.floor.close()
+		g.dispatcher.close()
 	}()
 	return nil
 }
@@ -202,7 +202,7 @@
 // draining. An entry that has just started holds no slots for a while, and would
 // reject the requests that a load balancer sends it.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.floor.settled() && time.Now().Before(g.config.ServeUntil())
+	return !g.draining.Load() && g.dispatcher.settled() && time.Now().Before(g.config.ServeUntil())
 }
 
 // Drain fails the readiness check, serves until the load balancer has noticed,
@@ -275,7 +275,7 @@
 		next := time.Now().Add(refreshInterval)
 		for waiting := true; waiting; {
 			due := next
-			if tick := g.floor.next(time.Now()); !tick.IsZero() && tick.Before(due) {
+			if tick := g.dispatcher.next(time.Now()); !tick.IsZero() && tick.Before(due) {
 				due = tick
 			}
 			timer.Reset(time.Until(due))
@@ -284,10 +284,10 @@
 			case <-fleet:
 			case <-config:
 			case <-membership:
-			case <-g.floor.woken:
+			case <-g.dispatcher.woken:
 				waiting = true
 			case <-timer.C:
-				g.floor.tick(time.Now())
+				g.dispatcher.tick(time.Now())
 				waiting = time.Now().Before(next)
 			case <-ctx.Done():
 				return
@@ -315,7 +315,7 @@
 	if now.Before(g.membership.ValidUntil()) && viewed.Before(asOf) {
 		asOf = viewed
 	}
-	g.floor.update(g.fleet.Snapshot().Workers(), &revision.Document, view, asOf, now)
+	g.dispatcher.update(g.fleet.Snapshot().Workers(), &revision.Document, view, asOf, now)
 }
 
 func (g *Gateway) noteHealth(worker unit.InstanceID, from, to string) {
--- a/internal/order/gateway/request.go
+++ b/internal/order/gateway/request.go
@@ -51,7 +51,7 @@
 	end     time.Time // the response is useless, or the slot needed, afterwards
 	body    []byte
 	claim   claim.Result
-	last    *station // of the latest attempt
+	last    *endpoint // of the latest attempt
 	sent    time.Time
 	answer  answer
 }
@@ -90,7 +90,7 @@
 	g.counters.Add("requests", 1)
 	g.inflight.Add(1)
 	defer g.inflight.Add(-1)
-	g.floor.countRequest()
+	g.dispatcher.countRequest()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -165,7 +165,7 @@
 			Due: o.arrived.Add(o.route.class.Target.Bound.Std()), Deadline: o.end,
 			Idempotent: !o.once, Avoid: tried,
 		}
-		s, reason := g.floor.admit(ctx, &q)
+		s, reason := g.dispatcher.admit(ctx, &q)
 		if reason != route.ReasonNone {
 			if fault == nil {
 				fault = notRun(http.StatusServiceUnavailable, string(reason))
@@ -173,7 +173,7 @@
 			return o.settle(fault, unknown)
 		}
 		if v := o.claimOnce(ctx); v != nil {
-			g.floor.ended(q.Ticket, route.End{Verdict: route.Neutral})
+			g.dispatcher.ended(q.Ticket, route.End{Verdict: route.Neutral})
 			return v
 		}
 		result := o.attempt(ctx, s, q.Ticket, attempt)
@@ -216,7 +216,7 @@
 	if r.Outcome != upstream.NotRun && o.once {
 		return false
 	}
-	if !o.gateway.floor.mayRetry() {
+	if !o.gateway.dispatcher.mayRetry() {
 		o.gateway.counters.Add("retries-denied", 1)
 		return false
 	}
@@ -246,11 +246,11 @@
 }
 
 // attempt runs one exchange and reports its end to the router.
-func (o *order) attempt(ctx context.Context, s *station, t route.Ticket, number int) upstream.Result {
+func (o *order) attempt(ctx context.Context, s *endpoint, t route.Ticket, number int) upstream.Result {
 	g := o.gateway
 	o.last = s
 	if s == nil { // the worker left the list since the decision
-		g.floor.ended(t, route.End{Verdict: route.Neutral})
+		g.dispatcher.ended(t, route.End{Verdict: route.Neutral})
 		return upstream.Result{Outcome: upstream.NotRun, Err: errDraining}
 	}
 	now := time.Now()
@@ -275,20 +275,20 @@
 		EndBy:       o.end,
 		Allow:       func(now time.Time) error { return o.allow(s, now) },
 	}, o)
-	g.floor.ended(t, endOf(r))
+	g.dispatcher.ended(t, endOf(r))
 	o.count(r)
 	return r
 }
 
 // allow repeats the checks that time may have overtaken since the decision.
-func (o *order) allow(s *station, now time.Time) error {
+func (o *order) allow(s *endpoint, now time.Time) error {
 	if !now.Before(o.gateway.config.ServeUntil()) {
 		return errors.New("this entry has no confirmation of its configuration")
 	}
 	if !now.Before(o.end) {
 		return errors.New("the deadline has passed")
 	}
-	return o.gateway.floor.allowed(s.instance.ID, now)
+	return o.gateway.dispatcher.allowed(s.instance.ID, now)
 }
 
 func endOf(r upstream.Result) route.End {
@@ -325,14 +325,14 @@
 	}
 }
 
-func (s *station) id() unit.InstanceID {
+func (s *endpoint) id() unit.InstanceID {
 	if s == nil {
 		return ""
 	}
 	return s.instance.ID
 }
 
-func hostOf(r *http.Request, s *station) string {
+func hostOf(r *http.Request, s *endpoint) string {
 	if r.Host == "" { // HTTP/1.0
 		return s.instance.Upstream
 	}
--- a/internal/report/burn/budget.go
+++ b/internal/report/burn/budget.go
@@ -30,9 +30,9 @@
 
 // Causes of samples that missed the target.
 const (
-	CauseZone   = "zone"
-	CauseWorker = "worker"
-	CauseRival  = "interference"
+	CauseZone         = "zone"
+	CauseWorker       = "worker"
+	CauseInterference = "interference"
 )
 
 // Cause is something that bad samples have in common.
@@ -104,7 +104,7 @@
 	c.bad++
 	acc.blame(causeKey{CauseZone, string(s.Zone)}, 1)
 	acc.blame(causeKey{CauseWorker, string(s.Worker)}, 1)
-	acc.blame(causeKey{CauseRival, string(s.Rival)}, 1)
+	acc.blame(causeKey{CauseInterference, string(s.Antagonist)}, 1)
 }
 
 // Report returns the report at now for the classes of the document.
--- a/internal/report/burn/sample.go
+++ b/internal/report/burn/sample.go
@@ -12,10 +12,10 @@
 // Sample is one ended piece of work: a request, a task, or a check of whether a
 // standing class has its replicas.
 type Sample struct {
-	Time   time.Time
-	Class  unit.ClassID
-	Good   bool            // it met the target of the class
-	Zone   unit.ZoneID     // where it ran, if it ran
-	Worker unit.InstanceID // that ran it, if any
-	Rival  unit.ClassID    // the class blamed for interference, if any
+	Time       time.Time
+	Class      unit.ClassID
+	Good       bool            // it met the target of the class
+	Zone       unit.ZoneID     // where it ran, if it ran
+	Worker     unit.InstanceID // that ran it, if any
+	Antagonist unit.ClassID    // the class blamed for interference, if any
 }
--- a/internal/standin/platform/roll.go
+++ b/internal/standin/platform/instances.go
@@ -10,37 +10,37 @@
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
 
-// roll is the instance list, which shows the truth only after a lag. It is a
+// instanceList is the instance list, which shows the truth only after a lag. It is a
 // plain state machine.
-type roll struct {
+type instanceList struct {
 	lag      time.Duration
-	versions []rollVersion   // in order of time; the first is the one shown last
+	versions []listVersion   // in order of time; the first is the one shown last
 	past     []store.Listing // versions shown before, oldest first, for differences
 }
 
 // maxPast is how many earlier versions a difference can refer to.
 const maxPast = 64
 
-type rollVersion struct {
+type listVersion struct {
 	at      time.Time
 	listing store.Listing
 }
 
-func newRoll(lag time.Duration, instances []store.Instance) *roll {
-	first := rollVersion{listing: store.Listing{Instances: slices.Clone(instances), Revision: 1}}
-	return &roll{lag: lag, versions: []rollVersion{first}}
+func newInstanceList(lag time.Duration, instances []store.Instance) *instanceList {
+	first := listVersion{listing: store.Listing{Instances: slices.Clone(instances), Revision: 1}}
+	return &instanceList{lag: lag, versions: []listVersion{first}}
 }
 
 // set makes the instances the truth as of now.
-func (r *roll) set(now time.Time, instances []store.Instance) {
+func (r *instanceList) set(now time.Time, instances []store.Instance) {
 	last := r.versions[len(r.versions)-1].listing.Revision
-	r.versions = append(r.versions, rollVersion{
+	r.versions = append(r.versions, listVersion{
 		at: now, listing: store.Listing{Instances: slices.Clone(instances), Revision: last + 1},
 	})
 }
 
 // shown returns the list as a reader sees it now.
-func (r *roll) shown(now time.Time) store.Listing {
+func (r *instanceList) shown(now time.Time) store.Listing {
 	for len(r.versions) > 1 && !r.versions[1].at.Add(r.lag).After(now) {
 		r.past = append(r.past, r.versions[0].listing)
 		r.versions = r.versions[1:]
@@ -51,7 +51,7 @@
 
 // difference returns how the list that is shown now differs from a revision
 // shown before, or the whole list if that revision is not known.
-func (r *roll) difference(now time.Time, after unit.Revision) store.Listing {
+func (r *instanceList) difference(now time.Time, after unit.Revision) store.Listing {
 	shown := r.shown(now)
 	if after == shown.Revision {
 		return store.Listing{Instances: []store.Instance{}, After: after, Revision: shown.Revision}
--- a/internal/standin/platform/roll_test.go
+++ b/internal/standin/platform/instances_test.go
@@ -8,11 +8,11 @@
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
 )
 
-// TestRoll guards against an instance list that shows a change before its lag
+// TestInstanceList guards against an instance list that shows a change before its lag
 // has passed, skips back, or keeps a superseded version.
-func TestRoll(t *testing.T) {
+func TestInstanceList(t *testing.T) {
 	start := time.Now()
-	r := newRoll(3*time.Second, []store.Instance{{ID: "w1"}})
+	r := newInstanceList(3*time.Second, []store.Instance{{ID: "w1"}})
 	r.set(start.Add(1*time.Second), []store.Instance{{ID: "w2"}})
 	r.set(start.Add(2*time.Second), []store.Instance{{ID: "w3"}})
 	tests := []struct {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -53,14 +53,14 @@
 	writes  *rate.Limiter
 	done    chan struct{}
 
-	mu      sync.Mutex
-	records *memory.State
-	roll    *roll
-	fault   Fault
-	calls   Calls
-	random  *rand.Rand
-	changed chan struct{} // closed at the next change of records or faults
-	stop    chan struct{}
+	mu           sync.Mutex
+	records      *memory.State
+	instanceList *instanceList
+	fault        Fault
+	calls        Calls
+	random       *rand.Rand
+	changed      chan struct{} // closed at the next change of records or faults
+	stop         chan struct{}
 }
 
 // NewServer returns a server that will listen at address, an IP and port, and
@@ -72,16 +72,16 @@
 // New returns a server.
 func New(settings Settings) *Server {
 	s := &Server{
-		address: settings.Address,
-		reads:   newLimiter(settings.Reads),
-		writes:  newLimiter(settings.Writes),
-		done:    make(chan struct{}),
-		records: memory.NewState(),
-		roll:    newRoll(settings.Lag, settings.Instances),
-		calls:   Calls{Methods: map[string]int{}, Parts: map[string]int{}},
-		random:  rand.New(rand.NewPCG(settings.Seed, 0)),
-		changed: make(chan struct{}),
-		stop:    make(chan struct{}),
+		address:      settings.Address,
+		reads:        newLimiter(settings.Reads),
+		writes:       newLimiter(settings.Writes),
+		done:         make(chan struct{}),
+		records:      memory.NewState(),
+		instanceList: newInstanceList(settings.Lag, settings.Instances),
+		calls:        Calls{Methods: map[string]int{}, Parts: map[string]int{}},
+		random:       rand.New(rand.NewPCG(settings.Seed, 0)),
+		changed:      make(chan struct{}),
+		stop:         make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
 	return s
@@ -124,7 +124,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.roll.set(time.Now(), instances)
+	s.instanceList.set(time.Now(), instances)
 	return nil
 }
 
@@ -277,7 +277,7 @@
 		}
 	}
 	s.mu.Lock()
-	listing := s.roll.difference(time.Now(), unit.Revision(after))
+	listing := s.instanceList.difference(time.Now(), unit.Revision(after))
 	s.mu.Unlock()
 	respond(w, listing, nil)
 }
--- a/internal/target/config/apply.go
+++ b/internal/target/config/apply.go
@@ -196,12 +196,12 @@
 	case taskCreate:
 		var value []byte
 		if value, e.err = encode(a.revision); e.err == nil {
-			e.written, e.err = s.keeper.Put(ctx, revisionKey(c.number), value, store.IfAbsent(), "")
+			e.written, e.err = s.store.Put(ctx, revisionKey(c.number), value, store.IfAbsent(), "")
 		}
 	case taskAdvance:
 		var value []byte
 		if value, e.err = encode(c.head); e.err == nil {
-			e.written, e.err = s.keeper.Put(ctx, headKey, value, c.cond, "")
+			e.written, e.err = s.store.Put(ctx, headKey, value, c.cond, "")
 		}
 	}
 	return e
@@ -296,7 +296,7 @@
 // that an earlier call may have left behind.
 func (s *Service) trim(ctx context.Context, n unit.Revision) {
 	for old := n; old > kept && old+3 > n; old-- {
-		if err := s.keeper.Delete(ctx, revisionKey(old-kept), store.Always()); err != nil {
+		if err := s.store.Delete(ctx, revisionKey(old-kept), store.Always()); err != nil {
 			return // absent, or left to a later call
 		}
 	}
--- a/internal/target/config/service.go
+++ b/internal/target/config/service.go
@@ -41,8 +41,8 @@
 	probeReads = 8
 )
 
-// keeper is the part of the store that the service uses.
-type keeper interface {
+// storeClient is the part of the store that the service uses.
+type storeClient interface {
 	Get(ctx context.Context, key store.Key) (store.Record, error)
 	Put(ctx context.Context, key store.Key, value []byte, cond store.Condition, lease store.LeaseID) (unit.Revision, error)
 	Delete(ctx context.Context, key store.Key, cond store.Condition) error
@@ -73,7 +73,7 @@
 // Service keeps the configuration.
 type Service struct {
 	log      logr.Logger
-	keeper   keeper
+	store    storeClient
 	members  members
 	peers    peers
 	recorder recorder
@@ -106,7 +106,7 @@
 // deadlines stay at zero until the entry has a confirmed configuration.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
 	var err error
-	if s.keeper, err = registry.Find[keeper](k, store.ServiceName); err != nil {
+	if s.store, err = registry.Find[storeClient](k, store.ServiceName); err != nil {
 		return errors.Errorf("find store: %w", err)
 	}
 	if s.members, err = registry.Find[members](k, "membership"); err != nil {
@@ -373,7 +373,7 @@
 
 // getHead reads the head. A missing record is the head of an empty log.
 func (s *Service) getHead(ctx context.Context) (head, error) {
-	record, err := s.keeper.Get(ctx, headKey)
+	record, err := s.store.Get(ctx, headKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return head{}, nil
 	}
@@ -389,7 +389,7 @@
 }
 
 func (s *Service) getRevision(ctx context.Context, n unit.Revision) (spec.Revision, error) {
-	record, err := s.keeper.Get(ctx, revisionKey(n))
+	record, err := s.store.Get(ctx, revisionKey(n))
 	if err != nil {
 		return spec.Revision{}, errors.Errorf("read configuration %d: %w", n, err)
 	}
