order/route, order/gateway: count requests to workers that left the list

Cause: an entry acknowledged a view as settled although a request to a worker that had left the list since was still in flight, so a worker that came back soon could get more requests at a time than it has slots. Change: the check looks at every worker with requests in flight.

--- a/internal/order/gateway/dispatcher.go
+++ b/internal/order/gateway/dispatcher.go
@@ -97,12 +97,10 @@
 	d.mu.Lock()
 	defer d.unlock()
 	now := time.Now()
-	for id := range d.workers {
-		if d.router.InUse(id, now) > d.partition.Share(id, now).Slots {
-			return d.cleared
-		}
+	share := func(id unit.InstanceID) int { return d.partition.Share(id, now).Slots }
+	if !d.router.Exceeds(share, now) {
+		d.cleared = d.partition.GiveUp()
 	}
-	d.cleared = d.partition.GiveUp()
 	return d.cleared
 }
 
--- a/internal/order/route/router.go
+++ b/internal/order/route/router.go
@@ -297,6 +297,17 @@
 	return w.Slots - w.free(now)
 }
 
+// Exceeds reports whether any worker has more requests in flight than its share,
+// also one that has left the list since they were sent.
+func (r *Router) Exceeds(share func(unit.InstanceID) int, now time.Time) bool {
+	for id := range r.workers {
+		if r.InUse(id, now) > share(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeChanges returns the changes of health since the last call.
 func (r *Router) TakeChanges() []Change {
 	changes := r.changes
--- a/internal/order/route/router_test.go
+++ b/internal/order/route/router_test.go
@@ -398,3 +398,34 @@
 		})
 	}
 }
+
+// TestExceeds guards against slots that are acknowledged as given up while a
+// request on them is still in flight.
+func TestExceeds(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Router)
+		share  int // of every worker
+		want   bool
+	}{
+		{"within the share", func(*Router) {}, 1, false},
+		{"slot lost", func(*Router) {}, 0, true},
+		{"worker left the list", func(r *Router) { r.SetWorkers(nil, start) }, 0, true},
+		{"ended", func(r *Router) {
+			r.Ended(1, End{Verdict: Succeeded, Latency: time.Millisecond}, start)
+		}, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			r.SetWorkers([]Worker{{ID: "w1", Service: "s", Slots: 2}}, start)
+			if _, decided := r.Arrive(request(1, start), start); !decided {
+				t.Fatal("request was not sent")
+			}
+			tt.change(r)
+			if got := r.Exceeds(func(unit.InstanceID) int { return tt.share }, start); got != tt.want {
+				t.Errorf("exceeds: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
