job/dispatch: archive ended jobs without their parts

Ruled out: a shorter time to keep them, which operators would miss; pages, which the platform's protocol does not have. Change: an archived record has one part with the outcome of all.

--- a/internal/desk/command/jobshow.go
+++ b/internal/desk/command/jobshow.go
@@ -20,6 +20,9 @@
 		if err := printTable(s.Out, jobHeader, []string{jobRow(r)}); err != nil {
 			return err
 		}
+		if r.Ended() {
+			return nil // the archive keeps the outcome of all parts together
+		}
 		var rows []string
 		for _, p := range r.Parts {
 			state := "active"
--- a/internal/job/dispatch/archive.go
+++ b/internal/job/dispatch/archive.go
@@ -19,8 +19,9 @@
 	// archivePause keeps a sweep to about 40 of the several hundred writes per
 	// second that the store allows.
 	archivePause = 50 * time.Millisecond
-	// archiveTime is how long the record of an ended job is kept. A day's jobs
-	// take about 7 MB, which one answer of the store can carry.
+	// archiveTime is how long the record of an ended job is kept. A day's 18,000
+	// jobs take about 8 MB without their parts, which one answer of the store can
+	// carry; with 8 parts each they would not fit.
 	archiveTime = 24 * time.Hour
 )
 
@@ -52,7 +53,7 @@
 
 // sweep archives what has ended and deletes what was archived for long. A sweep
 // that two entries make at once, or that is cut off, does no harm: a record is
-// deleted only if it was written to the archive unchanged.
+// deleted only if it has not changed since it was written to the archive.
 func (s *Service) sweep(ctx context.Context, now time.Time) error {
 	jobs, err := s.records.List(ctx, ledger.RecordPrefix)
 	if err != nil {
@@ -63,7 +64,11 @@
 		if err != nil || !changed.Record.Ended() {
 			continue
 		}
-		if _, err := s.records.Put(ctx, archiveKey(changed.Job), stored.Value, store.Always(), ""); err != nil {
+		value, err := ledger.EncodeRecord(changed.Record.Condensed())
+		if err != nil {
+			return errors.Errorf("archive job %s: %w", changed.Job, err)
+		}
+		if _, err := s.records.Put(ctx, archiveKey(changed.Job), value, store.Always(), ""); err != nil {
 			return errors.Errorf("archive job %s: %w", changed.Job, err)
 		}
 		if err := s.remove(ctx, stored); err != nil {
--- a/internal/job/ledger/ledger_test.go
+++ b/internal/job/ledger/ledger_test.go
@@ -11,6 +11,7 @@
 
 	_ "github.com/monsoonfold/monsoonfold/internal/bench/seed" // one seed unless -rapid.seed names another
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/queue"
 )
 
 // largest has the content of a shard at the scale target, with room to spare: of
@@ -140,3 +141,30 @@
 		}
 	})
 }
+
+// TestCondensed guards against an archived job that has not ended, or whose counts
+// differ from those of its parts.
+func TestCondensed(t *testing.T) {
+	tests := []struct {
+		name  string
+		parts []Part
+		want  Outcome
+	}{
+		{"one part", []Part{{Count: 3, End: &Outcome{Done: 2, Failed: 1}}}, Outcome{Done: 2, Failed: 1}},
+		{"several parts", []Part{
+			{Count: 3, End: &Outcome{Done: 3}},
+			{First: 3, Count: 2, End: &Outcome{Done: 1, Cancelled: 1}},
+		}, Outcome{Done: 4, Cancelled: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := Record{Job: queue.Job{ID: "j", Tasks: 5}, Parts: tt.parts, Carry: []Carry{{Index: 1}}}.Condensed()
+			if !r.Ended() || len(r.Carry) != 0 {
+				t.Errorf("condensed record %+v", r)
+			}
+			if diff := cmp.Diff([]Part{{Count: 5, End: &tt.want}}, r.Parts); diff != "" {
+				t.Errorf("parts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/ledger/record.go
+++ b/internal/job/ledger/record.go
@@ -77,6 +77,21 @@
 	return !slices.ContainsFunc(r.Parts, func(p Part) bool { return p.End == nil })
 }
 
+// Condensed returns the record of an ended job with one part that has the outcome
+// of all. The shards of the parts are of no use any more.
+func (r Record) Condensed() Record {
+	var all Outcome
+	for _, p := range r.Parts {
+		if p.End != nil {
+			all.Done += p.End.Done
+			all.Failed += p.End.Failed
+			all.Cancelled += p.End.Cancelled
+		}
+	}
+	r.Parts, r.Carry = []Part{{Count: r.Job.Tasks, End: &all}}, nil
+	return r
+}
+
 // Assigned returns the parts of a shard that are not ended.
 func (r Record) Assigned(shard unit.ShardID) []Part {
 	var parts []Part
