job/dispatch: counters of orders, results, heartbeats and writes

Cause: only the gateway and the peer link had counters, so an operator could not see what the dispatcher does without its log.

--- a/internal/entry/assembly/assembly.go
+++ b/internal/entry/assembly/assembly.go
@@ -49,6 +49,7 @@
 type Entry struct {
 	settings settings.Settings
 	kernel   *registry.Kernel
+	store    *store.Service
 	peers    *link.Service
 	gateway  *gateway.Gateway
 	dispatch *dispatch.Service
@@ -70,7 +71,10 @@
 	if err := e.Start(ctx); err != nil {
 		return err
 	}
-	expvar.Publish("gateway", e.gateway.Counters()) // once for each process
+	// Published here, since a process that runs several entries may not publish a
+	// name twice.
+	expvar.Publish("gateway", e.gateway.Counters())
+	expvar.Publish("store_calls", expvar.Func(func() any { return e.store.Calls() }))
 	ready(e)
 	ended := e.kernel.Wait(ctx)
 	return errors.Join(ended, e.Stop())
@@ -82,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{settings: s, kernel: registry.New()}
+	e := &Entry{settings: s, kernel: registry.New(), store: store.NewService(s.Store)}
 	e.peers = link.New(log.WithName("peers"), link.Options{
 		Address: s.Listen.Peers, Credentials: credentials, Seed: xxhash.Sum64String(string(id)),
 	})
@@ -94,7 +98,7 @@
 	self := roster.Entry{ID: id, Zone: s.Zone, Address: s.Listen.Peers}
 	// A service comes after those that it calls, so that they outlive it.
 	services := []registry.Service{
-		store.NewService(s.Store),
+		e.store,
 		membership.New(log.WithName("membership"), self),
 		e.peers,
 		journal.NewService(time.Now()),
--- a/internal/job/dispatch/host.go
+++ b/internal/job/dispatch/host.go
@@ -305,13 +305,16 @@
 		if !a.Deadline.IsZero() && !sent.Before(a.Deadline) {
 			return unreachable(a)
 		}
+		countOrders(a.Batch)
 		reply, err := client.Orders(ctx, a.Batch)
+		countResults(reply)
 		return Ordered{Worker: a.Worker, Sent: sent, Received: now(), Reply: reply, Fault: workerFault(err)}
 	case SendHeartbeat:
 		sent := now()
 		if !a.Deadline.IsZero() && !sent.Before(a.Deadline) {
 			return unreachable(a)
 		}
+		heartbeatCount.Add(1)
 		report, err := client.Heartbeat(ctx, a.Heartbeat)
 		if observe := h.service.options.Observe; err == nil && observe != nil {
 			observe(a.Worker, report)
@@ -343,6 +346,7 @@
 		}
 		return LedgerRead{Value: r.Value, Revision: r.Revision, Fault: storeFault(err)}
 	case WriteLedger:
+		writeCount.Add("ledger", 1)
 		revision, err := records.Put(ctx, ledger.Key(h.id), a.Value, condition(a.Revision), "")
 		return LedgerWritten{Revision: revision, Fault: storeFault(err)}
 	case ListJobs:
@@ -355,6 +359,7 @@
 		if err != nil {
 			return JobWritten{Job: a.Job, Fault: FaultNoEffect}
 		}
+		writeCount.Add("job", 1)
 		revision, err := records.Put(ctx, ledger.RecordKey(a.Job), value, condition(a.Revision), "")
 		return JobWritten{Job: a.Job, Revision: revision, Fault: storeFault(err)}
 	}
--- a/internal/job/dispatch/service.go
+++ b/internal/job/dispatch/service.go
@@ -386,6 +386,7 @@
 	if err != nil {
 		return 0, err
 	}
+	writeCount.Add("shard", 1)
 	return s.records.Put(ctx, shard.Key(id), value, condition(held.Revision), "")
 }
 
@@ -404,6 +405,7 @@
 		h.events <- Release{}
 	}
 	s.mu.Unlock()
+	claimCount.Add(1)
 	s.log.Info("shard claimed", "shard", id.String(), "epoch", held.Record.Epoch)
 	s.running.Go(func() { h.run(ctx) })
 }
