standin/address: free ports of the demo and the scenarios from one place

The scenarios had been mended to take ports that the system gives to nobody, and the demo still picked its ports the old way, which had failed once. The demo's wait also dropped the error of its check when it ran out of time, behind a condition that could not hold. Ruled out: leaving the mend in the scenarios, since the demo is the first command that a newcomer runs. Change: one package gives out addresses to both; a wait that runs out of time reports the last error of its check. Noticed and left: job cancel, forget and target diff open a connection alike; the fakes of kernel services in the tests of desk/api, order/gateway and job/policy.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -223,11 +223,8 @@
 		if ok {
 			return nil
 		}
-		if err := pause(ctx, 250*time.Millisecond); err != nil {
-			return errors.Errorf("wait for %s: %w", what, err)
-		}
-		if err != nil && ctx.Err() != nil {
-			return err
+		if ended := pause(ctx, 250*time.Millisecond); ended != nil {
+			return errors.Errorf("wait for %s: %w", what, errors.Join(ended, err))
 		}
 	}
 }
--- a/internal/bench/demo/fleet.go
+++ b/internal/bench/demo/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
 	"github.com/monsoonfold/monsoonfold/internal/platform/store"
+	"github.com/monsoonfold/monsoonfold/internal/standin/address"
 	"github.com/monsoonfold/monsoonfold/internal/standin/platform"
 	"github.com/monsoonfold/monsoonfold/internal/standin/worker"
 )
@@ -53,11 +54,11 @@
 	if err := f.startWorkers(ctx); err != nil {
 		return nil, errors.Join(err, f.stop())
 	}
-	address, err := f.startPlatform(ctx)
+	storeAddress, err := f.startPlatform(ctx)
 	if err != nil {
 		return nil, errors.Join(err, f.stop())
 	}
-	if err := f.startEntries(ctx, folder, address, log); err != nil {
+	if err := f.startEntries(ctx, folder, storeAddress, log); err != nil {
 		return nil, errors.Join(err, f.stop())
 	}
 	return f, nil
@@ -140,17 +141,15 @@
 	return nil
 }
 
-// freeAddresses returns loopback addresses that are free now. All listeners stay
-// open until the last has its port, so that no port is given out twice.
+// freeAddresses returns loopback addresses that are free now.
 func freeAddresses() (settings.Listen, error) {
 	var listen settings.Listen
-	for _, address := range []*string{&listen.Callers, &listen.Peers, &listen.Operators, &listen.Metrics} {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for _, each := range []*string{&listen.Callers, &listen.Peers, &listen.Operators, &listen.Metrics} {
+		free, err := address.Next()
 		if err != nil {
 			return listen, errors.Errorf("find free port: %w", err)
 		}
-		defer l.Close()
-		*address = l.Addr().String()
+		*each = free
 	}
 	return listen, nil
 }
--- a/internal/bench/scenario/scenario.go
+++ b/internal/bench/scenario/scenario.go
@@ -30,20 +30,19 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/monsoonfold/monsoonfold/internal/standin/address"
 )
 
 // patience is how long a process may take to get ready, to answer or to end.
@@ -169,55 +168,10 @@
 
 func allocatePorts(ts *testscript.TestScript, _ bool, names []string) {
 	for _, name := range names {
-		address, err := nextAddress()
+		free, err := address.Next()
 		ts.Check(err)
-		ts.Setenv(name, address)
-	}
-}
-
-// Ports given out lie below the range from which the system takes ports for
-// outgoing connections and port 0, so that nothing takes one before its process
-// starts.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var ports struct {
-	mu   sync.Mutex
-	next int
-}
-
-// nextAddress returns a loopback address that is free for TCP and UDP.
-func nextAddress() (string, error) {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	if ports.next == 0 {
-		ports.next = firstPort + os.Getpid()%(lastPort-firstPort) // apart from other test processes
-	}
-	for range lastPort - firstPort {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
-		if ports.next++; ports.next == lastPort {
-			ports.next = firstPort
-		}
-		if free(address) {
-			return address, nil
-		}
-	}
-	return "", errors.New("no free port")
-}
-
-func free(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	defer l.Close()
-	p, err := net.ListenPacket("udp", address)
-	if err != nil {
-		return false
+		ts.Setenv(name, free)
 	}
-	return p.Close() == nil
 }
 
 func expandFiles(ts *testscript.TestScript, _ bool, files []string) {
