job/interference: tails as pressure, which is linear in the load

The model added rises of the logarithm of a tail.

Change: readings are kept as pressure, and each serving task has a filter for the pressure of its own load beside the pairs, so that a swing of its load is not taken for a neighbour's work. Pace and placement go by the pressure that is expected once all orders have had their effect. Stored models have format 2; pairs of format 1 are left out.

--- a/internal/job/interference/model.go
+++ b/internal/job/interference/model.go
@@ -212,21 +212,34 @@
 func (f *filter) at(i, j int) float64 { return f.variance[i*len(f.mean)+j] }
 
 func (f *filter) observe(s Sample) {
-	classes := slices.Sorted(maps.Keys(s.Shares))
-	for _, c := range classes {
-		if s.Shares[c] > 0 && !slices.Contains(f.classes, c) {
-			f.add(c, s.Time)
+	median := 1.25 * requestDeviation / math.Sqrt(float64(s.Requests))
+	x := f.inputs(s.Shares, s.Time)
+	x[0] = 1
+	f.update(x, math.Log(s.Latency.Seconds()), median*median)
+}
+
+// inputs returns the shares by row, with 0 for the base, after time has passed
+// and rows were added for new classes.
+func (f *filter) inputs(shares map[unit.ClassID]float64, now time.Time) []float64 {
+	for _, c := range slices.Sorted(maps.Keys(shares)) {
+		if shares[c] > 0 && !slices.Contains(f.classes, c) {
+			f.add(c, now)
 		}
 	}
-	f.decay(s.Time)
-	n := len(f.mean)
-	x := make([]float64, n)
-	x[0] = 1
+	f.decay(now)
+	x := make([]float64, len(f.mean))
 	for i, c := range f.classes {
-		if x[i+1] = s.Shares[c]; x[i+1] > 0 && s.Time.After(f.seen[i]) {
-			f.seen[i] = s.Time
+		if x[i+1] = shares[c]; x[i+1] > 0 && now.After(f.seen[i]) {
+			f.seen[i] = now
 		}
 	}
+	return x
+}
+
+// update learns from one value with a variance of its own. It returns the bounded
+// residual, and the variance that was expected of it.
+func (f *filter) update(x []float64, value, variance float64) (residual, total float64) {
+	n := len(f.mean)
 	gain := make([]float64, n)
 	predicted, spread := 0.0, 0.0
 	for i := range n {
@@ -236,19 +249,18 @@
 		predicted += f.mean[i] * x[i]
 		spread += gain[i] * x[i]
 	}
-	median := 1.25 * requestDeviation / math.Sqrt(float64(s.Requests))
-	total := spread + median*median + f.noise
-	residual := math.Log(s.Latency.Seconds()) - predicted
+	total = spread + variance + f.noise
 	limit := clip * math.Sqrt(total)
-	residual = min(max(residual, -limit), limit)
+	residual = min(max(value-predicted, -limit), limit)
 	f.reports++
-	f.noise += max(noiseWeight, 1/float64(f.reports+firstReports)) * (max(residual*residual-spread-median*median, floorDeviation*floorDeviation) - f.noise)
+	f.noise += max(noiseWeight, 1/float64(f.reports+firstReports)) * (max(residual*residual-spread-variance, floorDeviation*floorDeviation) - f.noise)
 	for i := range n {
 		f.mean[i] += gain[i] / total * residual
 		for j := range n {
 			f.variance[i*n+j] -= gain[i] * gain[j] / total
 		}
 	}
+	return residual, total
 }
 
 // decay adds the uncertainty of the time since the last report, and leads pairs
--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -124,7 +124,7 @@
 	if !clean && now.Sub(sh.learned) < learnedInterval {
 		return nil
 	}
-	model, err := record.Encode(record.Model{Format: record.Format, Pairs: sh.core.Learned()})
+	model, err := record.Encode(record.Model{Format: record.ModelFormat, Pairs: sh.core.Learned()})
 	if err != nil {
 		return err
 	}
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -13,9 +13,14 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// Format is the version of the forms. A reader takes its own and earlier ones.
+// Format is the version of jobs and progress. A reader takes its own and earlier
+// ones.
 const Format = 1
 
+// ModelFormat is the version of models. The pairs of version 1 were rises of the
+// logarithm of a tail.
+const ModelFormat = 2
+
 // Keys.
 const (
 	JobPrefix   kv.Key = "job/"
@@ -98,14 +103,18 @@
 	return p, nil
 }
 
-// DecodeModel reads the record of a model.
+// DecodeModel reads the record of a model. Pairs of an earlier version are left
+// out, as they are on another scale.
 func DecodeModel(body []byte) (Model, error) {
 	var m Model
 	if err := cbor.Unmarshal(body, &m); err != nil {
 		return Model{}, errors.Errorf("decode model record: %w", err)
 	}
-	if m.Format < 1 || m.Format > Format {
-		return Model{}, errors.Errorf("decode model record: format %d, want 1 to %d", m.Format, Format)
+	if m.Format < 1 || m.Format > ModelFormat {
+		return Model{}, errors.Errorf("decode model record: format %d, want 1 to %d", m.Format, ModelFormat)
+	}
+	if m.Format < ModelFormat {
+		m.Pairs = nil
 	}
 	return m, nil
 }
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -36,7 +36,7 @@
 	images    map[string]*image // by name
 	model     *interference.Model
 	policy    policy
-	pairs     map[pair]float64 // rise per share of cores, from the model
+	pairs     map[pair]float64 // rise of the pressure per share of cores, from the model
 	full      []noRoom         // what did not fit anywhere in this pass
 	placed    time.Time        // of the last pass
 	preempted time.Time        // when tasks to stop were last searched for
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -232,8 +232,8 @@
 	farWeight      = 10.0 // another rack than that of the data
 	avoidWeight    = 5.0  // the worker on which the task failed last
 	servingBonus   = 0.1  // for a filling task beside serving tasks that it does not disturb
-	easyHeadroom   = 0.3  // of the logarithm of a tail below its bound
-	headroomWeight = 0.5
+	easyHeadroom   = 0.6  // of a pressure below its bound
+	headroomWeight = 0.25
 	trialWeight    = 2.0 // a worker that has failed a task lately
 )
 
@@ -275,7 +275,7 @@
 	// Full speed beside serving tasks with headroom leaves the workers without any
 	// to the tasks that would disturb them.
 	if headroom := c.headroom(w, t.step, now); headroom < easyHeadroom {
-		speed -= headroomWeight * (easyHeadroom - headroom)
+		speed -= headroomWeight * float64(easyHeadroom-headroom)
 	} else if c.fills(w, now).serving {
 		speed += servingBonus
 	}
@@ -292,7 +292,3 @@
 	speed := min(1, float64(v.available)/float64(v.filling+need))
 	return min(speed, c.allowedShare(w, s, now)/w.share(need))
 }
-
-// servingShare is the inverse of the share of its cores that a serving task uses
-// on average.
-const servingShare = 2
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -7,6 +7,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 )
 
 // phase is how far a run on a worker is.
@@ -31,8 +32,9 @@
 	percent    int
 	progressed time.Time // when percent last changed
 	figure     int
-	pace       int       // ordered share of its speed, 0 to 100
-	steered    time.Time // when it was started or its pace was last changed
+	own        interference.Own // of a serving run
+	pace       int              // ordered share of its speed, 0 to 100
+	steered    time.Time        // when it was started or its pace was last changed
 	stopReason Reason
 }
 
