job/duration: learned durations behind the objectives

What is declared of a task is off by up to a factor of 13 (a log of ends, trial), and the tasks of a step differ by a factor of two, of which the longest counts. Objectives of later occurrences counted from the first due time.

Change: job/duration learns what the tasks of a queue take, and weighs it against what is declared by the deviation of either. A step's own tasks show it from a fifth of their work on.

--- a/internal/job/graph/graph.go
+++ b/internal/job/graph/graph.go
@@ -168,17 +168,3 @@
 	}
 	return false
 }
-
-// Chain returns the estimated duration of the longest chain of steps.
-func (j *Job) Chain() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	var longest time.Duration
-	for i := range j.Steps {
-		for _, a := range j.Steps[i].After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += j.Steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/duration"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 )
@@ -35,6 +36,7 @@
 	progress  map[unit.JobID]Progress
 	images    map[string]*image // by name
 	model     *interference.Model
+	durations *duration.Estimator
 	policy    policy
 	pairs     map[pair]float64 // rise of the pressure per share of cores, from the model
 	full      []noRoom         // what did not fit anywhere in this pass
@@ -44,6 +46,7 @@
 	pairsAt   time.Time        // when pairs was last emptied
 	filled    time.Time        // when filling tasks were last placed
 	relocated time.Time        // when slowed runs were last looked at
+	reckoned  time.Time        // when objectives were last renewed
 
 	recorded   map[unit.InstanceID]bool // workers that the durable progress names
 	unresolved map[unit.InstanceID]bool // workers that have not reported since the takeover
@@ -72,6 +75,7 @@
 		progress:   map[unit.JobID]Progress{},
 		images:     map[string]*image{},
 		model:      interference.NewWithPrior(unknownPair),
+		durations:  duration.New(),
 		recorded:   map[unit.InstanceID]bool{},
 		unresolved: map[unit.InstanceID]bool{},
 		safe:       safe,
@@ -151,6 +155,7 @@
 	for _, j := range c.open {
 		c.openDue(j, now)
 	}
+	c.reckonAll(now)
 	for _, w := range c.workers {
 		c.expire(w, now)
 		c.watchRuns(w, now)
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -17,10 +17,9 @@
 	durable     bool        // the final state is in the store
 	finalSince  time.Time   // when the final state became known
 	occurrences []*occurrence
-	opened      int // occurrences whose due time has come
-	closed      int // occurrences that are complete
-	active      int // runs that are on workers
-	objective   time.Time
+	opened      int  // occurrences whose due time has come
+	closed      int  // occurrences that are complete
+	active      int  // runs that are on workers
 	lasting     bool // has tasks that run until the job is cancelled
 }
 
@@ -29,6 +28,9 @@
 	index graph.Occurrence
 	steps []*step
 	open  int // steps that are not complete
+
+	objective time.Time     // when it should be complete
+	rest      time.Duration // work that is left on its longest chain of steps
 }
 
 // step is one step of one occurrence.
@@ -43,6 +45,8 @@
 	queued     bool    // in the list of ready steps
 	perWorker  map[unit.InstanceID]int
 	image      *image
+	fastest    time.Duration              // that a task took at full speed; 0: unknown
+	measured   time.Duration              // of the longest task at full speed on a sound worker; 0: unknown
 	permits    map[unit.InstanceID]permit // what the placement advice said; nil: nothing yet
 }
 
@@ -97,18 +101,11 @@
 		return
 	}
 	c.open[spec.ID] = j
-	j.objective, j.lasting = objective(spec), spec.Lasting()
+	j.lasting = spec.Lasting()
 	c.openDue(j, now)
 	c.wake = true
 }
 
-// objective returns when a job should be complete.
-func objective(j *graph.Job) time.Time {
-	stretch := max(j.Queue.Stretch, 1)
-	allowed := time.Duration(float64(j.Chain())*stretch) + j.Queue.Target
-	return j.Due(0).Add(allowed)
-}
-
 // Cancel ends a job whose cancellation is durable.
 func (c *Core) Cancel(id unit.JobID, now time.Time) {
 	j := c.jobs[id]
@@ -168,6 +165,7 @@
 	if known.Started {
 		j.started = true
 	}
+	c.reckon(o)
 	for _, s := range o.steps {
 		if s.left == 0 {
 			c.closeStep(s)
@@ -258,6 +256,8 @@
 func (c *Core) closeStep(s *step) {
 	o := s.occurrence
 	o.open--
+	c.learn(s)
+	c.reckon(o)
 	for _, later := range o.steps {
 		if !slices.Contains(later.spec.After, s.index) {
 			continue
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -56,7 +56,7 @@
 	return cmp.Or(
 		cmp.Compare(ja.spec.Queue.Priority, jb.spec.Queue.Priority),
 		cmp.Compare(a.rank(now), b.rank(now)),
-		ja.objective.Compare(jb.objective),
+		a.occurrence.objective.Compare(b.occurrence.objective),
 	)
 }
 
@@ -67,24 +67,12 @@
 	switch {
 	case s.spec.Lasting:
 		return 1
-	case hopeless(s.occurrence.job, now):
+	case s.occurrence.hopeless(now):
 		return 2
 	}
 	return 0
 }
 
-// lateFactor is how many times its objective a job may take and still be of use.
-const lateFactor = 3
-
-// hopeless reports whether a job cannot end within the time in which it is of use.
-func hopeless(j *job, now time.Time) bool {
-	if j.lasting {
-		return false
-	}
-	due := j.spec.Due(0)
-	return now.After(due.Add(lateFactor * j.objective.Sub(due)))
-}
-
 // certain reports whether no earlier owner's run of the job's waiting tasks can
 // still be on a worker that has not reported.
 func (c *Core) certain(j *job, now time.Time) bool {
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -55,6 +55,10 @@
 	}
 	r := t.findRun(e.Run)
 	if r != nil && r.worker == w {
+		if e.Kind == EndDone {
+			r.work(now)
+			c.measure(r, 100)
+		}
 		c.remove(r)
 	}
 	switch e.Kind {
@@ -122,6 +126,7 @@
 		t.checkpoint = s.Checkpoint
 	}
 	r.advance(s, now)
+	c.measure(r, s.Percent)
 }
 
 // adopt takes over a run that an earlier owner started, or stops it if its task
@@ -133,7 +138,7 @@
 		return nil
 	}
 	r := c.add(w, t, s.Run, phaseRunning, now)
-	r.settled = now
+	r.settled, r.resumed = now, true
 	c.Leased(w.id, c.safe) // the lease that the earlier owner gave
 	if need := t.step.spec.Needs.Cores; t.step.spec.Fills && need > 0 {
 		// The earlier owner may have changed the pace; what the run uses tells.
@@ -164,6 +169,7 @@
 		}
 	}
 	r.figure = s.Figure
+	r.work(now)
 }
 
 // settle ends the runs that the worker lists neither as present nor as ended
--- a/internal/job/scheduler/steer.go
+++ b/internal/job/scheduler/steer.go
@@ -84,7 +84,7 @@
 				continue
 			}
 			rise := c.rise(serving.task.step, r.task.step, w.fillShare(r))
-			if by := rise * interference.Pressure(r.task.job().slackWeight(now)); rise > leastRise && by > cost {
+			if by := rise * interference.Pressure(r.task.step.occurrence.slackWeight(now)); rise > leastRise && by > cost {
 				worst, most, cost = r, rise, by
 			}
 		}
@@ -104,23 +104,6 @@
 	}
 }
 
-// Weights of the time that is left to a job: how much rather its tasks are slowed
-// than those of a job whose objective is near.
-const (
-	farSlack            = 8 * time.Second
-	farSlackWeight      = 2.0
-	hopelessSlackWeight = 4.0
-)
-
-// slackWeight returns the weight of a job among those to slow.
-func (j *job) slackWeight(now time.Time) float64 {
-	if hopeless(j, now) {
-		return hopelessSlackWeight
-	}
-	left := min(max(j.objective.Sub(now), 0), farSlack)
-	return 1 + (farSlackWeight-1)*float64(left)/float64(farSlack)
-}
-
 // fillShare returns the share of the worker's cores that a filling run uses at
 // its pace.
 func (w *worker) fillShare(r *run) float64 {
@@ -137,7 +120,7 @@
 		}
 	}
 	slices.SortFunc(slowed, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.job().slackWeight(now), b.task.job().slackWeight(now)), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.task.step.occurrence.slackWeight(now), b.task.step.occurrence.slackWeight(now)), cmp.Compare(a.number, b.number))
 	})
 	for _, r := range slowed {
 		s := r.task.step.spec
@@ -154,6 +137,7 @@
 	if percent == r.pace {
 		return
 	}
+	r.work(now)
 	r.pace, r.steered = percent, now
 	r.worker.paced, r.worker.fill = now, nil
 	r.progressed = now
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -30,7 +30,10 @@
 	settled    time.Time // since when an absence in a report means that it is over; zero: not yet
 	ordered    time.Time
 	percent    int
-	progressed time.Time // when percent last changed
+	progressed time.Time     // when percent last changed
+	worked     time.Duration // at full speed
+	workedAt   time.Time     // up to when worked counts; zero: since the start
+	resumed    bool          // from a checkpoint
 	figure     int
 	own        interference.Own // of a serving run
 	pace       int              // ordered share of its speed, 0 to 100
@@ -185,7 +188,7 @@
 
 // add puts a run on a worker.
 func (c *Core) add(w *worker, t *task, number graph.RunNumber, p phase, now time.Time) *run {
-	r := &run{task: t, number: number, worker: w, phase: p, ordered: now, progressed: now, steered: now, pace: 100}
+	r := &run{task: t, number: number, worker: w, phase: p, ordered: now, progressed: now, steered: now, pace: 100, resumed: t.checkpoint != ""}
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
