job/scheduler: serving tasks of one image share workers

Cause: with serving tasks of all images on each worker nearly every filling image disturbs one of them wherever it runs.

Change: a serving task goes to a worker whose serving tasks are all of its image, else to one without any, else to one that has its image at least.

TestServingCompany fails on the code before.

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -236,6 +236,9 @@
 		// Tasks with cores of their own are packed, so that some workers are left
 		// to the filling tasks that would disturb serving ones.
 		score = -float64(w.listing.Capacity.Cores-w.used.Cores-s.Needs.Cores) / capacity
+		if s.TailTarget > 0 {
+			score += w.company(t.step.image)
+		}
 	}
 	if s.Rack != "" && w.listing.Rack != s.Rack {
 		score -= farWeight
@@ -249,6 +252,36 @@
 	return score
 }
 
+// Weights of the serving tasks that a worker has already, for one more.
+const (
+	sameCompany  = 1.0  // all of the same image
+	noCompany    = 0.5  // none
+	otherCompany = -0.5 // none of the same image
+)
+
+// company returns how well a serving task of an image suits those on a worker.
+// Each image is disturbed by other filling images, so that a worker whose serving
+// tasks are all of one image can take more kinds of filling tasks than one with a
+// mix.
+func (w *worker) company(i *image) float64 {
+	same, other := false, false
+	for _, r := range w.runs {
+		if r.task.step.spec.TailTarget > 0 {
+			same = same || r.task.step.image == i
+			other = other || r.task.step.image != i
+		}
+	}
+	switch {
+	case !same && !other:
+		return noCompany
+	case !other:
+		return sameCompany
+	case !same:
+		return otherCompany
+	}
+	return 0
+}
+
 // leastSpeed is the expected speed below which a filling task waits: sharing the
 // cores among more tasks would make all of them late.
 const leastSpeed = 0.85
--- a/internal/job/scheduler/tail_test.go
+++ b/internal/job/scheduler/tail_test.go
@@ -56,3 +56,37 @@
 		})
 	}
 }
+
+// TestServingCompany guards against serving tasks of all images on each worker:
+// then nearly every filling task disturbs one of them wherever it runs.
+func TestServingCompany(t *testing.T) {
+	b := newFixture(t, 1, 0)
+	b.workers("w1", "w2", "w3", "w4")
+	serving := func(image string) graph.Step {
+		return graph.Step{
+			Count: 2, Needs: unit.Resources{Cores: 12000}, Lasting: true, Image: image,
+			TailTarget: 100 * time.Millisecond, Estimate: time.Second,
+		}
+	}
+	for _, id := range []unit.JobID{"a1", "b1", "a2", "b2"} {
+		b.job(id, serving(string(id[:1])), true)
+		b.starts(OutcomeDone)
+	}
+	images := map[unit.InstanceID]map[string]bool{}
+	for id, w := range b.core.workers {
+		for _, r := range w.runs {
+			if images[id] == nil {
+				images[id] = map[string]bool{}
+			}
+			images[id][r.task.step.spec.Image] = true
+		}
+	}
+	for id, mix := range images {
+		if len(mix) > 1 {
+			t.Errorf("%s serves %d images, want 1", id, len(mix))
+		}
+	}
+	if len(images) != 2 {
+		t.Errorf("%d workers serve, want 2 for 4 tasks of each image", len(images))
+	}
+}
