fleet/upkeep: waves of upkeep

Cause: operators' items under op/wave were ignored, so that machines had no upkeep and no state was written.

Change: fleet/upkeep has a pure plan (who goes next under the cap, which orders may still be under way, what to tell operators) and a service that carries it out in each term of this entry, with the entry as holder and the epoch as fence. The scheduler frees a worker first: tasks that save progress move, lasting ones as far as their step may miss them, others end or are given up after 5 s. platform/ translates machines, orders and waves. The stand-in has machines and notes too many away, two holders with one fence, and tasks that upkeep ends.

Ruled out: working until the channel of the term fires, which it does at each renewal; the scenario showed that each step began anew.

TestUpkeep: six machines with a cap of 2, with one owner and with two hand-overs, no fault.

Moves between pools are not built.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -16,6 +16,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/upkeep"
 	"github.com/monsoonfold/monsoonfold/internal/job/intake"
 	"github.com/monsoonfold/monsoonfold/internal/job/owner"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
@@ -132,6 +133,9 @@
 			return metric.Handler(), nil
 		}),
 	}
+	if s.Provider != "" {
+		services = append(services, upkeep.New(log, platform.NewMachines(s.Provider), platform.Waves{}, s.Bounds.Holder))
+	}
 	for _, service := range services {
 		if err := e.kernel.Register(service); err != nil {
 			return nil, errors.Errorf("register service: %w", err)
--- a/internal/entry/site/site_test.go
+++ b/internal/entry/site/site_test.go
@@ -20,10 +20,11 @@
 
 // deployment is a set of entries over the stand-ins of the platform.
 type deployment struct {
-	t       *testing.T
-	store   *standin.Store
-	fleet   *standin.Fleet
-	entries []*member
+	t        *testing.T
+	store    *standin.Store
+	fleet    *standin.Fleet
+	machines *standin.Machines
+	entries  []*member
 }
 
 // member is one running entry.
@@ -43,6 +44,8 @@
 	t.Cleanup(d.store.Close)
 	d.fleet = standin.NewFleet(d.store, 6)
 	t.Cleanup(d.fleet.Close)
+	d.machines = standin.NewMachines(d.fleet, waveCap)
+	t.Cleanup(d.machines.Close)
 	d.store.Put("servers/i-foreign", []byte(`{"service":7,"addr":null}`))
 	d.store.Put("op/config", []byte(testConfig))
 	for i := range entries {
@@ -58,6 +61,9 @@
 		if diff := cmp.Diff([]string(nil), d.fleet.Faults()); diff != "" {
 			t.Errorf("what workers saw (-want +got):\n%s", diff)
 		}
+		if diff := cmp.Diff([]string(nil), d.machines.Faults()); diff != "" {
+			t.Errorf("what the provider of machines saw (-want +got):\n%s", diff)
+		}
 	})
 	for _, m := range d.entries {
 		d.eventually("configuration in force", func() bool { return d.call(m, http.MethodGet, "/quotes/", "").status == http.StatusOK })
@@ -79,9 +85,12 @@
 [bounds]
 grace-s = 6
 stop-timeout-ms = 200
+lease-ms = 300
 [platform]
 addr = "%s"
-`, i, freeAddress(d.t), freeAddress(d.t), d.store.Address()))
+[cloud-api]
+addr = "%s"
+`, i, freeAddress(d.t), freeAddress(d.t), d.store.Address(), d.machines.Address()))
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/internal/fleet/unit/id.go
+++ b/internal/fleet/unit/id.go
@@ -24,6 +24,8 @@
 	ServiceID string
 	// ClassID names a class of work.
 	ClassID string
+	// MachineID names a machine, on which one worker lives after another.
+	MachineID string
 	// TeamID names a team with a quota.
 	TeamID string
 	// JobID names a job.
@@ -45,6 +47,8 @@
 	Attempt uint32
 	// Epoch is the fencing token of a shard's ownership, from 1.
 	Epoch uint64
+	// WaveNumber names a wave of upkeep that an operator asked for.
+	WaveNumber uint64
 	// Revision is a version: of a store record, or of the configuration.
 	Revision uint64
 )
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -154,6 +154,7 @@
 	ReasonTail       Reason = "tail over goal"  // a serving task beside it misses its target
 	ReasonTailFine   Reason = "tail below goal" // the serving tasks have headroom again
 	ReasonGang       Reason = "gang ended"      // another member of the gang ended
+	ReasonUpkeep     Reason = "upkeep"          // the worker's machine is due for upkeep
 	ReasonSlowed     Reason = "slowed"          // the run was slowed for long and can work elsewhere
 )
 
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -185,7 +185,7 @@
 func (c *Core) suits(w *worker, t *task, now time.Time) bool {
 	s := t.step.spec
 	switch {
-	case w.listing.Draining, c.evacuated[w.listing.Zone]:
+	case w.listing.Draining, c.evacuated[w.listing.Zone], !w.vacating.IsZero():
 		return false
 	case w.reported.IsZero(), now.Sub(w.reported) > contactLimit:
 		return false
--- a/internal/job/scheduler/watch.go
+++ b/internal/job/scheduler/watch.go
@@ -36,6 +36,9 @@
 	if w.listing.Draining {
 		c.drain(w, now)
 	}
+	if !w.vacating.IsZero() {
+		c.vacate(w)
+	}
 	if w.reported.IsZero() || now.Sub(w.reported) > contactLimit {
 		return // nothing is known of their progress
 	}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -57,6 +57,7 @@
 	seen        EndNumber       // highest end processed
 	cursor      EndNumber       // ends up to here are durable
 	health      health
+	vacating    time.Time // since when it is being freed for its machine's upkeep; zero: it is not
 	paced       time.Time // when the pace of a run was last changed
 	fill        *fillView // what placing filling tasks needs to know; nil: to be made
 	overSince   time.Time // since when a serving run is over its target; zero: none is
