job/owner: one connection to each worker of a large fleet

Neither processor nor memory binds.

Change: when three connections to each worker would pass what sockets the settings allow, workers get one, and no order waits there: reports are polled at the same interval. Ends are seen up to 0.4 s later then.

Ruled out: fewer idle connections only, as the hold order occupies one and orders to 3,000 workers need others at the same time.

--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -45,7 +45,8 @@
 	Prefix() kv.Key
 	Worker(kv.Key) unit.InstanceID
 	Listing(kv.Item) (scheduler.Listing, error)
-	Connect(id unit.InstanceID, address string) Worker
+	// Connect returns a client that uses up to a number of connections.
+	Connect(id unit.InstanceID, address string, conns int) Worker
 }
 
 // Worker carries orders to one worker.
@@ -59,6 +60,7 @@
 type Options struct {
 	Limits     scheduler.Limits
 	FinalState time.Duration // how long a final state must be shown
+	Sockets    int           // that this process may have; 0: no limit
 }
 
 // Service implements the shard owner.
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -60,6 +60,7 @@
 	revs     map[unit.JobID]unit.Revision // of the records of open jobs
 	finishes []scheduler.Finish           // to make durable
 	contacts map[unit.InstanceID]*contact
+	conns    int  // to each worker
 	closing  bool // no more orders
 	listings map[unit.InstanceID]scheduler.Listing
 	progress unit.Revision // of the progress record
@@ -77,6 +78,7 @@
 		dirty:    make(chan struct{}, 1),
 		revs:     map[unit.JobID]unit.Revision{},
 		contacts: map[unit.InstanceID]*contact{},
+		conns:    ownConns,
 		listings: map[unit.InstanceID]scheduler.Listing{},
 	}
 }
@@ -372,10 +374,12 @@
 // held.
 func (sh *shard) connect() {
 	wanted := map[unit.InstanceID]bool{}
-	for _, l := range sh.core.Workers() {
+	workers := sh.core.Workers()
+	sh.conns = connsPerWorker(len(workers), sh.service.options.Sockets, sh.conns)
+	for _, l := range workers {
 		wanted[l.ID] = true
 		c := sh.contacts[l.ID]
-		if c != nil && c.address != l.Address {
+		if c != nil && (c.address != l.Address || c.conns != sh.conns) {
 			c.cancel()
 			c = nil
 		}
