--- a/internal/desk/command/command.go
+++ b/internal/desk/command/command.go
@@ -77,7 +77,7 @@
 // attachAll adds every command to the parser and returns those that run.
 func attachAll(p *flaggy.Parser) []action {
 	single := []func() action{
-		newEntry, newServe, newDemo, newCheck, newKeys, newStatus, newForget, newBurn, newExplain, newTrace,
+		newEntry, newServe, newDemo, newCheck, newKeys, newStatus, newForget, newBurn, newExplain, newTrace, newReport,
 	}
 	groups := []group{
 		{"target", "the target document", []func() action{
--- a/internal/report/output/output.go
+++ b/internal/report/output/output.go
@@ -80,7 +80,8 @@
 			_, _ = w.to.Write(line) // there is nowhere to report a failure
 		case <-tick.C:
 			if left := w.left.Load(); left > reported {
-				fmt.Fprintf(w.to, "{\"level\":\"INFO\",\"msg\":\"log lines left out\",\"count\":%d}\n", left-reported)
+				fmt.Fprintf(w.to, "{\"time\":%q,\"level\":\"INFO\",\"msg\":\"log lines left out\",\"count\":%d}\n",
+					time.Now().Format(time.RFC3339Nano), left-reported)
 				reported = left
 			}
 		case <-w.stop:
