kernel/registry: goroutines of a service in one type

Change: registry.Tasks begins them and has Stop and Done; services embed it.

Conclusion: no behaviour changes; TestTasks holds it for all of them.

--- a/internal/fleet/listing/listing.go
+++ b/internal/fleet/listing/listing.go
@@ -29,10 +29,9 @@
 
 // Service reads the list once a second.
 type Service struct {
+	*registry.Tasks
 	log    logr.Logger
 	lister lister
-	cancel context.CancelFunc
-	done   chan struct{}
 
 	mu      sync.Mutex
 	current inventory.Snapshot
@@ -41,7 +40,7 @@
 
 // New returns a service that is not yet started.
 func New(log logr.Logger) *Service {
-	return &Service{log: log, done: make(chan struct{}), changed: make(chan struct{})}
+	return &Service{Tasks: registry.NewTasks(), log: log, changed: make(chan struct{})}
 }
 
 // Name implements registry.Service.
@@ -56,20 +55,10 @@
 	if err := s.read(ctx); err != nil {
 		return err
 	}
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	go s.run(ctx)
+	s.Begin(ctx, s.run)
 	return nil
 }
 
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // Snapshot returns the inventory of the last read.
 func (s *Service) Snapshot() inventory.Snapshot {
 	s.mu.Lock()
@@ -85,7 +74,6 @@
 }
 
 func (s *Service) run(ctx context.Context) {
-	defer close(s.done)
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	failing := false
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -63,15 +63,13 @@
 
 // Service implements the registration and the claims.
 type Service struct {
-	log    logr.Logger
-	self   unit.EntryID
-	ttl    time.Duration // of the owner's lease
-	store  kv.Client
-	reach  reach
-	peers  network
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup
-	done   chan struct{}
+	*registry.Tasks
+	log   logr.Logger
+	self  unit.EntryID
+	ttl   time.Duration // of the owner's lease
+	store kv.Client
+	reach reach
+	peers network
 
 	mu      sync.Mutex
 	view    View
@@ -86,7 +84,7 @@
 func New(log logr.Logger, self unit.EntryID, minTTL time.Duration) *Service {
 	return &Service{
 		log: log, self: self, ttl: max(ownerTTL, minTTL),
-		done:    make(chan struct{}),
+		Tasks:   registry.NewTasks(),
 		view:    newView(),
 		changed: make(chan struct{}),
 	}
@@ -105,28 +103,18 @@
 		return errors.Errorf("find mesh: %w", err)
 	}
 	s.store = kv.Client{Doer: s.reach}
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	s.tasks.Go(func() { s.follow(ctx) })
-	s.tasks.Go(func() { s.register(ctx) })
-	s.tasks.Go(func() { s.contend(ctx) })
-	go func() {
-		defer close(s.done)
-		s.tasks.Wait()
-	}()
+	s.Begin(ctx, s.follow, s.register, s.contend)
 	return nil
 }
 
 // Stop implements registry.Service. It gives up the shard first, so that another
 // entry can claim it at once.
 func (s *Service) Stop(ctx context.Context) error {
-	s.cancel()
+	err := s.Tasks.Stop(ctx)
 	s.Release(ctx)
-	return nil
+	return err
 }
 
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // Self returns the id of this entry.
 func (s *Service) Self() unit.EntryID { return s.self }
 
--- a/internal/fleet/upkeep/service.go
+++ b/internal/fleet/upkeep/service.go
@@ -60,6 +60,7 @@
 
 // Service carries out the waves.
 type Service struct {
+	*registry.Tasks
 	log      logr.Logger
 	provider Provider
 	format   Format
@@ -67,14 +68,12 @@
 	tenure   tenure
 	vacater  vacater
 	store    kv.Client
-	cancel   context.CancelFunc
-	done     chan struct{}
 }
 
 // New returns the service. lease is the time between the orders of two holders for
 // one machine.
 func New(log logr.Logger, p Provider, f Format, lease time.Duration) *Service {
-	return &Service{log: log, provider: p, format: f, lease: lease, done: make(chan struct{})}
+	return &Service{Tasks: registry.NewTasks(), log: log, provider: p, format: f, lease: lease}
 }
 
 // Name implements registry.Service.
@@ -94,23 +93,10 @@
 		return errors.Errorf("find store: %w", err)
 	}
 	s.store = kv.Client{Doer: doer}
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	go func() {
-		defer close(s.done)
-		s.follow(ctx)
-	}()
-	return nil
-}
-
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
+	s.Begin(ctx, s.follow)
 	return nil
 }
 
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // follow works in each term of this entry.
 func (s *Service) follow(ctx context.Context) {
 	var running unit.Epoch // 0: this entry does not own the shard
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -58,6 +58,7 @@
 
 // Service implements the intake of one entry.
 type Service struct {
+	*registry.Tasks
 	log      logr.Logger
 	store    kv.Client
 	reach    reach
@@ -66,14 +67,11 @@
 	owners   owners
 	writer   *writer
 	notifier *notifier
-	cancel   context.CancelFunc
-	tasks    sync.WaitGroup
-	done     chan struct{}
 }
 
 // New returns the service.
 func New(log logr.Logger) *Service {
-	return &Service{log: log, done: make(chan struct{})}
+	return &Service{Tasks: registry.NewTasks(), log: log}
 }
 
 // Name implements registry.Service.
@@ -101,27 +99,11 @@
 	s.peers.Handle(kindNotices, s.takeNotices)
 	s.peers.Handle(kindState, s.answerState)
 	s.peers.Handle(kindPending, s.answerPending)
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	for range maxWriting {
-		s.tasks.Go(func() { s.writer.run(ctx) })
-	}
-	s.tasks.Go(func() { s.notifier.run(ctx) })
-	go func() {
-		defer close(s.done)
-		s.tasks.Wait()
-	}()
+	runs := slices.Repeat([]func(context.Context){s.writer.run}, maxWriting)
+	s.Begin(ctx, append(runs, s.notifier.run)...)
 	return nil
 }
 
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // stateAnswer is the answer to kindState.
 type stateAnswer struct {
 	State graph.State `cbor:"1,keyasint"`
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -65,6 +65,7 @@
 
 // Service implements the shard owner.
 type Service struct {
+	*registry.Tasks
 	log     logr.Logger
 	options Options
 	fleet   Fleet
@@ -72,8 +73,6 @@
 	tenure  tenure
 	zones   zones
 	store   kv.Client
-	cancel  context.CancelFunc
-	done    chan struct{}
 
 	mu    sync.Mutex
 	shard *shard // nil while this entry does not own the shard
@@ -81,7 +80,7 @@
 
 // New returns the service. The adviser may be nil.
 func New(log logr.Logger, fleet Fleet, adviser Adviser, o Options) *Service {
-	return &Service{log: log, options: o, fleet: fleet, adviser: adviser, done: make(chan struct{})}
+	return &Service{Tasks: registry.NewTasks(), log: log, options: o, fleet: fleet, adviser: adviser}
 }
 
 // Name implements registry.Service.
@@ -101,23 +100,10 @@
 		return errors.Errorf("find store: %w", err)
 	}
 	s.store = kv.Client{Doer: doer}
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	go func() {
-		defer close(s.done)
-		s.follow(ctx)
-	}()
-	return nil
-}
-
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
+	s.Begin(ctx, s.follow)
 	return nil
 }
 
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // HandOver makes progress durable and gives up the shard for good, so that
 // another entry can claim it at once.
 func (s *Service) HandOver(ctx context.Context) {
--- /dev/null
+++ b/internal/kernel/registry/tasks_test.go
@@ -0,0 +1,41 @@
+package registry
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// TestTasks guards against goroutines that end with the start of their service,
+// go on after its stop, or are said to have ended too early.
+func TestTasks(t *testing.T) {
+	start, cancel := context.WithCancel(context.Background())
+	tasks := NewTasks()
+	release := make(chan struct{})
+	ended := make(chan struct{}, 2)
+	tasks.Begin(start, func(ctx context.Context) {
+		<-ctx.Done()
+		ended <- struct{}{}
+	}, func(ctx context.Context) {
+		<-ctx.Done()
+		<-release
+		ended <- struct{}{}
+	})
+	cancel()
+	select {
+	case <-ended:
+		t.Error("a goroutine ended with the context of the start")
+	case <-time.After(20 * time.Millisecond):
+	}
+	if err := tasks.Stop(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	<-ended
+	select {
+	case <-tasks.Done():
+		t.Error("done while a goroutine runs")
+	case <-time.After(20 * time.Millisecond):
+	}
+	close(release)
+	<-tasks.Done()
+}
--- a/internal/target/config/service.go
+++ b/internal/target/config/service.go
@@ -72,13 +72,12 @@
 
 // Service keeps the configuration.
 type Service struct {
+	*registry.Tasks
 	log      logr.Logger
 	store    storeClient
 	members  members
 	peers    peers
 	recorder recorder
-	cancel   context.CancelFunc
-	done     chan struct{}
 	ahead    chan unit.EntryID // a peer that has a higher revision
 
 	mu         sync.Mutex
@@ -92,7 +91,7 @@
 func New(log logr.Logger) *Service {
 	return &Service{
 		log:      log,
-		done:     make(chan struct{}),
+		Tasks:    registry.NewTasks(),
 		ahead:    make(chan unit.EntryID, 1),
 		changed:  make(chan struct{}),
 		progress: make(chan struct{}),
@@ -124,27 +123,10 @@
 	s.peers.Handle(message.KindPush, s.handlePush)
 	s.peers.Handle(message.KindPull, s.handlePull)
 	s.peers.SetPulse(s.beat, s.hear)
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	var wg sync.WaitGroup
-	wg.Go(func() { s.readHeads(ctx, reading) })
-	wg.Go(func() { s.follow(ctx) })
-	wg.Go(func() { s.pull(ctx) })
-	go func() {
-		defer close(s.done)
-		wg.Wait()
-	}()
+	s.Begin(ctx, func(ctx context.Context) { s.readHeads(ctx, reading) }, s.follow, s.pull)
 	return nil
 }
 
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // Current returns the highest revision that this entry has seen; its document is
 // shared and must not be changed. A caller that acts under a deadline of this
 // service reads the deadline first and Current second: in the other order a
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -39,12 +39,11 @@
 
 // Service follows the operators' items in the store.
 type Service struct {
+	*registry.Tasks
 	log     logr.Logger
 	decoder Decoder
 	store   kv.Client
 	current atomic.Pointer[Document]
-	cancel  context.CancelFunc
-	done    chan struct{}
 
 	mu        sync.Mutex
 	evacuated map[unit.ZoneID]bool
@@ -54,8 +53,7 @@
 // New returns a service that reads items with the decoder.
 func New(log logr.Logger, d Decoder) *Service {
 	return &Service{
-		log: log, decoder: d,
-		done:      make(chan struct{}),
+		Tasks: registry.NewTasks(), log: log, decoder: d,
 		evacuated: map[unit.ZoneID]bool{},
 		changed:   make(chan struct{}),
 	}
@@ -71,23 +69,10 @@
 		return errors.Errorf("find store: %w", err)
 	}
 	s.store = kv.Client{Doer: doer}
-	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	go func() {
-		defer close(s.done)
-		s.follow(ctx)
-	}()
+	s.Begin(ctx, s.follow)
 	return nil
 }
 
-// Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	return nil
-}
-
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // Current returns the newest configuration, or nil before the first.
 func (s *Service) Current() *Document { return s.current.Load() }
 
