job/scheduler: placement advice is asked ahead of need

Change: when no ready step needs an answer, the step whose turn comes within half of a ticket's validity is asked for, by the progress of the tasks before it.

Ruled out: asking for all steps at submission, as tickets expire.

TestAdviceAhead fails on the code before.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -48,6 +48,9 @@
 			best = s
 		}
 	}
+	if best == nil {
+		best = c.comingStep(now)
+	}
 	if best == nil {
 		return Ask{}, false
 	}
@@ -55,6 +58,73 @@
 	return a, len(a.Workers) > 0
 }
 
+// aheadShare is the part of a ticket's validity before the turn of a step at which
+// the advice is asked for it. The ticket must last until all tasks have started.
+const aheadShare = 0.5
+
+// comingStep returns the most urgent step whose turn comes soon and for which no
+// worker is known yet, so that its tasks can start as soon as the step before has
+// ended.
+func (c *Core) comingStep(now time.Time) *step {
+	var best *step
+	for _, j := range c.open {
+		if j.spec.Queue.Advice == nil || j.final != 0 {
+			continue
+		}
+		limit := time.Duration(aheadShare * float64(j.spec.Queue.Advice.Valid))
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.blockers == 0 || len(s.waiting) == 0 || c.untilTurn(s) > limit || c.permitted(s, now) {
+					continue
+				}
+				if best == nil || cmp.Or(c.policy.compare(s, best, now), compareSteps(s, best)) < 0 {
+					best = s
+				}
+			}
+		}
+	}
+	return best
+}
+
+// compareSteps orders steps by name, so that the same one is chosen each time.
+func compareSteps(a, b *step) int {
+	return cmp.Or(
+		cmp.Compare(a.occurrence.job.spec.ID, b.occurrence.job.spec.ID),
+		cmp.Compare(a.occurrence.index, b.occurrence.index),
+		cmp.Compare(a.index, b.index),
+	)
+}
+
+// untilTurn returns how long the steps before one are expected to take, not
+// counting waits for room.
+func (c *Core) untilTurn(s *step) time.Duration {
+	var longest time.Duration
+	for _, a := range s.spec.After {
+		earlier := s.occurrence.steps[a]
+		work := c.expectedWork(earlier)
+		for n := range earlier.tasks {
+			if t := &earlier.tasks[n]; !t.done {
+				longest = max(longest, t.untilDone(work))
+			}
+		}
+		if earlier.blockers > 0 {
+			longest += c.untilTurn(earlier)
+		}
+	}
+	return longest
+}
+
+// untilDone returns how much of its work is left to a task.
+func (t *task) untilDone(work time.Duration) time.Duration {
+	left := work
+	for _, r := range t.runs {
+		if r.percent > 0 {
+			left = min(left, work*time.Duration(100-r.percent)/100)
+		}
+	}
+	return left
+}
+
 // permitted reports whether a waiting task of the step can start by a ticket.
 func (c *Core) permitted(s *step, now time.Time) bool {
 	t := s.waiting[len(s.waiting)-1]
--- a/internal/job/scheduler/advice_test.go
+++ b/internal/job/scheduler/advice_test.go
@@ -56,3 +56,51 @@
 		})
 	}
 }
+
+// TestAdviceAhead guards against steps that wait for the placement advice although
+// it could have been asked while the step before ran, and against tickets that are
+// asked for so early that they expire before they are needed.
+func TestAdviceAhead(t *testing.T) {
+	tests := []struct {
+		name    string
+		percent int // progress of the step before, which takes 10 s
+		ahead   bool
+	}{
+		{"step before has just begun", 10, false},
+		{"step before ends soon", 90, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := newFixture(t, 1, 0)
+			b.workers("w1")
+			first := small
+			first.Estimate = 10 * time.Second
+			second := small
+			second.After = []graph.StepIndex{0}
+			job := jobOf("j", first, second)
+			job.Queue.Advice = &graph.Advice{Valid: 3 * time.Second}
+			b.core.AddJob(job, 0, true, b.now)
+			ask, _ := b.core.NextAsk(b.now)
+			b.core.Advised(ask, map[unit.InstanceID]Ticket{"w1": "t0"}, 3*time.Second, b.now)
+			b.starts(OutcomeDone)
+			b.after(first.Estimate * time.Duration(tt.percent) / 100)
+			b.report("w1", []RunStatus{{Task: taskOf("j"), Run: 1, Percent: tt.percent}}, nil)
+			ask, ok := b.core.NextAsk(b.now)
+			if ok != tt.ahead || (ok && ask.Step.Step != 1) {
+				t.Fatalf("question %+v, want one for step 1: %v", ask, tt.ahead)
+			}
+			if !ok {
+				return
+			}
+			b.core.Advised(ask, map[unit.InstanceID]Ticket{"w1": "t1"}, 3*time.Second, b.now)
+			if _, again := b.core.NextAsk(b.now); again {
+				t.Error("asked again for a step with a ticket")
+			}
+			b.report("w1", nil, []End{{Number: 1, Task: taskOf("j"), Run: 1, Kind: EndDone}})
+			starts := b.starts(OutcomeDone)
+			if len(starts) != 1 || starts[0].Ticket != "t1" {
+				t.Errorf("starts %+v, want one with ticket t1", starts)
+			}
+		})
+	}
+}
