--- a/internal/entry/site/site_test.go
+++ b/internal/entry/site/site_test.go
@@ -24,6 +24,7 @@
 	store    *standin.Store
 	fleet    *standin.Fleet
 	machines *standin.Machines
+	advice   *standin.Advice
 	entries  []*member
 }
 
@@ -36,6 +37,7 @@
 
 const testConfig = `{"version":3,"routes":[
 	{"name":"quotes","host":"h.example","prefix":"/quotes/","timeout-ms":3000,"target-latency-ms":250,"priority":0,"service":"svc","max-attempts":2,"stretch":1.5},
+	{"name":"advised","host":"h.example","prefix":"/advised/","timeout-ms":3000,"target-latency-ms":250,"service":"svc","max-attempts":2,"stretch":1.5,"advice":{"decision-ms":1,"period-ms":1,"valid-ms":3000}},
 	{"name":"takeoffs","host":"h.example","prefix":"/takeoffs/","timeout-ms":3000,"target-latency-ms":1000,"priority":2,"service":"svc","max-attempts":2,"stretch":2.0}
 ],"services":[{"name":"svc","rejects-overload":true}],"limits":{"max-body-bytes":65536}}`
 
@@ -46,6 +48,8 @@
 	t.Cleanup(d.fleet.Close)
 	d.machines = standin.NewMachines(d.fleet, waveCap)
 	t.Cleanup(d.machines.Close)
+	d.advice = standin.NewAdvice(d.fleet)
+	t.Cleanup(d.advice.Close)
 	d.store.Put("servers/i-foreign", []byte(`{"service":7,"addr":null}`))
 	d.store.Put("op/config", []byte(testConfig))
 	for i := range entries {
@@ -77,6 +81,7 @@
 zone = "z1"
 ip = "127.0.0.1"
 port-range = [0, 0]
+advice = "%s"
 [listen]
 front = "%s"
 ready = "%s"
@@ -90,7 +95,7 @@
 addr = "%s"
 [cloud-api]
 addr = "%s"
-`, i, freeAddress(d.t), freeAddress(d.t), d.store.Address(), d.machines.Address()))
+`, i, d.advice.Address(), freeAddress(d.t), freeAddress(d.t), d.store.Address(), d.machines.Address()))
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -174,6 +179,7 @@
 		{"filling", "/takeoffs/00000000000000a5", `{"spec":"x","steps":[{"count":6,"cpu":4000,"est-ms":100,"fills":true,"image":"f"}]}`, 200, "completed", 6},
 		{"fails as often as allowed", "/quotes/00000000000000a6", `{"spec":"fails","steps":[{"count":1,"cpu":1000,"est-ms":100}]}`, 200, "failed", 2},
 		{"needs more than any worker has", "/quotes/00000000000000a7", `{"spec":"x","steps":[{"count":1,"cpu":99000,"est-ms":100}]}`, 200, "queued", 0},
+		{"steps with placement advice", "/advised/00000000000000ab", `{"spec":"advised","steps":[{"count":4,"cpu":1000,"est-ms":100},{"count":2,"cpu":1000,"est-ms":100,"after":[0]}]}`, 200, "completed", 6},
 		{"no such queue", "/none/00000000000000a8", `{"spec":"x","steps":[{"count":1,"cpu":1}]}`, 404, "", 0},
 		{"step after itself", "/quotes/00000000000000a9", `{"spec":"x","steps":[{"count":1,"cpu":1,"after":[0]}]}`, 400, "", 0},
 		{"not JSON", "/quotes/00000000000000aa", `{"spec`, 400, "", 0},
