job/owner: own connections to each worker again

Conclusion: what an owner does for each worker and each pass has to cost less, or the shard has to be smaller, before sockets matter.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -119,7 +119,6 @@
 			StopTimeout: s.Bounds.StopTimeout,
 		},
 		FinalState: s.Bounds.FinalState,
-		Sockets:    s.Sockets,
 	})
 	services := []registry.Service{
 		mesh.New(log, s.Address, s.Peers),
--- a/internal/job/owner/contact.go
+++ b/internal/job/owner/contact.go
@@ -40,7 +40,6 @@
 	log     logr.Logger
 	id      unit.InstanceID
 	address string
-	conns   int
 	worker  Worker
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -56,8 +55,8 @@
 func newContact(sh *shard, l scheduler.Listing) *contact {
 	ctx, cancel := context.WithCancel(sh.ctx)
 	c := &contact{
-		shard: sh, log: sh.log.WithValues("worker", l.ID), id: l.ID, address: l.Address, conns: sh.conns,
-		worker: sh.service.fleet.Connect(l.ID, l.Address, sh.conns),
+		shard: sh, log: sh.log.WithValues("worker", l.ID), id: l.ID, address: l.Address,
+		worker: sh.service.fleet.Connect(l.ID, l.Address),
 		ctx:    ctx, cancel: cancel,
 		wake: make(chan struct{}, ordersPerWorker),
 	}
@@ -135,8 +134,7 @@
 		metric.StartTime.Record(now.Sub(o.Due))
 	}
 	metric.Orders.Add(kindName(o.Kind)+" "+outcome.String(), 1)
-	// Paces that were carried out are frequent and are counted only.
-	if outcome != scheduler.OutcomeDone || o.Kind != scheduler.OrderPace {
+	if outcome != scheduler.OutcomeDone || o.Kind == scheduler.OrderStart {
 		c.log.Info("order", "kind", kindName(o.Kind), "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step,
 			"task", o.Task.Index, "run", o.Run, "reason", o.Reason, "percent", o.Percent, "outcome", outcome.String())
 	}
@@ -245,13 +243,9 @@
 	if !c.shard.service.tenure.MayHold(time.Now()) {
 		return errStale
 	}
-	at := hold // the worker's part of the wait
-	if c.conns == sharedConns {
-		at = 0 // orders use the same connection
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, at+answerSlack)
+	ctx, cancel := context.WithTimeout(c.ctx, hold+answerSlack)
 	defer cancel()
-	report, clock, err := c.worker.Hold(ctx, c.shard.term.Epoch, until, cursor, at)
+	report, clock, err := c.worker.Hold(ctx, c.shard.term.Epoch, until, cursor, hold)
 	if err != nil {
 		return errors.Errorf("hold: %w", err)
 	}
@@ -262,11 +256,8 @@
 			metric.Ends.Add(e.Kind.String(), 1)
 		}
 	}
-	switch {
-	case len(report.Ended) > 0:
+	if len(report.Ended) > 0 {
 		wait.For(c.ctx, ackPause)
-	case at < hold:
-		wait.For(c.ctx, hold)
 	}
 	return nil
 }
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -45,8 +45,7 @@
 	Prefix() kv.Key
 	Worker(kv.Key) unit.InstanceID
 	Listing(kv.Item) (scheduler.Listing, error)
-	// Connect returns a client that uses up to a number of connections.
-	Connect(id unit.InstanceID, address string, conns int) Worker
+	Connect(id unit.InstanceID, address string) Worker
 }
 
 // Worker carries orders to one worker.
@@ -60,7 +59,6 @@
 type Options struct {
 	Limits     scheduler.Limits
 	FinalState time.Duration // how long a final state must be shown
-	Sockets    int           // that this process may have; 0: no limit
 }
 
 // Service implements the shard owner.
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -60,7 +60,6 @@
 	revs     map[unit.JobID]unit.Revision // of the records of open jobs
 	finishes []scheduler.Finish           // to make durable
 	contacts map[unit.InstanceID]*contact
-	conns    int  // to each worker
 	closing  bool // no more orders
 	listings map[unit.InstanceID]scheduler.Listing
 	progress unit.Revision // of the progress record
@@ -78,7 +77,6 @@
 		dirty:    make(chan struct{}, 1),
 		revs:     map[unit.JobID]unit.Revision{},
 		contacts: map[unit.InstanceID]*contact{},
-		conns:    ownConns,
 		listings: map[unit.InstanceID]scheduler.Listing{},
 	}
 }
@@ -374,12 +372,10 @@
 // held.
 func (sh *shard) connect() {
 	wanted := map[unit.InstanceID]bool{}
-	workers := sh.core.Workers()
-	sh.conns = connsPerWorker(len(workers), sh.service.options.Sockets, sh.conns)
-	for _, l := range workers {
+	for _, l := range sh.core.Workers() {
 		wanted[l.ID] = true
 		c := sh.contacts[l.ID]
-		if c != nil && (c.address != l.Address || c.conns != sh.conns) {
+		if c != nil && c.address != l.Address {
 			c.cancel()
 			c = nil
 		}
