--- a/internal/job/interference/pressure.go
+++ b/internal/job/interference/pressure.go
@@ -8,8 +8,8 @@
 
 // Pressure is how near the tail of a serving task is to its target: minus the
 // target over the tail, so that it is -1 at the target and -4 at a quarter of it.
-// The tail of a queue grows with 1/(1-utilization), so its pressure grows in
-// proportion to the load, by a batch task as much at a low load as at a high one.
+// The tail of a queue grows with 1/(1-utilization), so its pressure is linear in
+// the load, and a batch task adds as much at a low load as at a high one.
 type Pressure float64
 
 // PressureOf returns the pressure of a tail that is a share of its target.
--- a/internal/job/owner/contact.go
+++ b/internal/job/owner/contact.go
@@ -134,7 +134,8 @@
 		metric.StartTime.Record(now.Sub(o.Due))
 	}
 	metric.Orders.Add(kindName(o.Kind)+" "+outcome.String(), 1)
-	if outcome != scheduler.OutcomeDone || o.Kind == scheduler.OrderStart {
+	// Paces that were carried out are frequent and are counted only.
+	if outcome != scheduler.OutcomeDone || o.Kind != scheduler.OrderPace {
 		c.log.Info("order", "kind", kindName(o.Kind), "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step,
 			"task", o.Task.Index, "run", o.Run, "reason", o.Reason, "percent", o.Percent, "outcome", outcome.String())
 	}
--- a/internal/job/scheduler/deadline.go
+++ b/internal/job/scheduler/deadline.go
@@ -1,8 +1,6 @@
 package scheduler
 
-import (
-	"time"
-)
+import "time"
 
 // lateFactor is how many times its objective an occurrence may take and still be
 // of use.
@@ -27,25 +25,17 @@
 	}
 }
 
-// reckon sets by when an occurrence should be complete, and how much work is left
-// on its longest chain of steps.
+// reckon sets by when an occurrence should be complete, from its longest chain of
+// steps.
 func (c *Core) reckon(o *occurrence) {
-	whole := make([]time.Duration, len(o.steps))
-	rest := make([]time.Duration, len(o.steps))
+	ends := make([]time.Duration, len(o.steps))
 	var longest time.Duration
-	o.rest = 0
 	for i, s := range o.steps {
 		for _, a := range s.spec.After {
-			whole[i] = max(whole[i], whole[a])
-			rest[i] = max(rest[i], rest[a])
-		}
-		work := c.expectedWork(s)
-		whole[i] += work
-		if s.left > 0 {
-			rest[i] += work
+			ends[i] = max(ends[i], ends[a])
 		}
-		longest = max(longest, whole[i])
-		o.rest = max(o.rest, rest[i])
+		ends[i] += c.expectedWork(s)
+		longest = max(longest, ends[i])
 	}
 	queue := &o.job.spec.Queue
 	allowed := time.Duration(float64(longest)*max(queue.Stretch, 1)) + queue.Target
@@ -113,11 +103,6 @@
 	return now.After(o.due().Add(lateFactor * o.objective.Sub(o.due())))
 }
 
-// slack returns how long an occurrence may stand still and yet meet its objective.
-func (o *occurrence) slack(now time.Time) time.Duration {
-	return o.objective.Sub(now) - o.rest
-}
-
 // Weights of the slack of an occurrence: how much rather its tasks are slowed than
 // those of one without any.
 const (
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -29,8 +29,7 @@
 	steps []*step
 	open  int // steps that are not complete
 
-	objective time.Time     // when it should be complete
-	rest      time.Duration // work that is left on its longest chain of steps
+	objective time.Time // when it should be complete
 }
 
 // step is one step of one occurrence.
