--- a/internal/bench/replay/world.go
+++ b/internal/bench/replay/world.go
@@ -78,33 +78,6 @@
 	until  time.Duration
 }
 
-// reply is the end of a request.
-type reply struct {
-	at      time.Duration
-	latency time.Duration
-	entry   int
-	node    int
-	class   int
-	boot    int
-}
-
-type replies []reply
-
-func (r replies) Len() int           { return len(r) }
-func (r replies) Less(i, j int) bool { return r[i].at < r[j].at }
-func (r replies) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
-func (r *replies) Push(x any)        { *r = append(*r, x.(reply)) }
-func (r *replies) Pop() any {
-	last := (*r)[len(*r)-1]
-	*r = (*r)[:len(*r)-1]
-	return last
-}
-
-type timer struct {
-	at time.Duration
-	do func()
-}
-
 // world replays one trace under one policy.
 type world struct {
 	trace    *Trace
--- /dev/null
+++ b/internal/job/owner/follow.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// followJobs finds jobs and cancellations of which no entry told this owner.
+func (sh *shard) followJobs(since unit.Revision) {
+	for sh.pause(jobsPause) {
+		events, next, err := sh.service.store.Watch(sh.ctx, record.JobPrefix, since, watchWait)
+		if err != nil && sh.ctx.Err() == nil {
+			events, next, err = sh.service.store.List(sh.ctx, record.JobPrefix)
+		}
+		if err != nil {
+			continue // the store's service logs that it is away
+		}
+		since = next
+		sh.update(func(_ *scheduler.Core, now time.Time) {
+			for _, i := range events {
+				sh.add(i, now)
+			}
+		})
+	}
+}
+
+// followWorkers follows the instance list.
+func (sh *shard) followWorkers(since unit.Revision) {
+	for sh.pause(workersPause) {
+		events, next, err := sh.service.store.Watch(sh.ctx, sh.service.fleet.Prefix(), since, watchWait)
+		whole := err != nil && sh.ctx.Err() == nil
+		if whole {
+			events, next, err = sh.service.store.List(sh.ctx, sh.service.fleet.Prefix())
+		}
+		if err != nil {
+			sh.pause(retryPause)
+			continue
+		}
+		since = next
+		if len(events) == 0 {
+			continue
+		}
+		sh.update(func(c *scheduler.Core, now time.Time) {
+			if whole {
+				clear(sh.listings)
+			}
+			for _, i := range events {
+				sh.list(i)
+			}
+			c.SetWorkers(sh.listed(), now)
+			sh.connect()
+		})
+	}
+}
+
+// list takes an entry of the instance list. It is called with the lock held.
+func (sh *shard) list(i kv.Item) {
+	id := sh.service.fleet.Worker(i.Key)
+	if i.Deleted {
+		sh.log.Info("worker left the list", "worker", id, "revision", i.Revision)
+		delete(sh.listings, id)
+		return
+	}
+	l, err := sh.service.fleet.Listing(i)
+	if err != nil {
+		sh.log.Info("entry of the instance list left aside", "key", i.Key, "revision", i.Revision, "error", err.Error())
+		delete(sh.listings, id)
+		return
+	}
+	if old, ok := sh.listings[id]; !ok || old.Draining != l.Draining || old.Born != l.Born {
+		sh.log.Info("worker listed", "worker", id, "zone", l.Zone, "rack", l.Rack, "draining", l.Draining, "born", l.Born, "revision", i.Revision)
+	}
+	sh.listings[id] = l
+}
+
+func (sh *shard) listed() []scheduler.Listing { return slices.Collect(maps.Values(sh.listings)) }
+
+// connect keeps a contact for each worker of the core. It is called with the lock
+// held.
+func (sh *shard) connect() {
+	wanted := map[unit.InstanceID]bool{}
+	for _, l := range sh.core.Workers() {
+		wanted[l.ID] = true
+		c := sh.contacts[l.ID]
+		if c != nil && c.address != l.Address {
+			c.cancel()
+			c = nil
+		}
+		if c == nil {
+			c = newContact(sh, l)
+			sh.contacts[l.ID] = c
+		}
+	}
+	for id, c := range sh.contacts {
+		if !wanted[id] {
+			c.cancel()
+			delete(sh.contacts, id)
+		}
+	}
+}
+
+// followZones tells the core which zones are out of service.
+func (sh *shard) followZones() {
+	for {
+		zones, changed := sh.service.zones.Evacuated()
+		sh.update(func(c *scheduler.Core, _ time.Time) { c.SetEvacuated(zones) })
+		select {
+		case <-sh.ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/job/owner/jobs.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// add takes the record of a job. It is called with the lock held.
+func (sh *shard) add(i kv.Item, now time.Time) {
+	if i.Deleted {
+		return
+	}
+	r, err := record.DecodeJob(i.Value)
+	if err != nil {
+		sh.log.Error(err, "job record left aside", "key", i.Key, "revision", i.Revision)
+		return
+	}
+	sh.take(Submitted{Record: r, Revision: i.Revision, Created: i.Created}, now)
+}
+
+// take adds a job to the core, or its cancellation. It is called with the lock held.
+func (sh *shard) take(j Submitted, now time.Time) {
+	id := j.Record.Job.ID
+	if j.Revision < sh.revs[id] {
+		return // an older state of the record
+	}
+	_, known := sh.core.State(id)
+	sh.revs[id] = j.Revision
+	fresh := sh.before.fresh(j.Created, now)
+	sh.core.AddJob(&j.Record.Job, j.Record.State, fresh, now)
+	switch {
+	case j.Record.State == graph.Cancelled:
+		sh.log.Info("job cancelled", "job", id, "revision", j.Revision)
+	case !known && j.Record.State == 0:
+		sh.log.Info("job taken", "job", id, "queue", j.Record.Job.Queue.ID, "revision", j.Revision, "fresh", fresh)
+	}
+}
+
+func (sh *shard) accept(jobs []Submitted) {
+	sh.update(func(_ *scheduler.Core, now time.Time) {
+		for _, j := range jobs {
+			sh.take(j, now)
+		}
+	})
+}
+
+func (sh *shard) state(id unit.JobID) (graph.State, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.core.State(id)
+}
+
+func (sh *shard) pending(q graph.QueueID) int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.core.Pending(q)
+}
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
@@ -246,161 +243,3 @@
 		}
 	}
 }
-
-// add takes the record of a job. It is called with the lock held.
-func (sh *shard) add(i kv.Item, now time.Time) {
-	if i.Deleted {
-		return
-	}
-	r, err := record.DecodeJob(i.Value)
-	if err != nil {
-		sh.log.Error(err, "job record left aside", "key", i.Key, "revision", i.Revision)
-		return
-	}
-	sh.take(Submitted{Record: r, Revision: i.Revision, Created: i.Created}, now)
-}
-
-// take adds a job to the core, or its cancellation. It is called with the lock held.
-func (sh *shard) take(j Submitted, now time.Time) {
-	id := j.Record.Job.ID
-	if j.Revision < sh.revs[id] {
-		return // an older state of the record
-	}
-	_, known := sh.core.State(id)
-	sh.revs[id] = j.Revision
-	fresh := sh.before.fresh(j.Created, now)
-	sh.core.AddJob(&j.Record.Job, j.Record.State, fresh, now)
-	switch {
-	case j.Record.State == graph.Cancelled:
-		sh.log.Info("job cancelled", "job", id, "revision", j.Revision)
-	case !known && j.Record.State == 0:
-		sh.log.Info("job taken", "job", id, "queue", j.Record.Job.Queue.ID, "revision", j.Revision, "fresh", fresh)
-	}
-}
-
-func (sh *shard) accept(jobs []Submitted) {
-	sh.update(func(_ *scheduler.Core, now time.Time) {
-		for _, j := range jobs {
-			sh.take(j, now)
-		}
-	})
-}
-
-func (sh *shard) state(id unit.JobID) (graph.State, bool) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.core.State(id)
-}
-
-func (sh *shard) pending(q graph.QueueID) int {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.core.Pending(q)
-}
-
-// followJobs finds jobs and cancellations of which no entry told this owner.
-func (sh *shard) followJobs(since unit.Revision) {
-	for sh.pause(jobsPause) {
-		events, next, err := sh.service.store.Watch(sh.ctx, record.JobPrefix, since, watchWait)
-		if err != nil && sh.ctx.Err() == nil {
-			events, next, err = sh.service.store.List(sh.ctx, record.JobPrefix)
-		}
-		if err != nil {
-			continue // the store's service logs that it is away
-		}
-		since = next
-		sh.update(func(_ *scheduler.Core, now time.Time) {
-			for _, i := range events {
-				sh.add(i, now)
-			}
-		})
-	}
-}
-
-// followWorkers follows the instance list.
-func (sh *shard) followWorkers(since unit.Revision) {
-	for sh.pause(workersPause) {
-		events, next, err := sh.service.store.Watch(sh.ctx, sh.service.fleet.Prefix(), since, watchWait)
-		whole := err != nil && sh.ctx.Err() == nil
-		if whole {
-			events, next, err = sh.service.store.List(sh.ctx, sh.service.fleet.Prefix())
-		}
-		if err != nil {
-			sh.pause(retryPause)
-			continue
-		}
-		since = next
-		if len(events) == 0 {
-			continue
-		}
-		sh.update(func(c *scheduler.Core, now time.Time) {
-			if whole {
-				clear(sh.listings)
-			}
-			for _, i := range events {
-				sh.list(i)
-			}
-			c.SetWorkers(sh.listed(), now)
-			sh.connect()
-		})
-	}
-}
-
-// list takes an entry of the instance list. It is called with the lock held.
-func (sh *shard) list(i kv.Item) {
-	id := sh.service.fleet.Worker(i.Key)
-	if i.Deleted {
-		sh.log.Info("worker left the list", "worker", id, "revision", i.Revision)
-		delete(sh.listings, id)
-		return
-	}
-	l, err := sh.service.fleet.Listing(i)
-	if err != nil {
-		sh.log.Info("entry of the instance list left aside", "key", i.Key, "revision", i.Revision, "error", err.Error())
-		delete(sh.listings, id)
-		return
-	}
-	if old, ok := sh.listings[id]; !ok || old.Draining != l.Draining || old.Born != l.Born {
-		sh.log.Info("worker listed", "worker", id, "zone", l.Zone, "rack", l.Rack, "draining", l.Draining, "born", l.Born, "revision", i.Revision)
-	}
-	sh.listings[id] = l
-}
-
-func (sh *shard) listed() []scheduler.Listing { return slices.Collect(maps.Values(sh.listings)) }
-
-// connect keeps a contact for each worker of the core. It is called with the lock
-// held.
-func (sh *shard) connect() {
-	wanted := map[unit.InstanceID]bool{}
-	for _, l := range sh.core.Workers() {
-		wanted[l.ID] = true
-		c := sh.contacts[l.ID]
-		if c != nil && c.address != l.Address {
-			c.cancel()
-			c = nil
-		}
-		if c == nil {
-			c = newContact(sh, l)
-			sh.contacts[l.ID] = c
-		}
-	}
-	for id, c := range sh.contacts {
-		if !wanted[id] {
-			c.cancel()
-			delete(sh.contacts, id)
-		}
-	}
-}
-
-// followZones tells the core which zones are out of service.
-func (sh *shard) followZones() {
-	for {
-		zones, changed := sh.service.zones.Evacuated()
-		sh.update(func(c *scheduler.Core, _ time.Time) { c.SetEvacuated(zones) })
-		select {
-		case <-sh.ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
