--- a/internal/report/day/day.go
+++ b/internal/report/day/day.go
@@ -69,7 +69,7 @@
 	}
 	d.From, d.To = lines[0].At, lines[len(lines)-1].At
 	d.Seconds = make([]Second, int(d.To.Sub(d.From)/time.Second)+1)
-	b := builder{day: d, taken: map[string]Line{}}
+	b := builder{day: d, taken: map[string]Line{}, ended: map[string]bool{}}
 	for _, l := range lines {
 		b.add(l)
 	}
@@ -84,6 +84,7 @@
 type builder struct {
 	day    *Day
 	taken  map[string]Line // first line of each job
+	ended  map[string]bool // jobs whose final state was counted
 	starts []start
 }
 
@@ -101,8 +102,7 @@
 	case textTaken:
 		b.take(l)
 	case textFinal:
-		s.Finals++
-		b.final(l)
+		b.final(l, s)
 	case textTakeover:
 		d.Takeovers = append(d.Takeovers, Takeover{Epoch: int(l.number("epoch")), Entry: l.Entry, At: l.At})
 	case textShard:
@@ -140,11 +140,16 @@
 	b.queue(l.text("queue")).Taken++
 }
 
-func (b *builder) final(l Line) {
-	taken, known := b.taken[l.text("job")]
-	if !known {
+// final counts the end of a job once: an owner that could not make it durable, and
+// the next one, may both have logged it.
+func (b *builder) final(l Line, s *Second) {
+	id := l.text("job")
+	taken, known := b.taken[id]
+	if !known || b.ended[id] {
 		return
 	}
+	b.ended[id] = true
+	s.Finals++
 	q := b.queue(taken.text("queue"))
 	q.Finals[l.text("state")]++
 	q.Times = append(q.Times, l.At.Sub(taken.At))
