fleet/upkeep: waves withdrawn while changes were missed

Cause (by reading): after the store forgot its history the service listed the waves again and kept those that were gone from the list.

Change: the plan holds the listed waves and no others.

Conclusion: TestReplace fails without it. begin is startTerm, as Begin of registry.Tasks means something else.

--- a/internal/fleet/upkeep/service.go
+++ b/internal/fleet/upkeep/service.go
@@ -109,7 +109,7 @@
 			running, stop = 0, func() {}
 		}
 		if mine && running == 0 && ctx.Err() == nil {
-			running, stop = term.Epoch, s.begin(ctx, term)
+			running, stop = term.Epoch, s.startTerm(ctx, term)
 		}
 		select {
 		case <-ctx.Done():
@@ -119,8 +119,8 @@
 	}
 }
 
-// begin starts to work on the waves of a term, and returns what ends that.
-func (s *Service) begin(ctx context.Context, term ownership.Term) (stop func()) {
+// startTerm starts to work on the waves in a term, and returns what ends that.
+func (s *Service) startTerm(ctx context.Context, term ownership.Term) (stop func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -146,9 +146,7 @@
 			wait.For(ctx, retryPause)
 			continue
 		}
-		for _, i := range items {
-			s.take(plan, i)
-		}
+		s.replace(plan, items)
 		s.carryOut(ctx, term, plan, revision)
 	}
 }
@@ -175,6 +173,24 @@
 	}
 }
 
+// replace makes the plan hold the listed waves and no others: changes may have
+// been missed.
+func (s *Service) replace(plan *Plan, items []kv.Item) {
+	listed := map[unit.WaveNumber]bool{}
+	for _, i := range items {
+		if number, ok := s.format.Number(i.Key); ok {
+			listed[number] = true
+		}
+		s.take(plan, i)
+	}
+	for _, number := range plan.Waves() {
+		if !listed[number] {
+			plan.Withdraw(number)
+			s.log.Info("wave of upkeep withdrawn", "wave", number)
+		}
+	}
+}
+
 // take reads one item about a wave.
 func (s *Service) take(plan *Plan, i kv.Item) {
 	number, ok := s.format.Number(i.Key)
--- a/internal/fleet/upkeep/service_test.go
+++ b/internal/fleet/upkeep/service_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -90,6 +91,18 @@
 	return Begun
 }
 
+// TestReplace guards against a wave that is carried out although it was withdrawn
+// while changes were missed.
+func TestReplace(t *testing.T) {
+	s := New(logr.Discard(), make(provider), format{}, 0)
+	plan := NewPlan()
+	plan.SetWave(Wave{Number: 3, Machines: []unit.MachineID{"m"}, Cap: 1})
+	s.replace(plan, []kv.Item{{Key: "w/4", Revision: 9}})
+	if diff := cmp.Diff([]unit.WaveNumber{4}, plan.Waves()); diff != "" {
+		t.Errorf("waves (-want +got):\n%s", diff)
+	}
+}
+
 // TestTerm guards against an owner whose orders come together with those of the
 // holder before, and against orders of an entry that may not be the owner any more.
 func TestTerm(t *testing.T) {
--- a/internal/fleet/upkeep/wave.go
+++ b/internal/fleet/upkeep/wave.go
@@ -102,6 +102,9 @@
 	p.waves[w.Number] = &progress{wave: w, begun: map[unit.MachineID]bool{}, settled: map[unit.MachineID]time.Time{}}
 }
 
+// Waves returns the numbers of all waves, in order.
+func (p *Plan) Waves() []unit.WaveNumber { return slices.Sorted(maps.Keys(p.waves)) }
+
 // Withdraw drops a wave that is not asked for any more.
 func (p *Plan) Withdraw(n unit.WaveNumber) { delete(p.waves, n) }
 
@@ -130,7 +133,7 @@
 		listed[m.ID] = m
 	}
 	var next []Candidate
-	for _, n := range slices.Sorted(maps.Keys(p.waves)) {
+	for _, n := range p.Waves() {
 		next = append(next, p.waves[n].see(listed, asked)...)
 	}
 	return next
@@ -195,7 +198,7 @@
 // Reports returns the states that operators were not told yet.
 func (p *Plan) Reports() []Report {
 	var reports []Report
-	for _, n := range slices.Sorted(maps.Keys(p.waves)) {
+	for _, n := range p.Waves() {
 		if w := p.waves[n]; w.state() != w.said {
 			reports = append(reports, Report{Wave: n, State: w.state()})
 		}
