job/scheduler, storage/kv: state that nothing reads, and one occupied

The reason of a stop was kept on the run and the cores that filling runs ask for on the worker, and nothing read either; no caller asked the store for stale answers. The room that a task takes was worked out in charge, in fits and in victims beside occupied, which all of them call now. No behaviour changes: a request never carried the stale flag.

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -208,11 +208,7 @@
 
 // fits reports whether a worker has room for a task of the step.
 func (w *worker) fits(s *graph.Step) bool {
-	n := s.Needs
-	if s.Fills {
-		n.Cores = 0
-	}
-	return n.Fits(w.listing.Capacity.Sub(w.used))
+	return occupied(s).Fits(w.listing.Capacity.Sub(w.used))
 }
 
 // Weights of the parts of a worker's score, in shares of its capacity.
--- a/internal/job/scheduler/preempt.go
+++ b/internal/job/scheduler/preempt.go
@@ -40,10 +40,7 @@
 // victims returns the runs to stop so that the task fits, or nil. stopping says
 // that runs which are ending already will leave enough room.
 func (w *worker) victims(t *task) (victims []*run, stopping bool) {
-	need := t.step.spec.Needs
-	if t.step.spec.Fills {
-		need.Cores = 0
-	}
+	need := occupied(t.step.spec)
 	free := w.listing.Capacity.Sub(w.used)
 	var candidates []*run
 	for _, r := range w.runs {
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -38,7 +38,6 @@
 	own        interference.Own // of a serving run
 	pace       int              // ordered share of its speed, 0 to 100
 	steered    time.Time        // when it was started or its pace was last changed
-	stopReason Reason
 }
 
 // worker is one worker and what runs there.
@@ -51,11 +50,10 @@
 	lapse       time.Time   // when its lease has surely expired; zero: it has none from this owner
 	leaves      time.Time   // while draining: when it may exit
 	runs        map[graph.Task]*run
-	used        unit.Resources  // of all runs; the cores of filling runs are left out
-	filling     unit.Millicores // cores that filling runs ask for
-	unknownRuns int             // listed runs that are of no task here
-	seen        EndNumber       // highest end processed
-	cursor      EndNumber       // ends up to here are durable
+	used        unit.Resources // of all runs; the cores of filling runs are left out
+	unknownRuns int            // listed runs that are of no task here
+	seen        EndNumber      // highest end processed
+	cursor      EndNumber      // ends up to here are durable
 	health      health
 	vacating    time.Time // since when it is being freed for its machine's upkeep; zero: it is not
 	paced       time.Time // when the pace of a run was last changed
@@ -201,7 +199,7 @@
 	}
 	w.runs[t.id()] = r
 	w.fill = nil
-	w.charge(t.step.spec, 1)
+	w.used = w.used.Add(occupied(t.step.spec))
 	return r
 }
 
@@ -215,30 +213,16 @@
 	t.job().active--
 	delete(r.worker.runs, t.id())
 	r.worker.fill = nil
-	r.worker.charge(t.step.spec, -1)
+	r.worker.used = r.worker.used.Sub(occupied(t.step.spec))
 	c.wake = true
 }
 
-// charge adds a task to the used resources of the worker, or takes it off.
-func (w *worker) charge(s *graph.Step, sign int64) {
-	n := s.Needs
-	if s.Fills {
-		w.filling += n.Cores * unit.Millicores(sign)
-		n.Cores = 0
-	}
-	if sign > 0 {
-		w.used = w.used.Add(n)
-	} else {
-		w.used = w.used.Sub(n)
-	}
-}
-
 // stop orders the end of a run unless that was done before.
 func (c *Core) stop(r *run, reason Reason) {
 	if r.phase == phaseStopping {
 		return
 	}
-	r.phase, r.settled, r.stopReason = phaseStopping, time.Time{}, reason
+	r.phase, r.settled = phaseStopping, time.Time{}
 	c.order(Order{Kind: OrderStop, Worker: r.worker.id, Born: r.worker.born, Task: r.task.id(), Run: r.number, Reason: reason})
 }
 
--- a/internal/storage/kv/kv.go
+++ b/internal/storage/kv/kv.go
@@ -104,7 +104,6 @@
 	After Key           `cbor:"3,keyasint,omitempty"` // range: the last key of the page before
 	Since unit.Revision `cbor:"4,keyasint,omitempty"` // watch: events after this revision
 	Wait  time.Duration `cbor:"5,keyasint,omitempty"` // watch: how long the store may wait
-	Stale bool          `cbor:"6,keyasint,omitempty"` // get and range: cheap, may be seconds old
 	Txn   Txn           `cbor:"7,keyasint,omitempty"`
 	Lease LeaseID       `cbor:"8,keyasint,omitempty"`
 	TTL   time.Duration `cbor:"9,keyasint,omitempty"`
