--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -96,7 +96,7 @@
 // Start implements registry.Service.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
 	var err error
-	if s.reach, err = registry.Find[reach](k, "store"); err != nil {
+	if s.reach, err = registry.Find[reach](k, kv.ServiceName); err != nil {
 		return errors.Errorf("find store: %w", err)
 	}
 	if s.peers, err = registry.Find[network](k, mesh.ServiceName); err != nil {
--- a/internal/fleet/upkeep/service.go
+++ b/internal/fleet/upkeep/service.go
@@ -88,36 +88,15 @@
 	if s.vacater, err = registry.Find[vacater](k, "owner"); err != nil {
 		return errors.Errorf("find owner: %w", err)
 	}
-	doer, err := registry.Find[kv.Doer](k, "store")
-	if err != nil {
-		return errors.Errorf("find store: %w", err)
+	if s.store, err = kv.Find(k); err != nil {
+		return err
 	}
-	s.store = kv.Client{Doer: doer}
 	s.Begin(ctx, s.follow)
 	return nil
 }
 
 // follow works in each term of this entry.
-func (s *Service) follow(ctx context.Context) {
-	var running unit.Epoch // 0: this entry does not own the shard
-	stop := func() {}
-	defer func() { stop() }()
-	for {
-		term, mine, changed := s.tenure.Term()
-		if running != 0 && (!mine || term.Epoch != running) {
-			stop()
-			running, stop = 0, func() {}
-		}
-		if mine && running == 0 && ctx.Err() == nil {
-			running, stop = term.Epoch, s.startTerm(ctx, term)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
+func (s *Service) follow(ctx context.Context) { ownership.EachTerm(ctx, s.tenure, s.startTerm) }
 
 // startTerm starts to work on the waves in a term, and returns what ends that.
 func (s *Service) startTerm(ctx context.Context, term ownership.Term) (stop func()) {
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -79,7 +79,7 @@
 
 // Start implements registry.Service.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
-	doer, err := registry.Find[reach](k, "store")
+	doer, err := registry.Find[reach](k, kv.ServiceName)
 	if err != nil {
 		return errors.Errorf("find store: %w", err)
 	}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -93,11 +93,9 @@
 	if s.zones, err = registry.Find[zones](k, "directory"); err != nil {
 		return errors.Errorf("find directory: %w", err)
 	}
-	doer, err := registry.Find[kv.Doer](k, "store")
-	if err != nil {
-		return errors.Errorf("find store: %w", err)
+	if s.store, err = kv.Find(k); err != nil {
+		return err
 	}
-	s.store = kv.Client{Doer: doer}
 	s.Begin(ctx, s.follow)
 	return nil
 }
@@ -112,44 +110,22 @@
 }
 
 // follow runs a shard for each term of this entry.
-func (s *Service) follow(ctx context.Context) {
-	var running *shard
-	defer func() { s.finish(running) }()
-	for {
-		term, mine, changed := s.tenure.Term()
-		if running != nil && (!mine || term.Epoch != running.term.Epoch) {
-			s.finish(running)
-			running = nil
-		}
-		if mine && running == nil && ctx.Err() == nil {
-			running = s.begin(ctx, term)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-	}
-}
+func (s *Service) follow(ctx context.Context) { ownership.EachTerm(ctx, s.tenure, s.begin) }
 
-func (s *Service) begin(ctx context.Context, t ownership.Term) *shard {
+// begin starts the shard of a term, and returns what ends it.
+func (s *Service) begin(ctx context.Context, t ownership.Term) (end func()) {
 	sh := newShard(ctx, s, t)
 	go func() {
 		defer close(sh.done)
 		sh.run()
 	}()
-	return sh
-}
-
-func (s *Service) finish(sh *shard) {
-	if sh == nil {
-		return
+	return func() {
+		s.publish(nil)
+		sh.cancel()
+		<-sh.done
+		metric.Terms.Add("given up", 1)
+		s.log.Info("shard given up", "epoch", sh.term.Epoch)
 	}
-	s.publish(nil)
-	sh.cancel()
-	<-sh.done
-	metric.Terms.Add("given up", 1)
-	s.log.Info("shard given up", "epoch", sh.term.Epoch)
 }
 
 // publish makes a shard that has taken over answer for jobs.
--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -19,7 +19,7 @@
 )
 
 // ServiceName is the name of the service in a kernel.
-const ServiceName registry.Name = "store"
+const ServiceName = kv.ServiceName
 
 // kindStore is the kind of the calls that carry a store request to a peer.
 const kindStore mesh.Kind = 1
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -64,11 +63,10 @@
 
 // Start implements registry.Service.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
-	doer, err := registry.Find[kv.Doer](k, "store")
-	if err != nil {
-		return errors.Errorf("find store: %w", err)
+	var err error
+	if s.store, err = kv.Find(k); err != nil {
+		return err
 	}
-	s.store = kv.Client{Doer: doer}
 	s.Begin(ctx, s.follow)
 	return nil
 }
