storage/kv: one loop that lists and then watches

fleet/ownership and target/directory had the same loop. kv.Client.Follow serves both; the pauses and what is listed again stay as they were. The owner's looks at jobs and workers keep their own, as they pause before each, and so does fleet/upkeep, which works between two watches.

--- a/internal/fleet/ownership/follow.go
+++ b/internal/fleet/ownership/follow.go
@@ -5,33 +5,13 @@
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// follow lists the records and then watches them, until the context ends.
+// follow keeps the view up to date until the context ends.
 func (s *Service) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		sent := time.Now()
-		items, revision, err := s.store.List(ctx, prefix)
-		if err != nil {
-			wait.For(ctx, retryPause)
-			continue
-		}
-		s.reset(items, sent)
-		for ctx.Err() == nil {
-			sent = time.Now()
-			var events []kv.Item
-			var next unit.Revision
-			events, next, err = s.store.Watch(ctx, prefix, revision, s.watchTime())
-			if err != nil {
-				break // the history is gone, or changes may have been missed
-			}
-			revision = next
-			s.update(events, sent)
-		}
-	}
+	s.store.Follow(ctx, prefix, kv.Feed{Wait: s.watchTime, Listed: s.reset, Changed: s.update})
 }
 
 // watchTime returns how long the store may hold a watch.
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -11,19 +11,14 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
-	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
 // ServiceName is the name of the service in a kernel.
 const ServiceName registry.Name = "directory"
 
-// Times of the watch.
-const (
-	// watchWait bounds how long a silent connection hides a new version.
-	watchWait  = 1500 * time.Millisecond
-	retryPause = 150 * time.Millisecond
-)
+// watchWait bounds how long a silent connection hides a new version.
+const watchWait = 1500 * time.Millisecond
 
 // Decoder reads the operators' items.
 type Decoder interface {
@@ -82,28 +77,17 @@
 	return maps.Clone(s.evacuated), s.changed
 }
 
-// follow lists the items and then watches them, until the context ends.
+// follow keeps what is known of the items up to date until the context ends.
 func (s *Service) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		items, revision, err := s.store.List(ctx, s.decoder.Prefix())
-		if err != nil {
-			wait.For(ctx, retryPause)
-			continue
-		}
-		s.replace(items)
-		for ctx.Err() == nil {
-			var events []kv.Item
-			var next unit.Revision
-			events, next, err = s.store.Watch(ctx, s.decoder.Prefix(), revision, watchWait)
-			if err != nil {
-				break // the history is gone, or changes may have been missed
-			}
-			revision = next
+	s.store.Follow(ctx, s.decoder.Prefix(), kv.Feed{
+		Wait:   func() time.Duration { return watchWait },
+		Listed: func(items []kv.Item, _ time.Time) { s.replace(items) },
+		Changed: func(events []kv.Item, _ time.Time) {
 			for _, e := range events {
 				s.apply(e)
 			}
-		}
-	}
+		},
+	})
 }
 
 func (s *Service) replace(items []kv.Item) {
