fleet/ownership: entries claim in the order of their capacity

Cause: the order of claims was a hash of the id of the entry.

Change: the settings hold the limits of processor and link beside that of memory, an entry registers with them, and the claim order goes by classes of the scarcest limit before the hash. Entries of earlier versions register without limits and claim last. Where no owner has been seen since the start of the process, claims begin 0.5 s after the first view, as entries that start together register within that time; before, the first to register claimed alone.

TestClaimOrder failed with the order of before: view_test.go:180: order ["a" "c" "b" "d"], want one of ["b"] first and one of ["a" "c" "d"] last.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -58,8 +58,8 @@
 // with.
 func Run(ctx context.Context, s platform.Settings, baseline bool, log logr.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimit)))
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.Memory)))
 	}
 	self := newEntryID(s.Node)
 	log = log.WithValues("entry", self)
@@ -126,7 +126,7 @@
 		mesh.New(log, s.IP, s.PeerPorts),
 		access.New(log, platform.NewStoreClient(s.StoreAddress)),
 		directory.New(log, platform.OperatorDecoder{}),
-		ownership.New(log, self, s.Bounds.MinLeaseTTL),
+		ownership.New(log, self, ownership.Capacity(s.Limits), s.Bounds.MinLeaseTTL),
 		e.owner,
 		intake.New(log),
 		newServer("front", s.FrontAddress, log, newJobHandler),
--- a/internal/fleet/ownership/register.go
+++ b/internal/fleet/ownership/register.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := cbor.Marshal(s.peers.Self())
+	value, err := cbor.Marshal(entryRecord{Peer: s.peers.Self(), Capacity: s.capacity})
 	if err != nil {
 		return 0, errors.Errorf("encode entry record: %w", err)
 	}
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -68,6 +68,7 @@
 	*registry.Tasks
 	log         logr.Logger
 	self        unit.EntryID
+	capacity    Capacity
 	ownerTTL    time.Duration // of the lease of the owner record
 	store       kv.Client
 	storeAccess storeAccess
@@ -82,11 +83,12 @@
 	resigned          bool
 }
 
-// New returns a service for the entry that is not started. minTTL is the shortest
+// New returns a service for the entry, which has the given capacity, that is not
+// started. minTTL is the shortest
 // lease that the store grants.
-func New(log logr.Logger, self unit.EntryID, minTTL time.Duration) *Service {
+func New(log logr.Logger, self unit.EntryID, capacity Capacity, minTTL time.Duration) *Service {
 	return &Service{
-		log: log, self: self, ownerTTL: max(ownerTTL, minTTL),
+		log: log, self: self, capacity: capacity, ownerTTL: max(ownerTTL, minTTL),
 		Tasks:       registry.NewTasks(),
 		view:        newView(),
 		viewChanged: make(chan struct{}),
--- a/internal/fleet/ownership/view.go
+++ b/internal/fleet/ownership/view.go
@@ -28,6 +28,13 @@
 	EpochKey kv.Key = keyPrefix + "epoch"
 )
 
+// entryRecord is the registration of an entry. Earlier versions register without a
+// capacity.
+type entryRecord struct {
+	mesh.Peer
+	Capacity Capacity `cbor:"3,keyasint"`
+}
+
 // ownerRecord names the owner of the shard. It is stored under the owner's lease, so
 // that it is removed when the owner stops renewing.
 type ownerRecord struct {
@@ -44,15 +51,16 @@
 
 // View is an entry's knowledge of the registered entries, the owner and the epoch.
 type View struct {
-	entries        map[unit.EntryID]mesh.Peer
+	entries        map[unit.EntryID]entryRecord
 	owner          ownerRecord
+	ownerSeen      bool          // an owner has been seen since this process began
 	ownerRevision  unit.Revision // revision of the owner record, 0 without an owner
 	epoch          epochRecord
 	epochRevision  unit.Revision
 	ownerlessSince time.Time // when the shard was first seen without an owner
 }
 
-func newView() View { return View{entries: map[unit.EntryID]mesh.Peer{}} }
+func newView() View { return View{entries: map[unit.EntryID]entryRecord{}} }
 
 // apply applies an item or an event of the store to the view.
 func (v *View) apply(item kv.Item, now time.Time) error {
@@ -62,7 +70,7 @@
 			v.owner, v.ownerRevision, v.ownerlessSince = ownerRecord{}, 0, now
 			return nil
 		}
-		v.ownerRevision = item.Revision
+		v.ownerRevision, v.ownerSeen = item.Revision, true
 		return decode(item, &v.owner)
 	case item.Key == EpochKey && !item.Deleted:
 		v.epochRevision = item.Revision
@@ -73,11 +81,11 @@
 			delete(v.entries, id)
 			return nil
 		}
-		var peer mesh.Peer
-		if err := decode(item, &peer); err != nil {
+		var entry entryRecord
+		if err := decode(item, &entry); err != nil {
 			return err
 		}
-		v.entries[id] = peer
+		v.entries[id] = entry
 	}
 	return nil
 }
@@ -98,11 +106,14 @@
 	// after an outage of the store, since a takeover by another entry causes a
 	// longer interruption.
 	previousOwnerGrace = time.Second
+	// registrationWindow leaves entries that start together time to register, as the
+	// capacity of those that have not is unknown.
+	registrationWindow = 500 * time.Millisecond
 )
 
 // claimTime returns when this entry should claim a shard that has no owner. The
-// previous owner may claim at once, and the others after it one by one, in an order
-// that differs between epochs.
+// previous owner may claim at once, and the others after it one by one, those with most
+// capacity first and those of equal capacity in an order that differs between epochs.
 func (v *View) claimTime(self unit.EntryID, storeRecoveredAt time.Time) time.Time {
 	if v.epoch.Entry == self {
 		return v.ownerlessSince
@@ -114,9 +125,14 @@
 	sortKey := func(id unit.EntryID) uint64 {
 		return xxhash.Sum64String(string(id)) ^ xxhash.Sum64String(string(rune(v.epoch.Epoch)))
 	}
-	slices.SortFunc(ids, func(a, b unit.EntryID) int { return cmp.Compare(sortKey(a), sortKey(b)) })
+	slices.SortFunc(ids, func(a, b unit.EntryID) int {
+		return cmp.Or(cmp.Compare(v.entries[b].Capacity.class(), v.entries[a].Capacity.class()), cmp.Compare(sortKey(a), sortKey(b)))
+	})
 	rank := max(slices.Index(ids, self), 0)
 	claimAt := v.ownerlessSince.Add(time.Duration(rank) * claimStagger)
+	if !v.ownerSeen {
+		claimAt = claimAt.Add(registrationWindow)
+	}
 	if _, alive := v.entries[v.epoch.Entry]; alive && v.ownerlessSince.Sub(storeRecoveredAt).Abs() < 2*previousOwnerGrace {
 		claimAt = claimAt.Add(previousOwnerGrace)
 	}
--- a/internal/fleet/ownership/view_test.go
+++ b/internal/fleet/ownership/view_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -129,3 +130,55 @@
 		})
 	}
 }
+
+// TestClaimOrder guards against a small entry that owns the shard while larger ones are
+// registered, and against entries that never claim as their capacity is unknown.
+func TestClaimOrder(t *testing.T) {
+	small := Capacity{Cores: 192, Memory: 184 << 20, Link: 10_000_000}
+	large := Capacity{Cores: 800, Memory: 536 << 20, Link: 200_000_000}
+	largeButSlowLink := Capacity{Cores: 800, Memory: 536 << 20, Link: 10_000_000}
+	type entry struct {
+		id       unit.EntryID
+		capacity Capacity
+	}
+	tests := []struct {
+		name      string
+		ownerSeen bool
+		entries   []entry
+		first     []unit.EntryID // one of them claims first
+		last      []unit.EntryID
+		firstAt   time.Duration
+	}{
+		{"large first", true, []entry{{"a", small}, {"b", large}, {"c", small}, {"d", small}}, []unit.EntryID{"b"}, []unit.EntryID{"a", "c", "d"}, 0},
+		{"scarcest component counts", true, []entry{{"a", largeButSlowLink}, {"b", small}, {"c", large}}, []unit.EntryID{"c"}, []unit.EntryID{"a", "b"}, 0},
+		{"unknown last", true, []entry{{"a", Capacity{}}, {"b", small}, {"c", Capacity{Cores: 800}}}, []unit.EntryID{"b"}, []unit.EntryID{"a", "c"}, 0},
+		{"all unknown", true, []entry{{"a", Capacity{}}, {"b", Capacity{}}}, []unit.EntryID{"a", "b"}, []unit.EntryID{"a", "b"}, 0},
+		{"fleet just started", false, []entry{{"a", small}, {"b", large}}, []unit.EntryID{"b"}, []unit.EntryID{"a"}, registrationWindow},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView()
+			v.ownerlessSince, v.ownerSeen = ownerGoneAt, tt.ownerSeen
+			for _, e := range tt.entries {
+				value := encode(t, entryRecord{Peer: mesh.Peer{Address: string(e.id)}, Capacity: e.capacity})
+				if e.capacity == (Capacity{}) {
+					value = encode(t, mesh.Peer{Address: string(e.id)}) // as earlier versions register
+				}
+				if err := v.apply(kv.Item{Key: entryPrefix + kv.Key(e.id), Revision: 3, Value: value}, ownerGoneAt); err != nil {
+					t.Fatal(err)
+				}
+			}
+			order := make([]unit.EntryID, len(tt.entries))
+			for _, e := range tt.entries {
+				rank := int((v.claimTime(e.id, time.Time{}).Sub(ownerGoneAt) - tt.firstAt) / claimStagger)
+				if rank < 0 || rank >= len(order) || order[rank] != "" {
+					t.Fatalf("%s has rank %d, order so far %q", e.id, rank, order)
+				}
+				order[rank] = e.id
+			}
+			if !slices.Contains(tt.first, order[0]) || !slices.Contains(tt.last, order[len(order)-1]) {
+				t.Errorf("order %q, want one of %q first and one of %q last", order, tt.first, tt.last)
+			}
+		})
+	}
+}
--- a/internal/fleet/ownership/watch.go
+++ b/internal/fleet/ownership/watch.go
@@ -30,9 +30,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	ownerlessSince := s.view.ownerlessSince
-	hadOwner := s.view.ownerRevision != 0
+	hadOwner, ownerSeen := s.view.ownerRevision != 0, s.view.ownerSeen
 	s.view = newView()
-	s.view.ownerlessSince = ownerlessSince
+	s.view.ownerlessSince, s.view.ownerSeen = ownerlessSince, ownerSeen
 	if hadOwner || ownerlessSince.IsZero() {
 		s.view.ownerlessSince = time.Now()
 	}
@@ -61,9 +61,9 @@
 		s.log.Info("owner changed", "owner", s.view.owner.Entry, "epoch", s.view.owner.Epoch, "before", previousOwner.Entry)
 	}
 	peers := map[unit.EntryID]mesh.Peer{}
-	for id, peer := range s.view.entries {
+	for id, entry := range s.view.entries {
 		if id != s.self {
-			peers[id] = peer
+			peers[id] = entry.Peer
 		}
 	}
 	s.peers.SetPeers(peers)
--- a/internal/fleet/unit/resources.go
+++ b/internal/fleet/unit/resources.go
@@ -6,6 +6,8 @@
 	Millicores int64
 	// Bytes are bytes of memory or of messages.
 	Bytes int64
+	// BitRate is the capacity of a network link in bits per second.
+	BitRate int64
 	// Accelerators are whole accelerator devices.
 	Accelerators int32
 )
