fleet/ownership: renewals of the owner's lease don't wait for each other

Cause: a renewal was sent once the one before had ended. A call that gets no answer takes 0.8 s directly and up to 1.4 s through each of two peers, 3.6 s in all, and the lease lasts 1.6 s.

Change: a renewal is sent each 0.4 s whether or not the ones before have been answered, and each is given up once the lease has run for its TTL since. A store that is late but answers keeps the lease alive whatever the delay.

TestRenewalsOverSlowStore failed before: "one answer lost": 10s between two renewals; "all answers late": 3s between two renewals.

--- a/internal/fleet/ownership/claim.go
+++ b/internal/fleet/ownership/claim.go
@@ -7,13 +7,13 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
-	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
 // campaign claims the shard when it has no owner, and renews the lease of the owner
 // record while this entry owns it.
 func (s *Service) campaign(ctx context.Context) {
+	defer s.renewals.Wait()
 	for ctx.Err() == nil {
 		delay := s.campaignStep(ctx)
 		s.mu.Lock()
@@ -57,23 +57,39 @@
 	return retryDelay
 }
 
-// renewOwnerLease renews the lease of the owner record, waits for the rest of the
-// renewal interval, and returns the further delay until the next step.
+// renewOwnerLease sends a renewal of the lease of the owner record, waits for the rest
+// of the renewal interval, and returns the further delay until the next step. The
+// next renewal is sent even if this one has no answer yet: a call may hang longer than
+// the lease lasts, and a late renewal still extends it.
 func (s *Service) renewOwnerLease(ctx context.Context, lease kv.LeaseID) time.Duration {
-	startedAt := time.Now()
-	err := s.store.Renew(ctx, lease)
-	if errors.Is(err, kv.ErrLeaseEnded) {
+	interval := time.NewTimer(ownerRenewInterval)
+	defer interval.Stop()
+	failed := make(chan struct{})
+	s.renewals.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, s.ownerTTL)
+		defer cancel()
+		err := s.store.Renew(ctx, lease)
+		if err == nil {
+			return
+		}
+		close(failed)
+		if !errors.Is(err, kv.ErrLeaseEnded) {
+			return
+		}
 		s.mu.Lock()
-		s.ownerLease = 0
-		s.mu.Unlock()
-		return retryDelay
-	}
-	if err != nil {
-		return retryDelay
-	}
+		defer s.mu.Unlock()
+		if s.ownerLease == lease {
+			s.ownerLease = 0
+		}
+	})
 	// Waits here, as changes of the view wake the caller more often than a renewal is
 	// due.
-	wait.For(ctx, ownerRenewInterval-time.Since(startedAt))
+	select {
+	case <-ctx.Done():
+	case <-failed:
+		return retryDelay
+	case <-interval.C:
+	}
 	return 0
 }
 
--- /dev/null
+++ b/internal/fleet/ownership/claim_test.go
@@ -0,0 +1,102 @@
+package ownership
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// delayedStore executes each renewal and read when it is sent and answers it after a
+// delay.
+type delayedStore struct {
+	delay    func(since time.Duration) time.Duration
+	started  time.Time
+	mu       sync.Mutex
+	renewals []time.Duration // when they were executed
+	epoch    kv.Item
+}
+
+func (s *delayedStore) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
+	since := time.Since(s.started)
+	s.mu.Lock()
+	var response kv.Response
+	switch {
+	case r.Op == kv.OpRenew:
+		s.renewals = append(s.renewals, since)
+	case r.Op == kv.OpGet && r.Key == EpochKey:
+		response.Items = []kv.Item{s.epoch}
+	}
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return kv.Response{}, kv.ErrUnknown
+	case <-time.After(s.delay(since)):
+		return response, nil
+	}
+}
+
+func (s *delayedStore) Outage() bool             { return false }
+func (s *delayedStore) LastOutageEnd() time.Time { return time.Time{} }
+
+// ownerOver returns a service that owns the shard according to its view and uses the
+// store.
+func ownerOver(t *testing.T, store *delayedStore) *Service {
+	s := &Service{
+		Tasks: registry.NewTasks(), log: logr.Discard(), self: "a", ownerTTL: ownerTTL,
+		store: kv.Client{Doer: store}, storeAccess: store,
+		view: viewWithoutOwner(t), viewRequestedAt: time.Now(), ownerLease: 7,
+		viewChanged: make(chan struct{}),
+	}
+	owned := kv.Item{Key: ownerKey, Revision: 10, Value: encode(t, ownerRecord{Entry: "a", Epoch: 3})}
+	if err := s.view.apply(owned, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	store.epoch = kv.Item{Key: EpochKey, Revision: s.view.epochRevision}
+	store.started = time.Now()
+	return s
+}
+
+// TestRenewalsOverSlowStore guards against the end of the owner's lease while one
+// renewal gets no answer.
+func TestRenewalsOverSlowStore(t *testing.T) {
+	tests := []struct {
+		name  string
+		delay func(since time.Duration) time.Duration
+	}{
+		{"answers at once", func(time.Duration) time.Duration { return 4 * time.Millisecond }},
+		{"one answer lost", func(since time.Duration) time.Duration {
+			if since < time.Second {
+				return time.Hour
+			}
+			return 4 * time.Millisecond
+		}},
+		{"all answers late", func(time.Duration) time.Duration { return 3 * time.Second }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &delayedStore{delay: tt.delay}
+				s := ownerOver(t, store)
+				const length = 10 * time.Second
+				ctx, cancel := context.WithTimeout(t.Context(), length)
+				defer cancel()
+				s.campaign(ctx)
+				var last, longest time.Duration
+				for _, at := range append(store.renewals, length) {
+					last, longest = at, max(longest, at-last)
+				}
+				if diff := cmp.Diff(true, longest <= ownerRenewInterval+retryDelay); diff != "" {
+					t.Errorf("%s between two renewals (-want +got):\n%s", longest, diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -73,6 +73,7 @@
 	store       kv.Client
 	storeAccess storeAccess
 	peers       peerNetwork
+	renewals    sync.WaitGroup // of the lease of the owner record, which have no answer yet
 
 	mu                sync.Mutex
 	view              View
