fleet/ownership: a read of the epoch confirms a stale view of the owner

What callers saw: when the watch of an owner hung, its heartbeats to all workers stopped together 3.5 s after the last view, and all their leases ended within a second of each other: one stall became a loss of the whole fleet.

Cause: only a watch or a list of coord/ counted as proof that the entry still owns the shard. A watch waits 0.9 s and may hang for 1.5 s, and the list after it 0.8 s directly and up to 2.8 s through peers, while other calls are answered.

Change: an owner whose view is older than 1.1 s reads coord/epoch with each renewal. Each claim by another entry changes that record, and the read is linearizable. So if it has the revision of the view, no other entry had claimed when the read was sent, and the view counts as fresh as of that time. A renewal of the lease alone doesn't prove that: the owner record can be taken away while its lease goes on, and another entry may then claim. While the watch works no read is sent.

TestStaleViewOfOwner failed before: "store answers", "answers are late": may order, may extend leases: want true, true, got false, false. Its other rows show what stays safe: an owner whose answers are late stops orders and leases within MaxOrderOverlap and MaxRenewalOverlap of a claim by another entry.

--- a/internal/fleet/ownership/claim.go
+++ b/internal/fleet/ownership/claim.go
@@ -60,7 +60,8 @@
 // renewOwnerLease sends a renewal of the lease of the owner record, waits for the rest
 // of the renewal interval, and returns the further delay until the next step. The
 // next renewal is sent even if this one has no answer yet: a call may hang longer than
-// the lease lasts, and a late renewal still extends it.
+// the lease lasts, and a late renewal still extends it. With a stale view it also reads
+// the epoch record.
 func (s *Service) renewOwnerLease(ctx context.Context, lease kv.LeaseID) time.Duration {
 	interval := time.NewTimer(ownerRenewInterval)
 	defer interval.Stop()
@@ -82,6 +83,13 @@
 			s.ownerLease = 0
 		}
 	})
+	if s.viewAge(time.Now()) > epochReadStaleness {
+		s.renewals.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, s.ownerTTL)
+			defer cancel()
+			s.confirmEpoch(ctx)
+		})
+	}
 	// Waits here, as changes of the view wake the caller more often than a renewal is
 	// due.
 	select {
--- a/internal/fleet/ownership/claim_test.go
+++ b/internal/fleet/ownership/claim_test.go
@@ -100,3 +100,45 @@
 		})
 	}
 }
+
+// TestStaleViewOfOwner guards against an owner that gives up all its workers because its
+// watch hangs while the store answers, and against one that goes on although another
+// entry may have claimed the shard.
+func TestStaleViewOfOwner(t *testing.T) {
+	tests := []struct {
+		name                string
+		delay               time.Duration // of each answer
+		claimedAt           time.Duration // by another entry; 0 for never
+		mayOrder, mayExtend bool          // after 10 s
+	}{
+		{"store answers", 4 * time.Millisecond, 0, true, true},
+		{"answers are late", 1200 * time.Millisecond, 0, true, true},
+		{"no answers", time.Hour, 0, false, false},
+		{"claimed by another entry", 4 * time.Millisecond, 3 * time.Second, false, false},
+		{"claimed by another entry a moment ago", 4 * time.Millisecond, 9900 * time.Millisecond, true, true},
+		{"late answers, claimed longer ago than orders may go on", 1500 * time.Millisecond, 10*time.Second - MaxOrderOverlap - 100*time.Millisecond, false, true},
+		{"late answers, claimed longer ago than leases may be extended", 1500 * time.Millisecond, 10*time.Second - MaxRenewalOverlap - 100*time.Millisecond, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &delayedStore{delay: func(time.Duration) time.Duration { return tt.delay }}
+				s := ownerOver(t, store)
+				if tt.claimedAt != 0 {
+					time.AfterFunc(tt.claimedAt, func() {
+						store.mu.Lock()
+						defer store.mu.Unlock()
+						store.epoch.Revision++
+					})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				s.campaign(ctx)
+				got := []bool{s.MayOrder(time.Now()), s.MayRenewLeases(time.Now())}
+				if diff := cmp.Diff([]bool{tt.mayOrder, tt.mayExtend}, got); diff != "" {
+					t.Errorf("may order, may extend leases (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -35,6 +35,9 @@
 	// maxRenewalStaleness is the age of its view up to which an owner may renew the
 	// leases of workers.
 	maxRenewalStaleness = maxOrderStaleness + time.Second
+	// epochReadStaleness is the age of its view from which an owner also reads the epoch
+	// record. The watch has then not returned when it should have.
+	epochReadStaleness = ownerWatchTimeout + 200*time.Millisecond
 	// MaxRenewalOverlap is how long after the claim of another entry the previous
 	// owner may still renew the leases of workers. Its record may have been removed
 	// right after its last view.
@@ -73,11 +76,12 @@
 	store       kv.Client
 	storeAccess storeAccess
 	peers       peerNetwork
-	renewals    sync.WaitGroup // of the lease of the owner record, which have no answer yet
+	renewals    sync.WaitGroup // of the owner's lease, and reads of the epoch, without an answer yet
 
 	mu                sync.Mutex
 	view              View
 	viewRequestedAt   time.Time     // when the store request that yielded the view was sent
+	epochConfirmedAt  time.Time     // when the last read was sent that showed the epoch of the view
 	ownerLease        kv.LeaseID    // lease of the owner record; 0 while this entry does not own the shard
 	claimPendingUntil time.Time     // until then the view may not show the last claim of this entry yet
 	viewChanged       chan struct{} // closed and replaced at each change of the view
@@ -148,6 +152,22 @@
 		(s.view.ownerRevision == 0 || s.view.owner.Entry == s.self)
 }
 
+// confirmEpoch reads the epoch record. While it has the revision of the view, no other
+// entry has claimed the shard, whether or not the owner record and its lease exist, so
+// that the view is known to hold at the time the read was sent.
+func (s *Service) confirmEpoch(ctx context.Context) {
+	sentAt := time.Now()
+	item, err := s.store.Get(ctx, EpochKey)
+	if err != nil {
+		return // storage/access logs that the store is unreachable
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if item.Revision == s.view.epochRevision && sentAt.After(s.epochConfirmedAt) {
+		s.epochConfirmedAt = sentAt
+	}
+}
+
 // MayOrder reports whether the view is recent enough for an owner to start tasks.
 func (s *Service) MayOrder(now time.Time) bool { return s.viewIsFresh(now, maxOrderStaleness) }
 
@@ -155,13 +175,19 @@
 // leases of workers.
 func (s *Service) MayRenewLeases(now time.Time) bool { return s.viewIsFresh(now, maxRenewalStaleness) }
 
-// viewIsFresh reports whether the view is younger than maxAge, or no entry can have
-// claimed the shard since because the store answers none of them.
+// viewIsFresh reports whether the view, or a later read of its epoch, is younger than
+// maxAge, or no entry can have claimed the shard since because the store answers none
+// of them.
 func (s *Service) viewIsFresh(now time.Time, maxAge time.Duration) bool {
+	return s.viewAge(now) < maxAge || s.storeAccess.Outage()
+}
+
+// viewAge returns for how long it has not been confirmed that no other entry has
+// claimed the shard.
+func (s *Service) viewAge(now time.Time) time.Duration {
 	s.mu.Lock()
-	requestedAt := s.viewRequestedAt
-	s.mu.Unlock()
-	return age(requestedAt, now) < maxAge || s.storeAccess.Outage()
+	defer s.mu.Unlock()
+	return min(age(s.viewRequestedAt, now), age(s.epochConfirmedAt, now))
 }
 
 // age returns the time since t by the monotonic clock or the wall clock, whichever is
