storage/access: a call that its caller gives up doesn't count as an outage

While an entry takes the store for out of reach, it tries one call per 150 ms and fails all others at once, and the end of such an outage delays its next claim by 1 s.

Cause: the result of the direct and the relayed call was recorded also if it ended because the caller's context did.

Change: such a result is returned, not recorded.

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -122,6 +122,9 @@
 			// whether the store is reachable. The caller lists again, which does.
 			return kv.Response{}, err
 		}
+		if noAnswer(err) && ctx.Err() != nil {
+			return kv.Response{}, err // the caller gave up, which shows nothing about the store
+		}
 		s.recordResult(true, err)
 		if !noAnswer(err) {
 			return response, err
@@ -130,7 +133,9 @@
 	}
 	if tryPeers {
 		response, err := s.relay(ctx, r)
-		s.recordResult(false, err)
+		if !noAnswer(err) || ctx.Err() == nil {
+			s.recordResult(false, err)
+		}
 		if !noAnswer(err) {
 			return response, err
 		}
@@ -282,7 +287,7 @@
 		answer = relayAnswer{Status: statusUnavailable, Text: "not reached lately"}
 	} else {
 		response, err := s.callDirect(ctx, r)
-		if r.Op != kv.OpWatch {
+		if r.Op != kv.OpWatch && ctx.Err() == nil {
 			s.recordResult(true, err)
 		}
 		answer = encodeAnswer(response, err)
