storage/access: a late answer is asked for again directly, not through peers

What callers saw: on an overloaded owner most calls that took over 0.8 s were sent again through peers and failed there too ("relay by ...: wait for connection", "dial: context deadline exceeded"), 2.8 s later.

Cause: a call without an answer was taken as a store that doesn't answer this entry. A relayed call needs a QUIC connection, whose handshake takes processor time at both ends, and sends the body again.

Change: if the call timed out and the store has answered another direct call since it was sent, the second try is a direct one. Calls that the store refuses, and those of an entry that gets no answer at all, go to peers at once as before.

TestLateAnswer failed before: "answer lost, others answered": direct and relayed attempts: want 2, 0, got 1, 1.

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -58,6 +58,7 @@
 
 	mu                sync.Mutex
 	directFailing     bool         // direct calls get no answer
+	directAnsweredAt  time.Time    // when the last direct call was answered
 	nextProbe         time.Time    // next direct call while directFailing
 	outage            bool         // relayed calls get no answer either
 	nextAttempt       time.Time    // next attempt during an outage
@@ -112,7 +113,8 @@
 // Do implements kv.Doer. It returns ErrUnavailable only if neither the direct nor the
 // relayed call had an effect.
 func (s *Service) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
-	tryDirect, tryPeers := s.planCall(time.Now())
+	startedAt := time.Now()
+	tryDirect, tryPeers := s.planCall(startedAt)
 	last := errors.Errorf("store not reached lately: %w", kv.ErrUnavailable)
 	unknown := false
 	if tryDirect {
@@ -122,14 +124,20 @@
 			// whether the store is reachable. The caller lists again, which does.
 			return kv.Response{}, err
 		}
+		if timedOut(err) && ctx.Err() == nil && s.answeredSince(startedAt) {
+			// A second direct call costs less than a relayed one, for which this entry and a
+			// peer may first have to connect.
+			unknown = errors.Is(err, kv.ErrUnknown)
+			response, err = s.callDirect(ctx, r)
+		}
 		if noAnswer(err) && ctx.Err() != nil {
-			return kv.Response{}, err // the caller gave up, which shows nothing about the store
+			return kv.Response{}, markUnknown(err, unknown) // the caller gave up, which shows nothing about the store
 		}
 		s.recordResult(true, err)
 		if !noAnswer(err) {
 			return response, err
 		}
-		last, unknown = err, errors.Is(err, kv.ErrUnknown)
+		last, unknown = err, unknown || errors.Is(err, kv.ErrUnknown)
 	}
 	if tryPeers {
 		response, err := s.relay(ctx, r)
@@ -142,10 +150,27 @@
 		unknown = unknown || errors.Is(err, kv.ErrUnknown)
 		last = err
 	}
+	return kv.Response{}, markUnknown(last, unknown)
+}
+
+// markUnknown adds ErrUnknown to the error of the last attempt if an earlier attempt may
+// have had an effect.
+func markUnknown(last error, unknown bool) error {
 	if unknown && !errors.Is(last, kv.ErrUnknown) {
-		return kv.Response{}, errors.Errorf("store call: %v: %w", last, kv.ErrUnknown)
+		return errors.Errorf("store call: %v: %w", last, kv.ErrUnknown)
 	}
-	return kv.Response{}, last
+	return last
+}
+
+// timedOut reports whether the store did not answer the call in time, as opposed to
+// refusing it.
+func timedOut(err error) bool { return noAnswer(err) && errors.Is(err, context.DeadlineExceeded) }
+
+// answeredSince reports whether the store has answered another direct call since t.
+func (s *Service) answeredSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.directAnsweredAt.After(t)
 }
 
 // planCall decides whether a call is tried directly and through peers. During an outage
@@ -182,6 +207,7 @@
 		if failed {
 			s.nextProbe = now.Add(probeInterval)
 		} else {
+			s.directAnsweredAt = now
 			if s.outage {
 				s.outageEnded = now
 			}
--- a/internal/storage/access/access_test.go
+++ b/internal/storage/access/access_test.go
@@ -62,3 +62,72 @@
 		})
 	}
 }
+
+// selectiveStore answers gets, and gives each renewal the answer of its turn.
+type selectiveStore struct {
+	renewals []error // nil: answered; errHung: no answer
+	sent     int
+}
+
+var errHung = errors.New("hung")
+
+func (s *selectiveStore) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op == kv.OpGet {
+		return kv.Response{}, kv.ErrNotFound
+	}
+	err := s.renewals[s.sent]
+	s.sent++
+	if errors.Is(err, errHung) {
+		return hungStore{}.Do(ctx, r)
+	}
+	return kv.Response{}, err
+}
+
+// countingNetwork counts the calls to its one peer, which does not answer.
+type countingNetwork struct {
+	hungNetwork
+	calls int
+}
+
+func (n *countingNetwork) Call(ctx context.Context, to unit.EntryID, k mesh.Kind, body []byte) ([]byte, error) {
+	n.calls++
+	return n.hungNetwork.Call(ctx, to, k, body)
+}
+
+// TestLateAnswer guards against an overloaded entry that sends each call that timed out
+// through peers, to which it first has to connect, although the store answers it.
+func TestLateAnswer(t *testing.T) {
+	tests := []struct {
+		name            string
+		renewals        []error
+		othersAnswered  bool // the store answers another call meanwhile
+		direct, relayed int  // attempts
+		want            error
+	}{
+		{"answered", []error{nil}, true, 1, 0, nil},
+		{"answer lost, others answered", []error{errHung, nil}, true, 2, 0, nil},
+		{"answer lost twice, others answered", []error{errHung, errHung}, true, 2, 1, kv.ErrUnknown},
+		{"answer lost, then refused", []error{errHung, kv.ErrUnavailable}, true, 2, 1, kv.ErrUnknown},
+		{"no call answered", []error{errHung}, false, 1, 1, kv.ErrUnknown},
+		{"refused, others answered", []error{kv.ErrUnavailable}, true, 1, 1, kv.ErrUnavailable},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, peers := &selectiveStore{renewals: tt.renewals}, &countingNetwork{}
+				s := New(logr.Discard(), store)
+				s.peers = peers
+				if tt.othersAnswered {
+					time.AfterFunc(callTimeout/2, func() { _, _ = s.Do(t.Context(), kv.Request{Op: kv.OpGet}) })
+				}
+				if _, err := s.Do(t.Context(), kv.Request{Op: kv.OpRenew, Lease: 7}); !errors.Is(err, tt.want) {
+					t.Errorf("got %v, want %v", err, tt.want)
+				}
+				if diff := cmp.Diff([]int{tt.direct, tt.relayed}, []int{store.sent, peers.calls}); diff != "" {
+					t.Errorf("direct and relayed attempts (-want +got):\n%s", diff)
+				}
+				time.Sleep(callTimeout) // until the other call has ended
+			})
+		})
+	}
+}
