--- a/internal/entry/site/server.go
+++ b/internal/entry/site/server.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // Limits of the HTTP servers.
@@ -23,14 +24,15 @@
 type server struct {
 	name       registry.Name
 	address    string
+	traffic    *metric.Traffic // counts its connections
 	log        logr.Logger
 	newHandler func(k *registry.Kernel) (http.Handler, error)
 	http       *http.Server
 	done       chan struct{}
 }
 
-func newServer(name registry.Name, address string, log logr.Logger, newHandler func(*registry.Kernel) (http.Handler, error)) *server {
-	return &server{name: name, address: address, log: log, newHandler: newHandler, done: make(chan struct{})}
+func newServer(name registry.Name, address string, traffic *metric.Traffic, log logr.Logger, newHandler func(*registry.Kernel) (http.Handler, error)) *server {
+	return &server{name: name, address: address, traffic: traffic, log: log, newHandler: newHandler, done: make(chan struct{})}
 }
 
 // Name implements registry.Service.
@@ -54,7 +56,7 @@
 	}
 	go func() {
 		defer close(s.done)
-		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(s.traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error(err, "HTTP server ended", "server", s.name)
 		}
 	}()
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -129,9 +129,9 @@
 		ownership.New(log, self, s.Bounds.MinLeaseTTL),
 		e.owner,
 		intake.New(log),
-		newServer("front", s.FrontAddress, log, newJobHandler),
-		newServer("ready", s.ReadyAddress, log, e.newReadinessHandler),
-		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), log, func(*registry.Kernel) (http.Handler, error) {
+		newServer("front", s.FrontAddress, metric.CallerTraffic, log, newJobHandler),
+		newServer("ready", s.ReadyAddress, metric.OtherTraffic, log, e.newReadinessHandler),
+		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), metric.OtherTraffic, log, func(*registry.Kernel) (http.Handler, error) {
 			return metric.Handler(), nil
 		}),
 	}
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -65,7 +65,8 @@
 	progressRevision  unit.Revision // of the progress record in the store
 	lastProgressWrite time.Time
 	lastModelWrite    time.Time
-	lastSummary       time.Time // used only by run
+	lastSummary       time.Time           // used only by run
+	traffic           metric.TrafficMeter // used only by run
 }
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
@@ -127,9 +128,11 @@
 	sh.mu.Lock()
 	s := sh.core.Stats(now)
 	sh.mu.Unlock()
+	traffic := sh.traffic.Rates(now)
 	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
-		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String())
+		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(),
+		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond)
 }
 
 // sleep waits for d and reports whether the term goes on.
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -17,6 +17,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // ServiceName is the name of the service in a kernel.
@@ -256,6 +257,7 @@
 		stream.CancelRead(0)
 		return
 	}
+	metric.PeerTraffic.AddReceived(len(message))
 	s.mu.Lock()
 	handler := s.handlers[Kind(message[0])]
 	s.mu.Unlock()
@@ -269,7 +271,8 @@
 		}
 	}
 	// If the write fails, the caller reports an unknown outcome.
-	_, _ = stream.Write(append([]byte{status}, body...))
+	n, _ := stream.Write(append([]byte{status}, body...))
+	metric.PeerTraffic.AddSent(n)
 }
 
 // exchange does one call on a new stream.
@@ -282,13 +285,16 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline) // fails only on a closed stream
 	}
-	if _, err := stream.Write(append([]byte{byte(k)}, request...)); err != nil {
+	n, err := stream.Write(append([]byte{byte(k)}, request...))
+	metric.PeerTraffic.AddSent(n)
+	if err != nil {
 		return nil, errors.Errorf("send: %w", errors.Join(err, ErrUnknown))
 	}
 	if err := stream.Close(); err != nil {
 		return nil, errors.Errorf("end request: %w", errors.Join(err, ErrUnknown))
 	}
 	answer, err := io.ReadAll(io.LimitReader(stream, maxMessage+1))
+	metric.PeerTraffic.AddReceived(len(answer))
 	if err != nil || len(answer) == 0 || len(answer) > maxMessage {
 		return nil, errors.Errorf("read answer of %d bytes: %w", len(answer), errors.Join(err, ErrUnknown))
 	}
