--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -132,7 +132,7 @@
 	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(),
-		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond)
+		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
 
 // sleep waits for d and reports whether the term goes on.
--- a/internal/report/metric/traffic.go
+++ b/internal/report/metric/traffic.go
@@ -34,6 +34,15 @@
 // writes, such as "watch job".
 type StoreShare string
 
+// calls counts the calls sent to workers and the platform, by CallName.
+var calls = expvar.NewMap("calls")
+
+// CallName is the name of a call on the wire, such as "run-start".
+type CallName string
+
+// AddCall counts a call.
+func AddCall(n CallName) { calls.Add(string(n), 1) }
+
 // AddStoreBytes counts bytes of a store call, which StoreTraffic counts too.
 func AddStoreBytes(s StoreShare, bytes int) { storeBytes.Add(string(s), int64(bytes)) }
 
@@ -117,6 +126,7 @@
 	SentPerSecond     map[Partner]int64    // bytes
 	Opened            map[Partner]int64    // connections opened in the whole period
 	StorePerSecond    map[StoreShare]int64 // bytes
+	CallsPerSecond    map[CallName]int64
 }
 
 // TrafficMeter measures the traffic between two readings. It is for use by one
@@ -125,6 +135,7 @@
 	readAt                 time.Time
 	received, sent, opened map[Partner]int64
 	store                  map[StoreShare]int64
+	calls                  map[CallName]int64
 }
 
 // Rates returns the traffic since the last call, and none at the first call.
@@ -134,6 +145,7 @@
 		readAt:   now,
 		received: readCounters[Partner](receivedBytes), sent: readCounters[Partner](sentBytes),
 		opened: readCounters[Partner](openedConns), store: readCounters[StoreShare](storeBytes),
+		calls: readCounters[CallName](calls),
 	}
 	if last.readAt.IsZero() || !now.After(last.readAt) {
 		return TrafficRates{}
@@ -144,6 +156,7 @@
 		SentPerSecond:     perSecond(difference(m.sent, last.sent), period),
 		Opened:            difference(m.opened, last.opened),
 		StorePerSecond:    perSecond(difference(m.store, last.store), period),
+		CallsPerSecond:    perSecond(difference(m.calls, last.calls), period),
 	}
 }
 
--- a/internal/report/metric/traffic_test.go
+++ b/internal/report/metric/traffic_test.go
@@ -20,12 +20,12 @@
 		{"first reading", 0, 0, TrafficRates{}},
 		{"silent connection", 0, 0, TrafficRates{
 			ReceivedPerSecond: map[Partner]int64{}, SentPerSecond: map[Partner]int64{},
-			Opened: map[Partner]int64{"test client": 1, "test server": 1}, StorePerSecond: map[StoreShare]int64{},
+			Opened: map[Partner]int64{"test client": 1, "test server": 1}, StorePerSecond: map[StoreShare]int64{}, CallsPerSecond: map[CallName]int64{},
 		}},
 		{"both directions", 3000, 500, TrafficRates{
 			ReceivedPerSecond: map[Partner]int64{"test client": 250, "test server": 1500},
 			SentPerSecond:     map[Partner]int64{"test client": 1500, "test server": 250},
-			Opened:            map[Partner]int64{"test client": 1, "test server": 1}, StorePerSecond: map[StoreShare]int64{},
+			Opened:            map[Partner]int64{"test client": 1, "test server": 1}, StorePerSecond: map[StoreShare]int64{}, CallsPerSecond: map[CallName]int64{},
 		}},
 	}
 	client, server := newTraffic("test client"), newTraffic("test server")
