report/output: lines about starts and stops have limits of their own

Cause: all orders were one kind with 300 lines a second, and a flood of starts that are not sent used it up.

Change: the kind of a line includes its fields "kind" and "outcome", so that each outcome of each order has its own limit; starts and stops that were carried out or got no answer have reserved limits beside the common one. The bound is 3,000 lines a second in all. Queued lines are joined into one write, as each write is a system call.

--- a/internal/desk/command/serve.go
+++ b/internal/desk/command/serve.go
@@ -15,6 +15,15 @@
 	"github.com/monsoonfold/monsoonfold/platform"
 )
 
+// orderLines are limits of their own for the lines about orders that a trace of a task
+// needs. An owner of a large fleet orders 1,000 starts a second at peak.
+var orderLines = []output.Reservation{
+	{Kind: "order start done", PerSecond: 1200, Burst: 2400},
+	{Kind: "order start unknown", PerSecond: 600, Burst: 1200},
+	{Kind: "order stop done", PerSecond: 300, Burst: 600},
+	{Kind: "order stop unknown", PerSecond: 300, Burst: 600},
+}
+
 // newServe builds the command that runs an entry on the users' platform.
 func newServe() command {
 	sub := newSubcommand("serve", "run an entry on the users' platform until SIGTERM", "monsoonfold serve --settings boot.toml")
@@ -35,7 +44,7 @@
 		if verbose {
 			minLevel = slog.LevelDebug
 		}
-		out := output.New(s.Out)
+		out := output.New(s.Out, orderLines...)
 		defer out.Close()
 		log := out.Logger(minLevel)
 		sighup := make(chan os.Signal, 1)
--- a/internal/report/output/output.go
+++ b/internal/report/output/output.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,10 @@
 const (
 	linesPerSecond = 600
 	lineBurst      = 1200
-	queueLines     = 1024
+	queueLines     = 4096
+	// maxWrite is the number of bytes after which queued lines are no longer joined
+	// into one write.
+	maxWrite = 32 << 10
 	// kindPerSecond and kindBurst limit the lines of one kind, so that a flood of one
 	// kind does not displace the others.
 	kindPerSecond = 300
@@ -30,9 +34,18 @@
 	reportInterval = 5 * time.Second
 )
 
-// Kind is the message of a line, without its fields.
+// Kind is the message of a line with the values of its fields "kind" and "outcome", if
+// it has them, separated by spaces.
 type Kind string
 
+// Reservation is a limit of its own for the lines of one kind, which then neither count
+// for the common limit nor are subject to it.
+type Reservation struct {
+	Kind      Kind
+	PerSecond rate.Limit
+	Burst     int
+}
+
 // otherKind is the kind of lines without a message.
 const otherKind Kind = "other"
 
@@ -45,19 +58,23 @@
 	stop        chan struct{}
 	stopped     chan struct{}
 
-	mu      sync.Mutex
-	kinds   map[Kind]*rate.Limiter
-	dropped map[Kind]int // lines dropped since the last report of them
+	mu       sync.Mutex
+	kinds    map[Kind]*rate.Limiter
+	reserved map[Kind]*rate.Limiter
+	dropped  map[Kind]int // lines dropped since the last report of them
 }
 
 // New returns a writer to the destination and starts its goroutine, which alone
 // writes to the destination.
-func New(destination io.Writer) *Writer {
+func New(destination io.Writer, reservations ...Reservation) *Writer {
 	w := &Writer{
 		destination: destination, lines: make(chan []byte, queueLines),
 		totalLimit: rate.NewLimiter(linesPerSecond, lineBurst),
 		stop:       make(chan struct{}), stopped: make(chan struct{}),
-		kinds: map[Kind]*rate.Limiter{}, dropped: map[Kind]int{},
+		kinds: map[Kind]*rate.Limiter{}, reserved: map[Kind]*rate.Limiter{}, dropped: map[Kind]int{},
+	}
+	for _, r := range reservations {
+		w.reserved[r.Kind] = rate.NewLimiter(r.PerSecond, r.Burst)
 	}
 	go w.run()
 	return w
@@ -83,6 +100,9 @@
 // allow reports whether the rate limits permit a line of the kind. The caller must
 // hold w.mu.
 func (w *Writer) allow(kind Kind) bool {
+	if limit := w.reserved[kind]; limit != nil {
+		return limit.Allow()
+	}
 	limit := w.kinds[kind]
 	if limit == nil {
 		limit = rate.NewLimiter(kindPerSecond, kindBurst)
@@ -93,20 +113,39 @@
 	return limit.Allow() && w.totalLimit.Allow()
 }
 
-// Delimiters of the message in a line.
+// Delimiters of the values in a line that make up its kind, in the order in which they
+// are logged.
 var (
 	messageBegin = []byte(`"msg":"`)
-	messageEnd   = []byte(`"`)
+	kindBegin    = []byte(`,"kind":"`)
+	outcomeBegin = []byte(`,"outcome":"`)
+	valueEnd     = []byte(`"`)
 )
 
 // kindOf returns the kind of a JSON log line.
 func kindOf(line []byte) Kind {
-	_, rest, found := bytes.Cut(line, messageBegin)
+	text, rest, found := cutValue(line, messageBegin)
 	if !found {
 		return otherKind
 	}
-	text, _, _ := bytes.Cut(rest, messageEnd)
-	return Kind(text)
+	kind := text
+	for _, begin := range [][]byte{kindBegin, outcomeBegin} {
+		if text, rest, found = cutValue(rest, begin); found {
+			kind = slices.Concat(kind, []byte(" "), text)
+		}
+	}
+	return Kind(kind)
+}
+
+// cutValue returns the value that follows a delimiter, and the rest of the line after
+// it. Without the delimiter the rest is the whole line.
+func cutValue(line, begin []byte) (value, rest []byte, found bool) {
+	_, after, found := bytes.Cut(line, begin)
+	if !found {
+		return nil, line, false
+	}
+	value, rest, _ = bytes.Cut(after, valueEnd)
+	return value, rest, true
 }
 
 // takeDropped returns the number of dropped lines by kind and resets it.
@@ -158,7 +197,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			_, _ = w.destination.Write(line) // a failure to log cannot be logged
+			_, _ = w.destination.Write(w.join(line)) // a failure to log cannot be logged
 		case <-ticker.C:
 			w.report()
 		case <-w.stop:
@@ -171,6 +210,20 @@
 	}
 }
 
+// join returns a line together with the lines that are queued after it, up to about
+// maxWrite bytes, since each write is a system call.
+func (w *Writer) join(line []byte) []byte {
+	for len(line) < maxWrite {
+		select {
+		case next := <-w.lines:
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+	return line
+}
+
 // Logger returns a logger that writes one JSON object per line, for lines of at
 // least a level.
 func (w *Writer) Logger(minLevel slog.Level) logr.Logger {
--- a/internal/report/output/output_test.go
+++ b/internal/report/output/output_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"testing"
 	"time"
@@ -47,6 +48,42 @@
 	}
 }
 
+// TestReservedLines guards against a flood of orders that are not sent, which displaces
+// the lines about starts from the trace of a task.
+func TestReservedLines(t *testing.T) {
+	const reserved, flood = 1000, 5000
+	tests := []struct {
+		name    string
+		outcome string
+		lines   int
+		dropped int // of the lines, beside those of the flood
+	}{
+		{"reserved", "done", reserved, 0},
+		{"above the reservation", "done", reserved + 200, 200},
+		{"other outcome", "no room", kindBurst, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := New(io.Discard, Reservation{Kind: "order start done", Burst: reserved})
+			defer w.Close()
+			log := w.Logger(slog.LevelInfo)
+			for range flood {
+				log.Info("order", "worker", "i-1", "kind", "start", "reason", "ready", "outcome", "not sent")
+			}
+			if got := w.takeDropped()["order start not sent"]; got < flood-kindBurst-kindPerSecond {
+				t.Errorf("%d lines of the flood dropped", got)
+			}
+			for range tt.lines {
+				log.Info("order", "worker", "i-1", "kind", "start", "reason", "ready", "outcome", tt.outcome)
+			}
+			kind := Kind("order start " + tt.outcome)
+			if diff := cmp.Diff(tt.dropped, w.takeDropped()[kind]); diff != "" {
+				t.Errorf("dropped lines of kind %q (-want +got):\n%s", kind, diff)
+			}
+		})
+	}
+}
+
 // count returns the number of lines by kind and the reported number of dropped
 // lines.
 func count(t *testing.T, from *bytes.Buffer) (map[string]int, int) {
