job/scheduler: keep runs at the expiry of a lease while an answer is under way

AwaitAnswer and AnswerSettled tell the core of heartbeats without an answer. Runs are given up at the expiry only if none was sent before it, or 2 s after it. The owner doesn't call them yet.

The test failed without the check in expireLease: a_heartbeat_from_before_the_expiry_is_unanswered: expired (-want +got): - bool(false) + bool(true)

--- /dev/null
+++ b/internal/job/scheduler/lease.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// maxAnswerWait is how long after the expiry of a lease the answer to a heartbeat that
+// was sent before it is waited for. The answer may list runs that ended as done.
+const maxAnswerWait = 2 * time.Second
+
+// RecordLease records that a worker is about to be sent an order that extends its
+// lease until expiry at the latest. The order counts even if it gets no answer.
+func (c *Core) RecordLease(id unit.InstanceID, expiry time.Time) {
+	if w := c.workers[id]; w != nil && expiry.After(w.leaseExpiry) {
+		w.leaseExpiry = expiry
+	}
+}
+
+// AwaitAnswer records that a heartbeat is sent to a worker at sentAt. While the answer
+// may still arrive, the runs of the worker are kept for up to maxAnswerWait after its
+// lease has expired.
+func (c *Core) AwaitAnswer(id unit.InstanceID, sentAt time.Time) {
+	if w := c.workers[id]; w != nil {
+		w.answersDue = append(w.answersDue, sentAt)
+	}
+}
+
+// AnswerSettled records that the heartbeat sent to a worker at sentAt was answered, or
+// that its connection has failed for good. A report is handled before this call.
+func (c *Core) AnswerSettled(id unit.InstanceID, sentAt time.Time) {
+	if w := c.workers[id]; w != nil {
+		w.answersDue = slices.DeleteFunc(w.answersDue, sentAt.Equal)
+	}
+}
+
+// awaitsAnswer reports whether an answer is waited for that was requested before the
+// lease of the worker expired.
+func (w *worker) awaitsAnswer(now time.Time) bool {
+	if !now.Before(w.leaseExpiry.Add(maxAnswerWait)) {
+		return false
+	}
+	return slices.ContainsFunc(w.answersDue, w.leaseExpiry.After)
+}
+
+// expireLease abandons the runs of a worker whose lease has certainly expired.
+func (c *Core) expireLease(w *worker, now time.Time) {
+	// An answer that takes longer than any lease is not waited for.
+	w.answersDue = slices.DeleteFunc(w.answersDue, now.Add(-c.limits.MaxLease).After)
+	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(now) {
+		return
+	}
+	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: len(w.runs)})
+	w.health.recordLeaseExpiry(now)
+	c.abandonRuns(w, now)
+}
--- /dev/null
+++ b/internal/job/scheduler/lease_test.go
@@ -0,0 +1,48 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestExpiryAwaitsAnswer guards against a second start of a task whose end as done is
+// listed in an answer that arrives shortly after the lease of its worker has expired.
+func TestExpiryAwaitsAnswer(t *testing.T) {
+	const lease = 6 * time.Second
+	tests := []struct {
+		name    string
+		sent    []time.Duration // when heartbeats were sent, after the start of the lease
+		settled []time.Duration // those of them that were answered or failed
+		after   time.Duration   // since the expiry of the lease
+		expired bool
+	}{
+		{"no heartbeat is unanswered", nil, nil, 0, true},
+		{"a heartbeat from before the expiry is unanswered", []time.Duration{5 * time.Second}, nil, time.Second, false},
+		{"it is waited for too long", []time.Duration{5 * time.Second}, nil, maxAnswerWait, true},
+		{"it was answered", []time.Duration{5 * time.Second}, []time.Duration{5 * time.Second}, 0, true},
+		{"an earlier one was answered", []time.Duration{4 * time.Second, 5 * time.Second}, []time.Duration{4 * time.Second}, time.Second, false},
+		{"only one from after the expiry is unanswered", []time.Duration{lease + time.Second}, nil, time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.addJob("j", smallStep, true)
+			f.takeStarts(OutcomeDone)
+			begin := f.now
+			f.core.RecordLease("w1", begin.Add(lease))
+			for _, d := range tt.sent {
+				f.core.AwaitAnswer("w1", begin.Add(d))
+			}
+			for _, d := range tt.settled {
+				f.core.AnswerSettled("w1", begin.Add(d))
+			}
+			f.advance(lease + tt.after)
+			if diff := cmp.Diff(tt.expired, len(f.core.TakeExpiredLeases()) > 0); diff != "" {
+				t.Errorf("expired (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -62,6 +62,7 @@
 	paceChangedAt     time.Time       // when the pace of any of its runs was last changed
 	bestEffort        *bestEffortView // cached; nil after a change
 	overTargetSince   time.Time       // since when a serving run exceeds its target; zero: none does
+	answersDue        []time.Time     // when the heartbeats without an answer so far were sent
 }
 
 // maxReportAge is the age of a worker's last report above which nothing starts there.
@@ -150,24 +151,6 @@
 	return w != nil && len(w.runs) > 0
 }
 
-// RecordLease records that a worker is about to be sent an order that extends its
-// lease until expiry at the latest. The order counts even if it gets no answer.
-func (c *Core) RecordLease(id unit.InstanceID, expiry time.Time) {
-	if w := c.workers[id]; w != nil && expiry.After(w.leaseExpiry) {
-		w.leaseExpiry = expiry
-	}
-}
-
-// expireLease abandons the runs of a worker whose lease has certainly expired.
-func (c *Core) expireLease(w *worker, now time.Time) {
-	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) {
-		return
-	}
-	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: len(w.runs)})
-	w.health.recordLeaseExpiry(now)
-	c.abandonRuns(w, now)
-}
-
 // abandonRuns removes all runs of a worker without waiting for its reports, and
 // requeues their tasks.
 func (c *Core) abandonRuns(w *worker, now time.Time) {
