job/owner: never take the worker's clock back to an older reading

Callers would see rejected starts ("late") and leases of a second or two after an answer that arrives seconds late, and a lease of the maximum length on a restarted worker after the answer of an earlier incarnation: the client took each higher reading as the present time, and each other incarnation as the new one.

A reading now replaces the last one only if it implies a later time, and one of an earlier incarnation is ignored. The time since a reading is divided by the largest drift, so that a deadline from an old reading isn't too late either.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -159,15 +159,15 @@
 
 func kindName(k scheduler.OrderKind) string { return kindNames[k] }
 
-// workerDeadline returns a reading that the worker's clock reaches within d from now,
-// up to clock drift, or 0 if no reading of the clock is known.
+// workerDeadline returns a reading that is at most d ahead of the worker's clock, or 0
+// if no reading of the clock is known.
 func (c *workerClient) workerDeadline(d time.Duration) unit.WorkerTime {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.clockReadAt.IsZero() {
 		return 0
 	}
-	return c.clock.Add(time.Since(c.clockReadAt) + d)
+	return c.workerNow().Add(d)
 }
 
 // recordLease tells the core by when a lease of length d granted now has expired,
@@ -179,22 +179,35 @@
 	c.shard.core.RecordLease(c.id, expiresAt)
 }
 
-// recordClock keeps the highest reading of the worker's clock. A new incarnation
-// replaces it, since its clock is another one.
+// recordClock keeps the reading of the worker's clock that implies the latest time
+// there. A late answer carries an older reading. A new incarnation replaces the
+// reading, since its clock is another one; readings of earlier ones are ignored.
 func (c *workerClient) recordClock(clock unit.WorkerTime, incarnation scheduler.Incarnation) {
 	if clock == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if incarnation != 0 && incarnation != c.incarnation {
-		c.incarnation, c.clock = incarnation, 0
+	switch {
+	case incarnation != 0 && incarnation < c.incarnation:
+		return
+	case incarnation > c.incarnation:
+		c.incarnation, c.clock, c.clockReadAt = incarnation, 0, time.Time{}
 	}
-	if clock > c.clock {
+	if clock > c.workerNow() {
 		c.clock, c.clockReadAt = clock, time.Now()
 	}
 }
 
+// workerNow returns a reading that the worker's clock has certainly passed, or 0 if no
+// reading is known. It is called with the lock held.
+func (c *workerClient) workerNow() unit.WorkerTime {
+	if c.clockReadAt.IsZero() {
+		return 0
+	}
+	return c.clock.Add(time.Duration(float64(time.Since(c.clockReadAt)) / maxClockDrift))
+}
+
 // heartbeatLoop renews the worker's lease and reads its reports, with one heartbeat
 // at a time.
 func (c *workerClient) heartbeatLoop() {
