job/owner: read answers to heartbeats that come late

A heartbeat now stays on its connection until its answer can no longer matter, and the core waits for it (AwaitAnswer). After the former timeout the worker counts as not reached, as before, and is probed on another connection, since the first one may be silent for good. At most three heartbeats are in flight, and the time between probes doubles up to 800 ms, so a slow link isn't fed with repeats.

The tests failed before: TestLateAnswers/1.5_s_late: starts (-want +got): -1 +2 TestLateAnswers/4_s_late: starts (-want +got): -1 +2 TestLateAnswers/end_listed_5_s_into_the_lease: starts (-want +got): -1 +2

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -23,20 +23,33 @@
 	// ackInterval is the time between two heartbeats while the worker lists ends that
 	// are not acknowledged yet, since it then answers without waiting.
 	ackInterval = 100 * time.Millisecond
-	// responseSlack is how long after the wait of a heartbeat its answer may arrive.
+	// responseSlack is how long after the wait of a heartbeat its answer may arrive
+	// before the worker counts as not reached.
 	responseSlack = 500 * time.Millisecond
-	orderTimeout  = 500 * time.Millisecond
+	// lateAnswerLimit is how long after a heartbeat its answer is still read. It is
+	// longer than the lease, since the ends in a late answer are the only sign that a
+	// task must not start again when the lease has expired.
+	lateAnswerLimit = workerLeaseTTL + time.Second
+	orderTimeout    = 500 * time.Millisecond
 	// startWindow is how long after a start order is sent the worker may accept it.
 	startWindow = 2 * time.Second
-	// heartbeatRetryDelay is the time between a failed heartbeat and the next one.
-	heartbeatRetryDelay = 200 * time.Millisecond
+	// heartbeatRetryDelay is the time between the first failed heartbeat and the next
+	// one. It doubles with each further failure up to maxHeartbeatRetryDelay, so that
+	// probes do not add to the load of a link that delays the answers.
+	heartbeatRetryDelay    = 200 * time.Millisecond
+	maxHeartbeatRetryDelay = 800 * time.Millisecond
 )
 
 // maxOrdersInFlight is the largest number of unanswered orders to one worker.
 const maxOrdersInFlight = 2
 
-// workerClient renews the lease of one worker in one goroutine and sends it orders
-// in maxOrdersInFlight others.
+// maxHeartbeatsInFlight is the largest number of unanswered heartbeats to one worker:
+// one that is late, and two probes, as the connection of the first may be silent for
+// good as well.
+const maxHeartbeatsInFlight = 3
+
+// workerClient renews the lease of one worker, with one goroutine for each connection
+// of its heartbeats, and sends it orders in maxOrdersInFlight others.
 type workerClient struct {
 	shard   *shard
 	log     logr.Logger
@@ -208,80 +221,175 @@
 	return c.clock.Add(time.Duration(float64(time.Since(c.clockReadAt)) / maxClockDrift))
 }
 
-// heartbeatLoop renews the worker's lease and reads its reports, with one heartbeat
-// at a time.
+// heartbeat is one heartbeat to the worker.
+type heartbeat struct {
+	number int // counts the heartbeats of the client
+	until  unit.WorkerTime
+	cursor scheduler.EndNumber
+	wait   time.Duration // how long the worker may delay its answer
+	sentAt time.Time
+}
+
+// answer is the outcome of a heartbeat.
+type answer struct {
+	number int
+	after  time.Duration // since the heartbeat was sent
+	ends   int           // ends that the worker listed
+	err    error         // nil if the report was passed to the core
+}
+
+// errLateAnswer means that no answer came in time. It may still come.
+var errLateAnswer = errors.New("no answer yet")
+
+// heartbeatLoop renews the worker's lease and reads its reports. One heartbeat is in
+// flight unless answers are late: then it probes the worker on other connections and
+// takes whichever answer comes first as a sign that the worker is reached.
 func (c *workerClient) heartbeatLoop() {
 	defer c.worker.Close()
-	failures := 0
-	for c.ctx.Err() == nil {
-		if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
-			wait.For(c.ctx, heartbeatRetryDelay)
-			continue
+	var conversations sync.WaitGroup
+	defer conversations.Wait()
+	requests := make(chan heartbeat)
+	defer close(requests)
+	answers := make(chan answer, maxHeartbeatsInFlight)
+	connections, inFlight, failures, number := 0, 0, 0, 0
+
+	// await returns the answer to the heartbeat with the given number, or an error
+	// after d. While the worker is not reached, the answer to another one will do.
+	await := func(number int, d time.Duration) (answer, error) {
+		timer := time.NewTimer(d)
+		defer timer.Stop()
+		for {
+			select {
+			case <-c.ctx.Done():
+				return answer{}, c.ctx.Err()
+			case <-timer.C:
+				return answer{}, errLateAnswer
+			case a := <-answers:
+				inFlight--
+				if a.number == number || (failures > 0 && a.err == nil) {
+					return a, a.err
+				}
+			}
 		}
+	}
+	for c.ctx.Err() == nil {
 		// After a failure the lease is not extended until the worker answers. An
 		// unanswered heartbeat may still extend it, so repeated ones would keep the
 		// tasks of a lost worker from starting elsewhere.
-		err := c.heartbeat(failures > 0)
-		if err == nil {
-			if failures > 0 {
-				c.log.Info("worker reached again", "failures", failures)
+		h, err := c.nextHeartbeat(failures > 0)
+		if err != nil {
+			wait.For(c.ctx, heartbeatRetryDelay)
+			continue
+		}
+		number++
+		h.number = number
+		if connections == inFlight {
+			connections++
+			conversations.Go(func() { c.converse(requests, answers) })
+		}
+		inFlight++
+		requests <- h
+		a, err := await(number, h.wait+responseSlack)
+		for err != nil && c.ctx.Err() == nil {
+			if failures++; failures == 1 {
+				c.log.Info("worker not reached", "error", err.Error())
 			}
-			failures = 0
+			a, err = await(0, min(heartbeatRetryDelay<<min(failures-1, 8), maxHeartbeatRetryDelay))
+			if inFlight < maxHeartbeatsInFlight {
+				break
+			}
+		}
+		if err != nil {
 			continue
 		}
-		if failures++; failures == 1 && c.ctx.Err() == nil {
-			c.log.Info("worker not reached", "error", err.Error())
+		if failures > 0 {
+			c.log.Info("worker reached again", "failures", failures, "after", a.after.String())
+		}
+		failures = 0
+		if a.ends > 0 {
+			wait.For(c.ctx, ackInterval)
 		}
-		wait.For(c.ctx, heartbeatRetryDelay)
 	}
 }
 
-// heartbeat sends one heartbeat and passes the report to the core. A probe does not
-// extend the lease.
-func (c *workerClient) heartbeat(probe bool) error {
+// converse sends heartbeats, one at a time, and passes the reports in the answers to
+// the core.
+func (c *workerClient) converse(requests <-chan heartbeat, answers chan<- answer) {
+	for h := range requests {
+		ends, err := c.exchange(h)
+		answers <- answer{number: h.number, after: time.Since(h.sentAt), ends: ends, err: err}
+	}
+}
+
+// nextHeartbeat returns the next heartbeat to send. A probe does not extend the lease.
+func (c *workerClient) nextHeartbeat(probe bool) (heartbeat, error) {
+	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
+		return heartbeat{}, errOwnershipStale
+	}
+	h := heartbeat{wait: idleHeartbeatWait}
 	c.shard.mu.Lock()
 	incarnation, cursor := c.shard.core.AckCursor(c.id)
-	answerWait := idleHeartbeatWait
 	if c.shard.core.HasRuns(c.id) {
-		answerWait = busyHeartbeatWait
+		h.wait = busyHeartbeatWait
 	}
 	c.shard.mu.Unlock()
 	c.mu.Lock()
 	knownIncarnation := c.incarnation
 	c.mu.Unlock()
-	if incarnation != knownIncarnation {
-		cursor = 0 // the cursor counts the ends of another incarnation
+	if incarnation == knownIncarnation { // otherwise the cursor counts the ends of another one
+		h.cursor = cursor
 	}
-	until := c.workerDeadline(workerLeaseTTL)
-	if probe {
-		until = 0
+	if !probe {
+		h.until = c.workerDeadline(workerLeaseTTL)
 	}
-	if until == 0 {
-		answerWait = 0
+	if h.until == 0 {
+		h.wait = 0
 	} else {
 		c.recordLease(workerLeaseTTL)
 	}
+	h.sentAt = time.Now()
+	c.shard.mu.Lock()
+	c.shard.core.AwaitAnswer(c.id, h.sentAt)
+	c.shard.mu.Unlock()
 	// Checked again after the deadline is computed: waiting for the lock of the core
 	// may have taken long, and the lease must end before the next owner assumes
 	// that it has expired.
 	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
-		return errOwnershipStale
+		c.settle(h)
+		return heartbeat{}, errOwnershipStale
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, answerWait+responseSlack)
+	return h, nil
+}
+
+// settle tells the core that no answer to a heartbeat will come.
+func (c *workerClient) settle(h heartbeat) {
+	c.shard.mu.Lock()
+	defer c.shard.mu.Unlock()
+	c.shard.core.AnswerSettled(c.id, h.sentAt)
+}
+
+// exchange sends one heartbeat, passes the report to the core and returns the number of
+// ends in it.
+func (c *workerClient) exchange(h heartbeat) (ends int, err error) {
+	ctx, cancel := context.WithDeadline(c.ctx, h.sentAt.Add(lateAnswerLimit))
 	defer cancel()
-	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, until, cursor, answerWait)
+	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
 	if err != nil {
-		return errors.Errorf("hold: %w", err)
+		c.settle(h)
+		return 0, errors.Errorf("hold: %w", err)
+	}
+	if time.Since(h.sentAt) > h.wait+responseSlack {
+		metric.LateAnswers.Add(1)
 	}
 	c.recordClock(clock, report.Incarnation)
-	c.shard.update(func(core *scheduler.Core, now time.Time) { core.HandleReport(c.id, report, now) })
+	c.shard.update(func(core *scheduler.Core, now time.Time) {
+		core.HandleReport(c.id, report, now)
+		core.AnswerSettled(c.id, h.sentAt)
+	})
 	for _, e := range report.Ended {
-		if e.Number > cursor {
+		if e.Number > h.cursor {
 			metric.RunEnds.Add(e.Kind.String(), 1)
 		}
 	}
-	if len(report.Ended) > 0 {
-		wait.For(c.ctx, ackInterval)
-	}
-	return nil
+	return len(report.Ended), nil
 }
--- /dev/null
+++ b/internal/job/owner/workerclient_test.go
@@ -0,0 +1,241 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// silent is the delay of an answer that never arrives.
+const silent = time.Duration(-1)
+
+// scriptedFleet is a set of workers whose answers to heartbeats arrive late, counted
+// from the first start of a task.
+type scriptedFleet struct {
+	runDuration time.Duration
+	delay       func(n int) time.Duration // of the answer to heartbeat n of the worker with the first start
+
+	mu       sync.Mutex
+	workers  map[unit.InstanceID]*scriptedWorker
+	starts   []scheduler.Order
+	startsAt []time.Time
+}
+
+func (*scriptedFleet) Prefix() kv.Key                                { return "workers/" }
+func (*scriptedFleet) Worker(kv.Key) unit.InstanceID                 { return "" }
+func (*scriptedFleet) Listing(kv.Item) (scheduler.Listing, error)    { return scheduler.Listing{}, nil }
+func (f *scriptedFleet) Connect(id unit.InstanceID, _ string) Worker { return f.workers[id] }
+
+// scriptedWorker runs each task for a fixed time. Its answer to a heartbeat holds what
+// the worker knows when it answers, and arrives after the scripted delay.
+type scriptedWorker struct {
+	fleet  *scriptedFleet
+	bornAt time.Time
+
+	// The lock of the fleet guards the fields below.
+	late        bool // the script applies to this worker
+	run         *scheduler.RunStatus
+	startedAt   time.Time
+	leaseUntil  unit.WorkerTime
+	ends        []scheduler.End
+	heartbeats  []time.Time // since the script applies
+	inFlight    int
+	maxInFlight int
+	closed      bool
+}
+
+func (w *scriptedWorker) clock() unit.WorkerTime {
+	return unit.WorkerTime(time.Since(w.bornAt) + time.Millisecond)
+}
+
+// endRun ends the run if it is complete or its lease has expired. It is called with
+// the lock held.
+func (w *scriptedWorker) endRun() {
+	if w.run == nil {
+		return
+	}
+	kind := scheduler.EndDone
+	switch {
+	case w.clock() > w.leaseUntil:
+		kind = scheduler.EndLeaseExpired
+	case time.Since(w.startedAt) < w.fleet.runDuration:
+		return
+	}
+	w.ends = append(w.ends, scheduler.End{Number: scheduler.EndNumber(len(w.ends) + 1), Task: w.run.Task, Run: w.run.Run, Kind: kind})
+	w.run = nil
+}
+
+// Heartbeat implements Worker.
+func (w *scriptedWorker) Heartbeat(ctx context.Context, _ unit.Epoch, until unit.WorkerTime, _ scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+	report := scheduler.Report{Incarnation: 1, RequestedAt: time.Now()}
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	var delay time.Duration
+	if w.late {
+		delay = w.fleet.delay(len(w.heartbeats))
+		w.heartbeats = append(w.heartbeats, time.Now())
+	}
+	w.inFlight++
+	w.maxInFlight = max(w.maxInFlight, w.inFlight)
+	defer func() { w.inFlight-- }()
+	if delay != silent {
+		w.leaseUntil = max(w.leaseUntil, until)
+	}
+	for deadline := time.Now().Add(wait); len(w.ends) == 0 && time.Now().Before(deadline); w.endRun() {
+		w.fleet.mu.Unlock()
+		time.Sleep(10 * time.Millisecond)
+		w.fleet.mu.Lock()
+	}
+	w.endRun()
+	if w.run != nil {
+		report.Running = append(report.Running, *w.run)
+	}
+	report.Ended = append(report.Ended, w.ends...)
+	clock := w.clock()
+	w.fleet.mu.Unlock()
+	defer w.fleet.mu.Lock()
+	if delay == silent {
+		<-ctx.Done()
+		return scheduler.Report{}, 0, ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return scheduler.Report{}, 0, ctx.Err()
+	case <-time.After(delay):
+		return report, clock, nil
+	}
+}
+
+// Do implements Worker.
+func (w *scriptedWorker) Do(_ context.Context, o scheduler.Order, _ unit.Epoch, until unit.WorkerTime) (scheduler.Outcome, unit.WorkerTime) {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	if o.Kind == scheduler.OrderStart {
+		w.late = w.late || len(w.fleet.starts) == 0
+		w.fleet.starts, w.fleet.startsAt = append(w.fleet.starts, o), append(w.fleet.startsAt, time.Now())
+		w.run, w.startedAt, w.leaseUntil = &scheduler.RunStatus{Task: o.Task, Run: o.Run}, time.Now(), max(w.leaseUntil, until)
+	}
+	return scheduler.OutcomeDone, w.clock()
+}
+
+// Close implements Worker.
+func (w *scriptedWorker) Close() {
+	w.fleet.mu.Lock()
+	defer w.fleet.mu.Unlock()
+	w.closed = true
+}
+
+// confirmedOwnership is an ownership whose view is always recent.
+type confirmedOwnership struct{}
+
+func (confirmedOwnership) Term() (ownership.Term, bool, <-chan struct{}) {
+	return ownership.Term{Epoch: 1}, true, nil
+}
+func (confirmedOwnership) MayOrder(time.Time) bool       { return true }
+func (confirmedOwnership) MayRenewLeases(time.Time) bool { return true }
+func (confirmedOwnership) Resign(context.Context)        {}
+
+// runShard drives the clients and the core of two workers and one job of one task for
+// d, without a store.
+func runShard(t *testing.T, f *scriptedFleet, d time.Duration) graph.State {
+	t.Helper()
+	s := New(logr.Discard(), f, nil, Options{Limits: scheduler.Limits{StopTimeout: time.Second, MaxLease: 10 * time.Second}})
+	s.ownership = confirmedOwnership{}
+	sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+	sh.core = scheduler.New(s.options.Limits, 1, time.Now())
+	f.workers = map[unit.InstanceID]*scriptedWorker{}
+	var listings []scheduler.Listing
+	for _, id := range []unit.InstanceID{"w1", "w2"} {
+		f.workers[id] = &scriptedWorker{fleet: f, bornAt: time.Now()}
+		listings = append(listings, scheduler.Listing{ID: id, Address: string(id), Service: "orders", Zone: "z1", Incarnation: 1, Capacity: unit.Resources{Cores: 64000, Memory: 256 << 30}})
+	}
+	sh.mu.Lock()
+	sh.core.SetWorkers(listings, time.Now())
+	sh.core.ConfirmSnapshot(sh.core.Snapshot())
+	sh.core.AddJob(&graph.Job{
+		ID: "j", Accepted: time.Now(),
+		Queue: graph.Queue{ID: "quotes", Service: "orders", MaxAttempts: 2, Stretch: 1.5, Target: time.Second},
+		Steps: []graph.Step{{Count: 1, Needs: unit.Resources{Cores: 4000, Memory: 1 << 30}, Estimate: f.runDuration}},
+	}, 0, true, time.Now())
+	sh.updateWorkerClients()
+	sh.mu.Unlock()
+	for end := time.Now().Add(d); time.Now().Before(end); sh.sleep(tickInterval) {
+		sh.update(func(c *scheduler.Core, now time.Time) { c.Tick(now) })
+	}
+	sh.mu.Lock()
+	var state graph.State
+	for _, final := range sh.finalStates {
+		state = final.State
+	}
+	sh.mu.Unlock()
+	sh.cancel()
+	sh.goroutines.Wait()
+	for id, w := range f.workers {
+		if !w.closed || w.inFlight > 0 {
+			t.Errorf("client of %s: closed %v with %d heartbeats in flight", id, w.closed, w.inFlight)
+		}
+	}
+	return state
+}
+
+// TestLateAnswers guards against ends that the owner does not read because the answer
+// that lists them is late: the task then starts again although the worker has listed
+// its run as done. It also guards against a wait for connections that went silent.
+func TestLateAnswers(t *testing.T) {
+	always := func(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+	silentFirst := func(n int) func(int) time.Duration {
+		return func(i int) time.Duration {
+			if i < n {
+				return silent
+			}
+			return 0
+		}
+	}
+	tests := []struct {
+		name        string
+		runDuration time.Duration
+		delay       func(n int) time.Duration
+		state       graph.State
+		starts      int
+	}{
+		{"in time", 2 * time.Second, always(0), graph.Completed, 1},
+		{"1.5 s late", 2 * time.Second, always(1500 * time.Millisecond), graph.Completed, 1},
+		{"4 s late", 2 * time.Second, always(4 * time.Second), graph.Completed, 1},
+		{"end listed 5 s into the lease", 5 * time.Second, always(1500 * time.Millisecond), graph.Completed, 1},
+		{"end listed just before the lease expires", 6200 * time.Millisecond, always(1500 * time.Millisecond), graph.Completed, 1},
+		{"one connection silent for good", 5 * time.Second, silentFirst(1), graph.Completed, 1},
+		{"two connections silent for good", 5 * time.Second, silentFirst(2), graph.Completed, 1},
+		{"worker silent for good", 2 * time.Second, always(silent), graph.Completed, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{runDuration: tt.runDuration, delay: tt.delay}
+				state := runShard(t, f, 20*time.Second)
+				if diff := cmp.Diff(tt.state, state); diff != "" {
+					t.Errorf("state (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.starts, len(f.starts)); diff != "" {
+					t.Errorf("starts (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(true, f.workers[f.starts[0].Worker].maxInFlight <= maxHeartbeatsInFlight); diff != "" {
+					t.Errorf("heartbeats in flight within the limit (-want +got):\n%s", diff)
+				}
+				if len(f.startsAt) > 1 && f.startsAt[1].Sub(f.startsAt[0]) < workerLeaseTTL {
+					t.Errorf("second start %s after the first, want over %s", f.startsAt[1].Sub(f.startsAt[0]), workerLeaseTTL)
+				}
+			})
+		})
+	}
+}
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -14,13 +14,14 @@
 
 // Counters; the maps count by the stated keys.
 var (
-	Submissions      = expvar.NewMap("submissions") // submissions of jobs, by outcome
-	Orders           = expvar.NewMap("orders")      // orders to workers, by kind and outcome
-	RunEnds          = expvar.NewMap("ends")        // ended runs, by kind of end
-	FinalStates      = expvar.NewMap("finals")      // jobs that reached a final state, by state
-	OwnershipChanges = expvar.NewMap("terms")       // changes of ownership of a shard: taken over or given up
-	ExpiredLeases    = expvar.NewInt("lapses")      // workers whose lease expired while they had runs
-	StoreCalls       = expvar.NewMap("kv_calls")    // direct store calls, by operation
+	Submissions      = expvar.NewMap("submissions")  // submissions of jobs, by outcome
+	Orders           = expvar.NewMap("orders")       // orders to workers, by kind and outcome
+	RunEnds          = expvar.NewMap("ends")         // ended runs, by kind of end
+	FinalStates      = expvar.NewMap("finals")       // jobs that reached a final state, by state
+	OwnershipChanges = expvar.NewMap("terms")        // changes of ownership of a shard: taken over or given up
+	ExpiredLeases    = expvar.NewInt("lapses")       // workers whose lease expired while they had runs
+	LateAnswers      = expvar.NewInt("late_answers") // answers to heartbeats that arrived after the worker counted as not reached
+	StoreCalls       = expvar.NewMap("kv_calls")     // direct store calls, by operation
 )
 
 // Latency histograms, in microseconds.
