job/scheduler: take no running list from a report that was overtaken

A report whose heartbeat was sent before that of the last handled one could bring a run back that had been stopped or had ended since: adoptRun took the stale entry for a run of an earlier owner. The other way round, a report without a run counted as its end if the heartbeat was sent after an earlier requested report that lists the run, though the worker may have made the two in the other order. The second report then freed the task for another start.

The ends of such a report are applied, as their numbers only rise. Its running list is not. A run that a report confirms is taken as ended only by a report requested after the confirmation was handled.

--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -17,11 +17,6 @@
 	if report.Incarnation != w.incarnation {
 		c.handleRestart(w, report.Incarnation, now)
 	}
-	w.reportRequestedAt = report.RequestedAt
-	if c.unresolved[id] {
-		delete(c.unresolved, id)
-		c.placementDue = true
-	}
 	for _, e := range report.Ended {
 		if e.Number > w.lastEndSeen {
 			w.lastEndSeen = e.Number
@@ -31,11 +26,19 @@
 	if len(report.Ended) > 0 {
 		c.progressChanged = true // ends are acknowledged only once they are durable
 	}
+	if report.RequestedAt.Before(w.reportRequestedAt) {
+		return // the runs may have ended since
+	}
+	w.reportRequestedAt = report.RequestedAt
+	if c.unresolved[id] {
+		delete(c.unresolved, id)
+		c.placementDue = true
+	}
 	w.unknownRuns = 0
 	present := make(map[graph.Task]bool, len(report.Running))
 	for _, s := range report.Running {
 		present[s.Task] = true
-		c.observeRun(w, s, report.RequestedAt, now)
+		c.observeRun(w, s, now)
 	}
 	if !report.Partial {
 		c.endAbsentRuns(w, present, report.RequestedAt, now)
@@ -106,7 +109,7 @@
 }
 
 // observeRun applies a run that a worker reports as present.
-func (c *Core) observeRun(w *worker, status RunStatus, requestedAt, now time.Time) {
+func (c *Core) observeRun(w *worker, status RunStatus, now time.Time) {
 	t := c.lookupTask(status.Task)
 	if t == nil {
 		c.stopUnknownRun(w, status)
@@ -121,7 +124,7 @@
 		}
 	}
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
-		r.phase, r.absenceConclusiveAt = phaseRunning, requestedAt
+		r.phase, r.absenceConclusiveAt = phaseRunning, now
 	}
 	if status.Checkpoint != "" {
 		t.checkpoint = status.Checkpoint
