job/scheduler: wait for all ends of a worker after a takeover

The new owner took a worker as resolved after the first report, so a task whose end as done came in a later one was started again in between. The same happened when the inherited leases expired meanwhile, although the heartbeats of the new owner had extended that of the worker.

A worker is resolved by a report that lists all of its ends, or once its own lease has expired.

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -8,6 +8,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -59,8 +60,8 @@
 	// durableWorkers are the workers named in the durable progress. Tasks start
 	// only on these.
 	durableWorkers map[unit.InstanceID]bool
-	// unresolved are the workers that have not reported since the takeover and may
-	// still run tasks of an earlier owner.
+	// unresolved are the workers that have not reported all of their runs and ends since
+	// the takeover and may still run tasks of an earlier owner.
 	unresolved map[unit.InstanceID]bool
 	// inheritedLeasesExpireAt is when every lease granted by earlier owners has
 	// expired, so that no unresolved worker still runs their tasks.
@@ -170,7 +171,7 @@
 // stalled runs and due occurrences, and then places waiting tasks.
 func (c *Core) Tick(now time.Time) {
 	if !now.Before(c.inheritedLeasesExpireAt) {
-		clear(c.unresolved)
+		maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool { return !c.workers[id].hasUnreadEnds(now) })
 	}
 	for _, j := range c.openJobs {
 		c.openDueOccurrences(j, now)
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -45,6 +45,12 @@
 	return slices.ContainsFunc(w.answersDue, w.leaseExpiry.After)
 }
 
+// hasUnreadEnds reports whether the worker may still list ends from before its last
+// report, and its lease has not expired since.
+func (w *worker) hasUnreadEnds(now time.Time) bool {
+	return w != nil && w.unreadEnds && now.Before(w.leaseExpiry)
+}
+
 // expireLease abandons the runs of a worker whose lease has certainly expired.
 func (c *Core) expireLease(w *worker, now time.Time) {
 	// An answer that takes longer than any lease is not waited for.
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -31,7 +31,7 @@
 	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
 	for _, s := range c.readySteps {
-		if !c.safeToStart(s.occurrence.job, now) || (s.spec.BestEffort && !includeBestEffort) {
+		if !c.safeToStart(s.occurrence.job) || (s.spec.BestEffort && !includeBestEffort) {
 			continue
 		}
 		if s.spec.Gang {
@@ -74,10 +74,10 @@
 	return 0
 }
 
-// safeToStart reports whether no unresolved worker can still have a run of the
-// job's waiting tasks that an earlier owner started.
-func (c *Core) safeToStart(j *job, now time.Time) bool {
-	return len(c.unresolved) == 0 || !now.Before(c.inheritedLeasesExpireAt) || j.createdInTerm
+// safeToStart reports whether no unresolved worker can still have a run, or an end that
+// is not read, of the job's waiting tasks that an earlier owner started.
+func (c *Core) safeToStart(j *job) bool {
+	return len(c.unresolved) == 0 || j.createdInTerm
 }
 
 // placeStep starts the waiting tasks of a step until no worker takes one.
--- a/internal/job/scheduler/report_test.go
+++ b/internal/job/scheduler/report_test.go
@@ -62,3 +62,36 @@
 		t.Errorf("runs (-want +got):\n%s", diff)
 	}
 }
+
+// TestPartialReportAfterTakeover guards against a start of a task whose end as done the
+// worker has not listed yet, as a report lists only some of the ends.
+func TestPartialReportAfterTakeover(t *testing.T) {
+	tests := []struct {
+		name    string
+		partial bool
+		after   time.Duration
+		lease   time.Duration // extended by the new owner
+		starts  int
+	}{
+		{"all ends listed", false, 0, 6 * time.Second, 1},
+		{"further ends follow", true, 0, 6 * time.Second, 0},
+		{"inherited leases have expired, that of the worker has not", true, 9 * time.Second, 12 * time.Second, 0},
+		{"the lease of the worker has expired", true, 9 * time.Second, 6 * time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 8*time.Second)
+			f.core.SetWorkers([]Listing{newListing("w1"), newListing("w2")}, f.now)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			f.core.AwaitReports()
+			f.addJob("j", smallStep, false)
+			f.core.RecordLease("w1", f.now.Add(tt.lease))
+			f.core.HandleReport("w1", Report{Incarnation: 1, RequestedAt: f.now, Partial: tt.partial}, f.now)
+			f.advance(tt.after)
+			f.report("w2", nil, nil)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
