job/scheduler: send only orders that the core still wants

An order waits in the queue of its worker, up to 500 ms for each one before it. Meanwhile the core gave the run up: the recorded lease of a worker that has answered only probes since its last expiry is in the past, so that each tick abandoned the new run and started the task elsewhere, and all queued starts were sent. Cancels, restarts and late ends gave up queued starts likewise.

The sender calls BeginOrder under the lock of the shard immediately before it sends. A start is sent only if its run is still there, was not sent before and the worker may still be sent starts; in the same step it counts as sent and its lease is recorded. A run that waits is removed at once by a stop and doesn't make a lease expire. An end as done of an earlier run withdraws a waiting one. Stops and paces that are no longer needed are withdrawn too, and a run that no task needs gets one stop at a time.

After a restart of a worker under its id, a start that was sent and that the earlier incarnation has not reported may be executed by the new one, as an order names only the id. Its task was started elsewhere at once. Such runs now stay until the new incarnation reports them, has stopped them, or its longest lease has expired.

The model test now keeps orders in a queue before they are sent, delivers orders in flight to the next incarnation, delays and reorders reports, splits them, and checks ends that are acknowledged after a later start.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -111,22 +111,22 @@
 // another entry may own the shard.
 var errOwnershipStale = errors.New("ownership not confirmed lately")
 
-// execute sends one order and passes its outcome to the core. Whether this entry may
-// still start tasks is checked last.
+// execute sends one order, unless the core does not want it any more, and passes its
+// outcome to the core. Whether this entry may still start tasks is checked last.
 func (c *workerClient) execute(o scheduler.Order) {
 	now := time.Now()
 	outcome := scheduler.OutcomeNotSent
 	// The deadline is computed before the ownership is checked, so that it is no
 	// later than startWindow after the check however late the order is sent.
 	until := c.workerDeadline(startWindow)
+	start := o.Kind == scheduler.OrderStart
 	switch {
-	case o.Kind == scheduler.OrderStart && (until == 0 || !c.shard.service.ownership.MayOrder(time.Now()) || c.ctx.Err() != nil):
-	case c.ctx.Err() != nil:
+	case c.ctx.Err() != nil, start && until == 0:
+	case !c.beginOrder(o):
+		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		return
+	case start && !c.shard.service.ownership.MayOrder(time.Now()):
 	default:
-		if o.Kind == scheduler.OrderStart {
-			c.recordLease(startWindow)
-		}
 		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
 		var clock unit.WorkerTime
 		outcome, clock = c.worker.Do(ctx, o, c.shard.term.Epoch, until)
@@ -155,6 +155,15 @@
 	})
 }
 
+// beginOrder reports whether the core still wants an order, and records the lease that
+// it grants.
+func (c *workerClient) beginOrder(o scheduler.Order) bool {
+	leaseExpiresAt := leaseExpiry(startWindow)
+	c.shard.mu.Lock()
+	defer c.shard.mu.Unlock()
+	return c.shard.core.BeginOrder(o, leaseExpiresAt, time.Now())
+}
+
 var kindNames = [...]string{scheduler.OrderStart: "start", scheduler.OrderStop: "stop", scheduler.OrderPace: "pace"}
 
 func kindName(k scheduler.OrderKind) string { return kindNames[k] }
@@ -170,10 +179,14 @@
 	return c.clock.Add(time.Since(c.clockReadAt) + d)
 }
 
+// leaseExpiry returns by when a lease of length d granted now has expired, even with
+// the largest clock drift.
+func leaseExpiry(d time.Duration) time.Time { return time.Now().Add(withMaxDrift(d) + responseSlack) }
+
 // recordLease tells the core by when a lease of length d granted now has expired,
 // even with the largest clock drift.
 func (c *workerClient) recordLease(d time.Duration) {
-	expiresAt := time.Now().Add(withMaxDrift(d) + responseSlack)
+	expiresAt := leaseExpiry(d)
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	c.shard.core.RecordLease(c.id, expiresAt)
--- a/internal/job/scheduler/core_test.go
+++ b/internal/job/scheduler/core_test.go
@@ -64,7 +64,7 @@
 	f.core.Place(f.now)
 	var starts []Order
 	for _, o := range f.core.TakeOrders() {
-		if o.Kind == OrderStart {
+		if o.Kind == OrderStart && f.core.BeginOrder(o, time.Time{}, f.now) {
 			starts = append(starts, o)
 			f.core.HandleStartOutcome(o, outcome, f.now)
 		}
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -11,7 +11,8 @@
 // job holds a submitted job and its progress.
 type job struct {
 	spec                 *graph.Job
-	started              bool        // some task has been started, by any owner
+	started              bool        // the start of some task was sent, by any owner
+	startOrdered         bool        // a start was ordered by this owner
 	createdInTerm        bool        // no earlier owner can have started a task
 	final                graph.State // 0 until the final state is decided
 	finalDurable         bool        // the final state is in the store
@@ -250,7 +251,7 @@
 	s.remaining--
 	s.waiting = slices.DeleteFunc(s.waiting, func(o *task) bool { return o == t })
 	c.progressChanged = true
-	for _, r := range t.runs {
+	for _, r := range slices.Clone(t.runs) { // stopRun may remove the run
 		c.stopRun(r, ReasonObsolete)
 	}
 	if s.remaining == 0 {
@@ -298,7 +299,7 @@
 		for _, s := range o.steps {
 			s.waiting = nil
 			for n := range s.tasks {
-				for _, r := range s.tasks[n].runs {
+				for _, r := range slices.Clone(s.tasks[n].runs) { // stopRun may remove the run
 					c.stopRun(r, reason)
 				}
 			}
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -58,7 +58,16 @@
 	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(now) {
 		return
 	}
-	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: len(w.runs)})
+	sent := 0
+	for _, r := range w.runs {
+		if r.phase != phaseQueued {
+			sent++
+		}
+	}
+	if sent == 0 {
+		return // no run there holds the lease
+	}
+	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: sent})
 	w.health.recordLeaseExpiry(now)
 	c.abandonRuns(w, now)
 }
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -27,7 +28,9 @@
 	core            *Core
 	epoch           unit.Epoch
 	workers         map[unit.InstanceID]*simWorker
+	queued          []Order // orders of the current owner that it has not sent yet
 	inFlight        []inFlightOrder
+	delayedReports  []delayedReport
 	jobs            map[unit.JobID]*graph.Job
 	durableSnapshot Snapshot                   // the progress in the store
 	durableFinal    map[unit.JobID]graph.State // final states in the store
@@ -35,6 +38,7 @@
 	ackedFailures   map[graph.Task]int  // acknowledged failed runs
 	ackedDone       map[graph.Task]bool // tasks with an acknowledged end as done
 	endedDone       map[graph.Task]bool // tasks that ended as done on some worker, reported or not
+	starts          map[graph.Task]int  // executed starts
 	jobCount        int
 }
 
@@ -42,8 +46,17 @@
 type inFlightOrder struct {
 	order      Order
 	epoch      unit.Epoch
-	deadline   time.Time // the worker refuses a later start
-	answerLost bool      // the core gets no outcome
+	deadline   time.Time   // the worker refuses a later start
+	clockOf    Incarnation // whose clock the deadline is read from; others refuse nothing
+	answerLost bool        // the core gets no outcome
+	executed   bool        // a copy was executed
+}
+
+// delayedReport is a report that has not reached the owner yet.
+type delayedReport struct {
+	worker unit.InstanceID
+	epoch  unit.Epoch
+	report Report
 }
 
 // simWorker is a simulated worker.
@@ -57,20 +70,31 @@
 	listed        bool
 	runs          map[graph.Task]graph.RunNumber
 	highestEnded  map[graph.Task]graph.RunNumber // ended or stopped before their start
-	ends          []End                          // not acknowledged yet
+	ends          []simEnd                       // not acknowledged yet
 	lastEnd       EndNumber
+	lapses        int // number of times that its lease has expired
+}
+
+// simEnd is an ended run with the state at that time.
+type simEnd struct {
+	End
+	starts int // executed starts of the task
+	lapses int // of the worker
 }
 
 const (
 	simLeaseLength     = 6 * time.Second
 	simStartWindow     = 2 * time.Second
 	simMaxDisconnected = 3500 * time.Millisecond // how long an owner acts without contact to the store
+	simMaxLease        = 10 * time.Second
+	simEndsPerReport   = 2
 )
 
 func newSimulation(t *rapid.T) *simulation {
 	sim := &simulation{
 		t: t, now: startTime, workers: map[unit.InstanceID]*simWorker{}, jobs: map[unit.JobID]*graph.Job{},
 		durableFinal: map[unit.JobID]graph.State{}, cancelledSince: map[unit.JobID]time.Time{}, ackedFailures: map[graph.Task]int{}, ackedDone: map[graph.Task]bool{}, endedDone: map[graph.Task]bool{},
+		starts: map[graph.Task]int{},
 	}
 	for i := range 3 {
 		id := unit.InstanceID(fmt.Sprintf("w%d", i))
@@ -85,15 +109,20 @@
 
 func (sim *simulation) workerIDs() []unit.InstanceID { return slices.Sorted(maps.Keys(sim.workers)) }
 
+// rarely draws true in one of four cases.
+func (sim *simulation) rarely() bool { return rapid.IntRange(0, 3).Draw(sim.t, "rarely") == 3 }
+
 func (sim *simulation) pickWorker() *simWorker {
 	return sim.workers[rapid.SampledFrom(sim.workerIDs()).Draw(sim.t, "worker")]
 }
 
-// takeOver replaces the owner by a new one that knows only what is durable.
+// takeOver replaces the owner by a new one that knows only what is durable. The orders
+// that the previous owner has not sent are gone.
 func (sim *simulation) takeOver() {
 	sim.epoch++
+	sim.queued = nil
 	leasesExpireAt := sim.now.Add(simMaxDisconnected + simLeaseLength*1025/1000)
-	sim.core = New(Limits{StopTimeout: 500 * time.Millisecond, MaxLease: 10 * time.Second}, sim.epoch, leasesExpireAt)
+	sim.core = New(Limits{StopTimeout: 500 * time.Millisecond, MaxLease: simMaxLease}, sim.epoch, leasesExpireAt)
 	sim.core.LoadProgress(maps.Clone(sim.durableSnapshot.Jobs), sim.durableSnapshot.KnownWorkers, sim.durableSnapshot.KnownWorkers)
 	sim.core.SetWorkers(sim.listings(), sim.now)
 	sim.core.AwaitReports()
@@ -114,13 +143,33 @@
 	return list
 }
 
-// sendOrders puts the orders of the core in flight.
-func (sim *simulation) sendOrders() {
-	for _, o := range sim.core.TakeOrders() {
-		f := inFlightOrder{order: o, epoch: sim.epoch, deadline: sim.now.Add(simStartWindow)}
-		if o.Kind == OrderStart {
-			sim.core.RecordLease(o.Worker, sim.now.Add(simStartWindow*1025/1000+500*time.Millisecond))
-		}
+// queueOrders moves the orders of the core to the queue of its owner.
+func (sim *simulation) queueOrders() { sim.queued = append(sim.queued, sim.core.TakeOrders()...) }
+
+// sendOne sends the first queued order of a random worker, as the owner does.
+func (sim *simulation) sendOne() {
+	if len(sim.queued) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(sim.queued).Draw(sim.t, "queued").Worker
+	i := slices.IndexFunc(sim.queued, func(o Order) bool { return o.Worker == id })
+	o := sim.queued[i]
+	sim.queued = slices.Delete(sim.queued, i, i+1)
+	sim.send(o)
+}
+
+// sendAll sends all queued orders.
+func (sim *simulation) sendAll() {
+	for _, o := range sim.queued {
+		sim.send(o)
+	}
+	sim.queued = nil
+}
+
+func (sim *simulation) send(o Order) {
+	incarnation, _ := sim.core.AckCursor(o.Worker)
+	f := inFlightOrder{order: o, epoch: sim.epoch, deadline: sim.now.Add(simStartWindow), clockOf: incarnation}
+	if sim.core.BeginOrder(o, sim.now.Add(simStartWindow*1025/1000+500*time.Millisecond), sim.now) {
 		sim.inFlight = append(sim.inFlight, f)
 	}
 }
@@ -130,26 +179,30 @@
 	sim.now = sim.now.Add(d)
 	for _, id := range sim.workerIDs() {
 		s := sim.workers[id]
-		if len(s.runs) > 0 && sim.now.After(s.leaseExpiry) {
-			for _, task := range sortedTasks(s.runs) {
-				s.endRun(task, EndLeaseExpired)
-			}
+		if s.leaseExpiry.IsZero() || !sim.now.After(s.leaseExpiry) {
+			continue
+		}
+		s.leaseExpiry = time.Time{}
+		s.lapses++
+		for _, task := range sortedTasks(s.runs) {
+			sim.endRun(s, task, EndLeaseExpired)
 		}
 	}
 }
 
 func sortedTasks(m map[graph.Task]graph.RunNumber) []graph.Task {
 	return slices.SortedFunc(maps.Keys(m), func(a, b graph.Task) int {
-		return slices.Compare([]int{int(a.Job[1]), int(a.Index)}, []int{int(b.Job[1]), int(b.Index)})
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
 	})
 }
 
-func (s *simWorker) endRun(task graph.Task, kind EndKind) {
+func (sim *simulation) endRun(s *simWorker, task graph.Task, kind EndKind) {
 	n := s.runs[task]
 	delete(s.runs, task)
 	s.highestEnded[task] = max(s.highestEnded[task], n)
 	s.lastEnd++
-	s.ends = append(s.ends, End{Number: s.lastEnd, Task: task, Run: n, Kind: kind})
+	end := End{Number: s.lastEnd, Task: task, Run: n, Kind: kind}
+	s.ends = append(s.ends, simEnd{End: end, starts: sim.starts[task], lapses: s.lapses})
 }
 
 // extendLease extends the lease of a worker by d on the worker's clock, which may be
@@ -160,12 +213,10 @@
 	}
 }
 
-// deliver executes an order on its worker and returns the outcome.
+// deliver executes an order on its worker and returns the outcome. An order names only
+// the id of its worker, so that any incarnation executes it.
 func (sim *simulation) deliver(f inFlightOrder) Outcome {
 	s := sim.workers[f.order.Worker]
-	if f.order.Incarnation != s.incarnation {
-		return OutcomeOtherIncarnation // orders are valid for one incarnation only
-	}
 	if f.epoch < s.highestEpoch {
 		return OutcomeFenced
 	}
@@ -175,7 +226,7 @@
 	case OrderStop:
 		s.highestEnded[o.Task] = max(s.highestEnded[o.Task], o.Run)
 		if n, ok := s.runs[o.Task]; ok && n <= o.Run {
-			s.endRun(o.Task, EndStopped)
+			sim.endRun(s, o.Task, EndStopped)
 		}
 	case OrderStart:
 		if n, ok := s.runs[o.Task]; ok && n == o.Run {
@@ -183,12 +234,17 @@
 		} else if ok || o.Run <= s.highestEnded[o.Task] {
 			return OutcomeStaleRun
 		}
-		if sim.now.After(f.deadline) {
+		lease := f.deadline.Sub(sim.now)
+		if f.clockOf != s.incarnation {
+			lease = simMaxLease // the clock of this incarnation is far behind the deadline
+		}
+		if lease < 0 {
 			return OutcomeDeadlineExceeded
 		}
 		sim.checkStart(s, o)
 		s.runs[o.Task] = o.Run
-		s.extendLease(sim.now, f.deadline.Sub(sim.now))
+		sim.starts[o.Task]++
+		s.extendLease(sim.now, lease)
 	}
 	return OutcomeDone
 }
@@ -227,6 +283,14 @@
 	}
 }
 
+// place makes all listed workers known and places the waiting tasks.
+func (sim *simulation) place() {
+	sim.writeSnapshot(true)
+	sim.advance(placementInterval)
+	sim.heartbeatAll()
+	sim.queueOrders()
+}
+
 // heartbeat renews a worker's lease and, if answered, passes its report to the core.
 func (sim *simulation) heartbeat(s *simWorker, answered bool) {
 	if s.partitioned || s.highestEpoch > sim.epoch {
@@ -239,26 +303,52 @@
 	if incarnation == s.incarnation {
 		sim.acknowledge(s, cursor)
 	}
-	if !answered {
-		return
+	report := Report{Incarnation: s.incarnation, RequestedAt: sim.now}
+	for _, e := range s.ends[:min(len(s.ends), simEndsPerReport)] {
+		report.Ended = append(report.Ended, e.End)
 	}
-	report := Report{Incarnation: s.incarnation, RequestedAt: sim.now, Ended: slices.Clone(s.ends)}
+	report.Partial = len(report.Ended) == simEndsPerReport
 	for _, task := range sortedTasks(s.runs) {
 		report.Running = append(report.Running, RunStatus{Task: task, Run: s.runs[task], ProgressPercent: 10})
 	}
+	if !answered {
+		sim.core.AwaitAnswer(s.id, sim.now)
+		sim.delayedReports = append(sim.delayedReports, delayedReport{worker: s.id, epoch: sim.epoch, report: report})
+		return
+	}
 	sim.core.HandleReport(s.id, report, sim.now)
 }
 
+// settleReport passes a delayed report to the core, or loses it.
+func (sim *simulation) settleReport(lost bool) {
+	if len(sim.delayedReports) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(sim.delayedReports)-1).Draw(sim.t, "report")
+	d := sim.delayedReports[i]
+	sim.delayedReports = slices.Delete(sim.delayedReports, i, i+1)
+	if d.epoch != sim.epoch {
+		return
+	}
+	if !lost {
+		sim.core.HandleReport(d.worker, d.report, sim.now)
+	}
+	sim.core.AnswerSettled(d.worker, d.report.RequestedAt)
+}
+
 // acknowledge removes the ends up to cursor from a worker. From then on the progress
 // must include them.
 func (sim *simulation) acknowledge(s *simWorker, cursor EndNumber) {
-	s.ends = slices.DeleteFunc(s.ends, func(e End) bool {
+	s.ends = slices.DeleteFunc(s.ends, func(e simEnd) bool {
 		if e.Number > cursor {
 			return false
 		}
 		switch e.Kind {
 		case EndDone:
 			sim.ackedDone[e.Task] = true
+			if e.lapses == s.lapses && sim.starts[e.Task] > e.starts {
+				sim.t.Fatalf("TWICE: %v has started after it had ended as done on %s, whose lease has not expired since", e.Task, s.id)
+			}
 		case EndFailed:
 			sim.ackedFailures[e.Task]++
 		}
@@ -269,9 +359,10 @@
 // TestModel drives owners, workers and the network by random actions and checks the
 // invariants: no task runs twice at once, none starts after an acknowledged end as
 // done, after its last attempt, before its dependencies or beyond a worker's
-// capacity, and no job is shown as completed before its tasks are done. Orders are
-// delayed, reordered, repeated and lost; workers are partitioned, restart and leave
-// the instance list; owners are replaced at any time.
+// capacity, and no job is shown as completed before its tasks are done. Orders wait in
+// the queue of their owner before they are sent, and are delayed, reordered, repeated
+// and lost; reports are delayed, reordered and lost; workers are partitioned, restart
+// and leave the instance list; owners are replaced at any time.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -281,16 +372,33 @@
 			"wait":     func(t *rapid.T) { sim.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
 			"hold":     func(t *rapid.T) { sim.heartbeat(sim.pickWorker(), rapid.IntRange(0, 9).Draw(t, "answered") > 0) },
 			"hold all": func(*rapid.T) { sim.heartbeatAll() },
+			"pause":    func(t *rapid.T) { sim.advance(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond) },
+			"place":    func(*rapid.T) { sim.place() },
+			"place and send": func(*rapid.T) {
+				sim.place()
+				sim.sendAll()
+			},
+			"send":     func(*rapid.T) { sim.sendOne() },
+			"send all": func(*rapid.T) { sim.sendAll() },
+			"answer":   func(t *rapid.T) { sim.settleReport(rapid.IntRange(0, 3).Draw(t, "lost") == 0) },
 			"arrive":   func(t *rapid.T) { sim.deliverOne() },
-			"repeat":   func(t *rapid.T) { sim.deliverCopy() },
-			"work":     func(t *rapid.T) { sim.endSomeRun() },
-			"sync":     func(*rapid.T) { sim.writeSnapshot(true); sim.heartbeatAll() },
-			"write":    func(*rapid.T) { sim.writeSnapshot(true) },
-			"lose":     func(*rapid.T) { sim.writeSnapshot(false) },
-			"cut":      func(*rapid.T) { s := sim.pickWorker(); s.partitioned = !s.partitioned },
+			"arrive all": func(t *rapid.T) {
+				for range len(sim.inFlight) {
+					sim.deliverOne()
+				}
+			},
+			"repeat": func(t *rapid.T) { sim.deliverCopy() },
+			"work":   func(t *rapid.T) { sim.endSomeRun() },
+			"sync":   func(*rapid.T) { sim.writeSnapshot(true); sim.heartbeatAll() },
+			"write":  func(*rapid.T) { sim.writeSnapshot(true) },
+			"lose":   func(*rapid.T) { sim.writeSnapshot(false) },
+			"cut": func(*rapid.T) {
+				s := sim.pickWorker()
+				s.partitioned = !s.partitioned && sim.rarely()
+			},
 			"list": func(*rapid.T) {
 				s := sim.pickWorker()
-				s.listed = !s.listed
+				s.listed = !s.listed || !sim.rarely()
 				sim.core.SetWorkers(sim.listings(), sim.now)
 			},
 			"restart": func(*rapid.T) { sim.restartWorker() },
@@ -300,13 +408,13 @@
 					sim.takeOver()
 				}
 			},
-			"": func(*rapid.T) { sim.sendOrders(); sim.checkShownStates() },
+			"": func(*rapid.T) { sim.queueOrders(); sim.checkShownStates() },
 		})
 	})
 }
 
 func (sim *simulation) submitJob() {
-	if len(sim.jobs) >= 6 {
+	if len(sim.jobs) >= 20 {
 		return
 	}
 	sim.jobCount++
@@ -344,7 +452,8 @@
 			outcome = OutcomeUnknown
 		}
 	} else if rapid.Bool().Draw(sim.t, "late") {
-		sim.inFlight = append(sim.inFlight, inFlightOrder{order: f.order, epoch: f.epoch, deadline: f.deadline, answerLost: true})
+		sim.inFlight = append(sim.inFlight, f)
+		sim.inFlight[len(sim.inFlight)-1].answerLost = true
 	}
 	if f.answerLost || f.epoch != sim.epoch {
 		return
@@ -362,9 +471,10 @@
 	if len(sim.inFlight) == 0 {
 		return
 	}
-	f := rapid.SampledFrom(sim.inFlight).Draw(sim.t, "flight")
+	f := &sim.inFlight[rapid.IntRange(0, len(sim.inFlight)-1).Draw(sim.t, "flight")]
 	if !sim.workers[f.order.Worker].partitioned {
-		sim.deliver(f)
+		f.executed = true
+		sim.deliver(*f)
 	}
 }
 
@@ -377,7 +487,7 @@
 	task := rapid.SampledFrom(sortedTasks(s.runs)).Draw(sim.t, "task")
 	kind := rapid.SampledFrom([]EndKind{EndDone, EndDone, EndDone, EndFailed}).Draw(sim.t, "kind")
 	sim.endedDone[task] = sim.endedDone[task] || kind == EndDone
-	s.endRun(task, kind)
+	sim.endRun(s, task, kind)
 }
 
 // writeSnapshot makes the progress and final states durable. The core is only told if
@@ -401,19 +511,25 @@
 }
 
 // restartWorker restarts a worker under a new incarnation, without its runs and ends.
+// Orders in flight reach the new incarnation, except those that the earlier one has
+// executed or would refuse because of a stop or a higher epoch: nothing on the wire
+// makes the new one refuse them.
 func (sim *simulation) restartWorker() {
 	s := sim.pickWorker()
 	if rapid.IntRange(0, 4).Draw(sim.t, "really") > 0 {
 		return
 	}
+	sim.inFlight = slices.DeleteFunc(sim.inFlight, func(f inFlightOrder) bool {
+		refused := f.epoch < s.highestEpoch || f.order.Run <= s.highestEnded[f.order.Task]
+		return f.order.Worker == s.id && (f.executed || refused)
+	})
 	s.incarnation++
 	s.highestEpoch, s.lastEnd, s.ends, s.leaseExpiry = 0, 0, nil, time.Time{}
 	s.runs, s.highestEnded = map[graph.Task]graph.RunNumber{}, map[graph.Task]graph.RunNumber{}
-	sim.inFlight = slices.DeleteFunc(sim.inFlight, func(f inFlightOrder) bool { return f.order.Worker == s.id })
 }
 
 func (sim *simulation) cancelJob() {
-	if len(sim.jobs) == 0 {
+	if len(sim.jobs) == 0 || !sim.rarely() {
 		return
 	}
 	id := rapid.SampledFrom(slices.Sorted(maps.Keys(sim.jobs))).Draw(sim.t, "job")
--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -144,8 +144,5 @@
 	r.pacePercent, r.paceSetAt = percent, now
 	r.worker.paceChangedAt, r.worker.bestEffort = now, nil
 	r.progressedAt = now
-	c.issueOrder(Order{
-		Kind: OrderPace, Worker: r.worker.id, Incarnation: r.worker.incarnation, Task: r.task.id(), Run: r.number,
-		PacePercent: percent, Reason: reason,
-	})
+	c.orderPace(r, reason)
 }
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -146,9 +146,10 @@
 // startTask adds a run of a task to a worker and orders its start.
 func (c *Core) startTask(w *worker, t *task, number graph.RunNumber, now time.Time) {
 	j := t.job()
-	first := !j.started
+	first := !j.started && !j.startOrdered
+	j.startOrdered = true
 	ticket, _ := t.step.ticketFor(w, now) // eligible has checked it
-	c.addRun(w, t, number, phaseStarting, now)
+	c.addRun(w, t, number, phaseQueued, now)
 	w.health.recordStart(now)
 	c.issueOrder(Order{
 		Ticket: ticket, FirstStart: first, JobDue: j.spec.Due(0),
@@ -189,11 +190,9 @@
 func (c *Core) eligibleWithoutTicket(w *worker, t *task, now time.Time) bool {
 	s := t.step.spec
 	switch {
-	case w.listing.Draining, c.evacuatedZones[w.listing.Zone], !w.vacatingSince.IsZero():
+	case !c.acceptsOrders(w, now):
 		return false
-	case w.reportRequestedAt.IsZero(), now.Sub(w.reportRequestedAt) > maxReportAge:
-		return false
-	case w.unknownRuns > 0, !c.durableWorkers[w.id]:
+	case len(w.unknownRuns) > 0, !c.durableWorkers[w.id]:
 		return false
 	case !w.health.acceptsStarts(now):
 		return false
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -34,12 +35,16 @@
 		delete(c.unresolved, id)
 		c.placementDue = true
 	}
-	w.unknownRuns = 0
+	stopsUnderWay := w.unknownRuns
+	w.unknownRuns = map[runID]bool{}
 	present := make(map[graph.Task]bool, len(report.Running))
 	for _, s := range report.Running {
 		present[s.Task] = true
 		c.observeRun(w, s, now)
 	}
+	for id := range w.unknownRuns {
+		c.stopUnknownRun(w, id, stopsUnderWay[id])
+	}
 	if !report.Partial {
 		c.endAbsentRuns(w, present, report.RequestedAt, now)
 	}
@@ -53,7 +58,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	t.job().started = true // the owner that started the run may not have written it
+	c.markStarted(t.job()) // the owner that started the run may not have written it
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
 	}
@@ -80,8 +85,8 @@
 	c.requeue(t)
 }
 
-// handleDone completes a task whose run ended as done. If another run of the task has
-// started meanwhile, that run decides, unless the step allows several at once.
+// handleDone completes a task whose run ended as done. If the start of another run of
+// the task was sent meanwhile, that run decides, unless the step allows several at once.
 func (c *Core) handleDone(t *task) {
 	if t.step.spec.LongRunning {
 		return
@@ -92,7 +97,8 @@
 		}
 		return
 	}
-	if len(t.runs) == 0 || t.step.spec.Speculative {
+	sent := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseQueued })
+	if !sent || t.step.spec.Speculative {
 		c.completeTask(t)
 	}
 }
@@ -100,7 +106,7 @@
 // stopGangRun stops the remaining members of a gang's run after one has ended.
 func (c *Core) stopGangRun(s *step, number graph.RunNumber) {
 	for n := range s.tasks {
-		for _, r := range s.tasks[n].runs {
+		for _, r := range slices.Clone(s.tasks[n].runs) { // stopRun may remove the run
 			if r.number == number {
 				c.stopRun(r, ReasonGangEnded)
 			}
@@ -112,7 +118,7 @@
 func (c *Core) observeRun(w *worker, status RunStatus, now time.Time) {
 	t := c.lookupTask(status.Task)
 	if t == nil {
-		c.stopUnknownRun(w, status)
+		w.unknownRuns[runID{status.Task, status.Run}] = false
 		return
 	}
 	t.lastRun = max(t.lastRun, status.Run)
@@ -123,6 +129,7 @@
 			return
 		}
 	}
+	r.reported = true
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 		r.phase, r.absenceConclusiveAt = phaseRunning, now
 	}
@@ -133,17 +140,25 @@
 	c.measureDuration(r, status.ProgressPercent)
 }
 
-// adoptRun takes over a run that an earlier owner started. It orders a stop and
-// returns nil if the task does not need the run.
+// adoptRun takes over a run that an earlier owner started, or that a new incarnation of
+// the worker has started late. It returns nil if the task does not need the run.
 func (c *Core) adoptRun(w *worker, t *task, status RunStatus, now time.Time) *run {
+	for _, r := range slices.Clone(t.runs) {
+		if r.phase == phaseQueued {
+			c.removeRun(r) // this run makes it superfluous
+		}
+	}
 	wanted := !t.done && t.job().final == 0 && (len(t.runs) == 0 || t.step.spec.Speculative) && w.runs[status.Task] == nil
 	if !wanted {
-		c.stopUnknownRun(w, status)
+		w.unknownRuns[runID{status.Task, status.Run}] = false
+		c.requeue(t)
 		return nil
 	}
+	c.markStarted(t.job())
 	r := c.addRun(w, t, status.Run, phaseRunning, now)
 	r.absenceConclusiveAt, r.resumedFromCheckpoint = now, true
 	c.RecordLease(w.id, c.inheritedLeasesExpireAt) // the lease granted by the earlier owner
+	c.extendToLongestLease(w, now)
 	if need := t.step.spec.Needs.Cores; t.step.spec.BestEffort && need > 0 {
 		// The earlier owner may have changed the pace, so it is derived from the cores
 		// that the run uses.
@@ -154,11 +169,14 @@
 	return r
 }
 
-// stopUnknownRun orders the stop of a run that no task needs. The capacity that the
-// run takes is unknown, so nothing starts on the worker while it is reported.
-func (c *Core) stopUnknownRun(w *worker, status RunStatus) {
-	w.unknownRuns++
-	c.issueOrder(Order{Kind: OrderStop, Worker: w.id, Incarnation: w.incarnation, Task: status.Task, Run: status.Run, Reason: ReasonObsolete})
+// stopUnknownRun orders the stop of a run that no task needs, unless a stop is under
+// way. The capacity that the run takes is unknown, so nothing starts on the worker
+// while it is reported.
+func (c *Core) stopUnknownRun(w *worker, id runID, underWay bool) {
+	w.unknownRuns[id] = true
+	if !underWay {
+		c.issueOrder(Order{Kind: OrderStop, Worker: w.id, Incarnation: w.incarnation, Task: id.task, Run: id.run, Reason: ReasonObsolete})
+	}
 }
 
 // minFullPaceUsage is the share of its cores, in percent, that an adopted run must
@@ -273,6 +291,9 @@
 func (c *Core) HandleStopOutcome(o Order, outcome Outcome, now time.Time) {
 	r := c.runOfOrder(o)
 	if r == nil {
+		if w := c.workers[o.Worker]; w != nil && w.incarnation == o.Incarnation && w.unknownRuns[runID{o.Task, o.Run}] {
+			w.unknownRuns[runID{o.Task, o.Run}] = false // the next report decides
+		}
 		return
 	}
 	switch outcome {
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -62,7 +62,7 @@
 	}
 	for id, w := range c.workers {
 		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastEndSeen}
-		if len(w.runs) > 0 && !c.unresolved[id] {
+		if (len(w.runs) > 0 || len(w.unknownRuns) > 0) && !c.unresolved[id] {
 			s.BusyWorkers = append(s.BusyWorkers, id)
 		}
 		if (w.listed || len(w.runs) > 0) && !c.unresolved[id] {
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -14,7 +14,8 @@
 type phase uint8
 
 const (
-	phaseStarting    phase = iota + 1 // the start was ordered and has no outcome yet
+	phaseQueued      phase = iota + 1 // the start was ordered and not sent yet
+	phaseStarting                     // the start was sent and has no outcome yet
 	phaseUnconfirmed                  // the outcome of the start is unknown
 	phaseRunning                      // the worker has confirmed the start or reported the run
 	phaseStopping                     // a stop was ordered
@@ -31,7 +32,9 @@
 	// shows that it has ended. It is zero while the outcome of the run's last order
 	// is unknown.
 	absenceConclusiveAt   time.Time
-	orderedAt             time.Time // when the start was ordered or the run adopted
+	orderedAt             time.Time // when the start was sent (before that: ordered) or the run adopted
+	reported              bool      // by the current incarnation of the worker
+	stopReason            Reason    // while stopping
 	progressPercent       int
 	progressedAt          time.Time                 // start of the current period without progress
 	workDone              time.Duration             // time worked, in terms of full speed
@@ -54,7 +57,7 @@
 	exitsAt           time.Time   // earliest exit; set while draining
 	runs              map[graph.Task]*run
 	used              unit.Resources // reserved by all runs; see reservedResources
-	unknownRuns       int            // runs in the last report that no task needs
+	unknownRuns       map[runID]bool // runs in the last report that no task needs; true while a stop is under way
 	lastEndSeen       EndNumber      // highest end handled
 	ackCursor         EndNumber      // highest end that is durable and can be acknowledged
 	health            health
@@ -79,7 +82,7 @@
 	for _, l := range list {
 		w := c.workers[l.ID]
 		if w == nil {
-			w = &worker{id: l.ID, runs: map[graph.Task]*run{}}
+			w = &worker{id: l.ID, runs: map[graph.Task]*run{}, unknownRuns: map[runID]bool{}}
 			c.workers[l.ID] = w
 			c.progressChanged = true // nothing starts there before the durable progress names it
 		}
@@ -163,18 +166,38 @@
 }
 
 // handleRestart resets a worker to a new incarnation, which has none of the earlier
-// runs and ends.
+// ends and none of the runs that the earlier one has reported. Other starts that were
+// sent may still be executed by the new incarnation, as an order names only the id of
+// its worker.
 func (c *Core) handleRestart(w *worker, incarnation Incarnation, now time.Time) {
-	c.abandonRuns(w, now)
 	w.reportRequestedAt = time.Time{}
 	if w.incarnation != 0 {
-		// An order whose deadline was computed from the clock of the earlier
-		// incarnation may have reached the new one, which then holds a lease of the
-		// maximum length. A margin of 5% is added.
-		w.leaseExpiry = now.Add(c.limits.MaxLease * 105 / 100)
+		c.extendToLongestLease(w, now)
 	}
 	w.incarnation, w.lastEndSeen, w.ackCursor = incarnation, 0, 0
 	w.health = health{}
+	clear(w.unknownRuns)
+	for _, r := range w.runs {
+		if r.phase == phaseQueued || r.reported {
+			c.removeRun(r)
+			c.requeue(r.task)
+			continue
+		}
+		r.absenceConclusiveAt = time.Time{}
+		if r.phase == phaseStopping {
+			c.orderStop(r)
+		} else {
+			r.phase = phaseUnconfirmed
+		}
+	}
+	c.placementDue = true
+}
+
+// extendToLongestLease records that a worker may hold a lease of the maximum length,
+// plus a margin of 5%. An order whose deadline was computed from the clock of an
+// earlier incarnation grants such a lease.
+func (c *Core) extendToLongestLease(w *worker, now time.Time) {
+	c.RecordLease(w.id, now.Add(c.limits.MaxLease*105/100))
 }
 
 // addRun adds a run of a task to a worker and reserves its resources.
@@ -185,16 +208,20 @@
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	t.step.runsPerWorker[w.id]++
 	t.job().activeRuns++
-	if !t.job().started {
-		t.job().started = true
-		c.progressChanged = true
-	}
 	w.runs[t.id()] = r
 	w.bestEffort = nil
 	w.used = w.used.Add(reservedResources(t.step.spec))
 	return r
 }
 
+// markStarted records that a task of a job has been started.
+func (c *Core) markStarted(j *job) {
+	if !j.started {
+		j.started = true
+		c.progressChanged = true
+	}
+}
+
 // removeRun removes a run from its worker and releases its resources.
 func (c *Core) removeRun(r *run) {
 	t := r.task
@@ -209,18 +236,6 @@
 	c.placementDue = true
 }
 
-// stopRun orders a worker to stop a run, unless a stop was ordered before.
-func (c *Core) stopRun(r *run, reason Reason) {
-	if r.phase == phaseStopping {
-		return
-	}
-	r.phase, r.absenceConclusiveAt = phaseStopping, time.Time{}
-	c.issueOrder(Order{Kind: OrderStop, Worker: r.worker.id, Incarnation: r.worker.incarnation, Task: r.task.id(), Run: r.number, Reason: reason})
-}
-
-// issueOrder queues an order for the next TakeOrders.
-func (c *Core) issueOrder(o Order) { c.orders = append(c.orders, o) }
-
 // drainLead is the margin before the exit of a draining worker, beside the stop
 // timeout, at which tasks that save checkpoints are stopped there.
 const drainLead = 1500 * time.Millisecond
