job/scheduler: repeat unanswered stop and pace orders after a pause

A stop or pace without an answer was repeated at once.

Such an order is repeated after the next report of the worker, which shows that it can be reached, or after one second.

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -180,6 +180,7 @@
 	for _, w := range c.workers {
 		c.expireLease(w, now)
 		c.checkRuns(w, now)
+		c.repeatOrders(w, false, now)
 	}
 	if now.Sub(c.addedPressuresClearedAt) > addedPressuresTTL {
 		clear(c.addedPressures)
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -160,6 +160,7 @@
 	ReasonGangEnded       Reason = "gang ended"      // another member of the gang ended
 	ReasonUpkeep          Reason = "upkeep"          // the worker's machine is due for upkeep
 	ReasonSlowed          Reason = "slowed"          // the run was slowed for long and can be faster elsewhere
+	ReasonRepeated        Reason = "repeated"        // an earlier order to the same effect had no useful answer
 )
 
 // FinalState is the final state that the core has decided for a job. It must be
--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -6,6 +6,11 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
+// orderRepeatDelay is the time after which a stop or pace order without a useful answer
+// is repeated to a worker that has not reported meanwhile. Each unanswered order costs
+// its connection.
+const orderRepeatDelay = time.Second
+
 // BeginOrder reports whether an order is still wanted. The caller calls it immediately
 // before it sends the order, as the order may have waited since it was given, and
 // passes the latest time at which a lease that the order grants ends. A start counts as
@@ -85,6 +90,24 @@
 // issueOrder queues an order for the next TakeOrders.
 func (c *Core) issueOrder(o Order) { c.orders = append(c.orders, o) }
 
+// repeatOrders repeats the stop and pace orders to a worker that had no useful answer
+// and are due again. After a report of the worker all of them are due.
+func (c *Core) repeatOrders(w *worker, reported bool, now time.Time) {
+	for _, r := range w.runs {
+		if r.repeatOrderAt.IsZero() || (!reported && now.Before(r.repeatOrderAt)) {
+			continue
+		}
+		r.repeatOrderAt = time.Time{}
+		switch r.phase {
+		case phaseStopping:
+			c.orderStop(r)
+		case phaseRunning:
+			r.paceSetAt = now
+			c.orderPace(r, ReasonRepeated)
+		}
+	}
+}
+
 // runID names a run of a task.
 type runID struct {
 	task graph.Task
--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -168,6 +168,49 @@
 	}
 }
 
+// TestUnansweredStopIsRepeated guards against stops that are repeated without a pause
+// while a worker does not answer, and against stops that never reach it.
+func TestUnansweredStopIsRepeated(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome Outcome
+		after   time.Duration
+		report  bool
+		stops   int
+	}{
+		{"no answer, at once", OutcomeUnknown, 0, false, 0},
+		{"no answer, after the pause", OutcomeUnknown, orderRepeatDelay, false, 1},
+		{"not sent, after the pause", OutcomeNotSent, orderRepeatDelay, false, 1},
+		{"no answer, worker reports", OutcomeUnknown, time.Millisecond, true, 1},
+		{"answered", OutcomeDone, orderRepeatDelay, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			o := f.placeOn("w1", smallStep)
+			f.begin(o)
+			f.core.HandleStartOutcome(o, OutcomeDone, f.now)
+			f.core.Cancel("j", f.now)
+			stop := f.takeStops()[0]
+			f.begin(stop)
+			f.core.HandleStopOutcome(stop, tt.outcome, f.now)
+			f.advance(tt.after)
+			if tt.report {
+				f.report("w1", []RunStatus{{Task: o.Task, Run: o.Run}}, nil)
+			}
+			stops := f.takeStops()
+			if diff := cmp.Diff(tt.stops, len(stops)); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+			for _, o := range stops {
+				if !f.begin(o) {
+					t.Errorf("stop %+v is withdrawn", o)
+				}
+			}
+		})
+	}
+}
+
 // TestUnknownRunIsStoppedOnce guards against a queue of stops for one run that grows
 // with each report while the worker does not answer orders.
 func TestUnknownRunIsStoppedOnce(t *testing.T) {
--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -144,5 +144,6 @@
 	r.pacePercent, r.paceSetAt = percent, now
 	r.worker.paceChangedAt, r.worker.bestEffort = now, nil
 	r.progressedAt = now
+	r.repeatOrderAt = time.Time{}
 	c.orderPace(r, reason)
 }
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -48,6 +48,7 @@
 	if !report.Partial {
 		c.endAbsentRuns(w, present, report.RequestedAt, now)
 	}
+	c.repeatOrders(w, true, now)
 	c.policy.onReport(w, now)
 }
 
@@ -275,19 +276,19 @@
 )
 
 // HandlePaceOutcome applies the outcome of a pace order. An order that may not have
-// been executed is repeated unless the run's pace has changed since.
+// been executed is repeated later, unless the run's pace changes before.
 func (c *Core) HandlePaceOutcome(o Order, outcome Outcome, now time.Time) {
 	if outcome != OutcomeUnknown && outcome != OutcomeNotSent && outcome != OutcomeUnhealthy {
 		return
 	}
 	if r := c.runOfOrder(o); r != nil && r.phase == phaseRunning && r.pacePercent == o.PacePercent {
-		r.paceSetAt = now
-		c.issueOrder(o)
+		r.repeatOrderAt = now.Add(orderRepeatDelay)
 	}
 }
 
 // HandleStopOutcome applies the outcome of a stop order. The run has ended once it is
-// reported as ended, or is absent from a report requested after the stop timeout.
+// reported as ended, or is absent from a report requested after the stop timeout. A
+// stop that may not have been executed is repeated later.
 func (c *Core) HandleStopOutcome(o Order, outcome Outcome, now time.Time) {
 	r := c.runOfOrder(o)
 	if r == nil {
@@ -301,7 +302,7 @@
 		r.absenceConclusiveAt = now.Add(c.limits.StopTimeout)
 	case OutcomeFenced, OutcomeOtherIncarnation:
 	default:
-		c.issueOrder(o) // repeating a stop is harmless
+		r.repeatOrderAt = now.Add(orderRepeatDelay)
 	}
 }
 
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -35,6 +35,7 @@
 	orderedAt             time.Time // when the start was sent (before that: ordered) or the run adopted
 	reported              bool      // by the current incarnation of the worker
 	stopReason            Reason    // while stopping
+	repeatOrderAt         time.Time // when the last stop or pace order is repeated; zero: it is not
 	progressPercent       int
 	progressedAt          time.Time                 // start of the current period without progress
 	workDone              time.Duration             // time worked, in terms of full speed
@@ -183,7 +184,7 @@
 			c.requeue(r.task)
 			continue
 		}
-		r.absenceConclusiveAt = time.Time{}
+		r.repeatOrderAt, r.absenceConclusiveAt = time.Time{}, time.Time{}
 		if r.phase == phaseStopping {
 			c.orderStop(r)
 		} else {
