job/scheduler: start nothing on a worker that the store may not name

Should the owner end before the next write while the worker is not listed, the next owner would not wait for its report and start its tasks again.

TestUnwrittenWorker failed before: 1 starts.

--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -257,3 +257,18 @@
 		t.Errorf("stops of the other member (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnwrittenWorker guards against a start on a worker that the store may not name any
+// more: the next owner would not wait for its report.
+func TestUnwrittenWorker(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.listWorkers("w1")
+	f.core.SetWorkers(nil, f.now)
+	f.core.Snapshot() // written, but the answer is lost
+	f.core.SetWorkers([]Listing{newListing("w1")}, f.now)
+	f.report("w1", nil, nil)
+	f.addJob("j", smallStep, true)
+	if n := len(f.takeStarts(OutcomeDone)); n > 0 {
+		t.Errorf("%d starts", n)
+	}
+}
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -69,6 +70,12 @@
 			s.KnownWorkers = append(s.KnownWorkers, id)
 		}
 	}
+	// The snapshot may become durable without an answer, and then a worker that it does
+	// not name is not durable any more.
+	maps.DeleteFunc(c.durableWorkers, func(id unit.InstanceID, _ bool) bool {
+		w := c.workers[id]
+		return !c.unresolved[id] && (w == nil || (!w.listed && len(w.runs) == 0))
+	})
 	return s
 }
 
