--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -62,13 +63,19 @@
 	}
 	for id, w := range c.workers {
 		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastEndSeen}
-		if len(w.runs) > 0 && !c.unresolved[id] {
+		if (len(w.runs) > 0 || len(w.unknownRuns) > 0) && !c.unresolved[id] {
 			s.BusyWorkers = append(s.BusyWorkers, id)
 		}
 		if (w.listed || len(w.runs) > 0) && !c.unresolved[id] {
 			s.KnownWorkers = append(s.KnownWorkers, id)
 		}
 	}
+	// The snapshot may become durable without an answer, and then a worker that it does
+	// not name is not durable any more.
+	maps.DeleteFunc(c.durableWorkers, func(id unit.InstanceID, _ bool) bool {
+		w := c.workers[id]
+		return !c.unresolved[id] && (w == nil || (!w.listed && len(w.runs) == 0))
+	})
 	return s
 }
 
