job/scheduler: wait for answers under way before a takeover starts tasks

Callers saw tasks start again under a new owner after a run had ended as done. The core waits at the expiry of a worker's lease for answers that were requested before (AwaitAnswer), but took every silent worker as free of runs once the leases of the previous owner had expired, though its first answer, with the ends under the previous owner, could be under way for as long.

A dead worker delays the starts for no longer than its connection attempts take, as these settle the answer.

Found while looking for the class of the late answer in the paths that decide a start; no trace of it alone. TestTakeoverAwaitsAnswer failed before: a heartbeat from before the expiry is unanswered: starts (-want +got): -0 +1

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -8,7 +8,6 @@
 package scheduler
 
 import (
-	"maps"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -170,9 +169,7 @@
 // Tick applies every change that depends on time alone, such as expired leases,
 // stalled runs and due occurrences, and then places waiting tasks.
 func (c *Core) Tick(now time.Time) {
-	if !now.Before(c.inheritedLeasesExpireAt) {
-		maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool { return !c.workers[id].hasUnreadEnds(now) })
-	}
+	c.resolveSilentWorkers(now)
 	for _, j := range c.openJobs {
 		c.openDueOccurrences(j, now)
 	}
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -37,25 +38,35 @@
 }
 
 // awaitsAnswer reports whether an answer is waited for that was requested before the
-// lease of the worker expired.
-func (w *worker) awaitsAnswer(now time.Time) bool {
-	if !now.Before(w.leaseExpiry.Add(maxAnswerWait)) {
-		return false
-	}
-	return slices.ContainsFunc(w.answersDue, w.leaseExpiry.After)
+// given expiry of the worker's lease.
+func (w *worker) awaitsAnswer(expiry, now time.Time) bool {
+	return now.Before(expiry.Add(maxAnswerWait)) && slices.ContainsFunc(w.answersDue, expiry.After)
 }
 
 // hasUnreadEnds reports whether the worker may still list ends from before its last
 // report, and its lease has not expired since.
 func (w *worker) hasUnreadEnds(now time.Time) bool {
-	return w != nil && w.unreadEnds && now.Before(w.leaseExpiry)
+	return w.unreadEnds && now.Before(w.leaseExpiry)
+}
+
+// resolveSilentWorkers takes the unresolved workers as free of runs of earlier owners
+// once every lease that those granted has expired. Workers that may still list ends
+// stay unresolved: a task whose run ended as done must not start again.
+func (c *Core) resolveSilentWorkers(now time.Time) {
+	if now.Before(c.inheritedLeasesExpireAt) {
+		return
+	}
+	maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool {
+		w := c.workers[id]
+		return w == nil || !w.hasUnreadEnds(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
+	})
 }
 
 // expireLease abandons the runs of a worker whose lease has certainly expired.
 func (c *Core) expireLease(w *worker, now time.Time) {
 	// An answer that takes longer than any lease is not waited for.
 	w.answersDue = slices.DeleteFunc(w.answersDue, now.Add(-c.limits.MaxLease).After)
-	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(now) {
+	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(w.leaseExpiry, now) {
 		return
 	}
 	sent := 0
--- a/internal/job/scheduler/lease_test.go
+++ b/internal/job/scheduler/lease_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
 // TestExpiryAwaitsAnswer guards against a second start of a task whose end as done is
@@ -46,3 +48,44 @@
 		})
 	}
 }
+
+// TestTakeoverAwaitsAnswer guards against a second start of a task under a new owner
+// while an answer is under way that lists the end as done of its run under the
+// previous owner.
+func TestTakeoverAwaitsAnswer(t *testing.T) {
+	const inherited = 9 * time.Second // until the leases of the previous owner have expired
+	tests := []struct {
+		name    string
+		sent    []time.Duration // when heartbeats were sent, after the takeover
+		settled []time.Duration // those of them that failed
+		after   time.Duration   // since the expiry of the inherited leases
+		starts  int
+	}{
+		{"no heartbeat is unanswered", nil, nil, 0, 1},
+		{"a heartbeat from before the expiry is unanswered", []time.Duration{8 * time.Second}, nil, time.Second, 0},
+		{"it is waited for too long", []time.Duration{8 * time.Second}, nil, maxAnswerWait, 1},
+		{"it failed", []time.Duration{8 * time.Second}, []time.Duration{8 * time.Second}, 0, 1},
+		{"only one from after the expiry is unanswered", []time.Duration{inherited + time.Second}, nil, time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, inherited)
+			f.core.LoadProgress(nil, []unit.InstanceID{"w1", "w2"}, []unit.InstanceID{"w1", "w2"})
+			f.core.SetWorkers([]Listing{newListing("w1"), newListing("w2")}, f.now)
+			f.addJob("j", smallStep, false)
+			begin := f.now
+			for _, d := range tt.sent {
+				f.core.AwaitAnswer("w2", begin.Add(d))
+			}
+			for _, d := range tt.settled {
+				f.core.AnswerSettled("w2", begin.Add(d))
+			}
+			f.now = begin.Add(inherited + tt.after)
+			f.report("w1", nil, nil)
+			f.core.Tick(f.now)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
