job/owner: a watch that timed out is sent again before all items are listed

Cause: a watch of jobs or workers whose answer came over 0.6 s late was followed by a list of all 1,300 job records or 490 instances at once, which takes more of the processor and the link that made the answer late.

Change: a watch that timed out is sent once more. Errors of other kinds lead to a list as before.

--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -1,10 +1,13 @@
 package owner
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
@@ -15,10 +18,7 @@
 // no entry notified this owner.
 func (sh *shard) watchJobs(since unit.Revision) {
 	for sh.sleep(jobWatchInterval) {
-		events, next, err := sh.service.store.Watch(sh.ctx, record.JobPrefix, since, watchTimeout)
-		if err != nil && sh.ctx.Err() == nil {
-			events, next, err = sh.service.store.List(sh.ctx, record.JobPrefix)
-		}
+		events, next, _, err := sh.watchOrList(record.JobPrefix, since)
 		if err != nil {
 			continue // storage/access logs that the store is unreachable
 		}
@@ -31,14 +31,28 @@
 	}
 }
 
+// watchOrList returns the changes under the prefix after a revision, or all items if the
+// changes cannot be read, and the revision to continue from. A watch that timed out is
+// sent once more first: its connection may be silent or this entry overloaded, and a
+// list is megabytes long.
+func (sh *shard) watchOrList(prefix kv.Key, since unit.Revision) (items []kv.Item, next unit.Revision, listed bool, err error) {
+	for range 2 {
+		items, next, err = sh.service.store.Watch(sh.ctx, prefix, since, watchTimeout)
+		if !errors.Is(err, context.DeadlineExceeded) {
+			break
+		}
+	}
+	if err == nil || sh.ctx.Err() != nil {
+		return items, next, false, err
+	}
+	items, next, err = sh.service.store.List(sh.ctx, prefix)
+	return items, next, true, err
+}
+
 // watchWorkers applies changes of the instance list to the core.
 func (sh *shard) watchWorkers(since unit.Revision) {
 	for sh.sleep(workerWatchInterval) {
-		events, next, err := sh.service.store.Watch(sh.ctx, sh.service.fleet.Prefix(), since, watchTimeout)
-		relisted := err != nil && sh.ctx.Err() == nil
-		if relisted {
-			events, next, err = sh.service.store.List(sh.ctx, sh.service.fleet.Prefix())
-		}
+		events, next, relisted, err := sh.watchOrList(sh.service.fleet.Prefix(), since)
 		if err != nil {
 			sh.sleep(retryDelay)
 			continue
