job/scheduler: Tick places no tasks

The shard places tasks only while its view of the ownership is recent enough for orders, but Tick placed them as well.

The callers of Tick call Place themselves, as the shard does after each update. The tests that relied on the placement in Tick call both, in the same order.

TestPlacementNeedsOwnership failed before: view is stale: runs (-want +got): -0 +1

--- a/internal/job/scheduler/bench_test.go
+++ b/internal/job/scheduler/bench_test.go
@@ -45,6 +45,7 @@
 		add(fmt.Sprintf("q%d", i), graph.Step{Count: 6, Needs: unit.Resources{Cores: 6000, Memory: 11 << 30}, Estimate: time.Second})
 	}
 	c.Tick(now)
+	c.Place(now)
 	return c, now
 }
 
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -167,7 +167,7 @@
 }
 
 // Tick applies every change that depends on time alone, such as expired leases,
-// stalled runs and due occurrences, and then places waiting tasks.
+// stalled runs and due occurrences.
 func (c *Core) Tick(now time.Time) {
 	c.resolveSilentWorkers(now)
 	for _, j := range c.openJobs {
@@ -188,7 +188,6 @@
 		c.relocateSlowedRuns(now)
 	}
 	c.placementDue = true
-	c.Place(now)
 }
 
 // firstRunNumber returns the lowest run number of this owner's epoch.
--- a/internal/job/scheduler/core_test.go
+++ b/internal/job/scheduler/core_test.go
@@ -50,10 +50,11 @@
 	f.core.HandleReport(id, Report{Incarnation: 1, RequestedAt: f.now, Running: running, Ended: ended}, f.now)
 }
 
-// advance moves the clock and calls Tick.
+// advance moves the clock and calls Tick and Place.
 func (f *fixture) advance(d time.Duration) {
 	f.now = f.now.Add(d)
 	f.core.Tick(f.now)
+	f.core.Place(f.now)
 }
 
 // takeStarts runs a placement pass, answers all pending start orders with the outcome
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -368,7 +368,7 @@
 		sim := newSimulation(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"submit":   func(*rapid.T) { sim.submitJob() },
-			"tick":     func(*rapid.T) { sim.core.Tick(sim.now) },
+			"tick":     func(*rapid.T) { sim.core.Tick(sim.now); sim.core.Place(sim.now) },
 			"wait":     func(t *rapid.T) { sim.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond) },
 			"hold":     func(t *rapid.T) { sim.heartbeat(sim.pickWorker(), rapid.IntRange(0, 9).Draw(t, "answered") > 0) },
 			"hold all": func(*rapid.T) { sim.heartbeatAll() },
@@ -434,6 +434,7 @@
 		sim.heartbeat(sim.workers[id], true)
 	}
 	sim.core.Tick(sim.now)
+	sim.core.Place(sim.now)
 }
 
 // deliverOne delivers a random order in flight, and its outcome unless that is lost.
