job/scheduler: let the next report decide on a start rejected as stale

A worker rejects a start whose run has been stopped or has ended there. The core took that as proof that the run does not exist and started the task again before it had read the end, which may be as done.

The run now counts as present until a report that is requested afterwards lists its end or lacks it.

TestStaleStart failed before: run_has_ended: 1 starts before the next report

--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -272,3 +272,31 @@
 		t.Errorf("%d starts", n)
 	}
 }
+
+// TestStaleStart guards against a start of a task whose run has ended as done on the
+// worker that rejects a start of it as stale, before the end is read.
+func TestStaleStart(t *testing.T) {
+	tests := []struct {
+		name   string
+		ended  []End
+		starts int
+	}{
+		{"run has ended", []End{{Number: 1, Task: firstTask("j"), Run: 1, Kind: EndDone}}, 0},
+		{"run was not there", nil, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			o := f.placeOn("w1", smallStep)
+			f.begin(o)
+			f.core.HandleStartOutcome(o, OutcomeStaleRun, f.now)
+			if n := len(f.takeStarts(OutcomeDone)); n > 0 {
+				t.Errorf("%d starts before the next report", n)
+			}
+			f.report("w1", nil, tt.ended)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts after the report (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -225,8 +225,9 @@
 	}
 	t, w := r.task, r.worker
 	switch outcome {
-	case OutcomeDone:
-		if r.phase == phaseStarting {
+	case OutcomeDone, OutcomeStaleRun:
+		// A stale run may have ended there; the next report decides.
+		if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 			r.phase, r.absenceConclusiveAt, r.progressedAt = phaseRunning, now, now
 		}
 		return
