job/scheduler: keep the end of a run as done beside a later run

If a run ended as done and its task had been started elsewhere meanwhile, the end was acknowledged and forgotten: the later run decided. When that one was stopped, rejected or failed, the task started a third time, after an acknowledged end as done. An unanswered start of the later run could also be executed after the acknowledgement.

The later run is now stopped, the task is complete as soon as it has no other run, and the end is acknowledged only with progress that includes it.

TestEndBesideLaterRun failed before: later_run_is_under_way: acknowledged end 1, want 0 later_run_was_rejected: done (-want +got): - true, + false

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -56,6 +56,7 @@
 	step          *step
 	index         unit.TaskIndex
 	done          bool
+	endedDone     bool // a run has ended as done; the task is complete once it has no other run
 	failedRuns    []graph.RunNumber
 	lastRun       graph.RunNumber // highest run number seen or used
 	runs          []*run          // runs on workers
@@ -231,11 +232,15 @@
 }
 
 // requeue puts a task back among the waiting ones, unless it is done or still has a
-// run.
+// run. A task that has ended as done is completed instead.
 func (c *Core) requeue(t *task) {
 	if t.done || t.job().final != 0 || len(t.runs) > 0 || slices.Contains(t.step.waiting, t) {
 		return
 	}
+	if t.endedDone {
+		c.completeTask(t)
+		return
+	}
 	t.step.waiting = append(t.step.waiting, t)
 	c.enqueue(t.step)
 }
--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -300,3 +300,59 @@
 		})
 	}
 }
+
+// TestEndBesideLaterRun guards against a start that is executed after the acknowledged
+// end of an earlier run as done, and against the loss of that end.
+func TestEndBesideLaterRun(t *testing.T) {
+	tests := []struct {
+		name    string
+		settle  func(f *fixture, later Order)
+		done    bool
+		acked   EndNumber
+		waiting int
+	}{
+		{"later run is under way", func(*fixture, Order) {}, false, 0, 0},
+		{"later run was rejected", func(f *fixture, later Order) {
+			f.core.HandleStartOutcome(later, OutcomeDeadlineExceeded, f.now)
+			f.core.HandleStopOutcome(Order{Kind: OrderStop, Worker: later.Worker, Incarnation: 1, Task: later.Task, Run: later.Run}, OutcomeDone, f.now)
+			f.now = f.now.Add(2 * time.Second)
+			f.report(later.Worker, nil, nil)
+		}, true, 1, 0},
+		{"later run was stopped", func(f *fixture, later Order) {
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndStopped}})
+		}, true, 1, 0},
+		{"later run ended as done", func(f *fixture, later Order) {
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndDone}})
+		}, true, 1, 0},
+		{"later run failed", func(f *fixture, later Order) {
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndFailed}})
+		}, true, 1, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			first := f.placeOn("w1", smallStep)
+			f.begin(first)
+			f.advance(4 * time.Second) // the lease has expired
+			f.listWorkers("w1", "w2")
+			f.core.SetEvacuatedZones(nil)
+			f.now = f.now.Add(placementInterval)
+			f.core.Place(f.now)
+			later := f.core.TakeOrders()[0]
+			f.begin(later)
+			f.report("w1", nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}})
+			tt.settle(f, later)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			task := f.core.lookupTask(first.Task)
+			if diff := cmp.Diff(tt.done, task.done); diff != "" {
+				t.Errorf("done (-want +got):\n%s", diff)
+			}
+			if _, acked := f.core.AckCursor("w1"); acked != tt.acked {
+				t.Errorf("acknowledged end %d, want %d", acked, tt.acked)
+			}
+			if diff := cmp.Diff(tt.waiting, len(task.step.waiting)); diff != "" {
+				t.Errorf("waiting tasks (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -74,7 +74,9 @@
 	switch e.Kind {
 	case EndDone:
 		w.health.recordSuccess()
-		c.handleDone(t)
+		if c.handleDone(t); !t.done && t.endedDone {
+			w.heldEnds[e.Number] = t
+		}
 	case EndFailed:
 		w.health.recordFailure(t.job().spec.ID, now)
 		t.avoidedWorker = w.id
@@ -87,7 +89,8 @@
 }
 
 // handleDone completes a task whose run ended as done. If the start of another run of
-// the task was sent meanwhile, that run decides, unless the step allows several at once.
+// the task was sent meanwhile, that run is stopped first, unless the step allows several
+// at once: a start must not be executed after the task is complete.
 func (c *Core) handleDone(t *task) {
 	if t.step.spec.LongRunning {
 		return
@@ -101,6 +104,11 @@
 	sent := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseQueued })
 	if !sent || t.step.spec.Speculative {
 		c.completeTask(t)
+		return
+	}
+	t.endedDone = true
+	for _, r := range slices.Clone(t.runs) { // stopRun may remove the run
+		c.stopRun(r, ReasonObsolete)
 	}
 }
 
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -62,7 +62,7 @@
 		s.KnownWorkers, s.BusyWorkers = append(s.KnownWorkers, id), append(s.BusyWorkers, id)
 	}
 	for id, w := range c.workers {
-		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastEndSeen}
+		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastRecordedEnd()}
 		if (len(w.runs) > 0 || len(w.unknownRuns) > 0) && !c.unresolved[id] {
 			s.BusyWorkers = append(s.BusyWorkers, id)
 		}
@@ -79,6 +79,20 @@
 	return s
 }
 
+// lastRecordedEnd returns the highest end up to which the progress includes all ends of
+// the worker.
+func (w *worker) lastRecordedEnd() EndNumber {
+	last := w.lastEndSeen
+	for n, t := range w.heldEnds {
+		if t.done || t.job().final != 0 {
+			delete(w.heldEnds, n)
+		} else {
+			last = min(last, n-1)
+		}
+	}
+	return last
+}
+
 // ConfirmSnapshot records that a snapshot is in the store. The ends that it includes
 // can then be acknowledged to their workers, and tasks may start on its known
 // workers.
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -57,10 +57,11 @@
 	leaseExpiry       time.Time   // latest time at which the lease ends; zero: none granted by this owner
 	exitsAt           time.Time   // earliest exit; set while draining
 	runs              map[graph.Task]*run
-	used              unit.Resources // reserved by all runs; see reservedResources
-	unknownRuns       map[runID]bool // runs in the last report that no task needs; true while a stop is under way
-	lastEndSeen       EndNumber      // highest end handled
-	ackCursor         EndNumber      // highest end that is durable and can be acknowledged
+	used              unit.Resources      // reserved by all runs; see reservedResources
+	unknownRuns       map[runID]bool      // runs in the last report that no task needs; true while a stop is under way
+	lastEndSeen       EndNumber           // highest end handled
+	heldEnds          map[EndNumber]*task // ends as done of tasks that are not complete yet
+	ackCursor         EndNumber           // highest end that is durable and can be acknowledged
 	health            health
 	vacatingSince     time.Time       // since when it is vacated for the upkeep of its machine; zero: it is not
 	paceChangedAt     time.Time       // when the pace of any of its runs was last changed
@@ -83,7 +84,7 @@
 	for _, l := range list {
 		w := c.workers[l.ID]
 		if w == nil {
-			w = &worker{id: l.ID, runs: map[graph.Task]*run{}, unknownRuns: map[runID]bool{}}
+			w = &worker{id: l.ID, runs: map[graph.Task]*run{}, unknownRuns: map[runID]bool{}, heldEnds: map[EndNumber]*task{}}
 			c.workers[l.ID] = w
 			c.progressChanged = true // nothing starts there before the durable progress names it
 		}
@@ -178,6 +179,7 @@
 	w.incarnation, w.lastEndSeen, w.ackCursor = incarnation, 0, 0
 	w.health = health{}
 	clear(w.unknownRuns)
+	clear(w.heldEnds)
 	for _, r := range w.runs {
 		if r.phase == phaseQueued || r.reported {
 			c.removeRun(r)
