job/owner: the progress leaves out checkpoints that workers hold

What callers saw: none directly; the progress is the largest write of the owner, 1.9 Mbit/s with 270 open jobs and 3,400 runs (59 KB of base64 four times a second), and 2.9 Mbit/s while the store is down, on links of 10 Mbit/s at small entries.

Cause: each write repeats the checkpoint of every running task, 24 bytes each, and both lists of workers, though the second is read only after a hand-over.

Change: a checkpoint that a worker has reported with a run that goes on is left out, as the next owner learns it from the worker. It goes into the record checkpoints/0, written with the model every 3 s. If worker and owner are lost together within 3 s of a checkpoint, the task resumes from the one before. The list of busy workers is written at a hand-over only. The format number of the progress stays, as the form is the same: an entry of an earlier release reads these records, and only repeats the work of tasks whose worker is lost at a takeover; this release finds no checkpoints record after such an owner, or an older one, whose checkpoints are valid.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -21,11 +21,13 @@
 
 // finalStatesPerCommit keeps a transaction within the limit of the store: each final
 // state takes a guard and a put. The guards of the epoch and the progress and the
-// puts of the progress and the model take the other four entries.
-const finalStatesPerCommit = (kv.MaxTxnOps - 4) / 2
+// puts of the progress, the model and the checkpoints take the other five entries.
+const finalStatesPerCommit = (kv.MaxTxnOps - 5) / 2
 
-// modelInterval is the time between two writes of the interference model.
-const modelInterval = 3 * time.Second
+// estimatesInterval is the time between two writes of the interference model and of the
+// checkpoints that workers hold. A task that is lost with its worker and the owner
+// repeats at most that much work beside the time since its last checkpoint.
+const estimatesInterval = 3 * time.Second
 
 // commitLoop writes final states and progress to the store until the term ends.
 func (sh *shard) commitLoop() {
@@ -54,6 +56,7 @@
 	txn         kv.Txn
 	finalStates []scheduler.FinalState
 	snapshot    *scheduler.Snapshot // nil if the progress is not written
+	estimates   bool                // the model and the checkpoints are written
 }
 
 // commitOnce writes the final states and progress that are due and reports whether
@@ -111,14 +114,18 @@
 	return b, nil
 }
 
-// addProgress adds the progress to a transaction, and the model if that is due. It is
-// called with the lock held.
+// addProgress adds the progress to a transaction, and the model and the checkpoints if
+// they are due. It is called with the lock held.
 func (sh *shard) addProgress(b *commitBatch, handOver bool, now time.Time) error {
 	snapshot := sh.core.Snapshot()
-	value, err := record.Encode(record.Progress{
+	progress := record.Progress{
 		Format: record.Format, Epoch: sh.term.Epoch,
-		Jobs: snapshot.Jobs, KnownWorkers: snapshot.KnownWorkers, BusyWorkers: snapshot.BusyWorkers, HandedOver: handOver,
-	})
+		Jobs: snapshot.Jobs, KnownWorkers: snapshot.KnownWorkers, HandedOver: handOver,
+	}
+	if handOver {
+		progress.BusyWorkers = snapshot.BusyWorkers
+	}
+	value, err := record.Encode(progress)
 	if err != nil {
 		return err
 	}
@@ -126,15 +133,19 @@
 	b.txn.Guards = append(b.txn.Guards, kv.Guard{Key: record.ProgressKey, Revision: sh.progressRevision})
 	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ProgressKey, Value: value})
 	sh.lastProgressWrite = now
-	if !handOver && now.Sub(sh.lastModelWrite) < modelInterval {
+	if !handOver && now.Sub(sh.lastEstimatesWrite) < estimatesInterval {
 		return nil
 	}
+	checkpoints, err := record.Encode(record.Checkpoints{Format: record.Format, Jobs: sh.core.HeldCheckpoints()})
+	if err != nil {
+		return err
+	}
 	model, err := record.Encode(record.Model{Format: record.ModelFormat, Pairs: sh.core.InterferencePairs()})
 	if err != nil {
 		return err
 	}
-	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ModelKey, Value: model})
-	sh.lastModelWrite = now
+	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ModelKey, Value: model}, kv.Put{Key: record.CheckpointsKey, Value: checkpoints})
+	b.estimates, sh.lastEstimatesWrite = true, now
 	return nil
 }
 
@@ -147,6 +158,9 @@
 	defer sh.mu.Unlock()
 	sh.core.MarkProgressChanged()
 	sh.lastProgressWrite = time.Time{}
+	if b.estimates {
+		sh.lastEstimatesWrite = time.Time{}
+	}
 }
 
 // recordCommit records that a transaction is in the store.
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -53,20 +53,20 @@
 	done       chan struct{}
 	commitDue  chan struct{} // signals that progress or final states wait to be written
 
-	commitMu          sync.Mutex // held during a transaction, so that transactions stay in order
-	mu                sync.Mutex
-	core              *scheduler.Core
-	takeover          takeover
-	jobRevisions      map[unit.JobID]unit.Revision // revisions of the job records
-	finalStates       []scheduler.FinalState       // not written yet
-	workerClients     map[unit.InstanceID]*workerClient
-	handingOver       bool // no new orders are queued
-	listings          map[unit.InstanceID]scheduler.Listing
-	progressRevision  unit.Revision // of the progress record in the store
-	lastProgressWrite time.Time
-	lastModelWrite    time.Time
-	lastSummary       time.Time           // used only by run
-	traffic           metric.TrafficMeter // used only by run
+	commitMu           sync.Mutex // held during a transaction, so that transactions stay in order
+	mu                 sync.Mutex
+	core               *scheduler.Core
+	takeover           takeover
+	jobRevisions       map[unit.JobID]unit.Revision // revisions of the job records
+	finalStates        []scheduler.FinalState       // not written yet
+	workerClients      map[unit.InstanceID]*workerClient
+	handingOver        bool // no new orders are queued
+	listings           map[unit.InstanceID]scheduler.Listing
+	progressRevision   unit.Revision // of the progress record in the store
+	lastProgressWrite  time.Time
+	lastEstimatesWrite time.Time
+	lastSummary        time.Time           // used only by run
+	traffic            metric.TrafficMeter // used only by run
 }
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
@@ -155,6 +155,7 @@
 		return 0, 0, errors.Errorf("list jobs: %w", err)
 	}
 	model := sh.loadModel()
+	progress.AddCheckpoints(sh.loadCheckpoints())
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	leasesExpireAt := claimedAt.Add(ownership.MaxRenewalOverlap + withMaxDrift(workerLeaseTTL))
@@ -203,6 +204,23 @@
 	return p, item.Revision, nil
 }
 
+// loadCheckpoints reads the checkpoints that workers held at the time of the last write.
+// Without them tasks whose worker is lost too begin again.
+func (sh *shard) loadCheckpoints() record.Checkpoints {
+	item, err := sh.service.store.Get(sh.ctx, record.CheckpointsKey)
+	if errors.Is(err, kv.ErrNotFound) {
+		return record.Checkpoints{}
+	}
+	var c record.Checkpoints
+	if err == nil {
+		c, err = record.DecodeCheckpoints(item.Value)
+	}
+	if err != nil {
+		sh.log.Info("checkpoints not read; tasks of lost workers begin again", "error", err.Error())
+	}
+	return c
+}
+
 // loadModel reads the interference model of earlier owners. Without it the model
 // starts empty.
 func (sh *shard) loadModel() record.Model {
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -3,6 +3,8 @@
 package record
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
@@ -13,7 +15,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// Format is the version of job and progress records. A reader accepts its own and
+// Format is the version of job, progress and checkpoints records. A reader accepts its own and
 // earlier versions.
 const Format = 1
 
@@ -23,9 +25,10 @@
 
 // Keys of the records. JobPrefix is followed by the job id.
 const (
-	JobPrefix   kv.Key = "job/"
-	ProgressKey kv.Key = "progress/0"
-	ModelKey    kv.Key = "model/0"
+	JobPrefix      kv.Key = "job/"
+	ProgressKey    kv.Key = "progress/0"
+	ModelKey       kv.Key = "model/0"
+	CheckpointsKey kv.Key = "checkpoints/0"
 )
 
 // Job is the record of a submitted job, and of its final state once it has ended.
@@ -42,7 +45,40 @@
 	Jobs         map[unit.JobID]scheduler.Progress `cbor:"3,keyasint,omitempty"`
 	KnownWorkers []unit.InstanceID                 `cbor:"4,keyasint,omitempty"` // workers on which the owner may start tasks
 	HandedOver   bool                              `cbor:"5,keyasint,omitempty"` // set if the owner handed over and gave no orders afterwards
-	BusyWorkers  []unit.InstanceID                 `cbor:"6,keyasint,omitempty"` // workers on which tasks may run
+	BusyWorkers  []unit.InstanceID                 `cbor:"6,keyasint,omitempty"` // workers on which tasks may run; only at a hand-over
+}
+
+// Checkpoints is the record of the checkpoints that the workers hold and the progress
+// leaves out. It is written less often than the progress, and each of its checkpoints
+// is valid but may not be the latest.
+type Checkpoints struct {
+	Format int                                     `cbor:"1,keyasint"`
+	Jobs   map[unit.JobID][]scheduler.TaskProgress `cbor:"2,keyasint,omitempty"`
+}
+
+// AddCheckpoints adds checkpoints to the tasks that have none and are not done. Jobs
+// that the progress does not name have ended.
+func (p *Progress) AddCheckpoints(c Checkpoints) {
+	for id, saved := range c.Jobs {
+		job, ok := p.Jobs[id]
+		if !ok {
+			continue
+		}
+		for _, s := range saved {
+			i := slices.IndexFunc(job.Tasks, func(t scheduler.TaskProgress) bool {
+				return t.Occurrence == s.Occurrence && t.Step == s.Step && t.Index == s.Index
+			})
+			switch {
+			case i < 0:
+				job.Tasks = append(job.Tasks, scheduler.TaskProgress{
+					Occurrence: s.Occurrence, Step: s.Step, Index: s.Index, Checkpoint: s.Checkpoint,
+				})
+			case !job.Tasks[i].Done && job.Tasks[i].Checkpoint == "":
+				job.Tasks[i].Checkpoint = s.Checkpoint
+			}
+		}
+		p.Jobs[id] = job
+	}
 }
 
 // Model is the record of an owner's estimates of the interference between images.
@@ -71,7 +107,7 @@
 }()
 
 // Encode returns the stored form of a record.
-func Encode[T Job | Progress | Model](v T) ([]byte, error) {
+func Encode[T Job | Progress | Checkpoints | Model](v T) ([]byte, error) {
 	body, err := encMode.Marshal(v)
 	if err != nil {
 		return nil, errors.Errorf("encode record: %w", err)
@@ -103,6 +139,18 @@
 	return p, nil
 }
 
+// DecodeCheckpoints decodes the record of the checkpoints.
+func DecodeCheckpoints(body []byte) (Checkpoints, error) {
+	var c Checkpoints
+	if err := cbor.Unmarshal(body, &c); err != nil {
+		return Checkpoints{}, errors.Errorf("decode checkpoints record: %w", err)
+	}
+	if c.Format < 1 || c.Format > Format {
+		return Checkpoints{}, errors.Errorf("decode checkpoints record: format %d, want 1 to %d", c.Format, Format)
+	}
+	return c, nil
+}
+
 // DecodeModel decodes the record of a model. It drops pairs of an earlier version,
 // since their scale differs.
 func DecodeModel(body []byte) (Model, error) {
--- a/internal/job/record/record_test.go
+++ b/internal/job/record/record_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/interference"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 )
 
 // TestJobRoundTrip guards against a job that changes when it is stored and read
@@ -58,3 +60,53 @@
 		})
 	}
 }
+
+// TestAddCheckpoints guards against tasks that repeat work, or are done again, because
+// a checkpoint of an earlier write is lost or replaces newer progress.
+func TestAddCheckpoints(t *testing.T) {
+	checkpoints := Checkpoints{Format: Format, Jobs: map[unit.JobID][]scheduler.TaskProgress{"j": {{Step: 1, Index: 2, Checkpoint: "c1"}}}}
+	tests := []struct {
+		name        string
+		checkpoints Checkpoints
+		tasks, want []scheduler.TaskProgress
+	}{
+		{"no record", Checkpoints{}, nil, nil},
+		{"no progress of the task", checkpoints,
+			[]scheduler.TaskProgress{{Step: 1, Index: 3, Done: true}},
+			[]scheduler.TaskProgress{{Step: 1, Index: 3, Done: true}, {Step: 1, Index: 2, Checkpoint: "c1"}}},
+		{"failed once", checkpoints,
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Failed: []graph.RunNumber{1}}},
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Failed: []graph.RunNumber{1}, Checkpoint: "c1"}}},
+		{"later checkpoint", checkpoints,
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Checkpoint: "c2"}},
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Checkpoint: "c2"}}},
+		{"done", checkpoints,
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Done: true}},
+			[]scheduler.TaskProgress{{Step: 1, Index: 2, Done: true}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			body, err := Encode(tt.checkpoints)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored := tt.checkpoints
+			if stored.Format != 0 {
+				if stored, err = DecodeCheckpoints(body); err != nil {
+					t.Fatal(err)
+				}
+			}
+			p := Progress{Jobs: map[unit.JobID]scheduler.Progress{"j": {Started: true, Tasks: tt.tasks}}}
+			p.AddCheckpoints(stored)
+			want := map[unit.JobID]scheduler.Progress{"j": {Started: true, Tasks: tt.want}}
+			if diff := cmp.Diff(want, p.Jobs); diff != "" {
+				t.Errorf("progress (-want +got):\n%s", diff)
+			}
+			ended := Progress{}
+			ended.AddCheckpoints(stored)
+			if diff := cmp.Diff(Progress{}, ended); diff != "" {
+				t.Errorf("progress without the job (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -124,7 +124,7 @@
 		r.phase, r.absenceConclusiveAt = phaseRunning, requestedAt
 	}
 	if status.Checkpoint != "" {
-		t.checkpoint = status.Checkpoint
+		t.checkpoint, r.savedCheckpoint = status.Checkpoint, status.Checkpoint
 	}
 	r.recordProgress(status, now)
 	c.measureDuration(r, status.ProgressPercent)
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -25,8 +26,9 @@
 	Tasks   []TaskProgress `cbor:"2,keyasint,omitempty"`
 }
 
-// Snapshot is the progress of all open jobs at one time. It also records which ended
-// runs of each worker the progress includes.
+// Snapshot is the progress of all open jobs at one time, without the checkpoints that
+// HeldCheckpoints returns. It also records which ended runs of each worker the
+// progress includes.
 type Snapshot struct {
 	Jobs         map[unit.JobID]Progress
 	KnownWorkers []unit.InstanceID // once the snapshot is durable, tasks may start on these
@@ -124,15 +126,43 @@
 		for _, s := range o.steps {
 			for n := range s.tasks {
 				t := &s.tasks[n]
-				if !t.done && len(t.failedRuns) == 0 && t.checkpoint == "" {
+				checkpoint := t.checkpoint
+				if t.checkpointHeld() {
+					checkpoint = ""
+				}
+				if !t.done && len(t.failedRuns) == 0 && checkpoint == "" {
 					continue
 				}
 				p.Tasks = append(p.Tasks, TaskProgress{
 					Occurrence: o.index, Step: s.index, Index: t.index,
-					Done: t.done, Failed: t.failedRuns, Checkpoint: t.checkpoint,
+					Done: t.done, Failed: t.failedRuns, Checkpoint: checkpoint,
 				})
 			}
 		}
 	}
 	return p
 }
+
+// checkpointHeld reports whether a worker has reported the task's checkpoint with a run
+// that goes on.
+func (t *task) checkpointHeld() bool {
+	return t.checkpoint != "" && slices.ContainsFunc(t.runs, func(r *run) bool { return r.savedCheckpoint == t.checkpoint })
+}
+
+// HeldCheckpoints returns the checkpoints of tasks whose worker has reported them with a
+// run that goes on. The next owner learns them from the worker, so they need to be
+// durable only in case the worker is lost together with this owner.
+func (c *Core) HeldCheckpoints() map[unit.JobID][]TaskProgress {
+	held := map[unit.JobID][]TaskProgress{}
+	for _, w := range c.workers {
+		for _, r := range w.runs {
+			t := r.task
+			if id := t.job().spec.ID; t.checkpoint != "" && r.savedCheckpoint == t.checkpoint {
+				held[id] = append(held[id], TaskProgress{
+					Occurrence: t.step.occurrence.index, Step: t.step.index, Index: t.index, Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return held
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -37,6 +37,7 @@
 	workDone              time.Duration             // time worked, in terms of full speed
 	workCountedUntil      time.Time                 // end of the time included in workDone; zero before the first count
 	resumedFromCheckpoint bool                      // or adopted: the duration of the whole task cannot be derived
+	savedCheckpoint       string                    // latest checkpoint that the worker has reported with the run
 	metric                int                       // see RunStatus.Metric
 	basePressure          interference.BasePressure // of a serving run, without best-effort tasks
 	pacePercent           int                       // ordered share of full speed, 0 to 100
