job/scheduler: starts take at most 45% of the owner's link

When the link is full, heartbeats and answers are late together, each time-out opens a connection and repeats its call.

What is left over waits in the core in order of urgency. The shard summary shows it as deferred.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -119,6 +119,8 @@
 			Baseline:    baseline,
 			MaxLease:    s.Bounds.MaxLease,
 			StopTimeout: s.Bounds.StopTimeout,
+
+			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
 		},
 		FinalStateRetention: s.Bounds.FinalStateRetention,
 	})
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -68,6 +68,16 @@
 	Close()
 }
 
+// startShare is the share of the link, in percent, that starts may take. The rest is
+// for heartbeats, other orders, the store and callers, and for bursts.
+const startShare = 45
+
+// StartBytesPerSecond returns the bytes of start orders that an owner with a link of the
+// given capacity may send in a second, or 0 for no bound if the capacity is not known.
+func StartBytesPerSecond(link unit.BitRate) unit.Bytes {
+	return unit.Bytes(link) / 8 * startShare / 100
+}
+
 // Options configures a Service.
 type Options struct {
 	Limits scheduler.Limits
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -131,7 +131,7 @@
 	traffic := sh.traffic.Rates(now)
 	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
-		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(),
+		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
 
--- /dev/null
+++ b/internal/job/scheduler/budget_test.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// TestStartBudget guards against a backlog of starts that fills the owner's link, so that
+// the heartbeats behind it are late and leases expire.
+func TestStartBudget(t *testing.T) {
+	const size = 1000 // bytes of each start
+	tests := []struct {
+		name      string
+		perSecond unit.Bytes
+		pauses    []time.Duration // before each pass, beside bestEffortInterval
+		want      []int           // starts of each pass
+		deferred  bool            // tasks are left after each pass
+	}{
+		{"no bound", 0, []time.Duration{0, 0}, []int{40, 0}, false},
+		{"wide link", 1000 * size, []time.Duration{0, 0}, []int{40, 0}, false},
+		{"narrow link", 10 * size, []time.Duration{0, 0, time.Second, time.Hour}, []int{3, 1, 3, 3}, true},
+		{"steady passes", 100 * size, []time.Duration{0, 0, 0}, []int{30, 4, 4}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.core = New(Limits{StopTimeout: time.Second, MaxLease: time.Minute, StartBytesPerSecond: tt.perSecond}, 1, startTime)
+			f.listWorkers("w1")
+			oneCore := smallStep
+			oneCore.Needs.Cores = 1000
+			for n := range 40 {
+				job := newJob(unit.JobID(rune('a'+n)), oneCore)
+				job.Spec = strings.Repeat("s", size-int(orderOverhead))
+				f.core.AddJob(job, 0, true, f.now)
+			}
+			var got []int
+			for i, pause := range tt.pauses {
+				f.now = f.now.Add(pause)
+				f.report("w1", f.running(), nil)
+				got = append(got, len(f.takeStarts(OutcomeDone)))
+				if deferred := f.core.Stats(f.now).Deferred; deferred != tt.deferred {
+					t.Errorf("pass %d: deferred %v, want %v", i, deferred, tt.deferred)
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("starts by pass (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// running returns what worker w1 reports if all its runs are present.
+func (f *fixture) running() []RunStatus {
+	var running []RunStatus
+	for id, r := range f.core.workers["w1"].runs {
+		running = append(running, RunStatus{Task: id, Run: r.number})
+	}
+	return running
+}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -23,6 +23,8 @@
 	Baseline    bool
 	MaxLease    time.Duration // longest lease that a worker accepts
 	StopTimeout time.Duration // longest time that a worker takes to stop a task
+	// StartBytesPerSecond bounds the bytes of start orders; 0 for no bound.
+	StartBytesPerSecond unit.Bytes
 }
 
 // runsPerEpoch is the size of the range of run numbers that each epoch uses.
@@ -47,10 +49,11 @@
 	durations               *duration.Estimator
 	policy                  policy
 	addedPressures          map[imagePair]float64 // added pressure per share of cores, from the interference model
-	unmetDemands            []unmetDemand         // demands that no worker could meet in this pass
-	lastPlacement           time.Time             // when the last placement pass began
-	lastPreemption          time.Time             // when preemption was last tried
-	unplaceableImages       map[*image]bool       // images whose best-effort tasks fit nowhere in this pass
+	startBudget             startBudget
+	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
+	lastPlacement           time.Time       // when the last placement pass began
+	lastPreemption          time.Time       // when preemption was last tried
+	unplaceableImages       map[*image]bool // images whose best-effort tasks fit nowhere in this pass
 	addedPressuresClearedAt time.Time
 	lastBestEffortPlacement time.Time // when a pass last included best-effort tasks
 	lastRelocation          time.Time // when slowed runs were last checked for relocation
@@ -81,6 +84,7 @@
 func New(limits Limits, epoch unit.Epoch, inheritedLeasesExpireAt time.Time) *Core {
 	c := &Core{
 		limits:                  limits,
+		startBudget:             startBudget{perSecond: limits.StartBytesPerSecond},
 		epoch:                   epoch,
 		jobs:                    map[unit.JobID]*job{},
 		openJobs:                map[unit.JobID]*job{},
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -30,7 +30,15 @@
 	}
 	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
+	c.startBudget.refill(now)
+	charged := len(c.orders)
+	defer func() { c.startBudget.charge(c.orders[charged:]) }()
 	for _, s := range c.readySteps {
+		c.startBudget.charge(c.orders[charged:])
+		if charged = len(c.orders); !c.startBudget.allows() {
+			c.placementDue = true
+			break
+		}
 		if !c.safeToStart(s.occurrence.job, now) || (s.spec.BestEffort && !includeBestEffort) {
 			continue
 		}
