--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -62,8 +62,8 @@
 	// durableWorkers are the workers named in the durable progress. Tasks start
 	// only on these.
 	durableWorkers map[unit.InstanceID]bool
-	// unresolved are the workers that have not reported since the takeover and may
-	// still run tasks of an earlier owner.
+	// unresolved are the workers that have not reported all of their runs and ends since
+	// the takeover and may still run tasks of an earlier owner.
 	unresolved map[unit.InstanceID]bool
 	// inheritedLeasesExpireAt is when every lease granted by earlier owners has
 	// expired, so that no unresolved worker still runs their tasks.
@@ -173,9 +173,7 @@
 // Tick applies every change that depends on time alone, such as expired leases,
 // stalled runs and due occurrences, and then places waiting tasks.
 func (c *Core) Tick(now time.Time) {
-	if !now.Before(c.inheritedLeasesExpireAt) {
-		clear(c.unresolved)
-	}
+	c.resolveSilentWorkers(now)
 	for _, j := range c.openJobs {
 		c.openDueOccurrences(j, now)
 	}
@@ -183,6 +181,7 @@
 	for _, w := range c.workers {
 		c.expireLease(w, now)
 		c.checkRuns(w, now)
+		c.repeatOrders(w, false, now)
 	}
 	if now.Sub(c.addedPressuresClearedAt) > addedPressuresTTL {
 		clear(c.addedPressures)
