job/scheduler: the line about an expired lease tells what was last heard

What the logs could not tell: whether the runs of a worker were given up because it was lost or because its answers were late. The line now has the age of its last report, the age of the oldest heartbeat without an answer, and whether the instance list still has the worker.

--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -259,7 +259,8 @@
 	}
 	for _, l := range sh.core.TakeExpiredLeases() {
 		metric.ExpiredLeases.Add(1)
-		sh.log.Info("lease of worker expired; its runs are given up", "worker", l.Worker, "runs", l.Runs)
+		sh.log.Info("lease of worker expired; its runs are given up", "worker", l.Worker, "runs", l.Runs,
+			"reported", l.ReportAge.String(), "unanswered", l.AnswerAge.String(), "listed", l.Listed)
 	}
 	for _, f := range sh.core.TakeFinalStates() {
 		sh.log.Info("job reached its final state", "job", f.Job, "state", f.State.String(), "cause", f.Cause)
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -127,6 +127,10 @@
 type ExpiredLease struct {
 	Worker unit.InstanceID
 	Runs   int // runs that were abandoned with the lease
+	// ReportAge is the time since the heartbeat was sent that the last report answers,
+	// and AnswerAge since the oldest one without an answer; 0 if there is none.
+	ReportAge, AnswerAge time.Duration
+	Listed               bool // the instance list still has the worker
 }
 
 // TakeExpiredLeases returns the leases that expired since the last call.
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -78,7 +78,14 @@
 	if sent == 0 {
 		return // no run there holds the lease
 	}
-	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: sent})
+	lease := ExpiredLease{Worker: w.id, Runs: sent, Listed: w.listed}
+	if !w.reportRequestedAt.IsZero() {
+		lease.ReportAge = now.Sub(w.reportRequestedAt)
+	}
+	for _, sentAt := range w.answersDue {
+		lease.AnswerAge = max(lease.AnswerAge, now.Sub(sentAt))
+	}
+	c.expiredLeases = append(c.expiredLeases, lease)
 	w.health.recordLeaseExpiry(now)
 	c.abandonRuns(w, now)
 }
--- a/internal/job/scheduler/lease_test.go
+++ b/internal/job/scheduler/lease_test.go
@@ -89,3 +89,36 @@
 		})
 	}
 }
+
+// TestExpiredLeaseCauses guards against a log that can't tell a worker that was lost from
+// one whose answers were late.
+func TestExpiredLeaseCauses(t *testing.T) {
+	const lease = 6 * time.Second
+	tests := []struct {
+		name    string
+		arrange func(f *fixture)
+		want    ExpiredLease
+	}{
+		{"silent", func(*fixture) {}, ExpiredLease{Worker: "w1", Runs: 1, Listed: true, ReportAge: lease + 3*time.Second}},
+		{"late answers", func(f *fixture) {
+			f.core.AwaitAnswer("w1", f.now.Add(4*time.Second))
+			f.core.AwaitAnswer("w1", f.now.Add(5*time.Second))
+		}, ExpiredLease{Worker: "w1", Runs: 1, Listed: true, ReportAge: lease + 3*time.Second, AnswerAge: lease - time.Second}},
+		{"left the list", func(f *fixture) { f.core.SetWorkers(nil, f.now) }, ExpiredLease{Worker: "w1", Runs: 1, ReportAge: lease + 3*time.Second}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.addJob("j", smallStep, true)
+			f.takeStarts(OutcomeDone)
+			f.report("w1", []RunStatus{{Task: firstTask("j"), Run: 1}}, nil)
+			f.core.RecordLease("w1", f.now.Add(lease))
+			tt.arrange(f)
+			f.advance(lease + 3*time.Second)
+			if diff := cmp.Diff([]ExpiredLease{tt.want}, f.core.TakeExpiredLeases()); diff != "" {
+				t.Errorf("expired leases (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
