--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -143,7 +143,7 @@
 		r.phase, r.absenceConclusiveAt = phaseRunning, now
 	}
 	if status.Checkpoint != "" {
-		t.checkpoint = status.Checkpoint
+		t.checkpoint, r.savedCheckpoint = status.Checkpoint, status.Checkpoint
 	}
 	r.recordProgress(status, now)
 	c.measureDuration(r, status.ProgressPercent)
