--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -45,6 +45,12 @@
 	return slices.ContainsFunc(w.answersDue, w.leaseExpiry.After)
 }
 
+// hasUnreadEnds reports whether the worker may still list ends from before its last
+// report, and its lease has not expired since.
+func (w *worker) hasUnreadEnds(now time.Time) bool {
+	return w != nil && w.unreadEnds && now.Before(w.leaseExpiry)
+}
+
 // expireLease abandons the runs of a worker whose lease has certainly expired.
 func (c *Core) expireLease(w *worker, now time.Time) {
 	// An answer that takes longer than any lease is not waited for.
@@ -52,7 +58,16 @@
 	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(now) {
 		return
 	}
-	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: len(w.runs)})
+	sent := 0
+	for _, r := range w.runs {
+		if r.phase != phaseQueued {
+			sent++
+		}
+	}
+	if sent == 0 {
+		return // no run there holds the lease
+	}
+	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: sent})
 	w.health.recordLeaseExpiry(now)
 	c.abandonRuns(w, now)
 }
