job/owner: count a job as never started only by when it was created

A job whose record was created after the claim counted as never started by the previous owner if it reached the new owner more than 5.5 s after the claim. But the previous owner may have started it right after the claim, and the new owner may learn of it late: while the store is slow, when a takeover is retried for long, or when an entry claims again under its epoch, whose revision is older than all jobs of its earlier term. Such a job was started at once although workers that might run it had not reported.

What counts now is a revision of the store that was read after the last start of a previous owner can have reached a worker: jobs created later are never started.

The test wanted "never started" for a job created one revision after the claim and known 6 s after it, which is this fault. It now gives the time of the read instead and demands the opposite for that job. With the earlier code the case "created soon after the claim, known long after it" returns true.

--- a/internal/job/owner/takeover.go
+++ b/internal/job/owner/takeover.go
@@ -12,17 +12,28 @@
 	claimedAt     time.Time
 	claimRevision unit.Revision
 	handedOver    bool // the previous owner handed over and sends no more orders
+	// startsEnded is a revision of the store from a time when no start by a previous
+	// owner could reach a worker any more, or 0 while none is known.
+	startsEnded unit.Revision
 }
 
 // previousOwnerStartWindow is how long after a claim a start by a previous owner that
 // has not seen the claim may still reach a worker.
 const previousOwnerStartWindow = ownership.MaxOrderOverlap + startWindow + responseSlack
 
+// recordRead records that the answer to a read that was sent at sentAt has shown the
+// store at a revision.
+func (t *takeover) recordRead(revision unit.Revision, sentAt time.Time) {
+	if t.startsEnded == 0 && sentAt.Sub(t.claimedAt) > previousOwnerStartWindow {
+		t.startsEnded = revision
+	}
+}
+
 // neverStarted reports whether no earlier owner can have started a job whose record
-// was created at the given revision and reached this owner at now.
-func (t takeover) neverStarted(created unit.Revision, now time.Time) bool {
-	if created <= t.claimRevision {
-		return false
+// was created at the given revision.
+func (t takeover) neverStarted(created unit.Revision) bool {
+	if t.handedOver && created > t.claimRevision {
+		return true
 	}
-	return t.handedOver || now.Sub(t.claimedAt) > previousOwnerStartWindow
+	return t.startsEnded != 0 && created > t.startsEnded
 }
--- a/internal/job/owner/takeover_test.go
+++ b/internal/job/owner/takeover_test.go
@@ -10,27 +10,31 @@
 )
 
 // TestNeverStarted guards against a second run of a job that was created after a claim
-// but started by the previous owner, which had not seen the claim yet.
+// but started by the previous owner, which had not seen the claim yet. The job may reach
+// the new owner much later, for instance while the store is slow.
 func TestNeverStarted(t *testing.T) {
 	claimedAt := time.Unix(1_000_000, 0)
 	tests := []struct {
 		name       string
 		handedOver bool
 		created    unit.Revision // the claim has revision 10
-		sinceClaim time.Duration
+		readAt     time.Duration // after the claim; the read shows revision 20
 		want       bool
 	}{
 		{"created before the claim", false, 9, time.Minute, false},
-		{"created before a hand-over", true, 9, time.Minute, false},
+		{"created before a hand-over", true, 9, 0, false},
 		{"created after a hand-over", true, 11, 0, true},
-		{"previous owner may not know of the claim", false, 11, time.Second, false},
-		{"start by the previous owner may be in flight", false, 11, 4 * time.Second, false},
-		{"previous owner has stopped for certain", false, 11, 6 * time.Second, true},
+		{"previous owner may not know of the claim", false, 21, time.Second, false},
+		{"start by the previous owner may be in flight", false, 21, 4 * time.Second, false},
+		{"created after the previous owner has stopped for certain", false, 21, 6 * time.Second, true},
+		{"created soon after the claim, known long after it", false, 11, time.Minute, false},
+		{"created at the revision that was read", false, 20, 6 * time.Second, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			newOwner := takeover{claimedAt: claimedAt, claimRevision: 10, handedOver: tt.handedOver}
-			if diff := cmp.Diff(tt.want, newOwner.neverStarted(tt.created, claimedAt.Add(tt.sinceClaim))); diff != "" {
+			newOwner.recordRead(20, claimedAt.Add(tt.readAt))
+			if diff := cmp.Diff(tt.want, newOwner.neverStarted(tt.created)); diff != "" {
 				t.Errorf("neverStarted (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -15,6 +15,7 @@
 // no entry notified this owner.
 func (sh *shard) watchJobs(since unit.Revision) {
 	for sh.sleep(jobWatchInterval) {
+		sentAt := time.Now()
 		events, next, err := sh.service.store.Watch(sh.ctx, record.JobPrefix, since, watchTimeout)
 		if err != nil && sh.ctx.Err() == nil {
 			events, next, err = sh.service.store.List(sh.ctx, record.JobPrefix)
@@ -27,6 +28,7 @@
 			for _, item := range events {
 				sh.applyJobRecord(item, now)
 			}
+			sh.takeover.recordRead(next, sentAt)
 		})
 	}
 }
