--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -18,6 +18,7 @@
 // no entry notified this owner.
 func (sh *shard) watchJobs(since unit.Revision) {
 	for sh.sleep(jobWatchInterval) {
+		sentAt := time.Now()
 		events, next, _, err := sh.watchOrList(record.JobPrefix, since)
 		if err != nil {
 			continue // storage/access logs that the store is unreachable
@@ -27,6 +28,7 @@
 			for _, item := range events {
 				sh.applyJobRecord(item, now)
 			}
+			sh.takeover.recordRead(next, sentAt)
 		})
 	}
 }
