job/owner: a job record that was applied is not decoded again

Cause (from the code; the traces don't name the change): after a watch of jobs that got no answer all job records are listed, 1,900 there, and each is decoded under the lock of the shard, though nearly all have been applied at that revision.

Change: a record of a revision that was applied is skipped before it is decoded. The revisions that the shard knows are those that it applied, wrote itself, or resolved a conflict with.

--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -10,10 +11,11 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// applyJobRecord decodes a job record from the store and applies it. It is called with
-// the lock held.
+// applyJobRecord decodes a job record from the store and applies it, unless it has been
+// applied already, as most records of a list have. It is called with the lock held.
 func (sh *shard) applyJobRecord(item kv.Item, now time.Time) {
-	if item.Deleted {
+	id := unit.JobID(strings.TrimPrefix(string(item.Key), string(record.JobPrefix)))
+	if item.Deleted || item.Revision <= sh.jobRevisions[id] {
 		return
 	}
 	r, err := record.DecodeJob(item.Value)
