--- /dev/null
+++ b/internal/job/scheduler/lease.go
@@ -0,0 +1,91 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+)
+
+// maxAnswerWait is how long after the expiry of a lease the answer to a heartbeat that
+// was sent before it is waited for. The answer may list runs that ended as done.
+const maxAnswerWait = 2 * time.Second
+
+// RecordLease records that a worker is about to be sent an order that extends its
+// lease until expiry at the latest. The order counts even if it gets no answer.
+func (c *Core) RecordLease(id unit.InstanceID, expiry time.Time) {
+	if w := c.workers[id]; w != nil && expiry.After(w.leaseExpiry) {
+		w.leaseExpiry = expiry
+	}
+}
+
+// AwaitAnswer records that a heartbeat is sent to a worker at sentAt. While the answer
+// may still arrive, the runs of the worker are kept for up to maxAnswerWait after its
+// lease has expired.
+func (c *Core) AwaitAnswer(id unit.InstanceID, sentAt time.Time) {
+	if w := c.workers[id]; w != nil {
+		w.answersDue = append(w.answersDue, sentAt)
+	}
+}
+
+// AnswerSettled records that the heartbeat sent to a worker at sentAt was answered, or
+// that its connection has failed for good. A report is handled before this call.
+func (c *Core) AnswerSettled(id unit.InstanceID, sentAt time.Time) {
+	if w := c.workers[id]; w != nil {
+		w.answersDue = slices.DeleteFunc(w.answersDue, sentAt.Equal)
+	}
+}
+
+// awaitsAnswer reports whether an answer is waited for that was requested before the
+// given expiry of the worker's lease.
+func (w *worker) awaitsAnswer(expiry, now time.Time) bool {
+	return now.Before(expiry.Add(maxAnswerWait)) && slices.ContainsFunc(w.answersDue, expiry.After)
+}
+
+// hasUnreadEnds reports whether the worker may still list ends from before its last
+// report, and its lease has not expired since.
+func (w *worker) hasUnreadEnds(now time.Time) bool {
+	return w.unreadEnds && now.Before(w.leaseExpiry)
+}
+
+// resolveSilentWorkers takes the unresolved workers as free of runs of earlier owners
+// once every lease that those granted has expired. Workers that may still list ends
+// stay unresolved: a task whose run ended as done must not start again.
+func (c *Core) resolveSilentWorkers(now time.Time) {
+	if now.Before(c.inheritedLeasesExpireAt) {
+		return
+	}
+	maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool {
+		w := c.workers[id]
+		return w == nil || !w.hasUnreadEnds(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
+	})
+}
+
+// expireLease abandons the runs of a worker whose lease has certainly expired.
+func (c *Core) expireLease(w *worker, now time.Time) {
+	// An answer that takes longer than any lease is not waited for.
+	w.answersDue = slices.DeleteFunc(w.answersDue, now.Add(-c.limits.MaxLease).After)
+	if len(w.runs) == 0 || w.leaseExpiry.IsZero() || now.Before(w.leaseExpiry) || w.awaitsAnswer(w.leaseExpiry, now) {
+		return
+	}
+	sent := 0
+	for _, r := range w.runs {
+		if r.phase != phaseQueued {
+			sent++
+		}
+	}
+	if sent == 0 {
+		return // no run there holds the lease
+	}
+	lease := ExpiredLease{Worker: w.id, Runs: sent, Listed: w.listed}
+	if !w.reportRequestedAt.IsZero() {
+		lease.ReportAge = now.Sub(w.reportRequestedAt)
+	}
+	for _, sentAt := range w.answersDue {
+		lease.AnswerAge = max(lease.AnswerAge, now.Sub(sentAt))
+	}
+	c.expiredLeases = append(c.expiredLeases, lease)
+	w.health.recordLeaseExpiry(now)
+	c.abandonRuns(w, now)
+}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -30,8 +30,16 @@
 	}
 	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
+	c.startBudget.refill(now)
+	charged := len(c.orders)
+	defer func() { c.startBudget.charge(c.orders[charged:]) }()
 	for _, s := range c.readySteps {
-		if !c.safeToStart(s.occurrence.job, now) || (s.spec.BestEffort && !includeBestEffort) {
+		c.startBudget.charge(c.orders[charged:])
+		if charged = len(c.orders); !c.startBudget.allows() {
+			c.placementDue = true
+			break
+		}
+		if !c.safeToStart(s.occurrence.job) || (s.spec.BestEffort && !includeBestEffort) {
 			continue
 		}
 		if s.spec.Gang {
@@ -74,10 +82,10 @@
 	return 0
 }
 
-// safeToStart reports whether no unresolved worker can still have a run of the
-// job's waiting tasks that an earlier owner started.
-func (c *Core) safeToStart(j *job, now time.Time) bool {
-	return len(c.unresolved) == 0 || !now.Before(c.inheritedLeasesExpireAt) || j.createdInTerm
+// safeToStart reports whether no unresolved worker can still have a run, or an end that
+// is not read, of the job's waiting tasks that an earlier owner started.
+func (c *Core) safeToStart(j *job) bool {
+	return len(c.unresolved) == 0 || j.createdInTerm
 }
 
 // placeStep starts the waiting tasks of a step until no worker takes one.
@@ -146,9 +154,10 @@
 // startTask adds a run of a task to a worker and orders its start.
 func (c *Core) startTask(w *worker, t *task, number graph.RunNumber, now time.Time) {
 	j := t.job()
-	first := !j.started
+	first := !j.started && !j.startOrdered
+	j.startOrdered = true
 	ticket, _ := t.step.ticketFor(w, now) // eligible has checked it
-	c.addRun(w, t, number, phaseStarting, now)
+	c.addRun(w, t, number, phaseQueued, now)
 	w.health.recordStart(now)
 	c.issueOrder(Order{
 		Ticket: ticket, FirstStart: first, JobDue: j.spec.Due(0),
@@ -189,11 +198,9 @@
 func (c *Core) eligibleWithoutTicket(w *worker, t *task, now time.Time) bool {
 	s := t.step.spec
 	switch {
-	case w.listing.Draining, c.evacuatedZones[w.listing.Zone], !w.vacatingSince.IsZero():
-		return false
-	case w.reportRequestedAt.IsZero(), now.Sub(w.reportRequestedAt) > maxReportAge:
+	case !c.acceptsOrders(w, now):
 		return false
-	case w.unknownRuns > 0, !c.durableWorkers[w.id]:
+	case len(w.unknownRuns) > 0, !c.durableWorkers[w.id]:
 		return false
 	case !w.health.acceptsStarts(now):
 		return false
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -17,11 +18,6 @@
 	if report.Incarnation != w.incarnation {
 		c.handleRestart(w, report.Incarnation, now)
 	}
-	w.reportRequestedAt = report.RequestedAt
-	if c.unresolved[id] {
-		delete(c.unresolved, id)
-		c.placementDue = true
-	}
 	for _, e := range report.Ended {
 		if e.Number > w.lastEndSeen {
 			w.lastEndSeen = e.Number
@@ -31,15 +27,28 @@
 	if len(report.Ended) > 0 {
 		c.progressChanged = true // ends are acknowledged only once they are durable
 	}
-	w.unknownRuns = 0
+	if report.RequestedAt.Before(w.reportRequestedAt) {
+		return // the runs may have ended since
+	}
+	w.reportRequestedAt, w.unreadEnds = report.RequestedAt, report.Partial
+	if c.unresolved[id] && !report.Partial {
+		delete(c.unresolved, id)
+		c.placementDue = true
+	}
+	stopsUnderWay := w.unknownRuns
+	w.unknownRuns = map[runID]bool{}
 	present := make(map[graph.Task]bool, len(report.Running))
 	for _, s := range report.Running {
 		present[s.Task] = true
-		c.observeRun(w, s, report.RequestedAt, now)
+		c.observeRun(w, s, now)
+	}
+	for id := range w.unknownRuns {
+		c.stopUnknownRun(w, id, stopsUnderWay[id])
 	}
 	if !report.Partial {
 		c.endAbsentRuns(w, present, report.RequestedAt, now)
 	}
+	c.repeatOrders(w, true, now)
 	c.policy.onReport(w, now)
 }
 
@@ -50,7 +59,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
-	t.job().started = true // the owner that started the run may not have written it
+	c.markStarted(t.job()) // the owner that started the run may not have written it
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
 	}
@@ -65,7 +74,9 @@
 	switch e.Kind {
 	case EndDone:
 		w.health.recordSuccess()
-		c.handleDone(t)
+		if c.handleDone(t); !t.done && t.endedDone {
+			w.heldEnds[e.Number] = t
+		}
 	case EndFailed:
 		w.health.recordFailure(t.job().spec.ID, now)
 		t.avoidedWorker = w.id
@@ -77,8 +88,9 @@
 	c.requeue(t)
 }
 
-// handleDone completes a task whose run ended as done. If another run of the task has
-// started meanwhile, that run decides, unless the step allows several at once.
+// handleDone completes a task whose run ended as done. If the start of another run of
+// the task was sent meanwhile, that run is stopped first, unless the step allows several
+// at once: a start must not be executed after the task is complete.
 func (c *Core) handleDone(t *task) {
 	if t.step.spec.LongRunning {
 		return
@@ -89,15 +101,21 @@
 		}
 		return
 	}
-	if len(t.runs) == 0 || t.step.spec.Speculative {
+	sent := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseQueued })
+	if !sent || t.step.spec.Speculative {
 		c.completeTask(t)
+		return
+	}
+	t.endedDone = true
+	for _, r := range slices.Clone(t.runs) { // stopRun may remove the run
+		c.stopRun(r, ReasonObsolete)
 	}
 }
 
 // stopGangRun stops the remaining members of a gang's run after one has ended.
 func (c *Core) stopGangRun(s *step, number graph.RunNumber) {
 	for n := range s.tasks {
-		for _, r := range s.tasks[n].runs {
+		for _, r := range slices.Clone(s.tasks[n].runs) { // stopRun may remove the run
 			if r.number == number {
 				c.stopRun(r, ReasonGangEnded)
 			}
@@ -106,10 +124,10 @@
 }
 
 // observeRun applies a run that a worker reports as present.
-func (c *Core) observeRun(w *worker, status RunStatus, requestedAt, now time.Time) {
+func (c *Core) observeRun(w *worker, status RunStatus, now time.Time) {
 	t := c.lookupTask(status.Task)
 	if t == nil {
-		c.stopUnknownRun(w, status)
+		w.unknownRuns[runID{status.Task, status.Run}] = false
 		return
 	}
 	t.lastRun = max(t.lastRun, status.Run)
@@ -120,27 +138,36 @@
 			return
 		}
 	}
+	r.reported = true
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
-		r.phase, r.absenceConclusiveAt = phaseRunning, requestedAt
+		r.phase, r.absenceConclusiveAt = phaseRunning, now
 	}
 	if status.Checkpoint != "" {
-		t.checkpoint = status.Checkpoint
+		t.checkpoint, r.savedCheckpoint = status.Checkpoint, status.Checkpoint
 	}
 	r.recordProgress(status, now)
 	c.measureDuration(r, status.ProgressPercent)
 }
 
-// adoptRun takes over a run that an earlier owner started. It orders a stop and
-// returns nil if the task does not need the run.
+// adoptRun takes over a run that an earlier owner started, or that a new incarnation of
+// the worker has started late. It returns nil if the task does not need the run.
 func (c *Core) adoptRun(w *worker, t *task, status RunStatus, now time.Time) *run {
+	for _, r := range slices.Clone(t.runs) {
+		if r.phase == phaseQueued {
+			c.removeRun(r) // this run makes it superfluous
+		}
+	}
 	wanted := !t.done && t.job().final == 0 && (len(t.runs) == 0 || t.step.spec.Speculative) && w.runs[status.Task] == nil
 	if !wanted {
-		c.stopUnknownRun(w, status)
+		w.unknownRuns[runID{status.Task, status.Run}] = false
+		c.requeue(t)
 		return nil
 	}
+	c.markStarted(t.job())
 	r := c.addRun(w, t, status.Run, phaseRunning, now)
 	r.absenceConclusiveAt, r.resumedFromCheckpoint = now, true
 	c.RecordLease(w.id, c.inheritedLeasesExpireAt) // the lease granted by the earlier owner
+	c.extendToLongestLease(w, now)
 	if need := t.step.spec.Needs.Cores; t.step.spec.BestEffort && need > 0 {
 		// The earlier owner may have changed the pace, so it is derived from the cores
 		// that the run uses.
@@ -151,11 +178,14 @@
 	return r
 }
 
-// stopUnknownRun orders the stop of a run that no task needs. The capacity that the
-// run takes is unknown, so nothing starts on the worker while it is reported.
-func (c *Core) stopUnknownRun(w *worker, status RunStatus) {
-	w.unknownRuns++
-	c.issueOrder(Order{Kind: OrderStop, Worker: w.id, Incarnation: w.incarnation, Task: status.Task, Run: status.Run, Reason: ReasonObsolete})
+// stopUnknownRun orders the stop of a run that no task needs, unless a stop is under
+// way. The capacity that the run takes is unknown, so nothing starts on the worker
+// while it is reported.
+func (c *Core) stopUnknownRun(w *worker, id runID, underWay bool) {
+	w.unknownRuns[id] = true
+	if !underWay {
+		c.issueOrder(Order{Kind: OrderStop, Worker: w.id, Incarnation: w.incarnation, Task: id.task, Run: id.run, Reason: ReasonObsolete})
+	}
 }
 
 // minFullPaceUsage is the share of its cores, in percent, that an adopted run must
@@ -203,8 +233,9 @@
 	}
 	t, w := r.task, r.worker
 	switch outcome {
-	case OutcomeDone:
-		if r.phase == phaseStarting {
+	case OutcomeDone, OutcomeStaleRun:
+		// A stale run may have ended there; the next report decides.
+		if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 			r.phase, r.absenceConclusiveAt, r.progressedAt = phaseRunning, now, now
 		}
 		return
@@ -254,22 +285,25 @@
 )
 
 // HandlePaceOutcome applies the outcome of a pace order. An order that may not have
-// been executed is repeated unless the run's pace has changed since.
+// been executed is repeated later, unless the run's pace changes before.
 func (c *Core) HandlePaceOutcome(o Order, outcome Outcome, now time.Time) {
 	if outcome != OutcomeUnknown && outcome != OutcomeNotSent && outcome != OutcomeUnhealthy {
 		return
 	}
 	if r := c.runOfOrder(o); r != nil && r.phase == phaseRunning && r.pacePercent == o.PacePercent {
-		r.paceSetAt = now
-		c.issueOrder(o)
+		r.repeatOrderAt = now.Add(orderRepeatDelay)
 	}
 }
 
 // HandleStopOutcome applies the outcome of a stop order. The run has ended once it is
-// reported as ended, or is absent from a report requested after the stop timeout.
+// reported as ended, or is absent from a report requested after the stop timeout. A
+// stop that may not have been executed is repeated later.
 func (c *Core) HandleStopOutcome(o Order, outcome Outcome, now time.Time) {
 	r := c.runOfOrder(o)
 	if r == nil {
+		if w := c.workers[o.Worker]; w != nil && w.incarnation == o.Incarnation && w.unknownRuns[runID{o.Task, o.Run}] {
+			w.unknownRuns[runID{o.Task, o.Run}] = false // the next report decides
+		}
 		return
 	}
 	switch outcome {
@@ -277,7 +311,7 @@
 		r.absenceConclusiveAt = now.Add(c.limits.StopTimeout)
 	case OutcomeFenced, OutcomeOtherIncarnation:
 	default:
-		c.issueOrder(o) // repeating a stop is harmless
+		r.repeatOrderAt = now.Add(orderRepeatDelay)
 	}
 }
 
