--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -58,8 +58,8 @@
 // with.
 func Run(ctx context.Context, s platform.Settings, baseline bool, log logr.Logger) error {
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimit)))
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.Memory)))
 	}
 	self := newEntryID(s.Node)
 	log = log.WithValues("entry", self)
@@ -119,6 +119,8 @@
 			Baseline:    baseline,
 			MaxLease:    s.Bounds.MaxLease,
 			StopTimeout: s.Bounds.StopTimeout,
+
+			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
 		},
 		FinalStateRetention: s.Bounds.FinalStateRetention,
 	})
@@ -126,12 +128,12 @@
 		mesh.New(log, s.IP, s.PeerPorts),
 		access.New(log, platform.NewStoreClient(s.StoreAddress)),
 		directory.New(log, platform.OperatorDecoder{}),
-		ownership.New(log, self, s.Bounds.MinLeaseTTL),
+		ownership.New(log, self, ownership.Capacity(s.Limits), s.Bounds.MinLeaseTTL),
 		e.owner,
 		intake.New(log),
-		newServer("front", s.FrontAddress, log, newJobHandler),
-		newServer("ready", s.ReadyAddress, log, e.newReadinessHandler),
-		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), log, func(*registry.Kernel) (http.Handler, error) {
+		newServer("front", s.FrontAddress, metric.CallerTraffic, log, newJobHandler),
+		newServer("ready", s.ReadyAddress, metric.OtherTraffic, log, e.newReadinessHandler),
+		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), metric.OtherTraffic, log, func(*registry.Kernel) (http.Handler, error) {
 			return metric.Handler(), nil
 		}),
 	}
