job/owner: the timeout of orders follows the time that they take

An order now may take twice what the last one to that worker took, 500 ms at least and 2 s at most. A connection that is silent for good still costs 500 ms first.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -30,7 +30,11 @@
 	// longer than the lease, since the ends in a late answer are the only sign that a
 	// task must not start again when the lease has expired.
 	lateAnswerLimit = workerLeaseTTL + time.Second
-	orderTimeout    = 500 * time.Millisecond
+	// minOrderTimeout and maxOrderTimeout bound the time in which an order has to be
+	// answered, twice what the last one took: with a timeout below the delay of a full
+	// link each order costs a connection and none succeeds.
+	minOrderTimeout = 500 * time.Millisecond
+	maxOrderTimeout = 2 * time.Second
 	// startWindow is how long after a start order is sent the worker may accept it.
 	startWindow = 2 * time.Second
 	// heartbeatRetryDelay is the time between the first failed heartbeat and the next
@@ -65,6 +69,7 @@
 	clock       unit.WorkerTime // latest reading of the worker's clock
 	clockReadAt time.Time       // when the answer with that reading arrived
 	incarnation scheduler.Incarnation
+	orderTime   time.Duration // that the last order took, with or without an answer
 }
 
 func newWorkerClient(sh *shard, listing scheduler.Listing) *workerClient {
@@ -140,11 +145,12 @@
 		return
 	case start && !c.shard.service.ownership.MayOrder(time.Now()):
 	default:
-		ctx, cancel := context.WithTimeout(c.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(c.ctx, c.orderTimeout())
 		var clock unit.WorkerTime
 		outcome, clock = c.worker.Do(ctx, o, c.shard.term.Epoch, until)
 		cancel()
 		c.recordClock(clock, 0)
+		c.recordOrderTime(time.Since(now))
 		metric.OrderLatency.Record(time.Since(now))
 	}
 	if o.FirstStart {
@@ -168,6 +174,21 @@
 	})
 }
 
+// orderTimeout returns the timeout of the next order.
+func (c *workerClient) orderTimeout() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(max(minOrderTimeout, 2*c.orderTime), maxOrderTimeout)
+}
+
+// recordOrderTime records how long an order took. That of one without an answer is its
+// timeout.
+func (c *workerClient) recordOrderTime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.orderTime = d
+}
+
 // beginOrder reports whether the core still wants an order, and records the lease that
 // it grants.
 func (c *workerClient) beginOrder(o scheduler.Order) bool {
