job/scheduler: a deferred backlog is not sorted at each report

While starts wait for their share of the owner's link, each report asked for another placement pass, which sorts all ready steps to start one task or none.

A pass that has used the budget up is followed by the next one once the budget of 40 ms has accrued.

TestDeferredPasses failed before: budget is used up: 49 passes in 200ms, want at most 6

--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -14,6 +14,10 @@
 // would delay the heartbeats behind it.
 const maxStartBurst = 300 * time.Millisecond
 
+// minStartBatch is the time whose budget accrues before the next placement pass if the
+// last one has used the budget up. Each pass sorts the whole backlog.
+const minStartBatch = 40 * time.Millisecond
+
 // startBudget bounds the bytes of start orders, so that a backlog of tasks does not
 // fill the owner's link and delay the heartbeats to all workers.
 type startBudget struct {
@@ -31,7 +35,11 @@
 	}
 	b.refilledAt = now
 	b.balance = min(b.balance+b.accrued(elapsed), b.accrued(maxStartBurst))
-	b.deferred = false
+}
+
+// allowsPass reports whether a placement pass is worth its cost.
+func (b *startBudget) allowsPass() bool {
+	return !b.deferred || b.balance >= b.accrued(minStartBatch)
 }
 
 func (b *startBudget) accrued(d time.Duration) unit.Bytes {
--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -54,6 +55,48 @@
 	}
 }
 
+// TestDeferredPasses guards against a backlog that is sorted at each report although the
+// budget allows hardly any start, which takes the processor from heartbeats.
+func TestDeferredPasses(t *testing.T) {
+	const (
+		size   = 1000 // bytes of each start
+		period = 200 * time.Millisecond
+	)
+	tests := []struct {
+		name      string
+		perSecond unit.Bytes
+		maxPasses int
+	}{
+		{"no bound", 0, int(period/placementInterval) + 1},
+		{"budget is used up", 50 * size, int(period/minStartBatch) + 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.core = New(Limits{StartBytesPerSecond: tt.perSecond}, 1, startTime)
+			f.listWorkers("w1")
+			oneCore := smallStep
+			oneCore.Needs.Cores = 1000
+			for n := range 200 {
+				job := newJob(unit.JobID(fmt.Sprint("j", n)), oneCore)
+				job.Spec = strings.Repeat("s", size-int(orderOverhead))
+				f.core.AddJob(job, 0, true, f.now)
+			}
+			f.core.Place(f.now)
+			passes, last := 0, f.core.lastPlacement
+			for end := f.now.Add(period); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
+				f.core.placementDue = true
+				if f.core.Place(f.now); f.core.lastPlacement != last {
+					passes, last = passes+1, f.core.lastPlacement
+				}
+			}
+			if passes > tt.maxPasses {
+				t.Errorf("%d passes in %s, want at most %d", passes, period, tt.maxPasses)
+			}
+		})
+	}
+}
+
 // running returns what worker w1 reports if all its runs are present.
 func (f *fixture) running() []RunStatus {
 	var running []RunStatus
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -15,6 +15,10 @@
 	if !c.placementDue || now.Sub(c.lastPlacement) < placementInterval {
 		return
 	}
+	c.startBudget.refill(now)
+	if !c.startBudget.allowsPass() {
+		return
+	}
 	c.lastPlacement = now
 	c.placementDue = false
 	c.readySteps = slices.DeleteFunc(c.readySteps, func(s *step) bool {
@@ -30,7 +34,7 @@
 	}
 	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
-	c.startBudget.refill(now)
+	c.startBudget.deferred = false
 	charged := len(c.orders)
 	defer func() { c.startBudget.charge(c.orders[charged:]) }()
 	for _, s := range c.readySteps {
