job/scheduler: keep a worker unresolved while this owner's lease may hold

When the leases of earlier owners had expired, the new owner took every worker that had not reported as free of their runs, although its own heartbeats to such a worker may have been executed and only their answers lost. The runs then hold the new lease.

TestUnansweredHeartbeatAfterTakeover failed before: inherited_leases_have_expired: starts (-want +got): - 0, + 1

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -171,7 +171,7 @@
 // stalled runs and due occurrences, and then places waiting tasks.
 func (c *Core) Tick(now time.Time) {
 	if !now.Before(c.inheritedLeasesExpireAt) {
-		maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool { return !c.workers[id].hasUnreadEnds(now) })
+		maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool { return !c.workers[id].mayHoldLease(now) })
 	}
 	for _, j := range c.openJobs {
 		c.openDueOccurrences(j, now)
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -45,10 +45,10 @@
 	return slices.ContainsFunc(w.answersDue, w.leaseExpiry.After)
 }
 
-// hasUnreadEnds reports whether the worker may still list ends from before its last
-// report, and its lease has not expired since.
-func (w *worker) hasUnreadEnds(now time.Time) bool {
-	return w != nil && w.unreadEnds && now.Before(w.leaseExpiry)
+// mayHoldLease reports whether the worker may still hold a lease that this owner has
+// extended. The runs and ends of earlier owners then stay as they are.
+func (w *worker) mayHoldLease(now time.Time) bool {
+	return w != nil && (now.Before(w.leaseExpiry) || w.awaitsAnswer(now))
 }
 
 // expireLease abandons the runs of a worker whose lease has certainly expired.
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -30,7 +30,7 @@
 	if report.RequestedAt.Before(w.reportRequestedAt) {
 		return // the runs may have ended since
 	}
-	w.reportRequestedAt, w.unreadEnds = report.RequestedAt, report.Partial
+	w.reportRequestedAt = report.RequestedAt
 	if c.unresolved[id] && !report.Partial {
 		delete(c.unresolved, id)
 		c.placementDue = true
--- a/internal/job/scheduler/report_test.go
+++ b/internal/job/scheduler/report_test.go
@@ -95,3 +95,31 @@
 		})
 	}
 }
+
+// TestUnansweredHeartbeatAfterTakeover guards against a second run of a task that runs
+// on a worker whose lease the new owner has extended without ever getting an answer.
+func TestUnansweredHeartbeatAfterTakeover(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration
+		starts int
+	}{
+		{"inherited leases have expired", 9 * time.Second, 0},
+		{"the extended lease has expired", 12 * time.Second, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 8*time.Second)
+			f.core.SetWorkers([]Listing{newListing("w1"), newListing("w2")}, f.now)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			f.core.AwaitReports()
+			f.addJob("j", smallStep, false)
+			f.core.RecordLease("w1", f.now.Add(12*time.Second))
+			f.advance(tt.after)
+			f.report("w2", nil, nil)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -67,7 +67,6 @@
 	paceChangedAt     time.Time       // when the pace of any of its runs was last changed
 	bestEffort        *bestEffortView // cached; nil after a change
 	overTargetSince   time.Time       // since when a serving run exceeds its target; zero: none does
-	unreadEnds        bool            // the last report was partial
 	answersDue        []time.Time     // when the heartbeats without an answer so far were sent
 }
 
