job/scheduler: the model contacts only workers that the core names

An owner sends no heartbeats to a worker that its core does not know, such as one that was not listed at the takeover.

--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -291,9 +291,11 @@
 	sim.queueOrders()
 }
 
-// heartbeat renews a worker's lease and, if answered, passes its report to the core.
+// heartbeat renews a worker's lease and, if answered, passes its report to the core. As
+// an owner does, it contacts only the workers that the core names.
 func (sim *simulation) heartbeat(s *simWorker, answered bool) {
-	if s.partitioned || s.highestEpoch > sim.epoch {
+	contacted := slices.ContainsFunc(sim.core.Workers(), func(l Listing) bool { return l.ID == s.id })
+	if !contacted || s.partitioned || s.highestEpoch > sim.epoch {
 		return
 	}
 	s.highestEpoch = sim.epoch
