storage/access: bound a read by the time without progress

Cause: every call had to end within 800 ms. A page of a list has up to 1 MB of values, 1.4 MB as base64, and takes longer than that at 10 Mbit/s even alone. The watch was told that its history is gone, so only a list could help, and no page of it ever arrived.

A get, range or watch now ends 800 ms after the last part of its answer arrived, and after 8 s in any case. A silent connection is found as fast as before, and writes are bounded as before. kv.Client.NextPage reads one page, so that a caller can continue a list that was interrupted.

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -26,9 +26,12 @@
 
 // Timeouts and intervals of calls.
 const (
-	// callTimeout limits each call other than a watch. The store answers in 4 ms, and in
-	// 240 ms while it is slow.
+	// callTimeout limits each call other than a watch, and for a read the time until the
+	// next part of its answer. The store answers in 4 ms, and in 240 ms while it is slow.
 	callTimeout = 800 * time.Millisecond
+	// maxReadDuration limits a read of which parts keep arriving. A page of a list is up
+	// to 1.4 MB, which takes 5.6 s at a fifth of 10 Mbit/s.
+	maxReadDuration = 8 * time.Second
 	// watchGrace is how long the answer of a watch may come after its wait has passed.
 	watchGrace = 600 * time.Millisecond
 	// probeInterval is the time between two direct calls while the store does not answer
@@ -245,13 +248,36 @@
 	return s.outageEnded
 }
 
+// errStalled is the cause of the end of a read of which no further part arrived.
+var errStalled = errors.Errorf("answer stalled: %w", context.DeadlineExceeded)
+
+// limitCall returns a context that ends with the timeout of the request. That of a read
+// runs again from each part of the answer.
+func limitCall(ctx context.Context, r kv.Request) (context.Context, context.CancelFunc) {
+	if !r.Op.Reads() {
+		return context.WithTimeout(ctx, timeoutOf(r))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r)+maxReadDuration)
+	ctx, end := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(timeoutOf(r), func() { end(errStalled) })
+	ctx = kv.WithProgress(ctx, func() { timer.Reset(callTimeout) })
+	return ctx, func() {
+		timer.Stop()
+		end(nil)
+		cancel()
+	}
+}
+
 // callDirect calls the store directly, within the timeout of the request.
 func (s *Service) callDirect(ctx context.Context, r kv.Request) (kv.Response, error) {
 	metric.StoreCalls.Add(r.Op.String(), 1)
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r))
+	ctx, cancel := limitCall(ctx, r)
 	defer cancel()
 	started := time.Now()
 	response, err := s.direct.Do(ctx, r)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = errors.Join(err, errStalled)
+	}
 	if r.Op != kv.OpWatch {
 		metric.StoreLatency.Record(time.Since(started))
 	}
--- a/internal/storage/kv/kv.go
+++ b/internal/storage/kv/kv.go
@@ -89,6 +89,9 @@
 	OpGrant: "grant", OpRenew: "keep", OpRevoke: "revoke",
 }
 
+// Reads reports whether the operation changes nothing and returns items.
+func (o Op) Reads() bool { return o == OpGet || o == OpRange || o == OpWatch }
+
 // String returns the name of the operation.
 func (o Op) String() string {
 	if o == 0 || int(o) >= len(operationNames) {
@@ -162,22 +165,39 @@
 // all their later changes. It reads several pages, which are not one snapshot.
 func (c Client) List(ctx context.Context, prefix Key) ([]Item, unit.Revision, error) {
 	var items []Item
-	var first unit.Revision
-	request := Request{Op: OpRange, Key: prefix}
-	for {
-		r, err := c.Doer.Do(ctx, request)
+	var list Listing
+	for !list.Complete {
+		page, err := c.NextPage(ctx, prefix, &list)
 		if err != nil {
-			return nil, 0, errors.Errorf("list %s: %w", prefix, err)
-		}
-		if first == 0 {
-			first = r.Revision
-		}
-		items = append(items, r.Items...)
-		if !r.More || len(r.Items) == 0 {
-			return items, first, nil
+			return nil, 0, err
 		}
-		request.After = r.Items[len(r.Items)-1].Key
+		items = append(items, page...)
+	}
+	return items, list.Revision, nil
+}
+
+// Listing is how far the items under a prefix have been read page by page.
+type Listing struct {
+	Last     Key           // of the pages read
+	Revision unit.Revision // a watch from it reports all changes since the first page
+	Complete bool          // the last page has been read
+}
+
+// NextPage returns the next page of the items under the prefix and moves the listing on.
+// After an error it can be called again for the same page.
+func (c Client) NextPage(ctx context.Context, prefix Key, list *Listing) ([]Item, error) {
+	r, err := c.Doer.Do(ctx, Request{Op: OpRange, Key: prefix, After: list.Last})
+	if err != nil {
+		return nil, errors.Errorf("list %s: %w", prefix, err)
+	}
+	if list.Revision == 0 {
+		list.Revision = r.Revision
+	}
+	list.Complete = !r.More || len(r.Items) == 0
+	if len(r.Items) > 0 {
+		list.Last = r.Items[len(r.Items)-1].Key
 	}
+	return r.Items, nil
 }
 
 // Watch returns the changes under the prefix after a revision, and the revision to
