job/owner: apply each page of a job list and continue after an error

Cause: when the watch failed, the owner read all pages of the job list and applied them at the end. An error on one page threw away the others, and the next attempt began with the first page.

Each page is applied as it arrives, and after an error the list goes on with the page that failed, unless the watch works again. The watch then continues from the revision of the first page. A record that has been applied is not decoded and applied once more, which also logged its cancellation again.

--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -16,6 +17,10 @@
 	if item.Deleted {
 		return
 	}
+	id := unit.JobID(strings.TrimPrefix(string(item.Key), string(record.JobPrefix)))
+	if applied, ok := sh.jobRevisions[id]; ok && item.Revision <= applied {
+		return
+	}
 	r, err := record.DecodeJob(item.Value)
 	if err != nil {
 		sh.log.Error(err, "job record skipped", "key", item.Key, "revision", item.Revision)
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -17,31 +17,46 @@
 // watchJobs reads job records from the store, to find jobs and cancellations of which
 // no entry notified this owner.
 func (sh *shard) watchJobs(since unit.Revision) {
+	var list kv.Listing // begun when a watch failed
 	for sh.sleep(jobWatchInterval) {
-		events, next, _, err := sh.watchOrList(record.JobPrefix, since)
+		events, next, err := sh.watchTwice(record.JobPrefix, since)
+		if err == nil {
+			since, list = next, kv.Listing{}
+			sh.applyJobRecords(events)
+			continue
+		}
+		sh.listJobs(&list)
+		if list.Complete {
+			since, list = list.Revision, kv.Listing{}
+		}
+	}
+}
+
+// listJobs applies the pages of a list of all job records as they arrive, up to the
+// first error. Called again, it continues with the page that failed, so that an owner
+// whose link is slow gets to the end.
+func (sh *shard) listJobs(list *kv.Listing) {
+	for !list.Complete && sh.ctx.Err() == nil {
+		items, err := sh.service.store.NextPage(sh.ctx, record.JobPrefix, list)
 		if err != nil {
-			continue // storage/access logs that the store is unreachable
+			return // storage/access logs that the store is unreachable
 		}
-		since = next
-		sh.update(func(_ *scheduler.Core, now time.Time) {
-			for _, item := range events {
-				sh.applyJobRecord(item, now)
-			}
-		})
+		sh.applyJobRecords(items)
 	}
 }
 
+func (sh *shard) applyJobRecords(items []kv.Item) {
+	sh.update(func(_ *scheduler.Core, now time.Time) {
+		for _, item := range items {
+			sh.applyJobRecord(item, now)
+		}
+	})
+}
+
 // watchOrList returns the changes under the prefix after a revision, or all items if the
-// changes cannot be read, and the revision to continue from. A watch that timed out is
-// sent once more first: its connection may be silent or this entry overloaded, and a
-// list is megabytes long.
+// changes cannot be read, and the revision to continue from.
 func (sh *shard) watchOrList(prefix kv.Key, since unit.Revision) (items []kv.Item, next unit.Revision, listed bool, err error) {
-	for range 2 {
-		items, next, err = sh.service.store.Watch(sh.ctx, prefix, since, watchTimeout)
-		if !errors.Is(err, context.DeadlineExceeded) {
-			break
-		}
-	}
+	items, next, err = sh.watchTwice(prefix, since)
 	if err == nil || sh.ctx.Err() != nil {
 		return items, next, false, err
 	}
@@ -49,6 +64,19 @@
 	return items, next, true, err
 }
 
+// watchTwice returns the changes under the prefix after a revision, and the revision to
+// continue from. A watch that timed out is sent once more: its connection may be silent
+// or this entry overloaded, and a list is megabytes long.
+func (sh *shard) watchTwice(prefix kv.Key, since unit.Revision) (events []kv.Item, next unit.Revision, err error) {
+	for range 2 {
+		events, next, err = sh.service.store.Watch(sh.ctx, prefix, since, watchTimeout)
+		if !errors.Is(err, context.DeadlineExceeded) {
+			break
+		}
+	}
+	return events, next, err
+}
+
 // watchWorkers applies changes of the instance list to the core.
 func (sh *shard) watchWorkers(since unit.Revision) {
 	for sh.sleep(workerWatchInterval) {
