--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -11,14 +11,11 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// applyJobRecord decodes a job record from the store and applies it. It is called with
-// the lock held.
+// applyJobRecord decodes a job record from the store and applies it, unless it has been
+// applied already, as most records of a list have. It is called with the lock held.
 func (sh *shard) applyJobRecord(item kv.Item, now time.Time) {
-	if item.Deleted {
-		return
-	}
 	id := unit.JobID(strings.TrimPrefix(string(item.Key), string(record.JobPrefix)))
-	if applied, ok := sh.jobRevisions[id]; ok && item.Revision <= applied {
+	if item.Deleted || item.Revision <= sh.jobRevisions[id] {
 		return
 	}
 	r, err := record.DecodeJob(item.Value)
@@ -38,7 +35,7 @@
 	}
 	_, known := sh.core.JobState(id)
 	sh.jobRevisions[id] = job.Revision
-	fresh := sh.takeover.neverStarted(job.Created, now)
+	fresh := sh.takeover.neverStarted(job.Created)
 	sh.core.AddJob(&job.Record.Job, job.Record.State, fresh, now)
 	switch {
 	case job.Record.State == graph.Cancelled:
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -19,10 +19,11 @@
 func (sh *shard) watchJobs(since unit.Revision) {
 	var list kv.Listing // begun when a watch failed
 	for sh.sleep(jobWatchInterval) {
+		sentAt := time.Now()
 		events, next, err := sh.watchTwice(record.JobPrefix, since)
 		if err == nil {
 			since, list = next, kv.Listing{}
-			sh.applyJobRecords(events)
+			sh.applyJobRecords(events, next, sentAt)
 			continue
 		}
 		sh.listJobs(&list)
@@ -37,19 +38,29 @@
 // whose link is slow gets to the end.
 func (sh *shard) listJobs(list *kv.Listing) {
 	for !list.Complete && sh.ctx.Err() == nil {
+		sentAt, first := time.Now(), list.Revision == 0
 		items, err := sh.service.store.NextPage(sh.ctx, record.JobPrefix, list)
 		if err != nil {
 			return // storage/access logs that the store is unreachable
 		}
-		sh.applyJobRecords(items)
+		var read unit.Revision // known only of the first page
+		if first {
+			read = list.Revision
+		}
+		sh.applyJobRecords(items, read, sentAt)
 	}
 }
 
-func (sh *shard) applyJobRecords(items []kv.Item) {
+// applyJobRecords applies job records from the answer to a read that was sent at sentAt
+// and has shown the store at the revision read, or 0.
+func (sh *shard) applyJobRecords(items []kv.Item, read unit.Revision, sentAt time.Time) {
 	sh.update(func(_ *scheduler.Core, now time.Time) {
 		for _, item := range items {
 			sh.applyJobRecord(item, now)
 		}
+		if read != 0 {
+			sh.takeover.recordRead(read, sentAt)
+		}
 	})
 }
 
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -26,8 +27,9 @@
 	Tasks   []TaskProgress `cbor:"2,keyasint,omitempty"`
 }
 
-// Snapshot is the progress of all open jobs at one time. It also records which ended
-// runs of each worker the progress includes.
+// Snapshot is the progress of all open jobs at one time, without the checkpoints that
+// HeldCheckpoints returns. It also records which ended runs of each worker the
+// progress includes.
 type Snapshot struct {
 	Jobs         map[unit.JobID]Progress
 	KnownWorkers []unit.InstanceID // once the snapshot is durable, tasks may start on these
@@ -62,7 +64,7 @@
 		s.KnownWorkers, s.BusyWorkers = append(s.KnownWorkers, id), append(s.BusyWorkers, id)
 	}
 	for id, w := range c.workers {
-		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastEndSeen}
+		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastRecordedEnd()}
 		if (len(w.runs) > 0 || len(w.unknownRuns) > 0) && !c.unresolved[id] {
 			s.BusyWorkers = append(s.BusyWorkers, id)
 		}
@@ -79,6 +81,20 @@
 	return s
 }
 
+// lastRecordedEnd returns the highest end up to which the progress includes all ends of
+// the worker.
+func (w *worker) lastRecordedEnd() EndNumber {
+	last := w.lastEndSeen
+	for n, t := range w.heldEnds {
+		if t.done || t.job().final != 0 {
+			delete(w.heldEnds, n)
+		} else {
+			last = min(last, n-1)
+		}
+	}
+	return last
+}
+
 // ConfirmSnapshot records that a snapshot is in the store. The ends that it includes
 // can then be acknowledged to their workers, and tasks may start on its known
 // workers.
@@ -131,15 +147,43 @@
 		for _, s := range o.steps {
 			for n := range s.tasks {
 				t := &s.tasks[n]
-				if !t.done && len(t.failedRuns) == 0 && t.checkpoint == "" {
+				checkpoint := t.checkpoint
+				if t.checkpointHeld() {
+					checkpoint = ""
+				}
+				if !t.done && len(t.failedRuns) == 0 && checkpoint == "" {
 					continue
 				}
 				p.Tasks = append(p.Tasks, TaskProgress{
 					Occurrence: o.index, Step: s.index, Index: t.index,
-					Done: t.done, Failed: t.failedRuns, Checkpoint: t.checkpoint,
+					Done: t.done, Failed: t.failedRuns, Checkpoint: checkpoint,
 				})
 			}
 		}
 	}
 	return p
 }
+
+// checkpointHeld reports whether a worker has reported the task's checkpoint with a run
+// that goes on.
+func (t *task) checkpointHeld() bool {
+	return t.checkpoint != "" && slices.ContainsFunc(t.runs, func(r *run) bool { return r.savedCheckpoint == t.checkpoint })
+}
+
+// HeldCheckpoints returns the checkpoints of tasks whose worker has reported them with a
+// run that goes on. The next owner learns them from the worker, so they need to be
+// durable only in case the worker is lost together with this owner.
+func (c *Core) HeldCheckpoints() map[unit.JobID][]TaskProgress {
+	held := map[unit.JobID][]TaskProgress{}
+	for _, w := range c.workers {
+		for _, r := range w.runs {
+			t := r.task
+			if id := t.job().spec.ID; t.checkpoint != "" && r.savedCheckpoint == t.checkpoint {
+				held[id] = append(held[id], TaskProgress{
+					Occurrence: t.step.occurrence.index, Step: t.step.index, Index: t.index, Checkpoint: t.checkpoint,
+				})
+			}
+		}
+	}
+	return held
+}
