job/intake: send notices until the owner confirms, cancellations first

Cause: a notice was given up 5 s after it was queued. Each call to the owner had 0.6 s, and a call that got no answer closed its connection, so that the next one first needed a handshake with the overloaded owner, 50 ms later. One batch that failed held up all later ones, and cancellations waited behind submissions.

A notice is now sent again for 30 s, to the entry that owns the shard at the time of each call. After a failure the timeout doubles up to 2.4 s and the pause up to 0.8 s. Cancellations go first, and one replaces a submission in a full queue. The queue holds at most 256 notices and one call more.

TestNotifierOverload failed before: "owner is silent for 10 s: notices received: want cancelled, submitted, got nil", "owner answers late: 8 calls, want at most 5". TestFullQueue looks into the new queue, so it was not run on the old code.

--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,20 +12,27 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 )
 
-// Bounds of the notices to the owner. The owner finds a record in the store by
-// itself if its notice is not delivered in time.
+// Bounds of the notices to the owner. An overloaded owner reads the records in the store
+// late or not at all, so its notices are sent again for longer than it may take to lose
+// the shard to another entry.
 const (
-	noticeTTL           = 5 * time.Second
-	noticeRetryInterval = 50 * time.Millisecond
-	maxQueuedNotices    = 256
-	maxNoticesPerCall   = 32
+	noticeTTL              = 30 * time.Second
+	minNoticeRetryInterval = 50 * time.Millisecond
+	maxNoticeRetryInterval = 800 * time.Millisecond
+	// maxNoticeTimeout is below the time after which the owner drops a call.
+	maxNoticeTimeout  = 2400 * time.Millisecond
+	maxQueuedNotices  = 256
+	maxNoticesPerCall = 32
 )
 
-// notifier sends notices of new and changed records to the owner of the shard. It
-// drops a notice that is older than noticeTTL.
+// notifier sends notices of new and changed records to the owner of the shard, those of
+// cancellations first. It drops a notice that is older than noticeTTL.
 type notifier struct {
 	service *Service
-	pending chan queuedNotice
+	queued  chan struct{} // signals that a notice was queued
+
+	mu      sync.Mutex
+	pending []queuedNotice // oldest first
 }
 
 // queuedNotice is a notice and the time at which it expires.
@@ -32,66 +41,95 @@
 	deadline time.Time
 }
 
+// urgent reports whether the record ends its job, whose tasks run until the owner knows.
+func (q queuedNotice) urgent() bool { return q.notice.Record.State.Final() }
+
 func newNotifier(s *Service) *notifier {
-	return &notifier{service: s, pending: make(chan queuedNotice, maxQueuedNotices)}
+	return &notifier{service: s, queued: make(chan struct{}, 1)}
 }
 
-// notify queues a notice. It drops the notice if the queue is full, since the owner
-// finds the record in the store.
+// notify queues a notice. If the queue is full, a cancellation replaces the oldest other
+// notice, and another notice is dropped, since the owner finds the record in the store.
 func (t *notifier) notify(n Notice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	added := queuedNotice{n, time.Now().Add(noticeTTL)}
+	if len(t.pending) >= maxQueuedNotices {
+		i := slices.IndexFunc(t.pending, func(q queuedNotice) bool { return !q.urgent() })
+		if !added.urgent() || i < 0 {
+			t.service.log.V(1).Info("notice to the owner dropped: queue full", "job", n.Record.Job.ID)
+			return
+		}
+		t.pending = slices.Delete(t.pending, i, i+1)
+	}
+	t.pending = append(t.pending, added)
 	select {
-	case t.pending <- queuedNotice{n, time.Now().Add(noticeTTL)}:
+	case t.queued <- struct{}{}:
 	default:
-		t.service.log.V(1).Info("notice to the owner dropped: queue full", "job", n.Record.Job.ID)
 	}
 }
 
-// run delivers notices in batches until the context ends.
-func (t *notifier) run(ctx context.Context) {
-	for {
-		var batch []queuedNotice
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-t.pending:
-			batch = append(batch, n)
-		}
-		for len(batch) < maxNoticesPerCall && len(t.pending) > 0 {
-			batch = append(batch, <-t.pending)
-		}
-		t.deliver(ctx, batch)
+// takeBatch removes the notices of the next call from the queue, and those that expired.
+func (t *notifier) takeBatch(now time.Time) []queuedNotice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool { return !now.Before(q.deadline) })
+	var batch []queuedNotice
+	for _, urgent := range []bool{true, false} {
+		t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool {
+			if q.urgent() != urgent || len(batch) == maxNoticesPerCall {
+				return false
+			}
+			batch = append(batch, q)
+			return true
+		})
 	}
+	return batch
 }
 
-// deliver sends a batch, and sends the notices that have not expired again until a
-// call succeeds.
-func (t *notifier) deliver(ctx context.Context, batch []queuedNotice) {
-	for ctx.Err() == nil && len(batch) > 0 {
-		notices := make([]Notice, 0, len(batch))
-		now := time.Now()
-		for _, queued := range batch {
-			if now.Before(queued.deadline) {
-				notices = append(notices, queued.notice)
+// putBack returns the notices of a failed call to the queue, which may then exceed its
+// bound by one call.
+func (t *notifier) putBack(batch []queuedNotice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pending = append(batch, t.pending...)
+}
+
+// run delivers notices in batches until the context ends. After a failure it waits
+// longer for the answer and before the next call, since each call that it gives up costs
+// an overloaded owner a connection.
+func (t *notifier) run(ctx context.Context) {
+	timeout, delay := ownerTimeout, minNoticeRetryInterval
+	for ctx.Err() == nil {
+		batch := t.takeBatch(time.Now())
+		if len(batch) == 0 {
+			select {
+			case <-ctx.Done():
+			case <-t.queued:
 			}
+			continue
 		}
-		if len(notices) == 0 {
-			return
+		if err := t.send(ctx, batch, timeout); err == nil {
+			timeout, delay = ownerTimeout, minNoticeRetryInterval
+			continue
 		}
-		err := t.send(ctx, notices)
-		if err == nil {
-			return
-		}
-		wait.For(ctx, noticeRetryInterval)
+		t.putBack(batch)
+		wait.For(ctx, delay)
+		timeout, delay = min(2*timeout, maxNoticeTimeout), min(2*delay, maxNoticeRetryInterval)
 	}
 }
 
 // send passes notices to the owner once, directly if this entry owns the shard.
-func (t *notifier) send(ctx context.Context, notices []Notice) error {
+func (t *notifier) send(ctx context.Context, batch []queuedNotice, timeout time.Duration) error {
+	notices := make([]Notice, 0, len(batch))
+	for _, queued := range batch {
+		notices = append(notices, queued.notice)
+	}
 	s := t.service
-	if s.ownership.Owner() == s.ownership.Self() {
+	to := s.ownership.Owner()
+	if to == s.ownership.Self() {
 		return s.local.Accept(ctx, notices)
 	}
-	to := s.ownership.Owner()
 	if to == "" {
 		return errors.Errorf("no owner: %w", ErrUnavailable)
 	}
@@ -99,7 +137,7 @@
 	if err != nil {
 		return errors.Errorf("encode notices: %w", err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err = s.peers.Call(ctx, to, kindNotices, body)
 	return err
