--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -8,7 +8,6 @@
 package scheduler
 
 import (
-	"maps"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -24,6 +23,8 @@
 	Baseline    bool
 	MaxLease    time.Duration // longest lease that a worker accepts
 	StopTimeout time.Duration // longest time that a worker takes to stop a task
+	// StartBytesPerSecond bounds the bytes of start orders; 0 for no bound.
+	StartBytesPerSecond unit.Bytes
 }
 
 // runsPerEpoch is the size of the range of run numbers that each epoch uses.
@@ -48,10 +49,11 @@
 	durations               *duration.Estimator
 	policy                  policy
 	addedPressures          map[imagePair]float64 // added pressure per share of cores, from the interference model
-	unmetDemands            []unmetDemand         // demands that no worker could meet in this pass
-	lastPlacement           time.Time             // when the last placement pass began
-	lastPreemption          time.Time             // when preemption was last tried
-	unplaceableImages       map[*image]bool       // images whose best-effort tasks fit nowhere in this pass
+	startBudget             startBudget
+	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
+	lastPlacement           time.Time       // when the last placement pass began
+	lastPreemption          time.Time       // when preemption was last tried
+	unplaceableImages       map[*image]bool // images whose best-effort tasks fit nowhere in this pass
 	addedPressuresClearedAt time.Time
 	lastBestEffortPlacement time.Time // when a pass last included best-effort tasks
 	lastRelocation          time.Time // when slowed runs were last checked for relocation
@@ -82,6 +84,7 @@
 func New(limits Limits, epoch unit.Epoch, inheritedLeasesExpireAt time.Time) *Core {
 	c := &Core{
 		limits:                  limits,
+		startBudget:             startBudget{perSecond: limits.StartBytesPerSecond},
 		epoch:                   epoch,
 		jobs:                    map[unit.JobID]*job{},
 		openJobs:                map[unit.JobID]*job{},
@@ -124,6 +127,10 @@
 type ExpiredLease struct {
 	Worker unit.InstanceID
 	Runs   int // runs that were abandoned with the lease
+	// ReportAge is the time since the heartbeat was sent that the last report answers,
+	// and AnswerAge since the oldest one without an answer; 0 if there is none.
+	ReportAge, AnswerAge time.Duration
+	Listed               bool // the instance list still has the worker
 }
 
 // TakeExpiredLeases returns the leases that expired since the last call.
@@ -168,11 +175,9 @@
 }
 
 // Tick applies every change that depends on time alone, such as expired leases,
-// stalled runs and due occurrences, and then places waiting tasks.
+// stalled runs and due occurrences.
 func (c *Core) Tick(now time.Time) {
-	if !now.Before(c.inheritedLeasesExpireAt) {
-		maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool { return !c.workers[id].mayHoldLease(now) })
-	}
+	c.resolveSilentWorkers(now)
 	for _, j := range c.openJobs {
 		c.openDueOccurrences(j, now)
 	}
@@ -191,7 +196,6 @@
 		c.relocateSlowedRuns(now)
 	}
 	c.placementDue = true
-	c.Place(now)
 }
 
 // firstRunNumber returns the lowest run number of this owner's epoch.
