--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -60,6 +60,7 @@
 	jobRevisions      map[unit.JobID]unit.Revision // revisions of the job records
 	finalStates       []scheduler.FinalState       // not written yet
 	workerClients     map[unit.InstanceID]*workerClient
+	placement         placementPacer
 	handingOver       bool // no new orders are queued
 	listings          map[unit.InstanceID]scheduler.Listing
 	progressRevision  unit.Revision // of the progress record in the store
@@ -228,8 +229,9 @@
 		sh.core.TakeOrders()
 		return
 	}
-	if sh.service.ownership.MayOrder(now) {
+	if sh.placement.due(now) && sh.service.ownership.MayOrder(now) {
 		sh.core.Place(now)
+		sh.placement.ended(now, time.Now())
 	}
 	for _, o := range sh.core.TakeOrders() {
 		if c := sh.workerClients[o.Worker]; c != nil {
