job/owner: a job is new by its revision, not by when it is read

An owner started a job at once, without waiting for the workers that it had not reached, if the job was created after its claim and read over 5 s after it. But the previous owner, which may act for 2.5 s after the claim, may have been notified of the job and have started it on such a worker; the record was only read late. Found in a review, by reading; no trace of it.

A job now counts as new if its record was created after a revision of which this owner knows that it came about after the previous owner had stopped: that of its first own write that was sent later than that.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -65,6 +65,7 @@
 	if err != nil || b == nil {
 		return false, err
 	}
+	sentAt := time.Now()
 	revision, err := sh.service.store.Commit(ctx, b.txn)
 	if conflict, ok := errors.Into[*kv.ConflictError](err); ok {
 		sh.markProgressUnwritten(b)
@@ -77,7 +78,7 @@
 		sh.markProgressUnwritten(b)
 		return true, errors.Errorf("write progress: %w", err)
 	}
-	sh.recordCommit(b, revision)
+	sh.recordCommit(b, revision, sentAt)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	return len(sh.finalStates) > 0, nil
@@ -149,10 +150,11 @@
 	sh.lastProgressWrite = time.Time{}
 }
 
-// recordCommit records that a transaction is in the store.
-func (sh *shard) recordCommit(b *commitBatch, revision unit.Revision) {
+// recordCommit records that a transaction that was sent at sentAt is in the store.
+func (sh *shard) recordCommit(b *commitBatch, revision unit.Revision, sentAt time.Time) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	sh.takeover.recordRevision(revision, sentAt)
 	now := time.Now()
 	sh.finalStates = sh.finalStates[len(b.finalStates):]
 	for _, f := range b.finalStates {
--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -33,7 +33,7 @@
 	}
 	_, known := sh.core.JobState(id)
 	sh.jobRevisions[id] = job.Revision
-	fresh := sh.takeover.neverStarted(job.Created, now)
+	fresh := sh.takeover.neverStarted(job.Created)
 	sh.core.AddJob(&job.Record.Job, job.Record.State, fresh, now)
 	switch {
 	case job.Record.State == graph.Cancelled:
