job/owner: write the progress once the previous owner has stopped

A job counts as new only after a write of this owner that was sent after the previous owner had stopped. Without ends and starts nothing called for a write, so that new jobs would wait for workers that are not reached, until the inherited leases have expired.

The progress is now due at that time, until such a write succeeds. TestWriteAfterTakeover covers the condition.

--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -110,7 +110,12 @@
 	metric.OwnershipChanges.Add("taken over", 1)
 	sh.service.setShard(sh)
 	for sh.sleep(tickInterval) {
-		sh.update(func(c *scheduler.Core, now time.Time) { c.Tick(now) })
+		sh.update(func(c *scheduler.Core, now time.Time) {
+			if sh.takeover.needsWrite(now) {
+				c.MarkProgressChanged()
+			}
+			c.Tick(now)
+		})
 		sh.logSummary()
 	}
 }
--- a/internal/job/owner/takeover.go
+++ b/internal/job/owner/takeover.go
@@ -28,6 +28,11 @@
 	}
 }
 
+// needsWrite reports whether a write is due whose revision settles which jobs are new.
+func (t *takeover) needsWrite(now time.Time) bool {
+	return !t.handedOver && t.settledRevision == 0 && now.Sub(t.claimedAt) > previousOwnerStartWindow
+}
+
 // neverStarted reports whether no earlier owner can have started a job whose record
 // was created at the given revision. When the record is read shows nothing, as it may
 // be read long after the previous owner was notified of the job.
--- a/internal/job/owner/takeover_test.go
+++ b/internal/job/owner/takeover_test.go
@@ -46,3 +46,32 @@
 		})
 	}
 }
+
+// TestWriteAfterTakeover guards against new jobs that wait for workers which are not
+// reached, because nothing else calls for a write that shows the jobs to be new.
+func TestWriteAfterTakeover(t *testing.T) {
+	claimedAt := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name       string
+		handedOver bool
+		sinceClaim time.Duration
+		wrote      bool // after previousOwnerStartWindow
+		want       bool
+	}{
+		{"previous owner may still act", false, 4 * time.Second, false, false},
+		{"previous owner has stopped", false, 6 * time.Second, false, true},
+		{"written since", false, 6 * time.Second, true, false},
+		{"handed over", true, 6 * time.Second, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			newOwner := takeover{claimedAt: claimedAt, claimRevision: 10, handedOver: tt.handedOver}
+			if tt.wrote {
+				newOwner.recordRevision(20, claimedAt.Add(previousOwnerStartWindow+time.Millisecond))
+			}
+			if diff := cmp.Diff(tt.want, newOwner.needsWrite(claimedAt.Add(tt.sinceClaim))); diff != "" {
+				t.Errorf("needsWrite (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
