job/owner: an order's answer doesn't set the clock of a later incarnation

The answer to an order names no incarnation, and its reading of the worker's clock was taken for one of the incarnation known when the answer was handled. If the worker restarted under its id meanwhile and a heartbeat told of that first, the high reading of the earlier clock replaced the low one of the new clock for good.

The reading now belongs to the incarnation that was known before the order was sent. A reading of a later one is lower than what is expected of that clock and changes nothing.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -132,6 +132,7 @@
 	// The deadline is computed before the ownership is checked, so that it is no
 	// later than startWindow after the check however late the order is sent.
 	until := c.workerDeadline(startWindow)
+	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
 	start := o.Kind == scheduler.OrderStart
 	switch {
 	case c.ctx.Err() != nil, start && until == 0:
@@ -144,7 +145,7 @@
 		var clock unit.WorkerTime
 		outcome, clock = c.worker.Do(ctx, o, c.shard.term.Epoch, until)
 		cancel()
-		c.recordClock(clock, 0)
+		c.recordClock(clock, incarnation)
 		metric.OrderLatency.Record(time.Since(now))
 	}
 	if o.FirstStart {
@@ -225,6 +226,13 @@
 	}
 }
 
+// knownIncarnation returns the incarnation whose clock was read last, or 0.
+func (c *workerClient) knownIncarnation() scheduler.Incarnation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.incarnation
+}
+
 // workerNow returns a reading that the worker's clock has certainly passed, or 0 if no
 // reading is known. It is called with the lock held.
 func (c *workerClient) workerNow() unit.WorkerTime {
@@ -346,10 +354,7 @@
 		h.wait = busyHeartbeatWait
 	}
 	c.shard.mu.Unlock()
-	c.mu.Lock()
-	knownIncarnation := c.incarnation
-	c.mu.Unlock()
-	if incarnation == knownIncarnation { // otherwise the cursor counts the ends of another one
+	if incarnation == c.knownIncarnation() { // otherwise the cursor counts the ends of another one
 		h.cursor = cursor
 	}
 	if !probe {
--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -239,3 +239,39 @@
 		})
 	}
 }
+
+// restartedWorker answers orders after its next incarnation has been reported.
+type restartedWorker struct {
+	Worker
+	client *workerClient
+	clock  unit.WorkerTime // of the earlier incarnation
+}
+
+// Do implements Worker.
+func (w restartedWorker) Do(context.Context, scheduler.Order, unit.Epoch, unit.WorkerTime) (scheduler.Outcome, unit.WorkerTime) {
+	w.client.recordClock(unit.WorkerTime(time.Second), 2)
+	return scheduler.OutcomeDone, w.clock
+}
+
+// TestOrderAnswerOfEarlierIncarnation guards against leases of the maximum length, which
+// outlast those that the core has recorded: their deadlines were computed from the clock
+// of an earlier incarnation, read from the answer to an order.
+func TestOrderAnswerOfEarlierIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := New(logr.Discard(), &scriptedFleet{}, nil, Options{})
+		s.ownership = confirmedOwnership{}
+		sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+		defer sh.cancel()
+		sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
+		o := scheduler.Order{Kind: scheduler.OrderStop, Worker: "w1", Incarnation: 1, Run: 1}
+		sh.core.SetWorkers([]scheduler.Listing{{ID: "w1", Incarnation: 1}}, time.Now())
+		sh.core.HandleReport("w1", scheduler.Report{Incarnation: 1, RequestedAt: time.Now(), Running: []scheduler.RunStatus{{Run: 1}}}, time.Now())
+		c := &workerClient{shard: sh, log: logr.Discard(), ctx: t.Context()}
+		c.worker = restartedWorker{client: c, clock: unit.WorkerTime(time.Hour)}
+		c.recordClock(unit.WorkerTime(time.Hour), 1)
+		c.execute(o)
+		if diff := cmp.Diff(unit.WorkerTime(time.Second), c.workerDeadline(0)); diff != "" {
+			t.Errorf("clock of the worker (-want +got):\n%s", diff)
+		}
+	})
+}
