--- a/internal/job/owner/takeover.go
+++ b/internal/job/owner/takeover.go
@@ -12,33 +12,28 @@
 	claimedAt     time.Time
 	claimRevision unit.Revision
 	handedOver    bool // the previous owner handed over and sends no more orders
-	// settledRevision is a revision of the store from after previousOwnerStartWindow; 0
-	// until one is known.
-	settledRevision unit.Revision
+	// startsEnded is a revision of the store from a time when no start by a previous
+	// owner could reach a worker any more, or 0 while none is known.
+	startsEnded unit.Revision
 }
 
 // previousOwnerStartWindow is how long after a claim a start by a previous owner that
 // has not seen the claim may still reach a worker.
 const previousOwnerStartWindow = ownership.MaxOrderOverlap + startWindow + responseSlack
 
-// recordRevision records the revision of a write that was sent at sentAt.
-func (t *takeover) recordRevision(revision unit.Revision, sentAt time.Time) {
-	if t.settledRevision == 0 && sentAt.Sub(t.claimedAt) > previousOwnerStartWindow {
-		t.settledRevision = revision
+// recordRead records that the answer to a read that was sent at sentAt has shown the
+// store at a revision.
+func (t *takeover) recordRead(revision unit.Revision, sentAt time.Time) {
+	if t.startsEnded == 0 && sentAt.Sub(t.claimedAt) > previousOwnerStartWindow {
+		t.startsEnded = revision
 	}
 }
 
-// needsWrite reports whether a write is due whose revision settles which jobs are new.
-func (t *takeover) needsWrite(now time.Time) bool {
-	return !t.handedOver && t.settledRevision == 0 && now.Sub(t.claimedAt) > previousOwnerStartWindow
-}
-
 // neverStarted reports whether no earlier owner can have started a job whose record
-// was created at the given revision. When the record is read shows nothing, as it may
-// be read long after the previous owner was notified of the job.
-func (t *takeover) neverStarted(created unit.Revision) bool {
-	if t.handedOver {
-		return created > t.claimRevision
+// was created at the given revision.
+func (t takeover) neverStarted(created unit.Revision) bool {
+	if t.handedOver && created > t.claimRevision {
+		return true
 	}
-	return t.settledRevision != 0 && created > t.settledRevision
+	return t.startsEnded != 0 && created > t.startsEnded
 }
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -43,22 +43,23 @@
 	return now.Before(expiry.Add(maxAnswerWait)) && slices.ContainsFunc(w.answersDue, expiry.After)
 }
 
-// hasUnreadEnds reports whether the worker may still list ends from before its last
-// report, and its lease has not expired since.
-func (w *worker) hasUnreadEnds(now time.Time) bool {
-	return w.unreadEnds && now.Before(w.leaseExpiry)
+// mayHoldLease reports whether the worker may still hold a lease that this owner has
+// extended, or list ends from before its expiry.
+func (w *worker) mayHoldLease(now time.Time) bool {
+	return now.Before(w.leaseExpiry) || w.awaitsAnswer(w.leaseExpiry, now)
 }
 
 // resolveSilentWorkers takes the unresolved workers as free of runs of earlier owners
-// once every lease that those granted has expired. Workers that may still list ends
-// stay unresolved: a task whose run ended as done must not start again.
+// once every lease that those granted has expired. Workers that this owner's heartbeats
+// may have reached, or that may still list ends, stay unresolved: a task must not start
+// again while it runs or after it ended as done.
 func (c *Core) resolveSilentWorkers(now time.Time) {
 	if now.Before(c.inheritedLeasesExpireAt) {
 		return
 	}
 	maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool {
 		w := c.workers[id]
-		return w == nil || !w.hasUnreadEnds(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
+		return w == nil || !w.mayHoldLease(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
 	})
 }
 
@@ -78,7 +79,14 @@
 	if sent == 0 {
 		return // no run there holds the lease
 	}
-	c.expiredLeases = append(c.expiredLeases, ExpiredLease{Worker: w.id, Runs: sent})
+	lease := ExpiredLease{Worker: w.id, Runs: sent, Listed: w.listed}
+	if !w.reportRequestedAt.IsZero() {
+		lease.ReportAge = now.Sub(w.reportRequestedAt)
+	}
+	for _, sentAt := range w.answersDue {
+		lease.AnswerAge = max(lease.AnswerAge, now.Sub(sentAt))
+	}
+	c.expiredLeases = append(c.expiredLeases, lease)
 	w.health.recordLeaseExpiry(now)
 	c.abandonRuns(w, now)
 }
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -15,6 +15,10 @@
 	if !c.placementDue || now.Sub(c.lastPlacement) < placementInterval {
 		return
 	}
+	c.startBudget.refill(now)
+	if !c.startBudget.allowsPass() {
+		return
+	}
 	c.lastPlacement = now
 	c.placementDue = false
 	c.readySteps = slices.DeleteFunc(c.readySteps, func(s *step) bool {
@@ -30,7 +34,15 @@
 	}
 	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
+	c.startBudget.deferred = false
+	charged := len(c.orders)
+	defer func() { c.startBudget.charge(c.orders[charged:]) }()
 	for _, s := range c.readySteps {
+		c.startBudget.charge(c.orders[charged:])
+		if charged = len(c.orders); !c.startBudget.allows() {
+			c.placementDue = true
+			break
+		}
 		if !c.safeToStart(s.occurrence.job) || (s.spec.BestEffort && !includeBestEffort) {
 			continue
 		}
