job/owner: a hand-over ends with the term and pauses after unresolved conflicts

An owner that is stopped after another entry has claimed the shard repeats the progress write in a loop without a pause until the hand-over's 1.5 s are over.

Cause: after a lost claim commitOnce cancels the term and returns (true, nil), which handOver takes as "more to write". The same happens when no revision in the store's answer differs from the guards, so that nothing was adopted.

Change: handOver stops when the term has ended. resolveConflict returns errConflictUnresolved if it adopted no revision; both loops pause after an error.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -179,9 +179,14 @@
 	}
 }
 
+// errConflictUnresolved means that the guards of a write did not hold and that the
+// store's answer does not tell which record has changed.
+var errConflictUnresolved = errors.New("write rejected although no guarded record has changed")
+
 // resolveConflict adopts the current revisions of the records whose guards failed:
 // a job was cancelled in the meantime, or an earlier write whose answer was lost took
-// effect. If another entry has claimed the shard, it ends the term.
+// effect. If another entry has claimed the shard, it ends the term. It returns
+// errConflictUnresolved if no revision differs from the one that the guard had.
 func (sh *shard) resolveConflict(ctx context.Context, b *commitBatch, conflict *kv.ConflictError) error {
 	if item, ok := conflict.Item(ownership.EpochKey); ok && item.Revision != sh.term.EpochRevision {
 		sh.log.Info("another entry has claimed the shard", "revision", item.Revision)
@@ -191,8 +196,9 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	now := time.Now()
-	if item, ok := conflict.Item(record.ProgressKey); ok && b.snapshot != nil {
-		sh.progressRevision = item.Revision
+	resolved := false
+	if item, ok := conflict.Item(record.ProgressKey); ok && b.snapshot != nil && item.Revision != sh.progressRevision {
+		sh.progressRevision, resolved = item.Revision, true
 	}
 	var unwritten []scheduler.FinalState
 	for _, f := range sh.finalStates {
@@ -201,6 +207,7 @@
 			unwritten = append(unwritten, f)
 			continue
 		}
+		resolved = true
 		r, err := record.DecodeJob(item.Value)
 		if err != nil {
 			sh.log.Error(err, "job record skipped", "job", f.Job)
@@ -217,6 +224,9 @@
 		}
 	}
 	sh.finalStates = unwritten
+	if !resolved {
+		return errConflictUnresolved
+	}
 	return ctx.Err()
 }
 
@@ -242,7 +252,7 @@
 	if !ready {
 		return
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && sh.ctx.Err() == nil { // a lost claim ends the term
 		more, err := sh.commitOnce(ctx, true)
 		if err == nil && !more {
 			break
