job/owner: an empty list of workers after a broken watch is applied

Cause: watchWorkers skipped every answer without items, a full list as well as a watch without events.

Change: only a watch without events is skipped. As with events of removal, runs are kept until their worker's lease has expired.

Test: TestEmptyInstanceList; before the change 1 worker was listed, want 0.

--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		since = next
-		if len(events) == 0 {
+		if len(events) == 0 && !relisted {
 			continue
 		}
 		sh.update(func(c *scheduler.Core, now time.Time) {
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -153,3 +153,51 @@
 		})
 	}
 }
+
+// emptiedStore has lost the history of the instance list, which has become empty.
+type emptiedStore struct{}
+
+func (emptiedStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op == kv.OpWatch && r.Since < 9 {
+		return kv.Response{}, kv.ErrCompacted
+	}
+	return kv.Response{Revision: 9}, nil
+}
+
+// TestEmptyInstanceList guards against an owner that goes on with workers that have left,
+// since the list that it reads after a broken watch has no items.
+func TestEmptyInstanceList(t *testing.T) {
+	tests := []struct {
+		name   string
+		since  unit.Revision
+		listed int // workers afterwards
+	}{
+		{"history gone, list empty", 7, 0},
+		{"no change", 9, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{}
+				f.workers = map[unit.InstanceID]*scriptedWorker{"w1": {fleet: f, bornAt: time.Now()}}
+				s := New(logr.Discard(), f, nil, Options{})
+				s.ownership, s.store = confirmedOwnership{}, kv.Client{Doer: emptiedStore{}}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
+				sh.listings["w1"] = scheduler.Listing{ID: "w1", Service: "orders"}
+				sh.update(func(c *scheduler.Core, now time.Time) { c.SetWorkers(sh.currentListings(), now) })
+				sh.goroutines.Go(func() { sh.watchWorkers(tt.since) })
+				time.Sleep(workerWatchInterval + time.Millisecond)
+				synctest.Wait()
+				sh.mu.Lock()
+				listed := sh.core.Stats(time.Now()).Workers
+				sh.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				if diff := cmp.Diff(tt.listed, listed); diff != "" {
+					t.Errorf("workers listed (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
