order/claim: a void is answered as voided only if no record holds the claim

A caller of Void is told that the id can be claimed again, and the repeat is then rejected as taken.

Cause: prepareWrite answered Voided whenever the cached record of the current period did not hold the claim. The claim stays in two cases: its period has ended and the record is sealed, or the cache is older than the claim.

Change: a claim in the sealed record is answered Kept, which Void returns as an error; a void that does not find its claim waits for a read that began after the call. The gateway logs a claim that stays and counts it as claims-kept.

Tests: two rows of TestAnswers and a new check of TestBucket against the stored records.

--- a/internal/order/claim/bucket.go
+++ b/internal/order/claim/bucket.go
@@ -53,6 +53,7 @@
 	Full                           // the bucket accepts no more claims in this period
 	Unavailable                    // the store did not answer; the request must not be sent
 	Voided                         // the claim was removed or never written
+	Kept                           // the claim to void is in a sealed record, which does not change
 )
 
 // Answer is the answer to a call.
@@ -243,9 +244,14 @@
 			next.remove(c.Key)
 			b.batch = append(b.batch, c)
 			changed = true
-		case c.Void:
-			// A claim in a sealed record stays.
+		case c.Void && inPrevious && earlier == c.Nonce:
+			answers = append(answers, Answer{c.ID, Kept})
+		case c.Void && b.current.readNumber > c.readsBefore:
 			answers = append(answers, Answer{c.ID, Voided})
+		case c.Void:
+			// The claim may have been written since the record was read.
+			stale = true
+			remaining = append(remaining, c)
 		case inPrevious && earlier == c.Nonce, present && stored == c.Nonce:
 			answers = append(answers, Answer{c.ID, Granted}) // by a write whose response was lost
 		case inPrevious:
--- a/internal/order/claim/bucket_test.go
+++ b/internal/order/claim/bucket_test.go
@@ -57,8 +57,9 @@
 	skew       time.Duration // of the clock
 }
 
-// TestBucket guards against an id that is granted twice and against a call that is
-// never answered or answered twice, while entries run concurrently, the store loses,
+// TestBucket guards against an id that is granted twice, against a claim that stays
+// although it was answered as voided, and against a call that is never answered or
+// answered twice, while entries run concurrently, the store loses,
 // delays and fails calls, and a new period starts.
 func TestBucket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -78,6 +79,13 @@
 					t.Fatalf("second answer to call %d", a.CallID)
 				}
 				delete(unanswered, a.CallID)
+				if c.Void && a.Outcome == Voided {
+					for p, r := range m.records {
+						if nonce, ok := r.nonceOf(c.Key); ok && nonce == c.Nonce {
+							t.Fatalf("claim %d of key %x answered as voided is in the record of period %d", c.Nonce, c.Key[0], p)
+						}
+					}
+				}
 				if c.Void || a.Outcome != Granted {
 					continue
 				}
@@ -218,6 +226,15 @@
 		{name: "claimed two periods ago", stored: map[Period]Record{current - 2: otherClaim}, calls: [][]Call{{{Key: key, Nonce: 1}}}, want: []Outcome{Granted}},
 		{name: "period already sealed", stored: map[Period]Record{current: {Sealed: true, claims: otherClaim.claims}}, calls: [][]Call{{{Key: key, Nonce: 1}}}, want: []Outcome{Taken}},
 		{name: "voided, then claimed again", calls: [][]Call{{{Key: key, Nonce: 1}}, {{Key: key, Nonce: 1, Void: true}}, {{Key: key, Nonce: 2}}}, want: []Outcome{Granted, Voided, Granted}},
+		{
+			name: "voided after its period", stored: map[Period]Record{current - 1: otherClaim},
+			calls: [][]Call{{{Key: key, Nonce: 99, Void: true}}, {{Key: key, Nonce: 2}}}, want: []Outcome{Kept, Taken},
+		},
+		{
+			name: "voided through an entry that has not read it", later: &otherClaim,
+			calls: [][]Call{{{Key: Key{7}, Nonce: 1}}, {{Key: key, Nonce: 99, Void: true}}, {{Key: key, Nonce: 2}}},
+			want:  []Outcome{Granted, Voided, Granted},
+		},
 		{
 			name: "voided by another entry since the last read", stored: map[Period]Record{current: otherClaim}, later: &Record{},
 			calls: [][]Call{{{Key: Key{7}, Nonce: 1}}, {{Key: key, Nonce: 2}}}, want: []Outcome{Granted, Granted},
--- a/internal/order/claim/service.go
+++ b/internal/order/claim/service.go
@@ -100,14 +100,19 @@
 }
 
 // Void withdraws a claim whose request certainly did not run, so that the id can be
-// claimed again. After an error the id may remain claimed.
+// claimed again. After an error the id may remain claimed; it does so for certain if
+// the period of its claim has ended.
 func (s *Service) Void(ctx context.Context, id unit.RequestID, r Result) error {
 	if r.Outcome != Granted {
 		return nil
 	}
 	c := Call{Key: KeyOf(id), Nonce: r.nonce, Void: true}
 	outcome, err := s.writerFor(c.Key).submit(ctx, c)
-	if err == nil && outcome != Voided {
+	switch {
+	case err != nil:
+	case outcome == Kept:
+		err = errSealed
+	case outcome != Voided:
 		err = errUnavailable
 	}
 	if err != nil {
@@ -119,8 +124,12 @@
 // writerFor returns the writer of the bucket of a key.
 func (s *Service) writerFor(key Key) *bucketWriter { return s.writers[int(key[0])%bucketCount] }
 
-// errUnavailable means that the store did not confirm a change.
-var errUnavailable = errors.New("store does not answer")
+var (
+	// errUnavailable means that the store did not confirm a change.
+	errUnavailable = errors.New("store does not answer")
+	// errSealed means that the period of a claim has ended and its record is final.
+	errSealed = errors.New("claim is in a sealed record")
+)
 
 // bucketWriter runs one bucket. Except for the channels, only its goroutine accesses
 // the fields.
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -17,6 +17,7 @@
 //	claims          ids of non-idempotent requests that were granted
 //	claims-taken    ids that were claimed before
 //	claims-voided   claims deleted because the request did not run
+//	claims-kept     claims that could not be deleted although the request did not run
 //	hung            exchanges without a byte within the idle timeout
 //	mismatched      responses to another request
 //	truncated       responses that ended early
--- a/internal/order/gateway/request.go
+++ b/internal/order/gateway/request.go
@@ -205,9 +205,12 @@
 	}
 	if cr.claim.Outcome == claim.Granted {
 		// The claim has to be deleted even if the caller has disconnected.
-		if err := cr.gateway.claims.Void(context.WithoutCancel(cr.request.Context()), cr.claimID, cr.claim); err == nil {
-			cr.gateway.counters.Add("claims-voided", 1)
+		counter := "claims-voided"
+		if err := cr.gateway.claims.Void(context.WithoutCancel(cr.request.Context()), cr.claimID, cr.claim); err != nil {
+			counter = "claims-kept"
+			cr.gateway.log.Info("claim not voided; a repeat of the request is rejected", "request", cr.claimID, "error", err.Error())
 		}
+		cr.gateway.counters.Add(counter, 1)
 	}
 	return latest
 }
