job/scheduler: a hand-over names the workers whose ends are held

What callers could see: a task that runs again after it has ended as done, right after a planned restart of the owner.

Cause: an end as done beside a later run of its task is held: it is neither in the progress nor acknowledged until the later run has ended. The progress of a hand-over named only workers with runs as busy, and the next owner waits for the reports of those alone. Once the worker of the later run had reported that the run was stopped, the next owner could start the task again before it had read the end on the first worker, and then acknowledged that end.

Evidence: TestHandOverWithHeldEnd fails before the change, as only the worker of the later run is named.

Why it works: the next owner starts no older job before every worker with a held end has listed its ends again.

--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -45,7 +45,7 @@
 	Jobs         map[unit.JobID]scheduler.Progress `cbor:"3,keyasint,omitempty"`
 	KnownWorkers []unit.InstanceID                 `cbor:"4,keyasint,omitempty"` // workers on which the owner may start tasks
 	HandedOver   bool                              `cbor:"5,keyasint,omitempty"` // set if the owner handed over and gave no orders afterwards
-	BusyWorkers  []unit.InstanceID                 `cbor:"6,keyasint,omitempty"` // workers on which tasks may run; only at a hand-over
+	BusyWorkers  []unit.InstanceID                 `cbor:"6,keyasint,omitempty"` // workers on which tasks may run or that list ends which Jobs lacks; only at a hand-over
 }
 
 // Checkpoints is the record of the checkpoints that the workers hold and the progress
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -119,13 +119,33 @@
 // takeOver replaces the owner by a new one that knows only what is durable. The orders
 // that the previous owner has not sent are gone.
 func (sim *simulation) takeOver() {
+	sim.beginTerm(sim.durableSnapshot.KnownWorkers)
+	sim.core.AwaitReports()
+	sim.addJobs()
+}
+
+// handOver replaces the owner by a new one after the owner has written its progress and
+// stopped giving orders. Those that it has given are sent.
+func (sim *simulation) handOver() {
+	sim.writeSnapshot(true)
+	sim.sendAll()
+	sim.beginTerm(sim.durableSnapshot.BusyWorkers)
+	sim.addJobs()
+}
+
+// beginTerm creates the core of a new owner, which reads the progress and the instance
+// list. The unresolved workers may have runs or ends of earlier owners.
+func (sim *simulation) beginTerm(unresolved []unit.InstanceID) {
 	sim.epoch++
 	sim.queued = nil
 	leasesExpireAt := sim.now.Add(simMaxDisconnected + simLeaseLength*1025/1000)
 	sim.core = New(Limits{StopTimeout: 500 * time.Millisecond, MaxLease: simMaxLease}, sim.epoch, leasesExpireAt)
-	sim.core.LoadProgress(maps.Clone(sim.durableSnapshot.Jobs), sim.durableSnapshot.KnownWorkers, sim.durableSnapshot.KnownWorkers)
+	sim.core.LoadProgress(maps.Clone(sim.durableSnapshot.Jobs), sim.durableSnapshot.KnownWorkers, unresolved)
 	sim.core.SetWorkers(sim.listings(), sim.now)
-	sim.core.AwaitReports()
+}
+
+// addJobs passes the jobs in the store to the core of a new owner.
+func (sim *simulation) addJobs() {
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
 		sim.core.AddJob(sim.jobs[id], sim.durableFinal[id], false, sim.now)
 	}
@@ -364,7 +384,8 @@
 // capacity, and no job is shown as completed before its tasks are done. Orders wait in
 // the queue of their owner before they are sent, and are delayed, reordered, repeated
 // and lost; reports are delayed, reordered and lost; workers are partitioned, restart
-// and leave the instance list; owners are replaced at any time.
+// and leave the instance list; owners are replaced at any time, with and without a
+// hand-over.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -410,6 +431,11 @@
 					sim.takeOver()
 				}
 			},
+			"hand over": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
+					sim.handOver()
+				}
+			},
 			"": func(*rapid.T) { sim.queueOrders(); sim.checkShownStates() },
 		})
 	})
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -33,7 +33,7 @@
 type Snapshot struct {
 	Jobs         map[unit.JobID]Progress
 	KnownWorkers []unit.InstanceID // once the snapshot is durable, tasks may start on these
-	BusyWorkers  []unit.InstanceID // of the known workers, those that may have runs
+	BusyWorkers  []unit.InstanceID // of the known workers, those that may have runs, or ends that the progress lacks
 	endPositions map[unit.InstanceID]endPosition
 }
 
@@ -78,7 +78,7 @@
 	}
 	for id, w := range c.workers {
 		s.endPositions[id] = endPosition{incarnation: w.incarnation, lastEnd: w.lastRecordedEnd()}
-		if (len(w.runs) > 0 || len(w.unknownRuns) > 0) && !c.unresolved[id] {
+		if (len(w.runs) > 0 || len(w.unknownRuns) > 0 || len(w.heldEnds) > 0) && !c.unresolved[id] {
 			s.BusyWorkers = append(s.BusyWorkers, id)
 		}
 		if (w.listed || len(w.runs) > 0) && !c.unresolved[id] {
--- a/internal/job/scheduler/snapshot_test.go
+++ b/internal/job/scheduler/snapshot_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -65,3 +66,42 @@
 		})
 	}
 }
+
+// TestHandOverWithHeldEnd guards against a second start of a task after a hand-over: its
+// end as done was read by the previous owner but is not in the progress yet, as a later
+// run of the task was still being stopped.
+func TestHandOverWithHeldEnd(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(f *fixture, first, later Order) // the hand-over
+		busy   []unit.InstanceID
+	}{
+		{"end is not read", func(*fixture, Order, Order) {}, []unit.InstanceID{"w2"}},
+		{"end is held", func(f *fixture, first, _ Order) {
+			f.report("w1", nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}})
+		}, []unit.InstanceID{"w1", "w2"}},
+		{"end is in the progress", func(f *fixture, first, later Order) {
+			f.report("w1", nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}})
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndStopped}})
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			first := f.placeOn("w1", smallStep)
+			f.begin(first)
+			f.advance(4 * time.Second) // the lease has expired
+			f.listWorkers("w1", "w2")
+			f.now = f.now.Add(placementInterval)
+			f.core.Place(f.now)
+			later := f.core.TakeOrders()[0]
+			f.begin(later)
+			tt.before(f, first, later)
+			busy := f.core.Snapshot().BusyWorkers
+			slices.Sort(busy)
+			if diff := cmp.Diff(tt.busy, busy); diff != "" {
+				t.Errorf("busy workers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
