job/scheduler: a job does not fail for a task that has ended as done

What callers could see: a job that is shown as failed although each of its tasks has ended as done.

Cause: a task that has ended as done beside a later run stays open until that run has ended. If the later run ended as failed and was the last attempt, the job failed before the task was completed.

Evidence: TestFailureBesideHeldEnd fails before the change with state failed, want completed.

Why it works: attempts are only counted against tasks that have never ended as done; the task is completed right after the end of the later run is handled.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -331,11 +331,11 @@
 	c.checkAttempts(t)
 }
 
-// checkAttempts fails the job of a task that has failed as often as its queue
-// allows.
+// checkAttempts fails the job of a task that has failed as often as its queue allows and
+// has never ended as done.
 func (c *Core) checkAttempts(t *task) {
 	limit := t.job().spec.Queue.MaxAttempts
-	if limit > 0 && len(t.failedRuns) >= limit && !t.step.spec.LongRunning && !t.done {
+	if limit > 0 && len(t.failedRuns) >= limit && !t.step.spec.LongRunning && !t.done && !t.endedDone {
 		c.decideFinalState(t.job(), graph.Failed, "a task failed as often as its queue allows")
 	}
 }
--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -36,6 +36,21 @@
 	f.core.SetWorkers([]Listing{l}, f.now)
 }
 
+// startTwice starts the task of a job on w1, and on w2 once the lease of w1 has expired.
+// It returns both start orders, which were sent and have no outcome yet.
+func (f *fixture) startTwice() (first, later Order) {
+	f.t.Helper()
+	first = f.placeOn("w1", smallStep)
+	f.begin(first)
+	f.advance(4 * time.Second) // the lease has expired
+	f.listWorkers("w1", "w2")
+	f.now = f.now.Add(placementInterval)
+	f.core.Place(f.now)
+	later = f.core.TakeOrders()[0]
+	f.begin(later)
+	return first, later
+}
+
 // takeStops returns the stop orders given since the last call.
 func (f *fixture) takeStops() []Order {
 	var stops []Order
@@ -331,15 +346,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 1, 0)
-			first := f.placeOn("w1", smallStep)
-			f.begin(first)
-			f.advance(4 * time.Second) // the lease has expired
-			f.listWorkers("w1", "w2")
-			f.core.SetEvacuatedZones(nil)
-			f.now = f.now.Add(placementInterval)
-			f.core.Place(f.now)
-			later := f.core.TakeOrders()[0]
-			f.begin(later)
+			first, later := f.startTwice()
 			f.report("w1", nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}})
 			tt.settle(f, later)
 			f.core.ConfirmSnapshot(f.core.Snapshot())
@@ -356,3 +363,35 @@
 		})
 	}
 }
+
+// TestFailureBesideHeldEnd guards against a job that fails although its task has ended as
+// done, because a later run of the task that was being stopped fails as the last attempt.
+func TestFailureBesideHeldEnd(t *testing.T) {
+	tests := []struct {
+		name  string
+		ended []End // on the worker of the first run, before the later run fails
+		final graph.State
+	}{
+		{"first run ended as done", []End{{Number: 1, Run: 1, Kind: EndDone}}, graph.Completed},
+		{"first run ended with the lease", []End{{Number: 1, Run: 1, Kind: EndLeaseExpired}}, graph.Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.core.LoadProgress(map[unit.JobID]Progress{"j": {Started: true, Tasks: []TaskProgress{{Failed: []graph.RunNumber{0}}}}}, nil, nil)
+			first, later := f.startTwice()
+			for i := range tt.ended {
+				tt.ended[i].Task = first.Task
+			}
+			f.report(first.Worker, nil, tt.ended)
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndFailed}})
+			var final graph.State
+			for _, s := range f.core.TakeFinalStates() {
+				final = s.State
+			}
+			if diff := cmp.Diff(tt.final, final); diff != "" {
+				t.Errorf("final state (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/snapshot_test.go
+++ b/internal/job/scheduler/snapshot_test.go
@@ -88,14 +88,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 1, 0)
-			first := f.placeOn("w1", smallStep)
-			f.begin(first)
-			f.advance(4 * time.Second) // the lease has expired
-			f.listWorkers("w1", "w2")
-			f.now = f.now.Add(placementInterval)
-			f.core.Place(f.now)
-			later := f.core.TakeOrders()[0]
-			f.begin(later)
+			first, later := f.startTwice()
 			tt.before(f, first, later)
 			busy := f.core.Snapshot().BusyWorkers
 			slices.Sort(busy)
