job/scheduler: the end of a gang as done is held beside a later run

Callers could see a member of a gang start after its job was completed. It needs workers of the first run that were given up with their leases and whose end is read later.

handleDone now takes the members of a gang like one task: while the start of a run with another number was sent to any of them, the end is held, all runs are stopped, and all members are complete once none has a run.

Before the change:

--- FAIL: TestGangEndBesideLaterRun/later_run_is_under_way done tasks (-want +got): - 0, + 2 acknowledged end 1, want 0

The same in one_start_of_the_later_run_is_under_way and one_of_two_later_runs_was_stopped. Ruled out: runs of the same number, which end as done together and need no stop; they complete at once as before.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -56,7 +56,7 @@
 	step          *step
 	index         unit.TaskIndex
 	done          bool
-	endedDone     bool // a run has ended as done; the task is complete once it has no other run
+	endedDone     bool // a run has ended as done; the task is complete once it, or its gang, has no other run
 	failedRuns    []graph.RunNumber
 	lastRun       graph.RunNumber // highest run number seen or used
 	runs          []*run          // runs on workers
@@ -246,13 +246,24 @@
 		return
 	}
 	if t.endedDone {
-		c.completeTask(t)
+		c.completeEnded(t)
 		return
 	}
 	t.step.waiting = append(t.step.waiting, t)
 	c.enqueue(t.step)
 }
 
+// completeEnded completes a task that has ended as done, or all members of its gang, once
+// none of them has a run.
+func (c *Core) completeEnded(t *task) {
+	if t.hasRuns() {
+		return
+	}
+	for _, m := range t.members() {
+		c.completeTask(m)
+	}
+}
+
 // completeTask marks a task as done and stops any further runs of it.
 func (c *Core) completeTask(t *task) {
 	if t.done {
--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -395,3 +396,67 @@
 		})
 	}
 }
+
+// TestGangEndBesideLaterRun guards against members of a gang whose start is executed
+// after the acknowledged end of an earlier run of the gang as done, and against the loss
+// of that end.
+func TestGangEndBesideLaterRun(t *testing.T) {
+	stopped := func(o Order) []End { return []End{{Number: 1, Task: o.Task, Run: o.Run, Kind: EndStopped}} }
+	tests := []struct {
+		name   string
+		sent   int // starts of the later run that were sent before the end was read
+		settle func(f *fixture, later []Order)
+		done   int // tasks
+		acked  EndNumber
+	}{
+		{"later run waits at the owner", 0, func(*fixture, []Order) {}, 2, 1},
+		{"later run is under way", 2, func(*fixture, []Order) {}, 0, 0},
+		{"one start of the later run is under way", 1, func(*fixture, []Order) {}, 0, 0},
+		{"one of two later runs was stopped", 2, func(f *fixture, later []Order) {
+			f.report(later[0].Worker, nil, stopped(later[0]))
+		}, 0, 0},
+		{"later run was stopped", 2, func(f *fixture, later []Order) {
+			for _, o := range later {
+				f.report(o.Worker, nil, stopped(o))
+			}
+		}, 2, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			gang := smallStep
+			gang.Gang, gang.Count, gang.PerWorker = true, 2, 1
+			f.listWorkers("w1", "w2")
+			f.addJob("j", gang, true)
+			f.core.Place(f.now)
+			first := f.core.TakeOrders()
+			for _, o := range first {
+				f.begin(o)
+			}
+			f.advance(4 * time.Second) // the leases have expired
+			f.core.TakeOrders()
+			f.listWorkers("w1", "w2", "w3", "w4")
+			f.now = f.now.Add(placementInterval)
+			f.core.Place(f.now)
+			later := slices.DeleteFunc(f.core.TakeOrders(), func(o Order) bool { return o.Kind != OrderStart })
+			for _, o := range later[:tt.sent] {
+				f.begin(o)
+			}
+			f.report(first[0].Worker, nil, []End{{Number: 1, Task: first[0].Task, Run: first[0].Run, Kind: EndDone}})
+			tt.settle(f, later)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			done := 0
+			for i := range gang.Count {
+				if f.core.lookupTask(graph.Task{Job: "j", Index: unit.TaskIndex(i)}).done {
+					done++
+				}
+			}
+			if diff := cmp.Diff(tt.done, done); diff != "" {
+				t.Errorf("done tasks (-want +got):\n%s", diff)
+			}
+			if _, acked := f.core.AckCursor(first[0].Worker); acked != tt.acked {
+				t.Errorf("acknowledged end %d, want %d", acked, tt.acked)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -75,7 +75,7 @@
 	switch e.Kind {
 	case EndDone:
 		w.health.recordSuccess()
-		if c.handleDone(t); !t.done && t.endedDone {
+		if c.handleDone(t, e.Run); !t.done && t.endedDone {
 			w.heldEnds[e.Number] = t
 		}
 	case EndFailed:
@@ -89,28 +89,52 @@
 	c.requeue(t)
 }
 
-// handleDone completes a task whose run ended as done. If the start of another run of
-// the task was sent meanwhile, that run is stopped first, unless the step allows several
-// at once: a start must not be executed after the task is complete.
-func (c *Core) handleDone(t *task) {
+// handleDone completes a task whose run with the given number ended as done, and with it
+// all members of a gang. If the start of another run was sent meanwhile, that run is
+// stopped first, unless the step allows several at once: a start must not be executed
+// after the task is complete.
+func (c *Core) handleDone(t *task, number graph.RunNumber) {
 	if t.step.spec.LongRunning {
 		return
 	}
-	if t.step.spec.Gang {
-		for n := range t.step.tasks {
-			c.completeTask(&t.step.tasks[n])
+	ended := t.members()
+	if t.step.spec.Speculative || !slices.ContainsFunc(ended, func(m *task) bool { return m.hasOtherSentRun(number) }) {
+		for _, m := range ended {
+			c.completeTask(m)
 		}
 		return
 	}
-	sent := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseQueued })
-	if !sent || t.step.spec.Speculative {
-		c.completeTask(t)
-		return
+	for _, m := range ended {
+		m.endedDone = true
+	}
+	for _, m := range ended {
+		for _, r := range slices.Clone(m.runs) { // stopRun may remove the run
+			c.stopRun(r, ReasonObsolete)
+		}
+	}
+}
+
+// members returns the tasks that end as done together: those of a gang, or the task
+// alone.
+func (t *task) members() []*task {
+	if !t.step.spec.Gang {
+		return []*task{t}
 	}
-	t.endedDone = true
-	for _, r := range slices.Clone(t.runs) { // stopRun may remove the run
-		c.stopRun(r, ReasonObsolete)
+	members := make([]*task, 0, len(t.step.tasks))
+	for n := range t.step.tasks {
+		members = append(members, &t.step.tasks[n])
 	}
+	return members
+}
+
+// hasRuns reports whether the task, or any member of its gang, has a run.
+func (t *task) hasRuns() bool {
+	return slices.ContainsFunc(t.members(), func(m *task) bool { return len(m.runs) > 0 })
+}
+
+// hasOtherSentRun reports whether the start of a run with another number was sent.
+func (t *task) hasOtherSentRun(number graph.RunNumber) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.number != number && r.phase != phaseQueued })
 }
 
 // stopGangRun stops the remaining members of a gang's run after one has ended.
