job/scheduler: ends of failed and cancelled jobs wait for later runs too

An end that was held because a later run of its task was under way was acknowledged as soon as its job was cancelled or had failed, although the stop of the later run had not ended it: a start that was still on its way was executed after the acknowledged end. A failed run that used up the last attempt was never held, so that a later start was executed after that end had been acknowledged too.

An end after which no start may be executed is now held while the task, or a member of its gang, has a run.

Before the change:

--- FAIL: TestEndBesideLaterRun/job_cancelled_while_the_later_run_is_under_way acknowledged end 1, want 0 --- FAIL: TestLastFailureBesideLaterRun/no_attempt_is_left acknowledged end 1, want 0

--- a/internal/job/scheduler/order_test.go
+++ b/internal/job/scheduler/order_test.go
@@ -343,6 +343,13 @@
 		{"later run failed", func(f *fixture, later Order) {
 			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndFailed}})
 		}, true, 1, 0},
+		{"job cancelled while the later run is under way", func(f *fixture, later Order) {
+			f.core.Cancel("j", f.now)
+		}, false, 0, 0},
+		{"job cancelled, later run was stopped", func(f *fixture, later Order) {
+			f.core.Cancel("j", f.now)
+			f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndStopped}})
+		}, false, 1, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -365,6 +372,36 @@
 	}
 }
 
+// TestLastFailureBesideLaterRun guards against a start that is executed after the
+// acknowledged end of an earlier run that was the last attempt of its task.
+func TestLastFailureBesideLaterRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		failed []graph.RunNumber // of earlier owners
+		ended  bool              // the later run has ended too
+		acked  EndNumber
+	}{
+		{"an attempt is left", nil, false, 1},
+		{"no attempt is left", []graph.RunNumber{0}, false, 0},
+		{"no attempt is left, later run was stopped", []graph.RunNumber{0}, true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.core.LoadProgress(map[unit.JobID]Progress{"j": {Started: true, Tasks: []TaskProgress{{Failed: tt.failed}}}}, nil, nil)
+			first, later := f.startTwice()
+			f.report(first.Worker, nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndFailed}})
+			if tt.ended {
+				f.report(later.Worker, nil, []End{{Number: 1, Task: later.Task, Run: later.Run, Kind: EndStopped}})
+			}
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			if _, acked := f.core.AckCursor(first.Worker); acked != tt.acked {
+				t.Errorf("acknowledged end %d, want %d", acked, tt.acked)
+			}
+		})
+	}
+}
+
 // TestFailureBesideHeldEnd guards against a job that fails although its task has ended as
 // done, because a later run of the task that was being stopped fails as the last attempt.
 func TestFailureBesideHeldEnd(t *testing.T) {
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -81,7 +81,9 @@
 	case EndFailed:
 		w.health.recordFailure(t.job().spec.ID, now)
 		t.avoidedWorker = w.id
-		c.recordFailedRun(t, e.Run)
+		if c.recordFailedRun(t, e.Run); t.job().final != 0 && t.hasRuns() {
+			w.heldEnds[e.Number] = t
+		}
 	}
 	if t.step.spec.Gang && e.Kind != EndDone {
 		c.stopGangRun(t.step, e.Run)
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -99,7 +99,7 @@
 func (w *worker) lastRecordedEnd() EndNumber {
 	last := w.lastEndSeen
 	for n, t := range w.heldEnds {
-		if t.done || t.job().final != 0 {
+		if !t.hasRuns() {
 			delete(w.heldEnds, n)
 		} else {
 			last = min(last, n-1)
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -61,7 +61,7 @@
 	used              unit.Resources      // reserved by all runs; see reservedResources
 	unknownRuns       map[runID]bool      // runs in the last report that no task needs; true while a stop is under way
 	lastEndSeen       EndNumber           // highest end handled
-	heldEnds          map[EndNumber]*task // ends as done of tasks that are not complete yet
+	heldEnds          map[EndNumber]*task // ends after which no start may be executed, while the task has other runs
 	ackCursor         EndNumber           // highest end that is durable and can be acknowledged
 	health            health
 	vacatingSince     time.Time       // since when it is vacated for the upkeep of its machine; zero: it is not
