job/scheduler: a final record ends a job that was added as open

A job that has ended and was removed by this owner can be added again as open: by a notice that an entry repeats, or by a watch that is further behind than the retention of final states and shows the creation first. The record with the final state follows in the same answer, but AddJob ignored all final states of known jobs except cancellations, so that the tasks of a completed job started again (TWICE, a start over a second after the job was shown as completed).

Any final state of the store now ends the job. Before the change:

--- FAIL: TestFinalRecordOfOpenJob/completed starts (-want +got): - 0, + 1 state running, want completed

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -86,13 +86,13 @@
 	return nil
 }
 
-// AddJob adds a job that is durable in the store. A job with a final state is only
-// kept to be shown to callers. createdInTerm says that the job was created after
+// AddJob adds a job that is durable in the store, or ends one that is known. A job with a
+// final state is only kept to be shown to callers. createdInTerm says that the job was created after
 // this owner's claim, so that no earlier owner can have started it.
 func (c *Core) AddJob(spec *graph.Job, final graph.State, createdInTerm bool, now time.Time) {
 	if old := c.jobs[spec.ID]; old != nil {
-		if final == graph.Cancelled {
-			c.Cancel(spec.ID, now)
+		if final != 0 {
+			c.end(old, final, now)
 		}
 		return
 	}
@@ -110,13 +110,23 @@
 
 // Cancel ends a job whose cancellation is durable and stops its runs.
 func (c *Core) Cancel(id unit.JobID, now time.Time) {
-	j := c.jobs[id]
-	if j == nil || (j.final != 0 && j.finalDurable) {
+	if j := c.jobs[id]; j != nil {
+		c.end(j, graph.Cancelled, now)
+	}
+}
+
+// end gives a job the final state that the store has for it and stops its runs.
+func (c *Core) end(j *job, final graph.State, now time.Time) {
+	if j.final != 0 && j.finalDurable {
 		return
 	}
-	j.final, j.finalDurable, j.finalSince = graph.Cancelled, true, now
-	delete(c.openJobs, id)
-	c.stopJob(j, ReasonCancelled)
+	j.final, j.finalDurable, j.finalSince = final, true, now
+	delete(c.openJobs, j.spec.ID)
+	reason := ReasonObsolete
+	if final == graph.Cancelled {
+		reason = ReasonCancelled
+	}
+	c.stopJob(j, reason)
 	c.progressChanged = true
 }
 
--- a/internal/job/scheduler/latejob_test.go
+++ b/internal/job/scheduler/latejob_test.go
@@ -112,3 +112,34 @@
 		t.Errorf("jobs (-want +got):\n%s", diff)
 	}
 }
+
+// TestFinalRecordOfOpenJob guards against another start of a job whose final record is
+// read after its open one was added again: notices and watches that come late, after the
+// job was removed, show it as open first.
+func TestFinalRecordOfOpenJob(t *testing.T) {
+	tests := []struct {
+		name   string
+		final  graph.State
+		starts int
+		state  graph.State
+	}{
+		{"still open", 0, 1, graph.Running},
+		{"cancelled", graph.Cancelled, 0, graph.Cancelled},
+		{"completed", graph.Completed, 0, graph.Completed},
+		{"failed", graph.Failed, 0, graph.Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.addJob("j", smallStep, true)
+			f.core.AddJob(newJob("j"), tt.final, true, f.now)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+			if state, _ := f.core.JobState("j"); state != tt.state {
+				t.Errorf("state %v, want %v", state, tt.state)
+			}
+		})
+	}
+}
