job/owner: a cancellation is not overwritten by a final state decided before

A caller whose cancellation was acknowledged could read the job as completed or failed after the next takeover. A final state that waits to be written takes the revision of the job record as it is known at the write. If the cancellation was read in between, the guard held its revision, and the write replaced it. The owner itself went on to show the job as cancelled until the end of its term.

buildBatch drops final states of jobs that have a durable one. That also saves the write if the watch shows the result of an earlier one whose answer was lost. A cancellation that comes while the write is under way still fails its guard, see resolveConflict.

Before the change:

--- FAIL: TestFinalStateOvertaken/job_was_cancelled guards of the writes (-want +got): + {{Key: "coord/epoch", Revision: 7}, {Key: "job/j", Revision: 9}}

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -90,6 +91,12 @@
 func (sh *shard) buildBatch(handOver bool) (*commitBatch, error) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	// The store already has a final state of these jobs: that of a write whose answer was
+	// lost, or a cancellation, which must not be overwritten.
+	sh.finalStates = slices.DeleteFunc(sh.finalStates, func(f scheduler.FinalState) bool {
+		state, _ := sh.core.JobState(f.Job)
+		return state.Final()
+	})
 	b := &commitBatch{finalStates: sh.finalStates[:min(len(sh.finalStates), finalStatesPerCommit)]}
 	now := time.Now()
 	due := handOver || (sh.core.ProgressChanged() && now.Sub(sh.lastProgressWrite) >= progressInterval)
--- a/internal/job/owner/commit_test.go
+++ b/internal/job/owner/commit_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
@@ -63,3 +66,50 @@
 		})
 	}
 }
+
+// recordingStore executes each commit and keeps its transaction.
+type recordingStore struct{ txns []kv.Txn }
+
+func (s *recordingStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	s.txns = append(s.txns, r.Txn)
+	return kv.Response{Revision: 20}, nil
+}
+
+// TestFinalStateOvertaken guards against a cancellation that was acknowledged to its
+// caller and is then overwritten in the store by a final state decided before.
+func TestFinalStateOvertaken(t *testing.T) {
+	open := record.Job{Format: record.Format, Job: graph.Job{ID: "j", Queue: graph.Queue{Service: "orders", MaxAttempts: 1}}}
+	tests := []struct {
+		name   string
+		record record.Job // read before the write
+		want   []kv.Guard
+	}{
+		{"job is open", open, []kv.Guard{{Key: ownership.EpochKey, Revision: 7}, {Key: "job/j", Revision: 9}}},
+		{"job was cancelled", record.Final(&open.Job, graph.Cancelled), nil},
+		{"state was written, its answer lost", record.Final(&open.Job, graph.Completed), nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &recordingStore{}
+			s := New(logr.Discard(), &scriptedFleet{}, nil, Options{})
+			s.ownership, s.store = confirmedOwnership{}, kv.Client{Doer: store}
+			sh := newShard(t.Context(), s, ownership.Term{Epoch: 1, EpochRevision: 7})
+			defer sh.cancel()
+			sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
+			sh.lastProgressWrite = time.Now() // no progress is due
+			sh.applyJob(SubmittedJob{Record: open, Revision: 5, Created: 5}, time.Now())
+			sh.finalStates = []scheduler.FinalState{{Job: "j", State: graph.Completed}}
+			sh.applyJob(SubmittedJob{Record: tt.record, Revision: 9, Created: 5}, time.Now())
+			if _, err := sh.commitOnce(t.Context(), false); err != nil {
+				t.Fatal(err)
+			}
+			var got []kv.Guard
+			for _, txn := range store.txns {
+				got = append(got, txn.Guards...)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("guards of the writes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
