job/scheduler: the model checks that long-running tasks run once all workers answer

The model checked safety only: a core that starts nothing passed it.

A quarter of the simulated jobs is long-running now, and each sequence ends with a calm phase, in which all workers answer, all orders arrive and short tasks end. After 4 s of it a long-running task may wait for at most 3 s while a worker has room.

--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -283,14 +283,10 @@
 	if job == nil {
 		sim.t.Fatalf("UNASKED: %v starts although its job was not submitted", o.Task)
 	}
-	if limit := job.Queue.MaxAttempts; sim.ackedFailures[o.Task] >= limit {
+	if limit := job.Queue.MaxAttempts; !job.Steps[o.Task.Step].LongRunning && sim.ackedFailures[o.Task] >= limit {
 		sim.t.Fatalf("BUDGET: %v starts after %d acknowledged failures", o.Task, limit)
 	}
-	var used unit.Resources
-	for task := range s.runs {
-		used = used.Add(sim.jobs[task.Job].Steps[task.Step].Needs)
-	}
-	if !job.Steps[o.Task.Step].Needs.Fits(newListing(s.id).Capacity.Sub(used)) {
+	if !job.Steps[o.Task.Step].Needs.Fits(newListing(s.id).Capacity.Sub(sim.used(s))) {
 		sim.t.Fatalf("LIMIT: %v starts on %s, which lacks the capacity", o.Task, s.id)
 	}
 	for _, after := range job.Steps[o.Task.Step].After {
@@ -331,7 +327,7 @@
 	}
 	report.Partial = len(report.Ended) == simEndsPerReport
 	for _, task := range sortedTasks(s.runs) {
-		report.Running = append(report.Running, RunStatus{Task: task, Run: s.runs[task], ProgressPercent: 10})
+		report.Running = append(report.Running, RunStatus{Task: task, Run: s.runs[task], ProgressPercent: sim.progressPercent(task)})
 	}
 	if !answered {
 		sim.core.AwaitAnswer(s.id, sim.now)
@@ -385,7 +381,7 @@
 // the queue of their owner before they are sent, and are delayed, reordered, repeated
 // and lost; reports are delayed, reordered and lost; workers are partitioned, restart
 // and leave the instance list; owners are replaced at any time, with and without a
-// hand-over.
+// hand-over. At the end all workers answer, and no long-running task may wait on.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -438,6 +434,7 @@
 			},
 			"": func(*rapid.T) { sim.queueOrders(); sim.checkShownStates() },
 		})
+		sim.checkCalm()
 	})
 }
 
@@ -447,8 +444,9 @@
 	}
 	sim.jobCount++
 	step := graph.Step{Count: rapid.IntRange(1, 3).Draw(sim.t, "count"), Needs: unit.Resources{Cores: 30000}, Estimate: time.Second}
+	step.LongRunning = sim.rarely()
 	job := newJob(unit.JobID(fmt.Sprintf("j%d", sim.jobCount)), step)
-	if rapid.Bool().Draw(sim.t, "two steps") {
+	if !step.LongRunning && rapid.Bool().Draw(sim.t, "two steps") {
 		later := step
 		later.After = []graph.StepIndex{0}
 		job.Steps = append(job.Steps, later)
@@ -484,7 +482,14 @@
 		sim.inFlight = append(sim.inFlight, f)
 		sim.inFlight[len(sim.inFlight)-1].answerLost = true
 	}
-	if f.answerLost || f.epoch != sim.epoch {
+	if !f.answerLost {
+		sim.answer(f, outcome)
+	}
+}
+
+// answer passes the outcome of an order to the owner that has given it.
+func (sim *simulation) answer(f inFlightOrder, outcome Outcome) {
+	if f.epoch != sim.epoch {
 		return
 	}
 	switch f.order.Kind {
@@ -515,6 +520,9 @@
 	}
 	task := rapid.SampledFrom(sortedTasks(s.runs)).Draw(sim.t, "task")
 	kind := rapid.SampledFrom([]EndKind{EndDone, EndDone, EndDone, EndFailed}).Draw(sim.t, "kind")
+	if sim.isLongRunning(task) {
+		kind = EndFailed
+	}
 	sim.endedDone[task] = sim.endedDone[task] || kind == EndDone
 	sim.endRun(s, task, kind)
 }
