job/scheduler: a start rejected as invalid is tried again within 2 s

What callers saw: nothing yet; found by a table over the states that can keep a long-running task without a run. A worker that rejected a start as invalid (any status that the platform's page does not name) kept its task from all workers for 5 s. A long-running task that waits for more than 3 s while a worker has room for it breaks a rule of the users.

Ruled out by the same table: failed runs, a worker on trial beside long-running tasks, starts that were not sent, all other outcomes of a start, stops without an answer, runs that no task needs, expired leases, evacuated zones, upkeep, urgent tasks that fit nowhere and a used-up budget of starts.

Before the change: --- FAIL: .../outcome_of_the_start:_invalid,_workers:_1 no run for 5s --- FAIL: .../outcome_of_the_start:_invalid,_workers:_2 no run for 5s

The task is placed again after 2 s, and on another worker if one has room, as the cause may be the worker.

--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -261,6 +261,7 @@
 	case OutcomeNotSent:
 		t.earliestStart = now.Add(startRetryDelay)
 	case OutcomeInvalid:
+		t.avoidedWorker = w.id // others may take it
 		t.earliestStart = now.Add(invalidRetryDelay)
 	}
 	c.requeue(t)
@@ -282,7 +283,7 @@
 // Delays before a task whose start was rejected is placed again.
 const (
 	startRetryDelay   = 100 * time.Millisecond // by then a report may show what the worker runs
-	invalidRetryDelay = 5 * time.Second
+	invalidRetryDelay = 2 * time.Second
 )
 
 // HandlePaceOutcome applies the outcome of a pace order. An order that may not have
