job/scheduler: long-running tasks may start during a quarantine

A worker that refuses starts, stalls or fails tasks is quarantined for up to 8 s. While it is the only one with room, a long-running task waits as long, and more than 3 s breaks a rule of the users.

Ruled out: a shorter quarantine for all tasks. Each try on a failing worker uses up one of the attempts of a short task.

Before the change: --- FAIL: .../all_workers_in_the_longest_quarantine no run for 8s --- FAIL: .../the_only_worker_with_room_in_the_longest_quarantine no run for 8s

A long-running task, whose failed runs are not limited, may start on a quarantined worker, trialInterval apart and only if no other worker can take it. A queued start is withdrawn if the quarantine has begun since it was ordered, as before.

--- a/internal/job/scheduler/health.go
+++ b/internal/job/scheduler/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
 // health tracks failures of a worker. A worker on which tasks keep failing is
@@ -12,10 +13,10 @@
 type health struct {
 	failures         int           // failed runs of different jobs since the last success
 	lastFailedJob    unit.JobID    // job of the last failed run
-	quarantinedUntil time.Time     // no starts before this time
+	quarantinedUntil time.Time     // no starts before this time but those of long-running tasks
 	quarantineLength time.Duration // of the latest quarantine; doubles each time
-	onTrial          bool          // after a quarantine, until a task succeeds
-	nextTrialStart   time.Time     // while on trial: no start before this time
+	onTrial          bool          // since the first quarantine, until a task succeeds
+	nextTrialStart   time.Time     // while quarantined or on trial: no start before this time
 }
 
 // Parameters of the quarantine of workers.
@@ -30,9 +31,21 @@
 	trialInterval = time.Second
 )
 
-// acceptsStarts reports whether a task may start on the worker now.
-func (h *health) acceptsStarts(now time.Time) bool {
-	return !now.Before(h.quarantinedUntil) && (!h.onTrial || !now.Before(h.nextTrialStart))
+// acceptsStarts reports whether a task of the step may start on the worker now. A
+// long-running task may start during a quarantine: its failed runs are not limited, and
+// the worker may be the only one with room for it.
+func (h *health) acceptsStarts(s *graph.Step, now time.Time) bool {
+	if h.isQuarantined(now) && !s.LongRunning {
+		return false
+	}
+	return !h.onTrial || !now.Before(h.nextTrialStart)
+}
+
+func (h *health) isQuarantined(now time.Time) bool { return now.Before(h.quarantinedUntil) }
+
+// quarantinedSince reports whether a quarantine is in force that has begun at or after t.
+func (h *health) quarantinedSince(t, now time.Time) bool {
+	return h.isQuarantined(now) && !h.quarantinedUntil.Add(-h.quarantineLength).Before(t)
 }
 
 // recordStart records a start on the worker, which delays the next one of a trial.
@@ -72,10 +85,10 @@
 // quarantine keeps starts away from the worker, each time for longer, and puts it on
 // trial afterwards. It does nothing while a quarantine is in force.
 func (h *health) quarantine(now time.Time) {
-	if now.Before(h.quarantinedUntil) {
+	if h.isQuarantined(now) {
 		return
 	}
 	h.quarantineLength = min(max(2*h.quarantineLength, minQuarantine), maxQuarantine)
 	h.quarantinedUntil = now.Add(h.quarantineLength)
-	h.onTrial = true
+	h.onTrial, h.nextTrialStart = true, now.Add(trialInterval)
 }
--- a/internal/job/scheduler/longrunning_test.go
+++ b/internal/job/scheduler/longrunning_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
@@ -91,6 +93,17 @@
 	return id
 }
 
+// quarantineLongest lets workers refuse starts as unhealthy until their quarantines have
+// the greatest length. The last one begins now.
+func (f *fixture) quarantineLongest(ids ...unit.InstanceID) {
+	for range 5 {
+		f.now = f.now.Add(maxQuarantine)
+		for _, id := range ids {
+			f.core.workers[id].health.recordRefusal(f.now)
+		}
+	}
+}
+
 // TestLongRunningTaskStartsAgain guards against a long-running task without a run for
 // more than simMaxWait while workers answer and one of them has room for it.
 func TestLongRunningTaskStartsAgain(t *testing.T) {
@@ -137,6 +150,19 @@
 				}
 			}
 		}},
+		{"all workers in the longest quarantine", []unit.InstanceID{"w1", "w2"}, func(f *fixture) {
+			f.failLongRunning()
+			f.quarantineLongest("w1", "w2")
+		}},
+		{"the only worker with room in the longest quarantine", []unit.InstanceID{"w1", "w2"}, func(f *fixture) {
+			first := f.failLongRunning()
+			f.quarantineLongest(first)
+			for id, w := range f.core.workers {
+				if id != first {
+					w.listing.Capacity = unit.Resources{}
+				}
+			}
+		}},
 		{"worker silent until its lease expired", []unit.InstanceID{"w1", "w2"}, func(f *fixture) {
 			id := f.startLongRunning()
 			f.core.RecordLease(id, f.now.Add(6*time.Second))
@@ -210,3 +236,69 @@
 		})
 	}
 }
+
+// TestStartsDuringQuarantine guards against starts that a quarantined worker would fail:
+// those of tasks with a limit of attempts, those that another worker can take, and those
+// that follow one another without a pause.
+func TestStartsDuringQuarantine(t *testing.T) {
+	shortStep := longRunningStep
+	shortStep.LongRunning = false
+	tests := []struct {
+		name    string
+		workers []unit.InstanceID // w1 is quarantined
+		step    graph.Step
+		after   time.Duration // since the quarantine began
+		want    []unit.InstanceID
+	}{
+		{"short task", []unit.InstanceID{"w1"}, shortStep, 2 * trialInterval, nil},
+		{"long-running task at once", []unit.InstanceID{"w1"}, longRunningStep, 0, nil},
+		{"long-running task", []unit.InstanceID{"w1"}, longRunningStep, trialInterval, []unit.InstanceID{"w1"}},
+		{"long-running task with another worker", []unit.InstanceID{"w1", "w2"}, longRunningStep, trialInterval, []unit.InstanceID{"w2", "w2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers(tt.workers...)
+			f.quarantineLongest("w1")
+			f.now = f.now.Add(tt.after)
+			for _, id := range tt.workers {
+				f.report(id, nil, nil)
+			}
+			for _, id := range []unit.JobID{"j", "k"} {
+				f.addJob(id, tt.step, true)
+				f.core.lookupTask(firstTask(id)).avoidedWorker = "w2"
+			}
+			var started []unit.InstanceID
+			for _, o := range f.takeStarts(OutcomeDone) {
+				started = append(started, o.Worker)
+			}
+			if diff := cmp.Diff(tt.want, started); diff != "" {
+				t.Errorf("workers of the starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestQueuedStartOfQuarantinedWorker guards against a start that is sent to a worker
+// which has refused another one since the start was ordered.
+func TestQueuedStartOfQuarantinedWorker(t *testing.T) {
+	tests := []struct {
+		name        string
+		longRunning bool
+	}{{"short task", false}, {"long-running task", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			step := longRunningStep
+			step.LongRunning = tt.longRunning
+			f.addJob("j", step, true)
+			f.advance(bestEffortInterval)
+			start := f.core.TakeOrders()[0]
+			f.core.workers["w1"].health.recordRefusal(f.now)
+			if f.core.BeginOrder(start, time.Time{}, f.now) {
+				t.Error("the start is still wanted")
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -22,7 +22,7 @@
 		if r == nil || r.phase != phaseQueued {
 			return false
 		}
-		if !c.acceptsOrders(r.worker, now) {
+		if !c.acceptsOrders(r.worker, now) || r.worker.health.quarantinedSince(r.orderedAt, now) {
 			c.withdraw(r)
 			return false
 		}
@@ -42,15 +42,13 @@
 	return false
 }
 
-// acceptsOrders reports whether a worker can be sent starts now, whatever the task.
+// acceptsOrders reports whether a worker can be sent starts now, apart from its health and
+// whatever the task.
 func (c *Core) acceptsOrders(w *worker, now time.Time) bool {
-	switch {
-	case !w.listed, w.listing.Draining, c.evacuatedZones[w.listing.Zone], !w.vacatingSince.IsZero():
-		return false
-	case w.reportRequestedAt.IsZero(), now.Sub(w.reportRequestedAt) > maxReportAge:
+	if !w.listed || w.listing.Draining || c.evacuatedZones[w.listing.Zone] || !w.vacatingSince.IsZero() {
 		return false
 	}
-	return !now.Before(w.health.quarantinedUntil)
+	return !w.reportRequestedAt.IsZero() && now.Sub(w.reportRequestedAt) <= maxReportAge
 }
 
 // withdraw removes a run whose start was not sent, and requeues its task. The other
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -206,7 +206,7 @@
 		return false
 	case len(w.unknownRuns) > 0, !c.durableWorkers[w.id]:
 		return false
-	case !w.health.acceptsStarts(now):
+	case !w.health.acceptsStarts(s, now):
 		return false
 	case s.Label != "" && !slices.Contains(w.listing.Labels, s.Label):
 		return false
@@ -234,6 +234,7 @@
 	ampleHeadroom        = 0.6  // pressure below the bound from which on headroom is not a concern
 	lowHeadroomWeight    = 0.25 // for each unit of pressure below ampleHeadroom
 	recentFailurePenalty = 2.0  // tasks have failed on the worker since its last success
+	quarantinePenalty    = 30.0 // the worker is quarantined; it is taken only if no other one can be
 )
 
 // score returns how well a worker suits a task; higher is better.
@@ -260,6 +261,9 @@
 	if w.health.failures > 0 {
 		score -= recentFailurePenalty
 	}
+	if w.health.isQuarantined(now) {
+		score -= quarantinePenalty
+	}
 	return score
 }
 
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -49,7 +49,7 @@
 	if now.Sub(w.reportRequestedAt) <= maxReportAge {
 		s.Reporting++
 	}
-	if now.Before(w.health.quarantinedUntil) {
+	if w.health.isQuarantined(now) {
 		s.Quarantined++
 	}
 	s.UsedCores += w.used.Cores
