job/scheduler: no run is stopped for a start on a quarantined worker

Since a quarantined worker is eligible for long-running tasks, and preemption could stop a run there for a start that is likely to fail; found on reading the diff. Such a worker is used only if it has room.

Before the change TestNoPreemptionDuringQuarantine found one stop on the quarantined worker, want 0.

--- a/internal/job/scheduler/longrunning_test.go
+++ b/internal/job/scheduler/longrunning_test.go
@@ -302,3 +302,36 @@
 		})
 	}
 }
+
+// TestNoPreemptionDuringQuarantine guards against a run that is stopped for a long-running
+// task on a worker where the task is likely to fail.
+func TestNoPreemptionDuringQuarantine(t *testing.T) {
+	tests := []struct {
+		name        string
+		quarantined bool
+		stops       int
+	}{{"healthy worker", false, 1}, {"quarantined worker", true, 0}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			batch := smallStep
+			batch.Needs.Cores, batch.Checkpoints = 64000, true
+			low := newJob("batch", batch)
+			low.Queue.Priority = 1
+			f.core.AddJob(low, 0, true, f.now)
+			f.takeStarts(OutcomeDone)
+			if tt.quarantined {
+				f.quarantineLongest("w1")
+				f.now = f.now.Add(trialInterval)
+			}
+			f.report("w1", []RunStatus{{Task: firstTask("batch"), Run: 1, ProgressPercent: 10}}, nil)
+			f.addJob("l", longRunningStep, true)
+			f.now = f.now.Add(preemptInterval)
+			f.core.Place(f.now)
+			if diff := cmp.Diff(tt.stops, len(f.core.TakeOrders())); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/preempt.go
+++ b/internal/job/scheduler/preempt.go
@@ -22,7 +22,7 @@
 	c.lastPreemption = now
 	var best []*run
 	for _, w := range c.workersByService[t.job().spec.Queue.Service] {
-		if !c.eligible(w, t, now) {
+		if !c.eligible(w, t, now) || w.health.isQuarantined(now) {
 			continue
 		}
 		victims, stopping := w.victims(t)
