job/owner: stop and pace orders go before starts to the same worker

Callers saw a task of a cancelled job run on.

The most urgent kind goes first: stops, paces, starts; orders of one kind keep their order.

TestUrgentOrders before the change:

--- FAIL: TestUrgentOrders/stop_behind_starts orders (-want +got): - {Kind: 2, Run: 3}, {Kind: 1, Run: 1}, {Kind: 1, Run: 2}, + {Kind: 2, Run: 3}, --- FAIL: TestUrgentOrders/pace_behind_a_start --- FAIL: TestUrgentOrders/stop_behind_a_pace

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,17 +99,27 @@
 	}
 }
 
+// dequeue removes the next order from the queue: the oldest one of the most urgent kind.
 func (c *workerClient) dequeue() (scheduler.Order, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 {
 		return scheduler.Order{}, false
 	}
-	o := c.queue[0]
-	c.queue = c.queue[1:]
+	next := 0
+	for i, o := range c.queue {
+		if urgency[o.Kind] > urgency[c.queue[next].Kind] {
+			next = i
+		}
+	}
+	o := c.queue[next]
+	c.queue = slices.Delete(c.queue, next, next+1)
 	return o, true
 }
 
+// urgency ranks the kinds of orders. A start in front of them may take maxOrderTimeout.
+var urgency = [...]int{scheduler.OrderStart: 0, scheduler.OrderPace: 1, scheduler.OrderStop: 2}
+
 // sendOrders sends queued orders to the worker, one at a time.
 func (c *workerClient) sendOrders() {
 	for {
--- a/internal/job/owner/workerclient_order_test.go
+++ b/internal/job/owner/workerclient_order_test.go
@@ -89,3 +89,41 @@
 		})
 	}
 }
+
+// TestUrgentOrders guards against a stop that waits behind starts to the same worker, each
+// of which may take two seconds: the task of a cancelled job then runs on.
+func TestUrgentOrders(t *testing.T) {
+	const start, stop, pace = scheduler.OrderStart, scheduler.OrderStop, scheduler.OrderPace
+	order := func(k scheduler.OrderKind, n graph.RunNumber) scheduler.Order {
+		return scheduler.Order{Kind: k, Run: n}
+	}
+	tests := []struct {
+		name   string
+		queued []scheduler.Order
+		want   []scheduler.Order
+	}{
+		{"stop behind starts", []scheduler.Order{order(start, 1), order(start, 2), order(stop, 3)},
+			[]scheduler.Order{order(stop, 3), order(start, 1), order(start, 2)}},
+		{"pace behind a start", []scheduler.Order{order(start, 1), order(pace, 2)},
+			[]scheduler.Order{order(pace, 2), order(start, 1)}},
+		{"stop behind a pace", []scheduler.Order{order(pace, 1), order(stop, 2)},
+			[]scheduler.Order{order(stop, 2), order(pace, 1)}},
+		{"one kind", []scheduler.Order{order(stop, 2), order(stop, 1), order(stop, 3)},
+			[]scheduler.Order{order(stop, 2), order(stop, 1), order(stop, 3)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var c workerClient
+			for _, o := range tt.queued {
+				c.enqueue(o)
+			}
+			var got []scheduler.Order
+			for o, ok := c.dequeue(); ok; o, ok = c.dequeue() {
+				got = append(got, o)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
