storage/access: a watch that does not wait is handled like any other read

An owner that lists what changed in the store gives up a watch with its first late answer: a watch may hang in the store while nothing changes, so a missing answer shows nothing, and it is neither sent again nor through a peer. A watch with a wait of 0 is answered at once. If it gets no answer it is now sent again while the store answers other calls, and else through a peer, and it counts for the store's reachability, like a get or a page of a list.

TestUnansweredWatch before the change:

--- FAIL: TestUnansweredWatch/does_not_wait took (-want +got): - s"2.2s", + s"600ms", relayed attempts (-want +got): - 1, + 0, outage (-want +got): - true, + false,

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -26,7 +26,7 @@
 
 // Timeouts and intervals of calls.
 const (
-	// callTimeout limits each call other than a watch, and for a read the time until the
+	// callTimeout limits each call other than a watch that waits, and for a read the time until the
 	// next part of its answer. The store answers in 4 ms, and in 240 ms while it is slow.
 	callTimeout = 800 * time.Millisecond
 	// maxReadDuration limits a read of which parts keep arriving. A page of a list is up
@@ -122,8 +122,8 @@
 	unknown := false
 	if tryDirect {
 		response, err := s.callDirect(ctx, r)
-		if r.Op == kv.OpWatch && noAnswer(err) {
-			// A watch may hang on a silent connection or in the store, so it does not show
+		if r.Waits() && noAnswer(err) {
+			// Such a watch may hang on a silent connection or in the store, so it does not show
 			// whether the store is reachable. The caller lists again, which does.
 			return kv.Response{}, err
 		}
@@ -278,14 +278,14 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = errors.Join(err, errStalled)
 	}
-	if r.Op != kv.OpWatch {
+	if !r.Waits() {
 		metric.StoreLatency.Record(time.Since(started))
 	}
 	return response, err
 }
 
 func timeoutOf(r kv.Request) time.Duration {
-	if r.Op == kv.OpWatch {
+	if r.Waits() {
 		return r.Wait + watchGrace
 	}
 	return callTimeout
@@ -339,7 +339,7 @@
 		answer = relayAnswer{Status: statusUnavailable, Text: "not reached lately"}
 	} else {
 		response, err := s.callDirect(ctx, r)
-		if r.Op != kv.OpWatch && ctx.Err() == nil {
+		if !r.Waits() && ctx.Err() == nil {
 			s.recordResult(true, err)
 		}
 		answer = encodeAnswer(response, err)
--- a/internal/storage/access/access_test.go
+++ b/internal/storage/access/access_test.go
@@ -131,3 +131,41 @@
 		})
 	}
 }
+
+// TestUnansweredWatch guards against a read of the latest changes that ends with its first
+// late answer, although a peer gets one, and against an outage that is taken from a
+// watch on which the store only waited for a change.
+func TestUnansweredWatch(t *testing.T) {
+	tests := []struct {
+		name    string
+		wait    time.Duration
+		took    time.Duration
+		relayed int
+		outage  bool
+	}{
+		{"waits for a change", time.Second, time.Second + watchGrace, 0, false},
+		{"does not wait", 0, callTimeout + callTimeout + watchGrace, 1, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &countingNetwork{}
+				s := New(logr.Discard(), hungStore{})
+				s.peers = peers
+				started := time.Now()
+				if _, err := s.Do(t.Context(), kv.Request{Op: kv.OpWatch, Wait: tt.wait}); !noAnswer(err) {
+					t.Errorf("got %v, want no answer", err)
+				}
+				if diff := cmp.Diff(tt.took, time.Since(started)); diff != "" {
+					t.Errorf("took (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.relayed, peers.calls); diff != "" {
+					t.Errorf("relayed attempts (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.outage, s.outage); diff != "" {
+					t.Errorf("outage (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/storage/kv/kv.go
+++ b/internal/storage/kv/kv.go
@@ -112,6 +112,9 @@
 	TTL   time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// Waits reports whether the store may delay its answer until something changes.
+func (r Request) Waits() bool { return r.Op == OpWatch && r.Wait > 0 }
+
 // Response is the answer of the store to a request.
 type Response struct {
 	Items    []Item        `cbor:"1,keyasint,omitempty"` // items or events; on a conflict the guarded items
@@ -210,6 +213,11 @@
 	return r.Items, max(r.Revision, since), nil
 }
 
+// Poll is like Watch, but returns at once also if nothing has changed.
+func (c Client) Poll(ctx context.Context, prefix Key, since unit.Revision) ([]Item, unit.Revision, error) {
+	return c.Watch(ctx, prefix, since, 0)
+}
+
 // Commit applies a transaction and returns the revision that it created.
 func (c Client) Commit(ctx context.Context, t Txn) (unit.Revision, error) {
 	r, err := c.Doer.Do(ctx, Request{Op: OpCommit, Txn: t})
