job/owner: job records and the instance list are read on a second connection while an answer is late

The owner read each of the two by one watch after the other: a pause of 1 s or 0.3 s, then a watch that the store may hold for 0.9 s. Its view was as old as all of that, and older by what the store takes, by a timeout of 1.5 s for each silent connection, and by a list of all items after two of them or a refusal. Callers see this as cancellations and drains that take effect late.

The largest age of the view in 20 s with the old code, over a store that answers after a latency, in synctest:

latency connection instance list job records 4 ms good 2.1 s 2.8 s 4 ms first silent 2.7 s 3.4 s 240 ms good 2.6 s 3.3 s 1 s good 4.1 s 4.8 s

Now reads do not wait in the store, are due at fixed intervals whether or not earlier ones were answered, and two may be under way; the first is sent at once after a takeover. Changes that an overtaken answer holds are skipped by their revision. TestViewAge holds the instance list below 0.32 s, 0.65 s, 0.55 s and 1.75 s in the same four cases. While nothing changes this costs up to 2.5 calls a second more at the owner; where workers send heartbeats the watch returned at once and the number is the same.

TestWatchOrList becomes TestReadChanges. It expected a list after two late watches and after a refusal: a watch said nothing of the store's reachability, and the list did. TestListJobs expects the same pages and jobs, earlier.

--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -21,14 +21,12 @@
 const (
 	tickInterval = 50 * time.Millisecond
 	retryDelay   = 150 * time.Millisecond
-	// jobWatchInterval is the time between two reads of job records, which find
+	// jobReadInterval is the time between two reads of job records, which find
 	// submissions that did not reach this owner. Each read is a billed store call.
-	jobWatchInterval = time.Second
-	// watchTimeout bounds how long a stalled connection can hide changes of workers.
-	watchTimeout = 900 * time.Millisecond
-	// workerWatchInterval is the time between two reads of the instance list, which
+	jobReadInterval = time.Second
+	// workerReadInterval is the time between two reads of the instance list, which
 	// changes with each heartbeat of a worker.
-	workerWatchInterval = 300 * time.Millisecond
+	workerReadInterval = 300 * time.Millisecond
 	// workerLeaseTTL is how long a worker keeps its tasks running without a
 	// heartbeat from an owner. A takeover takes about 3 s and must fit in; the
 	// tasks of a lost worker start elsewhere only after the TTL.
@@ -100,8 +98,8 @@
 			return
 		}
 	}
-	sh.goroutines.Go(func() { sh.watchJobs(jobsRevision) })
-	sh.goroutines.Go(func() { sh.watchWorkers(workersRevision) })
+	sh.newJobReader().start(jobsRevision)
+	sh.newWorkerReader().start(workersRevision)
 	sh.goroutines.Go(sh.watchZones)
 	sh.goroutines.Go(sh.commitLoop)
 	sh.goroutines.Go(sh.removeEndedJobs)
@@ -116,6 +114,16 @@
 	}
 }
 
+// newJobReader returns a reader of the job records.
+func (sh *shard) newJobReader() *changeReader {
+	return &changeReader{shard: sh, prefix: record.JobPrefix, interval: jobReadInterval, handler: jobRecords{sh}}
+}
+
+// newWorkerReader returns a reader of the instance list.
+func (sh *shard) newWorkerReader() *changeReader {
+	return &changeReader{shard: sh, prefix: sh.service.fleet.Prefix(), interval: workerReadInterval, handler: &instanceList{shard: sh}}
+}
+
 // summaryInterval is the time between two summaries of the shard in the log.
 const summaryInterval = 2 * time.Second
 
@@ -141,7 +149,7 @@
 
 // takeOver loads progress, workers, jobs and the interference model from the store
 // into a new core. No task starts before it succeeds. It returns the revisions
-// from which jobs and workers are watched.
+// from which changes of jobs and workers are read.
 func (sh *shard) takeOver(claimedAt time.Time) (jobsRevision, workersRevision unit.Revision, err error) {
 	progress, progressRevision, err := sh.loadProgress()
 	if err != nil {
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -1,116 +1,77 @@
 package owner
 
 import (
-	"context"
 	"maps"
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// watchJobs reads job records from the store, to find jobs and cancellations of which
+// jobRecords applies job records from the store, to find jobs and cancellations of which
 // no entry notified this owner.
-func (sh *shard) watchJobs(since unit.Revision) {
-	var list kv.Listing // begun when a watch failed
-	for sh.sleep(jobWatchInterval) {
-		sentAt := time.Now()
-		events, next, err := sh.watchTwice(record.JobPrefix, since)
-		if err == nil {
-			since, list = next, kv.Listing{}
-			sh.applyJobRecords(events, next, sentAt)
-			continue
-		}
-		sh.listJobs(&list)
-		if list.Complete {
-			since, list = list.Revision, kv.Listing{}
-		}
-	}
+type jobRecords struct{ shard *shard }
+
+func (j jobRecords) applyChanges(events []kv.Item, read unit.Revision, sentAt time.Time) {
+	j.apply(events, read, sentAt)
 }
 
-// listJobs applies the pages of a list of all job records as they arrive, up to the
-// first error. Called again, it continues with the page that failed, so that an owner
-// whose link is slow gets to the end.
-func (sh *shard) listJobs(list *kv.Listing) {
-	for !list.Complete && sh.ctx.Err() == nil {
-		sentAt, first := time.Now(), list.Revision == 0
-		items, err := sh.service.store.NextPage(sh.ctx, record.JobPrefix, list)
-		if err != nil {
-			return // storage/access logs that the store is unreachable
-		}
-		var read unit.Revision // known only of the first page
-		if first {
-			read = list.Revision
-		}
-		sh.applyJobRecords(items, read, sentAt)
+func (j jobRecords) applyPage(p listPage) {
+	if p.first {
+		j.apply(p.items, p.read, p.sentAt)
+		return
 	}
+	j.apply(p.items, 0, p.sentAt) // its revision is not known
 }
 
-// applyJobRecords applies job records from the answer to a read that was sent at sentAt
-// and has shown the store at the revision read, or 0.
-func (sh *shard) applyJobRecords(items []kv.Item, read unit.Revision, sentAt time.Time) {
-	sh.update(func(_ *scheduler.Core, now time.Time) {
+// apply applies job records from the answer to a read that was sent at sentAt and has
+// shown the store at the revision read, or 0.
+func (j jobRecords) apply(items []kv.Item, read unit.Revision, sentAt time.Time) {
+	j.shard.update(func(_ *scheduler.Core, now time.Time) {
 		for _, item := range items {
-			sh.applyJobRecord(item, now)
+			j.shard.applyJobRecord(item, now)
 		}
 		if read != 0 {
-			sh.takeover.recordRead(read, sentAt)
+			j.shard.takeover.recordRead(read, sentAt)
 		}
 	})
 }
 
-// watchOrList returns the changes under the prefix after a revision, or all items if the
-// changes cannot be read, and the revision to continue from.
-func (sh *shard) watchOrList(prefix kv.Key, since unit.Revision) (items []kv.Item, next unit.Revision, listed bool, err error) {
-	items, next, err = sh.watchTwice(prefix, since)
-	if err == nil || sh.ctx.Err() != nil {
-		return items, next, false, err
+// instanceList applies changes of the instance list to the core.
+type instanceList struct {
+	shard  *shard
+	listed []kv.Item // on the pages so far of a list that is not complete
+}
+
+func (l *instanceList) applyChanges(events []kv.Item, _ unit.Revision, _ time.Time) {
+	if len(events) > 0 {
+		l.apply(events, false)
 	}
-	items, next, err = sh.service.store.List(sh.ctx, prefix)
-	return items, next, true, err
 }
 
-// watchTwice returns the changes under the prefix after a revision, and the revision to
-// continue from. A watch that timed out is sent once more: its connection may be silent
-// or this entry overloaded, and a list is megabytes long.
-func (sh *shard) watchTwice(prefix kv.Key, since unit.Revision) (events []kv.Item, next unit.Revision, err error) {
-	for range 2 {
-		events, next, err = sh.service.store.Watch(sh.ctx, prefix, since, watchTimeout)
-		if !errors.Is(err, context.DeadlineExceeded) {
-			break
-		}
+func (l *instanceList) applyPage(p listPage) {
+	l.listed = append(l.listed, p.items...)
+	if p.last {
+		l.apply(l.listed, true)
+		l.listed = nil
 	}
-	return events, next, err
 }
 
-// watchWorkers applies changes of the instance list to the core.
-func (sh *shard) watchWorkers(since unit.Revision) {
-	for sh.sleep(workerWatchInterval) {
-		events, next, relisted, err := sh.watchOrList(sh.service.fleet.Prefix(), since)
-		if err != nil {
-			sh.sleep(retryDelay)
-			continue
+// apply applies items to the listings. With all set, workers without an item have left.
+func (l *instanceList) apply(items []kv.Item, all bool) {
+	sh := l.shard
+	sh.update(func(c *scheduler.Core, now time.Time) {
+		if all {
+			clear(sh.listings)
 		}
-		since = next
-		if len(events) == 0 && !relisted {
-			continue
+		for _, item := range items {
+			sh.applyListing(item)
 		}
-		sh.update(func(c *scheduler.Core, now time.Time) {
-			if relisted {
-				clear(sh.listings)
-			}
-			for _, item := range events {
-				sh.applyListing(item)
-			}
-			c.SetWorkers(sh.currentListings(), now)
-			sh.updateWorkerClients()
-		})
-	}
+		c.SetWorkers(sh.currentListings(), now)
+		sh.updateWorkerClients()
+	})
 }
 
 // applyListing applies an item of the instance list to the listings. It is called with
