job/owner: no start rests on a view of the store that is older than the platform allows

Callers saw tasks of cancelled jobs run, and the owner would start tasks on draining workers and in zones out of service. Before a start the age of the view of the ownership (2.5 s) and of the worker's report (2.5 s) were checked, but not the age of the views of the job records, the instance list and the zones. An owner whose reads are late went on starting on them for as long as that lasted, and its worker could execute each start up to 2 s later.

Ruled out: a deadline of its own for each kind of start, as a start rests on all three views; and the time at which an answer arrived as the time of the view, as it shows the store when the request was sent, or later.

Each view is now known to hold until the last read was sent that has shown all changes until then. The bounds of the platform (cancel_ms, drain-ms, evac-ms) limit how long after it a start may be executed: the deadline that its worker enforces is no later, so that an order that waits in a queue or on a full link is covered too, and with less than 0.3 s left nothing is placed or sent. While the store answers no entry nothing can be cancelled or drained, and starts go on, as for the view of the ownership. The zones are applied with each tick, so that their view is known to be applied as well. A line in the log says when starts are held back and when they go on, with the ages, which the shard line has too.

--- a/internal/fleet/ownership/register.go
+++ b/internal/fleet/ownership/register.go
@@ -73,7 +73,7 @@
 func (s *Service) viewWithinWatchTimeout() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return age(s.viewRequestedAt, time.Now()) < entryWatchTimeout
+	return Age(s.viewRequestedAt, time.Now()) < entryWatchTimeout
 }
 
 // writeRegistration writes the registration of this entry under a new lease.
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -187,12 +187,12 @@
 func (s *Service) viewAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(age(s.viewRequestedAt, now), age(s.epochConfirmedAt, now))
+	return min(Age(s.viewRequestedAt, now), Age(s.epochConfirmedAt, now))
 }
 
-// age returns the time since t by the monotonic clock or the wall clock, whichever is
+// Age returns the time since t by the monotonic clock or the wall clock, whichever is
 // longer: the monotonic clock stops while an instance is suspended.
-func age(t, now time.Time) time.Duration {
+func Age(t, now time.Time) time.Duration {
 	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
 }
 
--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -33,13 +33,15 @@
 // changeReader reads what changes under a prefix of the store, and all items when the
 // history of the changes is gone.
 type changeReader struct {
-	shard    *shard
-	prefix   kv.Key
-	interval time.Duration // between two reads
-	handler  changeHandler
+	shard     *shard
+	prefix    kv.Key
+	interval  time.Duration // between two reads
+	handler   changeHandler
+	confirmed *confirmation
 
 	listMu sync.Mutex // held during a list
 	list   kv.Listing // how far the list has come that is not complete
+	listAt time.Time  // when its first page was requested
 
 	mu     sync.Mutex    // held while changes are applied
 	since  unit.Revision // all changes up to it are applied
@@ -112,6 +114,7 @@
 	}
 	r.handler.applyChanges(fresh, next, sentAt)
 	r.since = max(r.since, next)
+	r.confirmed.record(sentAt)
 }
 
 // readAll applies the pages of a list of all items as they arrive, up to the first
@@ -131,8 +134,12 @@
 			r.retry()
 			return
 		}
+		if first {
+			r.listAt = sentAt
+		}
 		r.applyPage(listPage{items: items, read: r.list.Revision, sentAt: sentAt, first: first, last: r.list.Complete})
 		if r.list.Complete {
+			r.confirmed.record(r.listAt)
 			r.list = kv.Listing{}
 			return
 		}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -37,11 +37,15 @@
 	Resign(ctx context.Context)
 }
 
-// zoneDirectory reports which zones are out of service.
+// zoneDirectory reports which zones are out of service, and when the last read of them
+// was sent.
 type zoneDirectory interface {
-	Evacuated() (map[unit.ZoneID]bool, <-chan struct{})
+	Evacuated() (zones map[unit.ZoneID]bool, confirmedAt time.Time)
 }
 
+// outageDetector reports whether the store answers no entry.
+type outageDetector interface{ Outage() bool }
+
 // Fleet decodes the instance list and connects to workers.
 type Fleet interface {
 	// Prefix returns the key prefix of the instance list.
@@ -84,6 +88,7 @@
 	// FinalStateRetention is the least time for which the final state of a job
 	// can be read.
 	FinalStateRetention time.Duration
+	Delays              Delays
 }
 
 // Service runs the shard owner of this entry.
@@ -95,6 +100,7 @@
 	adviser   Adviser // nil if no queue has placement advice
 	ownership shardOwnership
 	zones     zoneDirectory
+	outage    outageDetector
 	store     kv.Client
 
 	mu    sync.Mutex
@@ -118,6 +124,9 @@
 	if s.zones, err = registry.Find[zoneDirectory](k, "directory"); err != nil {
 		return errors.Errorf("find directory: %w", err)
 	}
+	if s.outage, err = registry.Find[outageDetector](k, kv.ServiceName); err != nil {
+		return errors.Errorf("find store: %w", err)
+	}
 	if s.store, err = kv.Find(k); err != nil {
 		return err
 	}
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -51,6 +51,10 @@
 	done       chan struct{}
 	commitDue  chan struct{} // signals that progress or final states wait to be written
 
+	jobsConfirmed    confirmation // of the job records
+	workersConfirmed confirmation // of the instance list
+	zonesConfirmed   confirmation // of the zones out of service
+
 	commitMu           sync.Mutex // held during a transaction, so that transactions stay in order
 	mu                 sync.Mutex
 	core               *scheduler.Core
@@ -60,6 +64,7 @@
 	workerClients      map[unit.InstanceID]*workerClient
 	placement          placementPacer
 	handingOver        bool // no new orders are queued
+	startsHeld         bool // nothing is placed, as a view of the store is too old
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
 	lastProgressWrite  time.Time
@@ -100,7 +105,6 @@
 	}
 	sh.newJobReader().start(jobsRevision)
 	sh.newWorkerReader().start(workersRevision)
-	sh.goroutines.Go(sh.watchZones)
 	sh.goroutines.Go(sh.commitLoop)
 	sh.goroutines.Go(sh.removeEndedJobs)
 	if sh.service.adviser != nil {
@@ -109,19 +113,22 @@
 	metric.OwnershipChanges.Add("taken over", 1)
 	sh.service.setShard(sh)
 	for sh.sleep(tickInterval) {
-		sh.update(func(c *scheduler.Core, now time.Time) { c.Tick(now) })
+		sh.update(func(c *scheduler.Core, now time.Time) {
+			sh.applyZones(c)
+			c.Tick(now)
+		})
 		sh.logSummary()
 	}
 }
 
 // newJobReader returns a reader of the job records.
 func (sh *shard) newJobReader() *changeReader {
-	return &changeReader{shard: sh, prefix: record.JobPrefix, interval: jobReadInterval, handler: jobRecords{sh}}
+	return &changeReader{shard: sh, prefix: record.JobPrefix, interval: jobReadInterval, handler: jobRecords{sh}, confirmed: &sh.jobsConfirmed}
 }
 
 // newWorkerReader returns a reader of the instance list.
 func (sh *shard) newWorkerReader() *changeReader {
-	return &changeReader{shard: sh, prefix: sh.service.fleet.Prefix(), interval: workerReadInterval, handler: &instanceList{shard: sh}}
+	return &changeReader{shard: sh, prefix: sh.service.fleet.Prefix(), interval: workerReadInterval, handler: &instanceList{shard: sh}, confirmed: &sh.workersConfirmed}
 }
 
 // summaryInterval is the time between two summaries of the shard in the log.
@@ -141,6 +148,8 @@
 	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
+		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
+		"zonesage", sh.zonesConfirmed.age(now).String(),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
 
@@ -155,10 +164,12 @@
 	if err != nil {
 		return 0, 0, err
 	}
+	workersSentAt := time.Now()
 	workers, workersRevision, err := sh.service.store.List(sh.ctx, sh.service.fleet.Prefix())
 	if err != nil {
 		return 0, 0, errors.Errorf("list workers: %w", err)
 	}
+	jobsSentAt := time.Now()
 	jobs, jobsRevision, err := sh.service.store.List(sh.ctx, record.JobPrefix)
 	if err != nil {
 		return 0, 0, errors.Errorf("list jobs: %w", err)
@@ -178,8 +189,7 @@
 	sh.takeover = takeover{claimedAt: claimedAt, claimRevision: sh.term.EpochRevision, handedOver: progress.HandedOver}
 	now := time.Now()
 	core.RestoreInterference(model.Pairs, now)
-	zones, _ := sh.service.zones.Evacuated()
-	core.SetEvacuatedZones(zones)
+	sh.applyZones(core)
 	for _, item := range workers {
 		sh.applyListing(item)
 	}
@@ -191,6 +201,8 @@
 		sh.applyJobRecord(item, now)
 	}
 	sh.updateWorkerClients()
+	sh.workersConfirmed.record(workersSentAt)
+	sh.jobsConfirmed.record(jobsSentAt)
 	sh.log.Info("shard taken over", "jobs", len(jobs), "workers", len(sh.listings), "clean", progress.HandedOver, "took", time.Since(claimedAt).String())
 	return jobsRevision, workersRevision, nil
 }
@@ -258,7 +270,7 @@
 		sh.core.TakeOrders()
 		return
 	}
-	if sh.placement.due(now) && sh.service.ownership.MayOrder(now) {
+	if sh.placement.due(now) && sh.mayStart(now) {
 		began := time.Now()
 		sh.core.Place(now)
 		sh.placement.ended(began, time.Now())
--- a/internal/job/owner/takeover.go
+++ b/internal/job/owner/takeover.go
@@ -19,7 +19,7 @@
 
 // previousOwnerStartWindow is how long after a claim a start by a previous owner that
 // has not seen the claim may still reach a worker.
-const previousOwnerStartWindow = ownership.MaxOrderOverlap + startWindow + responseSlack
+const previousOwnerStartWindow = ownership.MaxOrderOverlap + maxStartWindow + responseSlack
 
 // recordRead records that the answer to a read that was sent at sentAt has shown the
 // store at a revision.
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -123,15 +123,10 @@
 	}
 }
 
-// watchZones keeps the core informed of the zones that are out of service.
-func (sh *shard) watchZones() {
-	for {
-		zones, changed := sh.service.zones.Evacuated()
-		sh.update(func(c *scheduler.Core, _ time.Time) { c.SetEvacuatedZones(zones) })
-		select {
-		case <-sh.ctx.Done():
-			return
-		case <-changed:
-		}
-	}
+// applyZones informs the core of the zones that are out of service. It is called with
+// the lock held.
+func (sh *shard) applyZones(c *scheduler.Core) {
+	zones, confirmedAt := sh.service.zones.Evacuated()
+	c.SetEvacuatedZones(zones)
+	sh.zonesConfirmed.record(confirmedAt)
 }
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -63,7 +63,7 @@
 			store := &scriptedStore{watchErrors: tt.watchErrors}
 			sh := &shard{ctx: t.Context(), service: &Service{store: kv.Client{Doer: store}}}
 			var applied countingHandler
-			r := &changeReader{shard: sh, prefix: record.JobPrefix, handler: &applied, since: 7}
+			r := &changeReader{shard: sh, prefix: record.JobPrefix, handler: &applied, confirmed: &confirmation{}, since: 7}
 			for range tt.watchErrors {
 				r.read()
 			}
@@ -132,7 +132,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				sh := newShard(t.Context(), &Service{store: kv.Client{Doer: tt.store}}, ownership.Term{Epoch: 1})
 				view := ageHandler{confirmedAt: time.Now()}
-				r := &changeReader{shard: sh, interval: workerReadInterval, handler: &view}
+				r := &changeReader{shard: sh, interval: workerReadInterval, handler: &view, confirmed: &confirmation{}}
 				r.start(0)
 				time.Sleep(20 * time.Second)
 				sh.cancel()
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -36,8 +36,9 @@
 	// link each order costs a connection and none succeeds.
 	minOrderTimeout = 500 * time.Millisecond
 	maxOrderTimeout = 2 * time.Second
-	// startWindow is how long after a start order is sent the worker may accept it.
-	startWindow = 2 * time.Second
+	// maxStartWindow is how long after a start order is sent the worker may accept it,
+	// if the owner's views are recent; see startWindow.
+	maxStartWindow = 2 * time.Second
 	// heartbeatRetryDelay is the time between the first failed heartbeat and the next
 	// one. It doubles with each further failure up to maxHeartbeatRetryDelay, so that
 	// probes do not add to the load of a link that delays the answers.
@@ -146,12 +147,13 @@
 	now := time.Now()
 	outcome := scheduler.OutcomeNotSent
 	// The deadline is computed before the ownership is checked, so that it is no
-	// later than startWindow after the check however late the order is sent.
-	until := c.workerDeadline(startWindow)
+	// later than maxStartWindow after the check however late the order is sent.
+	window := c.shard.startWindow(now)
+	until := c.workerDeadline(window)
 	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
 	start := o.Kind == scheduler.OrderStart
 	switch {
-	case c.ctx.Err() != nil, start && until == 0:
+	case c.ctx.Err() != nil, start && (until == 0 || window < minStartWindow):
 	case !c.beginOrder(o):
 		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		return
@@ -204,7 +206,7 @@
 // beginOrder reports whether the core still wants an order, and records the lease that
 // it grants.
 func (c *workerClient) beginOrder(o scheduler.Order) bool {
-	leaseExpiresAt := leaseExpiry(startWindow)
+	leaseExpiresAt := leaseExpiry(maxStartWindow)
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	return c.shard.core.BeginOrder(o, leaseExpiresAt, time.Now())
--- a/internal/job/owner/workerclient_order_test.go
+++ b/internal/job/owner/workerclient_order_test.go
@@ -18,10 +18,11 @@
 type recordingWorker struct {
 	Worker
 	orders []scheduler.OrderKind
+	until  unit.WorkerTime // of the last order
 }
 
-func (w *recordingWorker) Do(_ context.Context, o scheduler.Order, _ unit.Epoch, _ unit.WorkerTime) (scheduler.Outcome, unit.WorkerTime) {
-	w.orders = append(w.orders, o.Kind)
+func (w *recordingWorker) Do(_ context.Context, o scheduler.Order, _ unit.Epoch, until unit.WorkerTime) (scheduler.Outcome, unit.WorkerTime) {
+	w.orders, w.until = append(w.orders, o.Kind), until
 	return scheduler.OutcomeDone, 0
 }
 
@@ -34,23 +35,28 @@
 func (o constantOwnership) MayOrder(time.Time) bool { return o.mayOrder }
 
 // TestExecute guards against starts that are sent although their run was given up while
-// they waited, which made two runs of a task at once.
+// they waited, which made two runs of a task at once, and against starts that may be
+// executed after the view of the workers has become too old.
 func TestExecute(t *testing.T) {
+	const drainDelay = 2 * time.Second
 	started := []scheduler.OrderKind{scheduler.OrderStart}
 	tests := []struct {
 		name      string
 		ownership bool
+		listAge   time.Duration // of the view of the workers
 		change    func(core *scheduler.Core, c *workerClient, now time.Time)
 		want      []scheduler.OrderKind
 		runs      bool // the worker may have runs afterwards
 	}{
-		{"wanted", true, func(*scheduler.Core, *workerClient, time.Time) {}, started, true},
-		{"job cancelled", true, func(core *scheduler.Core, _ *workerClient, now time.Time) { core.Cancel("j", now) }, nil, false},
-		{"ownership not confirmed", false, func(*scheduler.Core, *workerClient, time.Time) {}, nil, false},
-		{"client stopped", true, func(_ *scheduler.Core, c *workerClient, _ time.Time) { c.cancel() }, nil, false},
-		{"worker restarted", true, func(core *scheduler.Core, _ *workerClient, now time.Time) {
+		{"wanted", true, 0, func(*scheduler.Core, *workerClient, time.Time) {}, started, true},
+		{"job cancelled", true, 0, func(core *scheduler.Core, _ *workerClient, now time.Time) { core.Cancel("j", now) }, nil, false},
+		{"ownership not confirmed", false, 0, func(*scheduler.Core, *workerClient, time.Time) {}, nil, false},
+		{"client stopped", true, 0, func(_ *scheduler.Core, c *workerClient, _ time.Time) { c.cancel() }, nil, false},
+		{"worker restarted", true, 0, func(core *scheduler.Core, _ *workerClient, now time.Time) {
 			core.HandleReport("w", scheduler.Report{Incarnation: 2, RequestedAt: now}, now)
 		}, nil, false},
+		{"list read 1.5 s ago", true, 1500 * time.Millisecond, func(*scheduler.Core, *workerClient, time.Time) {}, started, true},
+		{"list read 1.9 s ago", true, 1900 * time.Millisecond, func(*scheduler.Core, *workerClient, time.Time) {}, nil, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -71,13 +77,17 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			sh := &shard{
-				service: &Service{ownership: constantOwnership{mayOrder: tt.ownership}},
-				core:    core, term: ownership.Term{Epoch: 1}, handingOver: true, // so that no further order is given
+				service: &Service{
+					ownership: constantOwnership{mayOrder: tt.ownership}, outage: fixedOutage(false),
+					options: Options{Delays: Delays{Drain: drainDelay}},
+				},
+				core: core, term: ownership.Term{Epoch: 1}, handingOver: true, // so that no further order is given
 			}
 			client := &workerClient{
 				shard: sh, log: logr.Discard(), id: "w", worker: worker, ctx: ctx, cancel: cancel,
 				clock: 1, clockReadAt: now, incarnation: 1,
 			}
+			sh.workersConfirmed.record(now.Add(-tt.listAge))
 			tt.change(core, client, now)
 			client.execute(order)
 			if diff := cmp.Diff(tt.want, worker.orders); diff != "" {
@@ -86,6 +96,9 @@
 			if diff := cmp.Diff(tt.runs, core.HasRuns("w")); diff != "" {
 				t.Errorf("has runs (-want +got):\n%s", diff)
 			}
+			if latest := drainDelay - tt.listAge; time.Duration(worker.until) > latest+time.Millisecond {
+				t.Errorf("start may be executed after %s, want at most %s", time.Duration(worker.until), latest)
+			}
 		})
 	}
 }
--- a/internal/target/directory/directory_test.go
+++ b/internal/target/directory/directory_test.go
@@ -1,8 +1,11 @@
 package directory
 
 import (
+	"context"
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
@@ -54,6 +57,60 @@
 	}
 }
 
+// agingStore lists at once. It answers each of two watches after a second, and later ones
+// never.
+type agingStore struct{ watches int }
+
+func (s *agingStore) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op != kv.OpWatch {
+		return kv.Response{Revision: 7}, nil
+	}
+	s.watches++
+	answer := time.After(time.Second)
+	if s.watches > 2 {
+		answer = nil
+	}
+	select {
+	case <-answer:
+		return kv.Response{Revision: 8}, nil
+	case <-ctx.Done():
+		return kv.Response{}, ctx.Err()
+	}
+}
+
+// TestConfirmedAt guards against a view of the zones that is taken as recent since it was
+// last changed or since an answer arrived, although it only shows what the store held when
+// the request was sent.
+func TestConfirmedAt(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  time.Duration // after the start
+	}{
+		{"listed", 500 * time.Millisecond, 0},
+		{"watch answered", 1500 * time.Millisecond, 0},
+		{"second watch answered", 2500 * time.Millisecond, time.Second},
+		{"no answer any more", time.Minute, time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				s := New(logr.Discard(), decoder{})
+				s.store = kv.Client{Doer: &agingStore{}}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go s.follow(ctx)
+				time.Sleep(tt.after)
+				_, confirmedAt := s.Evacuated()
+				if diff := cmp.Diff(tt.want, confirmedAt.Sub(began)); diff != "" {
+					t.Errorf("confirmed at (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestMatch guards against requests that are routed to the queue of a shorter
 // prefix or of another host.
 func TestMatch(t *testing.T) {
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -40,9 +40,9 @@
 	store   kv.Client
 	current atomic.Pointer[Document]
 
-	mu        sync.Mutex
-	evacuated map[unit.ZoneID]bool
-	changed   chan struct{} // closed at the next change of evacuated
+	mu          sync.Mutex
+	evacuated   map[unit.ZoneID]bool
+	confirmedAt time.Time // when the last read was sent that has shown all items until then
 }
 
 // New returns a service that decodes items with d.
@@ -50,7 +50,6 @@
 	return &Service{
 		Tasks: registry.NewTasks(), log: log, decoder: d,
 		evacuated: map[unit.ZoneID]bool{},
-		changed:   make(chan struct{}),
 	}
 }
 
@@ -70,23 +69,34 @@
 // Current returns the newest configuration, or nil before the first one is read.
 func (s *Service) Current() *Document { return s.current.Load() }
 
-// Evacuated returns the zones that are out of service, and a channel that is
-// closed when the set changes.
-func (s *Service) Evacuated() (map[unit.ZoneID]bool, <-chan struct{}) {
+// Evacuated returns the zones that are out of service, and when the last read was sent
+// that has shown all of them until then: the zero time before the first one.
+func (s *Service) Evacuated() (zones map[unit.ZoneID]bool, confirmedAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return maps.Clone(s.evacuated), s.changed
+	return maps.Clone(s.evacuated), s.confirmedAt
+}
+
+// confirm records that the items as of sentAt have been applied.
+func (s *Service) confirm(sentAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmedAt = sentAt
 }
 
 // follow lists and watches the items until the context ends.
 func (s *Service) follow(ctx context.Context) {
 	s.store.Follow(ctx, s.decoder.Prefix(), kv.WatchHandler{
 		MaxWait: func() time.Duration { return watchTimeout },
-		OnList:  func(items []kv.Item, _ time.Time) { s.handleList(items) },
-		OnChange: func(events []kv.Item, _ time.Time) {
+		OnList: func(items []kv.Item, sentAt time.Time) {
+			s.handleList(items)
+			s.confirm(sentAt)
+		},
+		OnChange: func(events []kv.Item, sentAt time.Time) {
 			for _, e := range events {
 				s.handleChange(e)
 			}
+			s.confirm(sentAt)
 		},
 	})
 }
@@ -128,12 +138,9 @@
 	s.setEvacuated(evacuated)
 }
 
-// setEvacuated sets the evacuated zones and wakes the waiters. The caller holds the
-// lock.
+// setEvacuated sets the evacuated zones. The caller holds the lock.
 func (s *Service) setEvacuated(zones map[unit.ZoneID]bool) {
 	s.evacuated = zones
-	close(s.changed)
-	s.changed = make(chan struct{})
 	s.log.Info("zones out of service changed", "zones", zones)
 }
 
