job/owner: reads that take long are spread evenly over that time

Over a store that answers in 1 s the two reads under way were sent 0.3 s apart and then together waited 0.7 s, so the view was up to 1.7 s old. That leaves 0.3 s for a start where drains take effect after 2 s, the least that is sent at all. The next read is now due after half of what the last one took, if that is longer than the interval; the view is at most 1.5 s old once the latency is known.

TestViewAge, which now looks at the time after the first ten seconds too, before the change:

--- FAIL: TestViewAge/1_s view was up to 1.7s old, want at most 1.55s

--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -46,6 +46,7 @@
 	mu     sync.Mutex    // held while changes are applied
 	since  unit.Revision // all changes up to it are applied
 	nextAt time.Time     // when the next read is due
+	took   time.Duration // by the last read
 }
 
 // start reads the changes after a revision in readsInFlight goroutines until the term
@@ -61,7 +62,8 @@
 	}
 }
 
-// awaitTurn waits until the next read is due and reports whether the term goes on.
+// awaitTurn waits until the next read is due and reports whether the term goes on. Reads
+// that take long are spread evenly over that time.
 func (r *changeReader) awaitTurn() bool {
 	now := time.Now()
 	r.mu.Lock()
@@ -69,7 +71,7 @@
 	if at.Before(now) {
 		at = now
 	}
-	r.nextAt = at.Add(r.interval)
+	r.nextAt = at.Add(max(r.interval, r.took/readsInFlight))
 	r.mu.Unlock()
 	return r.shard.sleep(at.Sub(now)) && r.shard.ctx.Err() == nil
 }
@@ -106,6 +108,7 @@
 func (r *changeReader) apply(events []kv.Item, next unit.Revision, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.took = time.Since(sentAt)
 	var fresh []kv.Item
 	for _, e := range events {
 		if e.Revision > r.since {
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -119,13 +119,14 @@
 	tests := []struct {
 		name   string
 		store  *timedStore
-		oldest time.Duration
+		oldest time.Duration // at first, while the latency is not known
+		later  time.Duration // oldest afterwards
 	}{
-		{"4 ms", &timedStore{latency: 4 * time.Millisecond}, 320 * time.Millisecond},
-		{"240 ms", &timedStore{latency: 240 * time.Millisecond}, 550 * time.Millisecond},
-		{"1 s", &timedStore{latency: time.Second}, 1750 * time.Millisecond},
-		{"connection silent", &timedStore{latency: 4 * time.Millisecond, silent: true}, 650 * time.Millisecond},
-		{"240 ms, connection silent", &timedStore{latency: 240 * time.Millisecond, silent: true}, 850 * time.Millisecond},
+		{"4 ms", &timedStore{latency: 4 * time.Millisecond}, 320 * time.Millisecond, 320 * time.Millisecond},
+		{"240 ms", &timedStore{latency: 240 * time.Millisecond}, 550 * time.Millisecond, 550 * time.Millisecond},
+		{"1 s", &timedStore{latency: time.Second}, 1750 * time.Millisecond, 1550 * time.Millisecond},
+		{"connection silent", &timedStore{latency: 4 * time.Millisecond, silent: true}, 650 * time.Millisecond, 320 * time.Millisecond},
+		{"240 ms, connection silent", &timedStore{latency: 240 * time.Millisecond, silent: true}, 850 * time.Millisecond, 550 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -134,12 +135,17 @@
 				view := ageHandler{confirmedAt: time.Now()}
 				r := &changeReader{shard: sh, interval: workerReadInterval, handler: &view, confirmed: &confirmation{}}
 				r.start(0)
-				time.Sleep(20 * time.Second)
+				for _, limit := range []time.Duration{tt.oldest, tt.later} {
+					time.Sleep(10*time.Second + time.Millisecond)
+					r.mu.Lock()
+					if view.oldest > limit {
+						t.Errorf("view was up to %s old, want at most %s", view.oldest, limit)
+					}
+					view.oldest = 0
+					r.mu.Unlock()
+				}
 				sh.cancel()
 				sh.goroutines.Wait()
-				if view.oldest > tt.oldest {
-					t.Errorf("view was up to %s old, want at most %s", view.oldest, tt.oldest)
-				}
 			})
 		})
 	}
