job/owner: the lease of a worker whose runs are all to be stopped is not extended

Callers saw the task of a cancelled job run on.

A worker that also has a wanted run keeps its lease; stopping only some runs by the lease is not possible.

Ruled out: to stop the renewal for all workers while the view of the job records is old.

TestLeaseOfUnwantedRun before the change (ten seconds after the cancellation, with a worker that ignores stops):

--- FAIL: TestLeaseOfUnwantedRun/job_cancelled runs (-want +got): - false, + true,

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -387,16 +387,17 @@
 	if c.shard.core.HasRuns(c.id) {
 		h.wait = busyHeartbeatWait
 	}
+	extend := !probe && c.shard.core.WantsLease(c.id)
 	c.shard.mu.Unlock()
 	if incarnation == c.knownIncarnation() { // otherwise the cursor counts the ends of another one
 		h.cursor = cursor
 	}
-	if !probe {
-		h.until = c.workerDeadline(workerLeaseTTL)
-	}
-	if h.until == 0 {
+	until := c.workerDeadline(workerLeaseTTL)
+	if probe || until == 0 {
 		h.wait = 0
-	} else {
+	}
+	if extend && until != 0 {
+		h.until = until
 		c.recordLease(workerLeaseTTL)
 	}
 	h.sentAt = time.Now()
--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -331,3 +331,57 @@
 		})
 	}
 }
+
+// TestLeaseOfUnwantedRun guards against the task of a cancelled job that runs on for as
+// long as stops do not reach its worker, since each heartbeat extends its lease.
+func TestLeaseOfUnwantedRun(t *testing.T) {
+	tests := []struct {
+		name      string
+		cancelled bool
+		runs      bool // ten seconds later
+	}{
+		{"job goes on", false, true},
+		{"job cancelled", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The stand-in answers stops without stopping anything.
+				f := &scriptedFleet{runDuration: time.Hour, delay: func(int) time.Duration { return 0 }}
+				w := &scriptedWorker{fleet: f, bornAt: time.Now()}
+				f.workers = map[unit.InstanceID]*scriptedWorker{"w1": w}
+				s := New(logr.Discard(), f, nil, Options{Limits: scheduler.Limits{StopTimeout: time.Second, MaxLease: 10 * time.Second}})
+				s.ownership = confirmedOwnership{}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				sh.core = scheduler.New(s.options.Limits, 1, time.Now())
+				sh.listings["w1"] = scheduler.Listing{ID: "w1", Service: "orders", Incarnation: 1, Capacity: unit.Resources{Cores: 64000, Memory: 256 << 30}}
+				sh.mu.Lock()
+				sh.core.SetWorkers(sh.currentListings(), time.Now())
+				sh.core.ConfirmSnapshot(sh.core.Snapshot())
+				sh.core.AddJob(&graph.Job{
+					ID: "j", Accepted: time.Now(), Queue: graph.Queue{Service: "orders", MaxAttempts: 2},
+					Steps: []graph.Step{{Count: 1, LongRunning: true}},
+				}, 0, true, time.Now())
+				sh.updateWorkerClients()
+				sh.mu.Unlock()
+				for elapsed := time.Duration(0); elapsed < 12*time.Second; elapsed += tickInterval {
+					sh.update(func(c *scheduler.Core, now time.Time) {
+						if tt.cancelled && elapsed == 2*time.Second {
+							c.Cancel("j", now)
+						}
+						c.Tick(now)
+					})
+					sh.sleep(tickInterval)
+				}
+				f.mu.Lock()
+				runs := w.run != nil
+				f.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				if diff := cmp.Diff(tt.runs, runs); diff != "" {
+					t.Errorf("runs (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -20,6 +20,21 @@
 	}
 }
 
+// WantsLease reports whether the lease of a worker should be extended. It should not while
+// every run there is to be stopped: a stop may not arrive for a long time.
+func (c *Core) WantsLease(id unit.InstanceID) bool {
+	w := c.workers[id]
+	if w == nil {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.phase != phaseStopping {
+			return true
+		}
+	}
+	return len(w.runs)+len(w.unknownRuns) == 0
+}
+
 // AwaitAnswer records that a heartbeat is sent to a worker at sentAt. While the answer
 // may still arrive, the runs of the worker are kept for up to maxAnswerWait after its
 // lease has expired.
