job/scheduler: a worker that has not reported since the takeover is not vacant for upkeep

A new owner took each worker without known runs as vacant, also one that had not reported since the takeover and may run tasks of the earlier owner: its machine could be stopped, and with it tasks of a step that may miss no more. The wait of 3 s before the first order of a wave hides it only while workers answer within that time.

A worker is vacant only once it is resolved: it has reported all of its runs, or every lease that it can hold has expired.

TestVacateUnresolved before the change:

--- FAIL: TestVacateUnresolved/has_not_reported vacant (-want +got): - "w1": false, + "w1": true,

--- a/internal/job/scheduler/vacate.go
+++ b/internal/job/scheduler/vacate.go
@@ -49,8 +49,12 @@
 	}
 }
 
-// isVacant reports whether a worker can exit without harm to its runs.
+// isVacant reports whether a worker can exit without harm to its runs. One that may still
+// have runs of an earlier owner cannot.
 func (c *Core) isVacant(w *worker, now time.Time) bool {
+	if c.unresolved[w.id] {
+		return false
+	}
 	for _, r := range w.runs {
 		if r.task.step.spec.LongRunning || now.Sub(w.vacatingSince) < maxVacateWait {
 			return false
--- a/internal/job/scheduler/vacate_test.go
+++ b/internal/job/scheduler/vacate_test.go
@@ -77,3 +77,38 @@
 		})
 	}
 }
+
+// TestVacateUnresolved guards against upkeep that ends a task which an earlier owner
+// started, because its worker has not reported since the takeover and is taken as empty.
+func TestVacateUnresolved(t *testing.T) {
+	lasting := graph.Step{Count: 1, Needs: unit.Resources{Cores: 1000}, LongRunning: true, MaxUnavailable: 1}
+	tests := []struct {
+		name     string
+		reported bool
+		running  []RunStatus
+		wait     time.Duration // after the takeover
+		vacant   bool
+	}{
+		{"has not reported", false, nil, 0, false},
+		{"reported that nothing runs", true, nil, 0, true},
+		{"reported a run", true, []RunStatus{{Task: firstTask("j"), Run: 1, ProgressPercent: 100}}, 0, false},
+		{"all earlier leases have expired", false, nil, 7 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 6*time.Second)
+			f.core.LoadProgress(nil, []unit.InstanceID{"w1"}, []unit.InstanceID{"w1"})
+			f.core.SetWorkers([]Listing{newListing("w1")}, f.now)
+			f.addJob("j", lasting, false)
+			if tt.reported {
+				f.report("w1", tt.running, nil)
+			}
+			f.now = f.now.Add(tt.wait)
+			f.core.Tick(f.now)
+			vacant := f.core.Vacate([]unit.InstanceID{"w1"}, f.now)
+			if diff := cmp.Diff(map[unit.InstanceID]bool{"w1": tt.vacant}, vacant); diff != "" {
+				t.Errorf("vacant (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
