job/scheduler: upkeep counts a long-running task as away once its worker is silent

Before it stops a long-running task for upkeep, the core counts how many others of its step are away. A task counted as at work by the last report of its worker, however old: on a worker that is cut off or lost, until its lease had expired, up to 8 s later. The platform counts a task as away after 4.5 to 5.5 s (notice-ms), so one stop too many was possible.

A task now counts as at work only by a report that is not older than 2.5 s, the age up to which tasks start on a worker.

TestVacateBesideSilentWorker before the change:

--- FAIL: TestVacateBesideSilentWorker/other_worker_is_silent stops (-want +got): - 0, + 1,

--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -38,7 +38,7 @@
 		c.drainWorker(w, now)
 	}
 	if !w.vacatingSince.IsZero() {
-		c.stopForUpkeep(w)
+		c.stopForUpkeep(w, now)
 	}
 	if w.reportRequestedAt.IsZero() || now.Sub(w.reportRequestedAt) > maxReportAge {
 		return // their current progress is unknown
--- a/internal/job/scheduler/vacate.go
+++ b/internal/job/scheduler/vacate.go
@@ -28,7 +28,7 @@
 		case w.vacatingSince.IsZero():
 			w.vacatingSince = now
 		}
-		c.stopForUpkeep(w)
+		c.stopForUpkeep(w, now)
 		vacant[id] = c.isVacant(w, now)
 	}
 	return vacant
@@ -36,12 +36,12 @@
 
 // stopForUpkeep stops the runs on a worker that can continue elsewhere: those that
 // save checkpoints, and long-running ones as far as their step permits.
-func (c *Core) stopForUpkeep(w *worker) {
+func (c *Core) stopForUpkeep(w *worker, now time.Time) {
 	for _, r := range w.runs {
 		s := r.task.step
 		switch {
 		case r.phase != phaseRunning:
-		case s.spec.LongRunning && s.canStopOneMore():
+		case s.spec.LongRunning && s.canStopOneMore(now):
 			c.stopRun(r, ReasonUpkeep)
 		case !s.spec.LongRunning && s.spec.Checkpoints:
 			c.stopRun(r, ReasonUpkeep)
@@ -65,23 +65,24 @@
 
 // canStopOneMore reports whether one more task of a long-running step may be stopped.
 // Every task that is not serving counts against the limit, whatever the cause.
-func (s *step) canStopOneMore() bool {
+func (s *step) canStopOneMore(now time.Time) bool {
 	if s.spec.MaxUnavailable == 0 {
 		return true // the step sets no limit
 	}
 	unavailable := 0
 	for n := range s.tasks {
-		if !s.tasks[n].isServing() {
+		if !s.tasks[n].isServing(now) {
 			unavailable++
 		}
 	}
 	return unavailable < s.spec.MaxUnavailable
 }
 
-// isServing reports whether a long-running task has a run that is working.
-func (t *task) isServing() bool {
+// isServing reports whether a long-running task has a run that was working according to a
+// recent report.
+func (t *task) isServing(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.phase == phaseRunning && r.progressPercent >= 100 {
+		if r.phase == phaseRunning && r.progressPercent >= 100 && now.Sub(r.worker.reportRequestedAt) <= maxReportAge {
 			return true
 		}
 	}
--- a/internal/job/scheduler/vacate_test.go
+++ b/internal/job/scheduler/vacate_test.go
@@ -112,3 +112,37 @@
 		})
 	}
 }
+
+// TestVacateBesideSilentWorker guards against upkeep that stops one more task of a
+// long-running step although another worker of the step has not reported for seconds, so
+// that its task may be gone.
+func TestVacateBesideSilentWorker(t *testing.T) {
+	step := graph.Step{Count: 2, Needs: unit.Resources{Cores: 1000}, LongRunning: true, MaxUnavailable: 1, PerWorker: 1}
+	tests := []struct {
+		name   string
+		silent time.Duration // since the last report of the other worker
+		stops  int
+	}{
+		{"other worker reports", time.Second, 1},
+		{"other worker is silent", maxReportAge + time.Millisecond, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1", "w2")
+			f.addJob("j", step, true)
+			for _, o := range f.takeStarts(OutcomeDone) {
+				f.report(o.Worker, []RunStatus{{Task: o.Task, Run: o.Run, ProgressPercent: 100}}, nil)
+			}
+			f.now = f.now.Add(tt.silent)
+			for _, r := range f.core.workers["w1"].runs {
+				f.report("w1", []RunStatus{{Task: r.task.id(), Run: r.number, ProgressPercent: 100}}, nil)
+			}
+			f.core.TakeOrders()
+			f.core.Vacate([]unit.InstanceID{"w1"}, f.now)
+			if diff := cmp.Diff(tt.stops, len(f.core.TakeOrders())); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
