target/directory: the operators' items are watched for one second at a time

The owner starts nothing on a view of the zones older than 4.7 s (evac-ms less the time of a start). A store that answers in 1 s made it 5.0 s, and one silent connection 5.6 s, so starts were held back for up to 0.9 s for no other reason.

With 1 s these become at most 4.6 s. A change is still seen at once; a connection that has gone silent hides it for 0.5 s less. It costs each entry a third of a store call a second more.

TestViewAge before the change:

--- FAIL: TestViewAge/1_s view was up to 5s old, want at most 4.7s --- FAIL: TestViewAge/1_s,_connection_silent view was up to 5.6s old, want at most 4.7s

--- a/internal/target/directory/directory_test.go
+++ b/internal/target/directory/directory_test.go
@@ -111,6 +111,71 @@
 	}
 }
 
+// slowStore holds each watch until its wait has passed and answers after a latency. One
+// watch is on a silent connection and times out.
+type slowStore struct {
+	latency time.Duration
+	silent  int // number of that watch; 0 for none
+	watches int
+}
+
+func (s *slowStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op != kv.OpWatch {
+		time.Sleep(s.latency)
+		return kv.Response{Revision: 7}, nil
+	}
+	if s.watches++; s.watches == s.silent {
+		const grace = 600 * time.Millisecond // as in storage/access
+		time.Sleep(r.Wait + grace)
+		return kv.Response{}, kv.ErrUnknown
+	}
+	time.Sleep(r.Wait + s.latency)
+	return kv.Response{Revision: 7}, nil
+}
+
+// TestViewAge guards against a view of the zones that is too old to start tasks on while
+// the store is slow or one connection is silent: the platform allows 5 s, of which a
+// start takes 0.3 s at least.
+func TestViewAge(t *testing.T) {
+	const limit = 4700 * time.Millisecond
+	tests := []struct {
+		name  string
+		store *slowStore
+	}{
+		{"4 ms", &slowStore{latency: 4 * time.Millisecond}},
+		{"4 ms, connection silent", &slowStore{latency: 4 * time.Millisecond, silent: 3}},
+		{"240 ms, connection silent", &slowStore{latency: 240 * time.Millisecond, silent: 3}},
+		{"1 s", &slowStore{latency: time.Second}},
+		{"1 s, connection silent", &slowStore{latency: time.Second, silent: 3}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(logr.Discard(), decoder{})
+				s.store = kv.Client{Doer: tt.store}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					s.follow(ctx)
+				}()
+				time.Sleep(2 * time.Second)
+				var oldest time.Duration
+				for range 2000 {
+					time.Sleep(10 * time.Millisecond)
+					_, confirmedAt := s.Evacuated()
+					oldest = max(oldest, time.Since(confirmedAt))
+				}
+				cancel()
+				<-done
+				if oldest > limit {
+					t.Errorf("view was up to %s old, want at most %s", oldest, limit)
+				}
+			})
+		})
+	}
+}
+
 // TestMatch guards against requests that are routed to the queue of a shorter
 // prefix or of another host.
 func TestMatch(t *testing.T) {
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -17,9 +17,9 @@
 // ServiceName is the name under which the kernel registers the service.
 const ServiceName registry.Name = "directory"
 
-// watchTimeout bounds the time for which a connection that delivers nothing can
-// hide a new version.
-const watchTimeout = 1500 * time.Millisecond
+// watchTimeout bounds the time for which a connection that delivers nothing can hide a new
+// version. While nothing changes, the view is up to twice as old.
+const watchTimeout = time.Second
 
 // Decoder decodes the operators' items.
 type Decoder interface {
