job/owner: no number of pending jobs is given on an old view of the job records

An owner whose reads of the job records are late, and which the notices of other entries do not reach, answered with the number of the jobs that it knew. The number may be 2 s old, and a job has to be visible after visible_ms; beyond that, callers were told of too few.

While the store answers no entry no job is accepted, and the number is given.

The other answers of intake were read for the same fault: a final state is shown only once it is durable under the owner's epoch, a job that the owner does not know is read from the store, and so is every 410.

TestPendingOfStaleView with the check left out:

--- FAIL: TestPendingOfStaleView/read_six_seconds_ago got <nil>, want job records not read lately

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -123,7 +123,10 @@
 			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
 		},
 		FinalStateRetention: s.Bounds.FinalStateRetention,
-		Delays:              owner.Delays{Cancel: s.Bounds.CancelDelay, Drain: s.Bounds.DrainDelay, Evacuation: s.Bounds.EvacuationDelay},
+		Delays: owner.Delays{
+			Cancel: s.Bounds.CancelDelay, Drain: s.Bounds.DrainDelay,
+			Evacuation: s.Bounds.EvacuationDelay, Visibility: s.Bounds.VisibilityDelay,
+		},
 	})
 	services := []registry.Service{
 		mesh.New(log, s.IP, s.PeerPorts),
--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -59,8 +59,11 @@
 	return sh.core.JobState(id)
 }
 
-func (sh *shard) pending(q graph.QueueID) int {
+func (sh *shard) pending(q graph.QueueID) (int, error) {
+	if !sh.knowsPending(time.Now()) {
+		return 0, errJobsNotRead
+	}
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.core.PendingJobs(q)
+	return sh.core.PendingJobs(q), nil
 }
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -205,11 +205,12 @@
 	return state, ok, nil
 }
 
-// Pending returns the number of jobs of a queue of which no task has started.
+// Pending returns the number of jobs of a queue of which no task has started. It fails
+// while jobs may be missing, as their records have not been read lately.
 func (s *Service) Pending(_ context.Context, q graph.QueueID) (int, error) {
 	sh := s.currentShard()
 	if sh == nil {
 		return 0, ErrNotOwner
 	}
-	return sh.pending(q), nil
+	return sh.pending(q)
 }
--- a/internal/job/owner/views.go
+++ b/internal/job/owner/views.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 )
 
@@ -13,8 +15,17 @@
 	Cancel     time.Duration // of the job
 	Drain      time.Duration // of the worker
 	Evacuation time.Duration // of the worker's zone
+	// Visibility is the longest time after which an accepted job counts as pending; 0 for
+	// no limit.
+	Visibility time.Duration
 }
 
+// pendingStaleness is how old the number of pending jobs may be.
+const pendingStaleness = 2 * time.Second
+
+// errJobsNotRead means that the number of pending jobs is not known, as jobs may be missing.
+var errJobsNotRead = errors.New("job records not read lately")
+
 // minStartWindow is the time that a start has to reach its worker. One with less time
 // would often be rejected as late.
 const minStartWindow = 300 * time.Millisecond
@@ -71,6 +82,13 @@
 	return window
 }
 
+// knowsPending reports whether the view of the job records holds every job that counts as
+// pending.
+func (sh *shard) knowsPending(now time.Time) bool {
+	limit := sh.service.options.Delays.Visibility
+	return limit == 0 || sh.jobsConfirmed.age(now) <= limit+pendingStaleness || sh.service.outage.Outage()
+}
+
 // mayStart reports whether this entry may start tasks now, and logs when that changes for
 // the age of a view. It is called with the lock held.
 func (sh *shard) mayStart(now time.Time) bool {
--- a/internal/job/owner/views_test.go
+++ b/internal/job/owner/views_test.go
@@ -161,3 +161,29 @@
 		})
 	}
 }
+
+// TestPendingOfStaleView guards against a number of pending jobs without those whose
+// records the owner has not read for longer than a job may stay invisible.
+func TestPendingOfStaleView(t *testing.T) {
+	tests := []struct {
+		name   string
+		age    time.Duration // of the view of the job records
+		outage bool
+		want   error
+	}{
+		{"just read", 0, false, nil},
+		{"read four seconds ago", 4 * time.Second, false, nil},
+		{"read six seconds ago", 6 * time.Second, false, errJobsNotRead},
+		{"store answers no entry", 6 * time.Second, true, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &Service{options: Options{Delays: Delays{Visibility: 3 * time.Second}}, outage: fixedOutage(tt.outage)}
+			sh := &shard{service: s, core: scheduler.New(scheduler.Limits{}, 1, time.Now())}
+			sh.jobsConfirmed.record(time.Now().Add(-tt.age))
+			if _, err := sh.pending("quotes"); !errors.Is(err, tt.want) {
+				t.Errorf("got %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
