--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,8 +36,9 @@
 	// link each order costs a connection and none succeeds.
 	minOrderTimeout = 500 * time.Millisecond
 	maxOrderTimeout = 2 * time.Second
-	// startWindow is how long after a start order is sent the worker may accept it.
-	startWindow = 2 * time.Second
+	// maxStartWindow is how long after a start order is sent the worker may accept it,
+	// if the owner's views are recent; see startWindow.
+	maxStartWindow = 2 * time.Second
 	// heartbeatRetryDelay is the time between the first failed heartbeat and the next
 	// one. It doubles with each further failure up to maxHeartbeatRetryDelay, so that
 	// probes do not add to the load of a link that delays the answers.
@@ -98,17 +100,27 @@
 	}
 }
 
+// dequeue removes the next order from the queue: the oldest one of the most urgent kind.
 func (c *workerClient) dequeue() (scheduler.Order, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 {
 		return scheduler.Order{}, false
 	}
-	o := c.queue[0]
-	c.queue = c.queue[1:]
+	next := 0
+	for i, o := range c.queue {
+		if urgency[o.Kind] > urgency[c.queue[next].Kind] {
+			next = i
+		}
+	}
+	o := c.queue[next]
+	c.queue = slices.Delete(c.queue, next, next+1)
 	return o, true
 }
 
+// urgency ranks the kinds of orders. A start in front of them may take maxOrderTimeout.
+var urgency = [...]int{scheduler.OrderStart: 0, scheduler.OrderPace: 1, scheduler.OrderStop: 2}
+
 // sendOrders sends queued orders to the worker, one at a time.
 func (c *workerClient) sendOrders() {
 	for {
@@ -135,12 +147,13 @@
 	now := time.Now()
 	outcome := scheduler.OutcomeNotSent
 	// The deadline is computed before the ownership is checked, so that it is no
-	// later than startWindow after the check however late the order is sent.
-	until := c.workerDeadline(startWindow)
+	// later than maxStartWindow after the check however late the order is sent.
+	window := c.shard.startWindow(now)
+	until := c.workerDeadline(window)
 	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
 	start := o.Kind == scheduler.OrderStart
 	switch {
-	case c.ctx.Err() != nil, start && until == 0:
+	case c.ctx.Err() != nil, start && (until == 0 || window < minStartWindow):
 	case !c.beginOrder(o):
 		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		return
@@ -193,7 +206,7 @@
 // beginOrder reports whether the core still wants an order, and records the lease that
 // it grants.
 func (c *workerClient) beginOrder(o scheduler.Order) bool {
-	leaseExpiresAt := leaseExpiry(startWindow)
+	leaseExpiresAt := leaseExpiry(maxStartWindow)
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	return c.shard.core.BeginOrder(o, leaseExpiresAt, time.Now())
@@ -374,16 +387,17 @@
 	if c.shard.core.HasRuns(c.id) {
 		h.wait = busyHeartbeatWait
 	}
+	extend := !probe && c.shard.core.WantsLease(c.id)
 	c.shard.mu.Unlock()
 	if incarnation == c.knownIncarnation() { // otherwise the cursor counts the ends of another one
 		h.cursor = cursor
 	}
-	if !probe {
-		h.until = c.workerDeadline(workerLeaseTTL)
-	}
-	if h.until == 0 {
+	until := c.workerDeadline(workerLeaseTTL)
+	if probe || until == 0 {
 		h.wait = 0
-	} else {
+	}
+	if extend && until != 0 {
+		h.until = until
 		c.recordLease(workerLeaseTTL)
 	}
 	h.sentAt = time.Now()
