job/scheduler: workers are scored once a step, not once a task

A placement pass scored all workers for each task. The pacer then allows no pass for three times as long, in which the next backlog grows: the owner made one pass each 2 to 4 s. The owner's link was ruled out: 1.6 of 25 MB/s.

The start of a task changes the score of its own worker alone. Workers are scored for the first task of a step and kept in a heap; only the worker that took a task is scored again. Tasks that avoid a worker or have a run are placed as before.

--- a/internal/job/scheduler/bench_test.go
+++ b/internal/job/scheduler/bench_test.go
@@ -26,9 +26,7 @@
 	for _, l := range list {
 		c.HandleReport(l.ID, Report{Incarnation: 1, RequestedAt: now}, now)
 	}
-	add := func(id string, s graph.Step) {
-		c.AddJob(&graph.Job{ID: unit.JobID(id), Accepted: now, Queue: graph.Queue{ID: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second}, Steps: []graph.Step{s}}, 0, true, now)
-	}
+	add := func(id string, s graph.Step) { addBenchJob(c, id, s, now) }
 	for i := range longRunning / 6 {
 		add(fmt.Sprintf("l%d", i), graph.Step{
 			Count: 6, Needs: unit.Resources{Cores: 13000, Memory: 26 << 30}, LongRunning: true,
@@ -36,10 +34,7 @@
 		})
 	}
 	for i := range bestEffort / 8 {
-		add(fmt.Sprintf("f%d", i), graph.Step{
-			Count: 8, Needs: unit.Resources{Cores: 7000, Memory: 13 << 30}, BestEffort: true, Checkpoints: true,
-			Image: fmt.Sprintf("filling-%d", i%9), Estimate: 3 * time.Second,
-		})
+		add(fmt.Sprintf("f%d", i), bestEffortStep(i, 8))
 	}
 	for i := range quick / 6 {
 		add(fmt.Sprintf("q%d", i), graph.Step{Count: 6, Needs: unit.Resources{Cores: 6000, Memory: 11 << 30}, Estimate: time.Second})
@@ -49,6 +44,38 @@
 	return c, now
 }
 
+func addBenchJob(c *Core, id string, s graph.Step, now time.Time) {
+	c.AddJob(&graph.Job{
+		ID: unit.JobID(id), Accepted: now, Steps: []graph.Step{s},
+		Queue: graph.Queue{ID: "q", Service: "s", MaxAttempts: 3, Stretch: 2, Target: time.Second},
+	}, 0, true, now)
+}
+
+// bestEffortStep returns a step with one of nine images.
+func bestEffortStep(i, count int) graph.Step {
+	return graph.Step{
+		Count: count, Needs: unit.Resources{Cores: 7000, Memory: 13 << 30}, BestEffort: true, Checkpoints: true,
+		Image: fmt.Sprintf("filling-%d", i%9), Estimate: 3 * time.Second,
+	}
+}
+
+// BenchmarkBurst measures the placement pass that starts the tasks of many new jobs on a
+// shard with free capacity. No heartbeat is handled meanwhile.
+func BenchmarkBurst(b *testing.B) {
+	for b.Loop() {
+		b.StopTimer()
+		c, now := busyCore(490, 1200, 0, 0)
+		c.TakeOrders()
+		for i := range 50 {
+			addBenchJob(c, fmt.Sprintf("b%d", i), bestEffortStep(i, 20), now)
+			addBenchJob(c, fmt.Sprintf("u%d", i), graph.Step{Count: 10, Needs: unit.Resources{Cores: 6000, Memory: 11 << 30}, Estimate: time.Second}, now)
+		}
+		b.StartTimer()
+		c.Place(now.Add(bestEffortInterval))
+		b.ReportMetric(float64(len(c.TakeOrders())), "starts")
+	}
+}
+
 // BenchmarkReport measures a report of one worker and the placement pass after it on a
 // full shard with a backlog, the state in which an owner is busiest.
 func BenchmarkReport(b *testing.B) {
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,6 +51,7 @@
 	policy                  policy
 	addedPressures          map[imagePair]float64 // added pressure per share of cores, from the interference model
 	startBudget             startBudget
+	candidateBuffer         candidateHeap   // reused by newCandidates
 	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
 	lastPlacement           time.Time       // when the last placement pass began
 	lastPreemption          time.Time       // when preemption was last tried
--- a/internal/job/scheduler/core_test.go
+++ b/internal/job/scheduler/core_test.go
@@ -38,10 +38,15 @@
 	for _, id := range ids {
 		list = append(list, newListing(id))
 	}
+	f.listMany(list)
+}
+
+// listMany is like listWorkers with the given listings.
+func (f *fixture) listMany(list []Listing) {
 	f.core.SetWorkers(list, f.now)
 	f.core.ConfirmSnapshot(f.core.Snapshot())
-	for _, id := range ids {
-		f.report(id, nil, nil)
+	for _, l := range list {
+		f.report(l.ID, nil, nil)
 	}
 }
 
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -95,6 +95,7 @@
 // placeStep starts the waiting tasks of a step until no worker takes one.
 func (c *Core) placeStep(s *step, now time.Time) {
 	var deferred []*task
+	candidates := c.newCandidates(now)
 	for len(s.waiting) > 0 {
 		t := s.waiting[len(s.waiting)-1]
 		if now.Before(t.earliestStart) {
@@ -105,7 +106,7 @@
 		if c.isUnplaceable(s) {
 			break
 		}
-		w := c.chooseWorker(t, now)
+		w := candidates.best(t)
 		if w == nil {
 			c.recordUnplaceable(s)
 			c.preempt(t, now)
@@ -170,26 +171,6 @@
 	})
 }
 
-// chooseWorker returns the worker with the best score for a task, or nil if no
-// eligible worker has the capacity.
-func (c *Core) chooseWorker(t *task, now time.Time) *worker {
-	var best *worker
-	var bestScore float64
-	for _, w := range c.workersByService[t.job().spec.Queue.Service] {
-		if !c.eligible(w, t, now) || !w.fits(t.step.spec) {
-			continue
-		}
-		score := c.policy.score(w, t, now)
-		if score <= unfitScore/2 {
-			continue
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = w, score
-		}
-	}
-	return best
-}
-
 // eligible reports whether a task may start on a worker, apart from its capacity.
 func (c *Core) eligible(w *worker, t *task, now time.Time) bool {
 	if _, ok := t.step.ticketFor(w, now); !ok {
