job/scheduler: stalled runs are found in reports, not by the clock

Their workers answered at once; the owner read the answers 0.9 to 1.3 s late.

A run counts as stalled after 1.5 s without progress. The tick compared the time with that of the last progress it knew, which is older than 1.5 s whenever reports are late by a second.

Each report now shows whether its runs have stalled: a run that it lists without progress since 1.5 s before the report was requested. The time at which the report is handled plays no part.

TestStartBudget keeps its expectations. Its runs are reported without progress after an hour and now count as stalled there, so their estimate is longer than that.

--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -34,6 +34,7 @@
 			f.listWorkers("w1")
 			oneCore := smallStep
 			oneCore.Needs.Cores = 1000
+			oneCore.Estimate = 4 * time.Hour // no run counts as stalled in the longest pause
 			for n := range 40 {
 				job := newJob(unit.JobID(rune('a'+n)), oneCore)
 				job.Spec = strings.Repeat("s", size-int(orderOverhead))
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -177,8 +177,8 @@
 	return n
 }
 
-// Tick applies every change that depends on time alone, such as expired leases,
-// stalled runs and due occurrences.
+// Tick applies every change that depends on time alone, such as expired leases and due
+// occurrences.
 func (c *Core) Tick(now time.Time) {
 	c.resolveSilentWorkers(now)
 	c.forgetEarlyEnds(now)
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -32,7 +32,7 @@
 )
 
 // checkRuns stops the runs on a worker that should continue elsewhere: on a draining
-// worker, on one that is vacated, and those that have stalled.
+// worker and on one that is vacated.
 func (c *Core) checkRuns(w *worker, now time.Time) {
 	if w.listing.Draining {
 		c.drainWorker(w, now)
@@ -40,16 +40,18 @@
 	if !w.vacatingSince.IsZero() {
 		c.stopForUpkeep(w)
 	}
-	if w.reportRequestedAt.IsZero() || now.Sub(w.reportRequestedAt) > maxReportAge {
-		return // their current progress is unknown
-	}
-	for _, r := range w.runs {
+}
+
+// stopStalledRuns stops the runs that a report, requested at requestedAt, shows without
+// progress. They continue on other workers.
+func (c *Core) stopStalledRuns(w *worker, present map[graph.Task]bool, requestedAt, now time.Time) {
+	for id, r := range w.runs {
 		s := r.task.step.spec
-		if r.phase != phaseRunning || s.LongRunning || s.BestEffort || s.Gang {
+		if !present[id] || r.phase != phaseRunning || s.LongRunning || s.BestEffort || s.Gang {
 			continue
 		}
 		limit := max(minStallTime, time.Duration(float64(s.Estimate)*stallShare))
-		if now.Sub(r.progressedAt) > limit {
+		if requestedAt.Sub(r.progressedAt) > limit {
 			r.task.avoidedWorker = w.id
 			w.health.recordRefusal(now)
 			c.stopRun(r, ReasonStalled)
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -48,6 +48,7 @@
 	if !report.Partial {
 		c.endAbsentRuns(w, present, report.RequestedAt, now)
 	}
+	c.stopStalledRuns(w, present, report.RequestedAt, now)
 	c.repeatOrders(w, true, now)
 	c.policy.onReport(w, now)
 }
