--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,6 +51,7 @@
 	policy                  policy
 	addedPressures          map[imagePair]float64 // added pressure per share of cores, from the interference model
 	startBudget             startBudget
+	candidateBuffer         candidateHeap   // reused by newCandidates
 	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
 	lastPlacement           time.Time       // when the last placement pass began
 	lastPreemption          time.Time       // when preemption was last tried
@@ -176,8 +177,8 @@
 	return n
 }
 
-// Tick applies every change that depends on time alone, such as expired leases,
-// stalled runs and due occurrences.
+// Tick applies every change that depends on time alone, such as expired leases and due
+// occurrences.
 func (c *Core) Tick(now time.Time) {
 	c.resolveSilentWorkers(now)
 	c.forgetEarlyEnds(now)
