job/scheduler: the model covers gangs, late writes, removed jobs and the loss of a worker

It had no gangs, no writes that the store executes late, no removal of ended jobs, and did not check the third form of TWICE. These are covered now. What it checked is kept, except for:

- A job that is shown as completed was compared with what the core holds as done; it is compared now with what ended as done on the workers.
- Orders were in flight for ever.
Now an order is carried out at most 5 s late, and reaches no incarnation that begins after its caller has given the call up (2 s).
- A run ends on a worker that has one, rather than on any.

--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -33,19 +33,33 @@
 	delayedReports  []delayedReport
 	jobs            map[unit.JobID]*graph.Job
 	durableSnapshot Snapshot                   // the progress in the store
+	durableRevision int                        // of the progress in the store
+	lateWrite       *lateWrite                 // a write that the store has not executed yet; nil: none
 	durableFinal    map[unit.JobID]graph.State // final states in the store
 	cancelledSince  map[unit.JobID]time.Time
-	ackedFailures   map[graph.Task]int  // acknowledged failed runs
-	ackedDone       map[graph.Task]bool // tasks with an acknowledged end as done
-	endedDone       map[graph.Task]bool // tasks that ended as done on some worker, reported or not
-	starts          map[graph.Task]int  // executed starts
+	completedSince  map[unit.JobID]time.Time // when any owner first showed a job as completed
+	removed         map[unit.JobID]bool      // jobs whose record was removed after their end
+	ackedFailures   map[graph.Task]int       // acknowledged failed runs
+	ackedDone       map[graph.Task]bool      // tasks with an acknowledged end as done
+	endedDone       map[graph.Task]bool      // tasks that ended as done on some worker, reported or not
+	starts          map[graph.Task]int       // executed starts
 	jobCount        int
 }
 
+// lateWrite is a write of the progress that the store executes late, if its guards still
+// hold then. The owner got no answer to it.
+type lateWrite struct {
+	snapshot    Snapshot
+	finalStates []FinalState
+	epoch       unit.Epoch
+	revision    int // of the progress that the write replaces
+}
+
 // inFlightOrder is an order that has not reached its worker yet.
 type inFlightOrder struct {
 	order      Order
 	epoch      unit.Epoch
+	sentAt     time.Time
 	deadline   time.Time   // the worker refuses a later start
 	clockOf    Incarnation // whose clock the deadline is read from; others refuse nothing
 	answerLost bool        // the core gets no outcome
@@ -85,15 +99,18 @@
 const (
 	simLeaseLength     = 6 * time.Second
 	simStartWindow     = 2 * time.Second
+	simOrderTimeout    = 2 * time.Second
+	simMaxLateness     = 5 * time.Second         // of an order that is carried out late
 	simMaxDisconnected = 3500 * time.Millisecond // how long an owner acts without contact to the store
 	simMaxLease        = 10 * time.Second
 	simEndsPerReport   = 2
+	simRetention       = 10 * time.Second // of final states
 )
 
 func newSimulation(t *rapid.T) *simulation {
 	sim := &simulation{
 		t: t, now: startTime, workers: map[unit.InstanceID]*simWorker{}, jobs: map[unit.JobID]*graph.Job{},
-		durableFinal: map[unit.JobID]graph.State{}, cancelledSince: map[unit.JobID]time.Time{}, ackedFailures: map[graph.Task]int{}, ackedDone: map[graph.Task]bool{}, endedDone: map[graph.Task]bool{},
+		durableFinal: map[unit.JobID]graph.State{}, cancelledSince: map[unit.JobID]time.Time{}, completedSince: map[unit.JobID]time.Time{}, removed: map[unit.JobID]bool{}, ackedFailures: map[graph.Task]int{}, ackedDone: map[graph.Task]bool{}, endedDone: map[graph.Task]bool{},
 		starts: map[graph.Task]int{},
 	}
 	for i := range 3 {
@@ -147,6 +164,9 @@
 // addJobs passes the jobs in the store to the core of a new owner.
 func (sim *simulation) addJobs() {
 	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
+		if sim.removed[id] {
+			continue
+		}
 		sim.core.AddJob(sim.jobs[id], sim.durableFinal[id], false, sim.now)
 	}
 }
@@ -188,7 +208,7 @@
 
 func (sim *simulation) send(o Order) {
 	incarnation, _ := sim.core.AckCursor(o.Worker)
-	f := inFlightOrder{order: o, epoch: sim.epoch, deadline: sim.now.Add(simStartWindow), clockOf: incarnation}
+	f := inFlightOrder{order: o, epoch: sim.epoch, sentAt: sim.now, deadline: sim.now.Add(simStartWindow), clockOf: incarnation}
 	if sim.core.BeginOrder(o, sim.now.Add(simStartWindow*1025/1000+500*time.Millisecond), sim.now) {
 		sim.inFlight = append(sim.inFlight, f)
 	}
@@ -197,6 +217,7 @@
 // advance moves the clock. Leases expire on the workers' own clocks.
 func (sim *simulation) advance(d time.Duration) {
 	sim.now = sim.now.Add(d)
+	sim.loseOldOrders()
 	for _, id := range sim.workerIDs() {
 		s := sim.workers[id]
 		if s.leaseExpiry.IsZero() || !sim.now.After(s.leaseExpiry) {
@@ -205,7 +226,9 @@
 		s.leaseExpiry = time.Time{}
 		s.lapses++
 		for _, task := range sortedTasks(s.runs) {
-			sim.endRun(s, task, EndLeaseExpired)
+			if _, ok := s.runs[task]; ok { // it may have ended with another member of its gang
+				sim.endRun(s, task, EndLeaseExpired)
+			}
 		}
 	}
 }
@@ -216,13 +239,53 @@
 	})
 }
 
+// step returns the step of a task.
+func (sim *simulation) step(task graph.Task) *graph.Step { return &sim.jobs[task.Job].Steps[task.Step] }
+
+// members returns the tasks that end as done together: those of a gang, or the task alone.
+func (sim *simulation) members(task graph.Task) []graph.Task {
+	if !sim.step(task).Gang {
+		return []graph.Task{task}
+	}
+	var members []graph.Task
+	for n := range sim.step(task).Count {
+		members = append(members, graph.Task{Job: task.Job, Step: task.Step, Index: unit.TaskIndex(n)})
+	}
+	return members
+}
+
+// membersStarts returns how often the tasks that end together have started.
+func (sim *simulation) membersStarts(task graph.Task) int {
+	starts := 0
+	for _, m := range sim.members(task) {
+		starts += sim.starts[m]
+	}
+	return starts
+}
+
+// endRun ends a run on a worker, and with it the other members of a gang.
 func (sim *simulation) endRun(s *simWorker, task graph.Task, kind EndKind) {
+	n := s.runs[task]
+	sim.endMember(s, task, kind)
+	if kind != EndDone {
+		kind = EndGangBroken
+	}
+	for _, m := range sim.members(task) {
+		for _, id := range sim.workerIDs() {
+			if other := sim.workers[id]; m != task && other.runs[m] == n {
+				sim.endMember(other, m, kind)
+			}
+		}
+	}
+}
+
+func (sim *simulation) endMember(s *simWorker, task graph.Task, kind EndKind) {
 	n := s.runs[task]
 	delete(s.runs, task)
 	s.highestEnded[task] = max(s.highestEnded[task], n)
 	s.lastEnd++
 	end := End{Number: s.lastEnd, Task: task, Run: n, Kind: kind}
-	s.ends = append(s.ends, simEnd{End: end, starts: sim.starts[task], lapses: s.lapses})
+	s.ends = append(s.ends, simEnd{End: end, starts: sim.membersStarts(task), lapses: s.lapses})
 }
 
 // extendLease extends the lease of a worker by d on the worker's clock, which may be
@@ -261,7 +324,7 @@
 		if lease < 0 {
 			return OutcomeDeadlineExceeded
 		}
-		sim.checkStart(s, o)
+		sim.checkStart(s, f)
 		s.runs[o.Task] = o.Run
 		sim.starts[o.Task]++
 		s.extendLease(sim.now, lease)
@@ -270,7 +333,8 @@
 }
 
 // checkStart fails the test if a start violates an invariant.
-func (sim *simulation) checkStart(s *simWorker, o Order) {
+func (sim *simulation) checkStart(s *simWorker, f inFlightOrder) {
+	o := f.order
 	for _, id := range sim.workerIDs() {
 		if _, ok := sim.workers[id].runs[o.Task]; ok {
 			sim.t.Fatalf("TWICE: %v starts on %s while it runs on %s", o.Task, s.id, id)
@@ -279,6 +343,9 @@
 	if sim.ackedDone[o.Task] {
 		sim.t.Fatalf("TWICE: %v starts on %s after an acknowledged end", o.Task, s.id)
 	}
+	if since, ok := sim.completedSince[o.Task.Job]; ok && f.sentAt.After(since) {
+		sim.t.Fatalf("TWICE: the start of %v on %s was sent after its job was shown as completed", o.Task, s.id)
+	}
 	job := sim.jobs[o.Task.Job]
 	if job == nil {
 		sim.t.Fatalf("UNASKED: %v starts although its job was not submitted", o.Task)
@@ -311,6 +378,31 @@
 	sim.queueOrders()
 }
 
+// serve starts the waiting tasks that fit, without delays.
+func (sim *simulation) serve() {
+	sim.place()
+	sim.sendAll()
+	for range len(sim.inFlight) {
+		sim.deliverOne()
+	}
+}
+
+// loseWorker cuts a worker off until its lease has expired and its tasks have been placed
+// elsewhere. What it ran may end meanwhile.
+func (sim *simulation) loseWorker() {
+	lost := sim.pickWorker()
+	lost.partitioned = true
+	for range 10 {
+		if len(lost.runs) > 0 && sim.rarely() {
+			sim.endOne(lost)
+		}
+		sim.advance(time.Second)
+		sim.core.SetWorkers(sim.listings(), sim.now) // the owner keeps watching the list
+		sim.heartbeatAll()
+	}
+	sim.queueOrders()
+}
+
 // heartbeat renews a worker's lease and, if answered, passes its report to the core. As
 // an owner does, it contacts only the workers that the core names.
 func (sim *simulation) heartbeat(s *simWorker, answered bool) {
@@ -367,8 +459,10 @@
 		}
 		switch e.Kind {
 		case EndDone:
-			sim.ackedDone[e.Task] = true
-			if e.lapses == s.lapses && sim.starts[e.Task] > e.starts {
+			for _, m := range sim.members(e.Task) {
+				sim.ackedDone[m] = true
+			}
+			if e.lapses == s.lapses && sim.membersStarts(e.Task) > e.starts {
 				sim.t.Fatalf("TWICE: %v has started after it had ended as done on %s, whose lease has not expired since", e.Task, s.id)
 			}
 		case EndFailed:
@@ -379,13 +473,14 @@
 }
 
 // TestModel drives owners, workers and the network by random actions and checks the
-// invariants: no task runs twice at once, none starts after an acknowledged end as
-// done, after its last attempt, before its dependencies or beyond a worker's
-// capacity, and no job is shown as completed before its tasks are done. Orders wait in
-// the queue of their owner before they are sent, and are delayed, reordered, repeated
-// and lost; reports are delayed, reordered and lost; workers are partitioned, restart
-// and leave the instance list; owners are replaced at any time, with and without a
-// hand-over.
+// invariants: no task runs twice at once, none starts after an acknowledged end as done,
+// after its last attempt, before its dependencies or beyond a worker's capacity, no start
+// is sent after its job was shown as completed, and no job is shown as completed before
+// its tasks have ended as done. Orders wait in the queue of their owner before they are
+// sent, and are delayed, reordered, repeated and lost; reports are delayed, reordered and
+// lost; writes are executed without an answer, at once or late; workers are partitioned,
+// restart and leave the instance list; owners are replaced at any time, with and without a
+// hand-over; the members of a gang end together; ended jobs are removed.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -401,6 +496,13 @@
 				sim.place()
 				sim.sendAll()
 			},
+			"serve":         func(*rapid.T) { sim.serve() },
+			"lose a worker": func(*rapid.T) { sim.loseWorker() },
+			"reconnect": func(*rapid.T) {
+				for _, s := range sim.workers {
+					s.partitioned = false
+				}
+			},
 			"send":     func(*rapid.T) { sim.sendOne() },
 			"send all": func(*rapid.T) { sim.sendAll() },
 			"answer":   func(t *rapid.T) { sim.settleReport(rapid.IntRange(0, 3).Draw(t, "lost") == 0) },
@@ -410,11 +512,14 @@
 					sim.deliverOne()
 				}
 			},
-			"repeat": func(t *rapid.T) { sim.deliverCopy() },
-			"work":   func(t *rapid.T) { sim.endSomeRun() },
-			"sync":   func(*rapid.T) { sim.writeSnapshot(true); sim.heartbeatAll() },
-			"write":  func(*rapid.T) { sim.writeSnapshot(true) },
-			"lose":   func(*rapid.T) { sim.writeSnapshot(false) },
+			"repeat":           func(t *rapid.T) { sim.deliverCopy() },
+			"work":             func(t *rapid.T) { sim.endSomeRun() },
+			"sync":             func(*rapid.T) { sim.writeSnapshot(true); sim.heartbeatAll() },
+			"write":            func(*rapid.T) { sim.writeSnapshot(true) },
+			"lose":             func(*rapid.T) { sim.writeSnapshot(false) },
+			"write late":       func(*rapid.T) { sim.writeLate() },
+			"store catches up": func(*rapid.T) { sim.executeLateWrite() },
+			"remove":           func(*rapid.T) { sim.removeJobs() },
 			"cut": func(*rapid.T) {
 				s := sim.pickWorker()
 				s.partitioned = !s.partitioned && sim.rarely()
@@ -446,10 +551,13 @@
 		return
 	}
 	sim.jobCount++
-	step := graph.Step{Count: rapid.IntRange(1, 3).Draw(sim.t, "count"), Needs: unit.Resources{Cores: 30000}, Estimate: time.Second}
+	needs := rapid.SampledFrom([]unit.Millicores{30000, 30000, 10000}).Draw(sim.t, "cores")
+	step := graph.Step{Count: rapid.IntRange(1, 3).Draw(sim.t, "count"), Needs: unit.Resources{Cores: needs}, Estimate: time.Second}
 	job := newJob(unit.JobID(fmt.Sprintf("j%d", sim.jobCount)), step)
+	step.Gang = step.Count > 1 && rapid.Bool().Draw(sim.t, "gang")
 	if rapid.Bool().Draw(sim.t, "two steps") {
 		later := step
+		later.Gang = later.Count > 1 && rapid.Bool().Draw(sim.t, "gang")
 		later.After = []graph.StepIndex{0}
 		job.Steps = append(job.Steps, later)
 	}
@@ -484,6 +592,11 @@
 		sim.inFlight = append(sim.inFlight, f)
 		sim.inFlight[len(sim.inFlight)-1].answerLost = true
 	}
+	sim.answer(f, outcome)
+}
+
+// answer passes the outcome of an order to the core, unless the answer is lost.
+func (sim *simulation) answer(f inFlightOrder, outcome Outcome) {
 	if f.answerLost || f.epoch != sim.epoch {
 		return
 	}
@@ -495,6 +608,18 @@
 	}
 }
 
+// loseOldOrders loses the orders that have been in flight for longer than any order is
+// carried out late.
+func (sim *simulation) loseOldOrders() {
+	sim.inFlight = slices.DeleteFunc(sim.inFlight, func(f inFlightOrder) bool {
+		old := sim.now.Sub(f.sentAt) > simMaxLateness
+		if old {
+			sim.answer(f, OutcomeUnknown)
+		}
+		return old
+	})
+}
+
 // deliverCopy delivers an order that stays in flight.
 func (sim *simulation) deliverCopy() {
 	if len(sim.inFlight) == 0 {
@@ -509,22 +634,81 @@
 
 // endSomeRun ends a random run on a worker as done or failed.
 func (sim *simulation) endSomeRun() {
-	s := sim.pickWorker()
-	if len(s.runs) == 0 {
+	ids := slices.DeleteFunc(sim.workerIDs(), func(id unit.InstanceID) bool { return len(sim.workers[id].runs) == 0 })
+	if len(ids) == 0 {
 		return
 	}
+	sim.endOne(sim.workers[rapid.SampledFrom(ids).Draw(sim.t, "worker")])
+}
+
+// endOne ends a random run on a worker, or a gang of which one member runs there.
+func (sim *simulation) endOne(s *simWorker) {
 	task := rapid.SampledFrom(sortedTasks(s.runs)).Draw(sim.t, "task")
 	kind := rapid.SampledFrom([]EndKind{EndDone, EndDone, EndDone, EndFailed}).Draw(sim.t, "kind")
-	sim.endedDone[task] = sim.endedDone[task] || kind == EndDone
+	if kind == EndDone && !sim.allPresent(task, s.runs[task]) {
+		return // a gang works only while all members are present
+	}
+	if kind == EndDone {
+		for _, m := range sim.members(task) {
+			sim.endedDone[m] = true
+		}
+	}
 	sim.endRun(s, task, kind)
 }
 
+// allPresent reports whether a run of a task is present on some worker, with all members
+// of its gang.
+func (sim *simulation) allPresent(task graph.Task, n graph.RunNumber) bool {
+	for _, m := range sim.members(task) {
+		if !slices.ContainsFunc(sim.workerIDs(), func(id unit.InstanceID) bool { return sim.workers[id].runs[m] == n }) {
+			return false
+		}
+	}
+	return true
+}
+
+// writeLate sends a write of the progress and the final states that gets no answer and
+// that the store executes later.
+func (sim *simulation) writeLate() {
+	w := lateWrite{snapshot: sim.core.Snapshot(), finalStates: sim.core.TakeFinalStates(), epoch: sim.epoch, revision: sim.durableRevision}
+	sim.lateWrite = &w
+	sim.core.MarkProgressChanged()
+	sim.core.finalStates = append(slices.Clone(w.finalStates), sim.core.finalStates...)
+}
+
+// executeLateWrite executes the late write unless another owner has claimed the shard, the
+// progress was written since or a job was cancelled.
+func (sim *simulation) executeLateWrite() {
+	w := sim.lateWrite
+	sim.lateWrite = nil
+	if w == nil || w.epoch != sim.epoch || w.revision != sim.durableRevision ||
+		slices.ContainsFunc(w.finalStates, func(f FinalState) bool { return sim.durableFinal[f.Job] != 0 }) {
+		return
+	}
+	sim.durableSnapshot = w.snapshot
+	sim.durableRevision++
+	for _, f := range w.finalStates {
+		sim.durableFinal[f.Job] = f.State
+	}
+}
+
+// removeJobs removes the records of jobs that have ended long ago.
+func (sim *simulation) removeJobs() {
+	for _, id := range sim.core.RemoveFinalJobs(sim.now.Add(-simRetention), 4) {
+		sim.removed[id] = true
+	}
+}
+
 // writeSnapshot makes the progress and final states durable. The core is only told if
 // the write is answered.
 func (sim *simulation) writeSnapshot(answered bool) {
 	snapshot := sim.core.Snapshot()
 	sim.durableSnapshot = snapshot
-	finalStates := sim.core.TakeFinalStates()
+	sim.durableRevision++
+	finalStates := slices.DeleteFunc(sim.core.TakeFinalStates(), func(f FinalState) bool {
+		stored := sim.durableFinal[f.Job]
+		return stored != 0 && stored != f.State // as an owner does, it overwrites no cancellation
+	})
 	for _, f := range finalStates {
 		sim.durableFinal[f.Job] = f.State
 	}
@@ -542,7 +726,8 @@
 // restartWorker restarts a worker under a new incarnation, without its runs and ends.
 // Orders in flight reach the new incarnation, except those that the earlier one has
 // executed or would refuse because of a stop or a higher epoch: nothing on the wire
-// makes the new one refuse them.
+// makes the new one refuse them. An order that got no answer in time is given up with its
+// connection, so that it reaches no incarnation that begins later.
 func (sim *simulation) restartWorker() {
 	s := sim.pickWorker()
 	if rapid.IntRange(0, 4).Draw(sim.t, "really") > 0 {
@@ -550,7 +735,8 @@
 	}
 	sim.inFlight = slices.DeleteFunc(sim.inFlight, func(f inFlightOrder) bool {
 		refused := f.epoch < s.highestEpoch || f.order.Run <= s.highestEnded[f.order.Task]
-		return f.order.Worker == s.id && (f.executed || refused)
+		givenUp := sim.now.After(f.sentAt.Add(simOrderTimeout))
+		return f.order.Worker == s.id && (f.executed || refused || givenUp)
 	})
 	s.incarnation++
 	s.highestEpoch, s.lastEnd, s.ends, s.leaseExpiry = 0, 0, nil, time.Time{}
@@ -570,9 +756,12 @@
 }
 
 // checkShownStates fails the test if a job is unknown or is shown as completed before
-// all of its tasks are done.
+// all of its tasks have ended as done on a worker.
 func (sim *simulation) checkShownStates() {
 	for id, job := range sim.jobs {
+		if sim.removed[id] {
+			continue
+		}
 		state, ok := sim.core.JobState(id)
 		if !ok {
 			sim.t.Fatalf("LOST: job %s is not known", id)
@@ -580,16 +769,16 @@
 		if state != graph.Completed {
 			continue
 		}
+		if _, ok := sim.completedSince[id]; !ok {
+			sim.completedSince[id] = sim.now
+		}
 		for i := range job.Steps {
 			for n := range job.Steps[i].Count {
 				task := graph.Task{Job: id, Step: graph.StepIndex(i), Index: unit.TaskIndex(n)}
-				if !sim.core.lookupTask(task).doneOrUnknown() {
-					sim.t.Fatalf("MIXED: job %s is shown as completed, task %v is not done", id, task)
+				if !sim.endedDone[task] {
+					sim.t.Fatalf("MIXED: job %s is shown as completed, task %v has not ended as done", id, task)
 				}
 			}
 		}
 	}
 }
-
-// doneOrUnknown reports whether the task is done or the core no longer holds it.
-func (t *task) doneOrUnknown() bool { return t == nil || t.done }
