job/owner: paces keep their place among the orders to a worker

Why it costs as much as it does was not traced. Stops alone go first: there are few, and the bound on cancellations depends on them.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -100,27 +100,20 @@
 	}
 }
 
-// dequeue removes the next order from the queue: the oldest one of the most urgent kind.
+// dequeue removes the next order from the queue: the oldest stop, or the oldest order. A
+// start in front of a stop may take maxOrderTimeout.
 func (c *workerClient) dequeue() (scheduler.Order, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.queue) == 0 {
 		return scheduler.Order{}, false
 	}
-	next := 0
-	for i, o := range c.queue {
-		if urgency[o.Kind] > urgency[c.queue[next].Kind] {
-			next = i
-		}
-	}
+	next := max(0, slices.IndexFunc(c.queue, func(o scheduler.Order) bool { return o.Kind == scheduler.OrderStop }))
 	o := c.queue[next]
 	c.queue = slices.Delete(c.queue, next, next+1)
 	return o, true
 }
 
-// urgency ranks the kinds of orders. A start in front of them may take maxOrderTimeout.
-var urgency = [...]int{scheduler.OrderStart: 0, scheduler.OrderPace: 1, scheduler.OrderStop: 2}
-
 // sendOrders sends queued orders to the worker, one at a time.
 func (c *workerClient) sendOrders() {
 	for {
