--- a/internal/fleet/ownership/register.go
+++ b/internal/fleet/ownership/register.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
@@ -73,7 +74,7 @@
 func (s *Service) viewWithinWatchTimeout() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Age(s.viewRequestedAt, time.Now()) < entryWatchTimeout
+	return unit.Age(s.viewRequestedAt, time.Now()) < entryWatchTimeout
 }
 
 // writeRegistration writes the registration of this entry under a new lease.
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -187,13 +187,7 @@
 func (s *Service) viewAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(Age(s.viewRequestedAt, now), Age(s.epochConfirmedAt, now))
-}
-
-// Age returns the time since t by the monotonic clock or the wall clock, whichever is
-// longer: the monotonic clock stops while an instance is suspended.
-func Age(t, now time.Time) time.Duration {
-	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+	return min(unit.Age(s.viewRequestedAt, now), unit.Age(s.epochConfirmedAt, now))
 }
 
 // Resign releases the shard and stops this entry from claiming it again.
--- a/internal/fleet/ownership/view_test.go
+++ b/internal/fleet/ownership/view_test.go
@@ -124,7 +124,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			if diff := cmp.Diff(tt.want, Age(seen, tt.now)); diff != "" {
+			if diff := cmp.Diff(tt.want, unit.Age(seen, tt.now)); diff != "" {
 				t.Errorf("age (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/fleet/unit/time.go
+++ b/internal/fleet/unit/time.go
@@ -17,6 +17,12 @@
 // Sub returns the duration from o to t.
 func (t WorkerTime) Sub(o WorkerTime) time.Duration { return time.Duration(t - o) }
 
+// Age returns the time since t by the monotonic clock or the wall clock, whichever is
+// longer: the monotonic clock stops while an instance is suspended.
+func Age(t, now time.Time) time.Duration {
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
 // Duration is a time.Duration written as text such as "250ms" in settings and
 // targets.
 type Duration time.Duration
--- a/internal/job/owner/views.go
+++ b/internal/job/owner/views.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
 // Delays are the longest times after an acknowledged change in which tasks may still
@@ -53,7 +53,7 @@
 func (c *confirmation) age(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return ownership.Age(c.at, now)
+	return unit.Age(c.at, now)
 }
 
 // remaining returns for how long a start may rest on the view, at most maxStartWindow, if
