target/directory: no route is denied on an old view of the configuration

Callers got a 404 for a route that had been added more than 3 s before, the bound on configurations, from an entry whose watch of the operators' items was late under load.

While the store answers no entry there is no newer version, and the 404 stays. The watch waits 0.9 s, so that a view without changes is at most 1.8 s old where the bound is 2 s.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -131,7 +131,7 @@
 	services := []registry.Service{
 		mesh.New(log, s.IP, s.PeerPorts),
 		access.New(log, platform.NewStoreClient(s.StoreAddress)),
-		directory.New(log, platform.OperatorDecoder{}),
+		directory.New(log, platform.OperatorDecoder{}, s.Bounds.ConfigDelay),
 		ownership.New(log, self, ownership.Capacity(s.Limits), s.Bounds.MinLeaseTTL),
 		e.owner,
 		intake.New(log),
--- a/internal/target/directory/directory_test.go
+++ b/internal/target/directory/directory_test.go
@@ -46,7 +46,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := New(logr.Discard(), decoder{})
+			s := New(logr.Discard(), decoder{}, 0)
 			for _, i := range tt.items {
 				s.adoptDocument(i)
 			}
@@ -57,6 +57,40 @@
 	}
 }
 
+// fixedOutage says whether the store answers no entry.
+type fixedOutage bool
+
+func (o fixedOutage) Outage() bool { return bool(o) }
+
+// TestRecent guards against answers that only an older version allows, from an entry that
+// has not read the operators' items for longer than a version may take.
+func TestRecent(t *testing.T) {
+	const delay = 2 * time.Second
+	tests := []struct {
+		name   string
+		delay  time.Duration
+		age    time.Duration // of the view
+		outage bool
+		want   bool
+	}{
+		{"just read", delay, 0, false, true},
+		{"read 1.9 s ago", delay, 1900 * time.Millisecond, false, true},
+		{"read 2.1 s ago", delay, 2100 * time.Millisecond, false, false},
+		{"store answers no entry", delay, time.Minute, true, true},
+		{"no limit", 0, time.Minute, false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(logr.Discard(), decoder{}, tt.delay)
+			s.outage = fixedOutage(tt.outage)
+			s.confirm(time.Now().Add(-tt.age))
+			if diff := cmp.Diff(tt.want, s.Recent()); diff != "" {
+				t.Errorf("recent (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // agingStore lists at once. It answers each of two watches after a second, and later ones
 // never.
 type agingStore struct{ watches int }
@@ -96,7 +130,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				began := time.Now()
-				s := New(logr.Discard(), decoder{})
+				s := New(logr.Discard(), decoder{}, 0)
 				s.store = kv.Client{Doer: &agingStore{}}
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
@@ -151,7 +185,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := New(logr.Discard(), decoder{})
+				s := New(logr.Discard(), decoder{}, 0)
 				s.store = kv.Client{Doer: tt.store}
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -18,8 +19,9 @@
 const ServiceName registry.Name = "directory"
 
 // watchTimeout bounds the time for which a connection that delivers nothing can hide a new
-// version. While nothing changes, the view is up to twice as old.
-const watchTimeout = time.Second
+// version. While nothing changes, the view is up to twice as old, which has to be less
+// than the time in which a version is to be in force.
+const watchTimeout = 900 * time.Millisecond
 
 // Decoder decodes the operators' items.
 type Decoder interface {
@@ -32,11 +34,16 @@
 	EvacuatedZone(kv.Key) (unit.ZoneID, bool)
 }
 
+// outageDetector reports whether the store answers no entry.
+type outageDetector interface{ Outage() bool }
+
 // Service follows the operators' items in the store and holds the configuration.
 type Service struct {
 	*registry.Tasks
 	log     logr.Logger
 	decoder Decoder
+	delay   time.Duration
+	outage  outageDetector
 	store   kv.Client
 	current atomic.Pointer[Document]
 
@@ -45,10 +52,11 @@
 	confirmedAt time.Time // when the last read was sent that has shown all items until then
 }
 
-// New returns a service that decodes items with d.
-func New(log logr.Logger, d Decoder) *Service {
+// New returns a service that decodes items with d. A version has to be in force within
+// delay; 0 for no limit.
+func New(log logr.Logger, d Decoder, delay time.Duration) *Service {
 	return &Service{
-		Tasks: registry.NewTasks(), log: log, decoder: d,
+		Tasks: registry.NewTasks(), log: log, decoder: d, delay: delay,
 		evacuated: map[unit.ZoneID]bool{},
 	}
 }
@@ -59,6 +67,9 @@
 // Start implements registry.Service.
 func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
 	var err error
+	if s.outage, err = registry.Find[outageDetector](k, kv.ServiceName); err != nil {
+		return errors.Errorf("find store: %w", err)
+	}
 	if s.store, err = kv.Find(k); err != nil {
 		return err
 	}
@@ -77,6 +88,18 @@
 	return maps.Clone(s.evacuated), s.confirmedAt
 }
 
+// Recent reports whether every version that has to be in force by now is known. While the
+// store answers no entry there are no new ones.
+func (s *Service) Recent() bool {
+	if s.delay == 0 {
+		return true
+	}
+	s.mu.Lock()
+	age := unit.Age(s.confirmedAt, time.Now())
+	s.mu.Unlock()
+	return age <= s.delay || s.outage.Outage()
+}
+
 // confirm records that the items as of sentAt have been applied.
 func (s *Service) confirm(sentAt time.Time) {
 	s.mu.Lock()
