job/scheduler: one failed search for a relocation ends those of its step

A pass now remembers the steps for which no worker is fast enough. The only worker that another run of such a step could still find is the one on which the first run is slowed. The capacity of a worker, which needs no map, is checked before its eligibility, here and where workers are scored for a placement.

--- a/internal/job/scheduler/candidate.go
+++ b/internal/job/scheduler/candidate.go
@@ -106,7 +106,7 @@
 // scoreIfFit returns the score of a worker for a task, or false if the worker is not
 // eligible, lacks the capacity or is unfit by its score.
 func (c *Core) scoreIfFit(w *worker, t *task, now time.Time) (float64, bool) {
-	if !c.eligible(w, t, now) || !w.fits(t.step.spec) {
+	if !w.fits(t.step.spec) || !c.eligible(w, t, now) {
 		return 0, false
 	}
 	score := c.policy.score(w, t, now)
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -76,29 +76,38 @@
 // relocateSlowedRuns stops slowed best-effort runs that can work faster elsewhere.
 func (c *Core) relocateSlowedRuns(now time.Time) {
 	moves := 0
+	noWorker := map[*step]bool{} // steps for which no worker is fast enough
 	for _, w := range c.workers {
 		for _, r := range w.runs {
-			s := r.task.step.spec
-			if s.BestEffort && s.Checkpoints && r.phase == phaseRunning && c.relocate(r, now) {
-				if moves++; moves == maxRelocationsPerPass {
-					return
-				}
+			if !r.mayRelocate(now) || noWorker[r.task.step] {
+				continue
+			}
+			if !c.canRunFaster(r, now) {
+				noWorker[r.task.step] = true
+				continue
+			}
+			c.stopRun(r, ReasonSlowed)
+			if moves++; moves == maxRelocationsPerPass {
+				return
 			}
 		}
 	}
 }
 
-// relocate stops a best-effort run that has been slowed for some time, if another
-// worker can run it at a good speed without disturbing serving tasks. It reports
-// whether it did.
-func (c *Core) relocate(r *run, now time.Time) bool {
-	if r.pacePercent > maxSlowedPace || now.Sub(r.paceSetAt) < minSlowedTime || r.progressPercent > 90 {
-		return false
-	}
+// mayRelocate reports whether a run is a best-effort run that has been slowed for some
+// time and can continue from a checkpoint.
+func (r *run) mayRelocate(now time.Time) bool {
+	s := r.task.step.spec
+	return s.BestEffort && s.Checkpoints && r.phase == phaseRunning &&
+		r.pacePercent <= maxSlowedPace && now.Sub(r.paceSetAt) >= minSlowedTime && r.progressPercent <= 90
+}
+
+// canRunFaster reports whether another worker can run the task of a run at a good speed
+// without disturbing serving tasks.
+func (c *Core) canRunFaster(r *run, now time.Time) bool {
 	for _, w := range c.workersByService[r.task.job().spec.Queue.Service] {
-		if w != r.worker && c.eligible(w, r.task, now) && w.fits(r.task.step.spec) &&
+		if w != r.worker && w.fits(r.task.step.spec) && c.eligible(w, r.task, now) &&
 			c.bestEffortSpeed(w, r.task.step, now) >= minRelocationSpeed {
-			c.stopRun(r, ReasonSlowed)
 			return true
 		}
 	}
