job/scheduler: an interrupted long-running task goes before short ones

One owner and epoch, all workers reporting, and passes go on: cf007d1a.0.0.11 failed at 21.6 s and started again at 35.0 s. Short tasks go before long-running ones of their priority and took each place first while they had a backlog of 130 to 500. Without processor time the task waited 1.5 s.

A long-running task that has run before now goes first among the steps of its priority. It takes back cores that it had released, so short tasks lose no more than they had before its failure. New long-running tasks still go after short ones.

Before the change:

TestInterruptedLongRunningTask/one_task_interrupted: want l, s1; got s1, s2 TestInterruptedLongRunningTask/both_tasks_interrupted: want l, l; got s1, s2

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -73,17 +73,40 @@
 	)
 }
 
-// rank orders steps of one priority: short tasks, then long-running ones, then short
-// ones that are too late to be of use. A long-running task does not release its
-// cores, so on a full shard it would take them from short tasks for good.
+// Ranks of the steps of one priority, the most urgent first.
+const (
+	rankInterrupted = iota // long-running, and a task has to run again
+	rankShort
+	rankLongRunning // does not release its cores: on a full shard it takes them from short tasks for good
+	rankTooLate     // short, and too late to be of use
+)
+
+// rank returns the rank of a step with waiting tasks.
 func (s *step) rank(now time.Time) int {
 	switch {
+	case s.interrupted(now):
+		return rankInterrupted
 	case s.spec.LongRunning:
-		return 1
+		return rankLongRunning
 	case s.occurrence.tooLate(now):
-		return 2
+		return rankTooLate
 	}
-	return 0
+	return rankShort
+}
+
+// interrupted reports whether the next task to place is a long-running one that has run
+// before. It takes back the cores that it has released: short tasks would take each free
+// place first, for as long as they have a backlog.
+func (s *step) interrupted(now time.Time) bool {
+	if !s.spec.LongRunning {
+		return false
+	}
+	for _, t := range slices.Backward(s.waiting) {
+		if !now.Before(t.earliestStart) {
+			return t.lastRun > 0
+		}
+	}
+	return false
 }
 
 // safeToStart reports whether no unresolved worker can still have a run, or an end that
@@ -96,7 +119,8 @@
 func (c *Core) placeStep(s *step, now time.Time) {
 	var deferred []*task
 	candidates := c.newCandidates(now)
-	for len(s.waiting) > 0 {
+	interrupted := s.interrupted(now)
+	for len(s.waiting) > 0 && s.interrupted(now) == interrupted { // other tasks have another rank
 		t := s.waiting[len(s.waiting)-1]
 		if now.Before(t.earliestStart) {
 			s.waiting = s.waiting[:len(s.waiting)-1]
--- a/internal/job/scheduler/place_test.go
+++ b/internal/job/scheduler/place_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +158,55 @@
 		t.Errorf("pace %d after 2.4 s over the target, want 0", got)
 	}
 }
+
+// TestInterruptedLongRunningTask guards against a long-running task that has failed and
+// does not run again while short tasks take each free place, and against a new
+// long-running task that takes the place of short ones.
+func TestInterruptedLongRunningTask(t *testing.T) {
+	needs := unit.Resources{Cores: 32000, Memory: 1 << 30}
+	short := graph.Step{Count: 1, Needs: needs, Estimate: time.Second}
+	longRunning := graph.Step{Count: 2, Needs: needs, LongRunning: true}
+	tests := []struct {
+		name string
+		ran  int // tasks of the long-running job that have run and failed
+		want []unit.JobID
+	}{
+		{"new", 0, []unit.JobID{"s1", "s2"}},
+		{"one task interrupted", 1, []unit.JobID{"l", "s1"}},
+		{"both tasks interrupted", 2, []unit.JobID{"l", "l"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			other := short
+			other.Count = 2 - tt.ran
+			f.addJob("o", other, true)
+			f.takeStarts(OutcomeDone)
+			f.addJob("l", longRunning, true)
+			starts := f.takeStarts(OutcomeDone)
+			if len(starts) != tt.ran {
+				t.Fatalf("%d starts beside job o, want %d", len(starts), tt.ran)
+			}
+			for _, id := range []unit.JobID{"s1", "s2"} {
+				f.addJob(id, short, true)
+			}
+			var ended []End
+			for n := range other.Count {
+				ended = append(ended, End{Number: EndNumber(n + 1), Task: graph.Task{Job: "o", Index: unit.TaskIndex(n)}, Run: 1, Kind: EndDone})
+			}
+			for _, o := range starts {
+				ended = append(ended, End{Number: EndNumber(len(ended) + 1), Task: o.Task, Run: o.Run, Kind: EndFailed})
+			}
+			f.report("w1", nil, ended)
+			var got []unit.JobID
+			for _, o := range f.takeStarts(OutcomeDone) {
+				got = append(got, o.Task.Job)
+			}
+			slices.Sort(got)
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("jobs of the next starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
