job/owner: stops and paces are sent before queued starts

A pace or a stop that waits lets a task disturb others or hold its capacity for as long.

The queue of a worker now has stops and paces first, each kind in the order in which it was given. No order depends on one of another kind before it: a stop of a start that waits withdraws the start in the core.

Before the change:

TestOrderQueue/pace_behind_starts: the pace came after both starts TestOrderQueue/stops_and_paces_in_order: start 1, pace 2, stop 3, start 4, pace 5

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,10 +88,17 @@
 	return c
 }
 
-// enqueue adds an order to the queue of the worker.
+// enqueue adds an order to the queue of the worker. Stops and paces go before starts: what
+// they free or slow disturbs other tasks until then.
 func (c *workerClient) enqueue(o scheduler.Order) {
 	c.mu.Lock()
-	c.queue = append(c.queue, o)
+	position := len(c.queue)
+	if o.Kind != scheduler.OrderStart {
+		if i := slices.IndexFunc(c.queue, isStart); i >= 0 {
+			position = i
+		}
+	}
+	c.queue = slices.Insert(c.queue, position, o)
 	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
@@ -98,6 +106,8 @@
 	}
 }
 
+func isStart(o scheduler.Order) bool { return o.Kind == scheduler.OrderStart }
+
 func (c *workerClient) dequeue() (scheduler.Order, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/job/owner/workerclient_order_test.go
+++ b/internal/job/owner/workerclient_order_test.go
@@ -89,3 +89,36 @@
 		})
 	}
 }
+
+// TestOrderQueue guards against stops and paces that wait behind the starts of a burst,
+// while the tasks that they are meant for disturb others.
+func TestOrderQueue(t *testing.T) {
+	const start, stop, pace = scheduler.OrderStart, scheduler.OrderStop, scheduler.OrderPace
+	type order struct {
+		kind scheduler.OrderKind
+		run  graph.RunNumber
+	}
+	tests := []struct {
+		name        string
+		given, want []order
+	}{
+		{"starts", []order{{start, 1}, {start, 2}}, []order{{start, 1}, {start, 2}}},
+		{"pace behind starts", []order{{start, 1}, {start, 2}, {pace, 3}}, []order{{pace, 3}, {start, 1}, {start, 2}}},
+		{"stops and paces in order", []order{{start, 1}, {pace, 2}, {stop, 3}, {start, 4}, {pace, 5}}, []order{{pace, 2}, {stop, 3}, {pace, 5}, {start, 1}, {start, 4}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			client := &workerClient{wake: make(chan struct{}, 1)}
+			for _, o := range tt.given {
+				client.enqueue(scheduler.Order{Kind: o.kind, Run: o.run})
+			}
+			var got []order
+			for o, ok := client.dequeue(); ok; o, ok = client.dequeue() {
+				got = append(got, order{o.Kind, o.Run})
+			}
+			if diff := cmp.Diff(tt.want, got, cmp.AllowUnexported(order{})); diff != "" {
+				t.Errorf("sent orders (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
