job/scheduler: a long-running task is interrupted only once it has run

Tasks that have run before are placed first within their step after a takeover, too.

Before the change:

TestInterruptedLongRunningTask/new,_later_owner: want s1, s2; got l, l TestInterruptedLongRunningTask/one_task_interrupted,_later_owner: want l, s1; got l, l TestInterruptedLongRunningTask/second_task_failed_under_an_earlier_owner (without the use of the progress): want l, s1; got s1, s2

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -59,6 +59,7 @@
 	endedDone     bool // a run has ended as done; the task is complete once it has no other run
 	failedRuns    []graph.RunNumber
 	lastRun       graph.RunNumber // highest run number seen or used
+	hasRun        bool            // a run has ended after a worker had begun it
 	runs          []*run          // runs on workers
 	checkpoint    string          // latest one; a new run resumes from it
 	earliestStart time.Time
@@ -208,6 +209,7 @@
 		}
 		t := &s.tasks[saved.Index]
 		t.failedRuns, t.checkpoint = saved.Failed, saved.Checkpoint
+		t.hasRun = len(saved.Failed) > 0 || saved.Checkpoint != ""
 		if saved.Done && !spec.LongRunning {
 			done[saved.Index] = true
 		}
@@ -219,10 +221,13 @@
 			s.remaining--
 		}
 	}
-	// The last task of the list is placed first, so that tasks start by index.
-	for n := len(s.tasks) - 1; n >= 0; n-- {
-		if !s.tasks[n].done {
-			s.waiting = append(s.waiting, &s.tasks[n])
+	// The last task of the list is placed first, so that tasks start by index, those that
+	// have run before first.
+	for _, hasRun := range []bool{false, true} {
+		for n := len(s.tasks) - 1; n >= 0; n-- {
+			if t := &s.tasks[n]; !t.done && t.hasRun == hasRun {
+				s.waiting = append(s.waiting, t)
+			}
 		}
 	}
 	return s
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -103,7 +103,7 @@
 	}
 	for _, t := range slices.Backward(s.waiting) {
 		if !now.Before(t.earliestStart) {
-			return t.lastRun > 0
+			return t.hasRun
 		}
 	}
 	return false
--- a/internal/job/scheduler/place_test.go
+++ b/internal/job/scheduler/place_test.go
@@ -167,17 +167,23 @@
 	short := graph.Step{Count: 1, Needs: needs, Estimate: time.Second}
 	longRunning := graph.Step{Count: 2, Needs: needs, LongRunning: true}
 	tests := []struct {
-		name string
-		ran  int // tasks of the long-running job that have run and failed
-		want []unit.JobID
+		name  string
+		epoch unit.Epoch
+		ran   int            // tasks of the long-running job that have run and failed
+		tasks []TaskProgress // of the long-running job under earlier owners
+		want  []unit.JobID
 	}{
-		{"new", 0, []unit.JobID{"s1", "s2"}},
-		{"one task interrupted", 1, []unit.JobID{"l", "s1"}},
-		{"both tasks interrupted", 2, []unit.JobID{"l", "l"}},
+		{"new", 1, 0, nil, []unit.JobID{"s1", "s2"}},
+		{"one task interrupted", 1, 1, nil, []unit.JobID{"l", "s1"}},
+		{"both tasks interrupted", 1, 2, nil, []unit.JobID{"l", "l"}},
+		{"new, later owner", 3, 0, nil, []unit.JobID{"s1", "s2"}},
+		{"one task interrupted, later owner", 3, 1, nil, []unit.JobID{"l", "s1"}},
+		{"second task failed under an earlier owner", 3, 0, []TaskProgress{{Index: 1, Failed: []graph.RunNumber{1}}}, []unit.JobID{"l", "s1"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := newFixture(t, 1, 0)
+			f := newFixture(t, tt.epoch, 0)
+			f.core.LoadProgress(map[unit.JobID]Progress{"l": {Started: tt.tasks != nil, Tasks: tt.tasks}}, nil, nil)
 			f.listWorkers("w1")
 			other := short
 			other.Count = 2 - tt.ran
@@ -193,7 +199,7 @@
 			}
 			var ended []End
 			for n := range other.Count {
-				ended = append(ended, End{Number: EndNumber(n + 1), Task: graph.Task{Job: "o", Index: unit.TaskIndex(n)}, Run: 1, Kind: EndDone})
+				ended = append(ended, End{Number: EndNumber(n + 1), Task: graph.Task{Job: "o", Index: unit.TaskIndex(n)}, Run: f.core.firstRunNumber(), Kind: EndDone})
 			}
 			for _, o := range starts {
 				ended = append(ended, End{Number: EndNumber(len(ended) + 1), Task: o.Task, Run: o.Run, Kind: EndFailed})
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -60,7 +60,7 @@
 		c.recordEarlyEnd(e, now)
 		return
 	}
-	t.lastRun = max(t.lastRun, e.Run)
+	t.lastRun, t.hasRun = max(t.lastRun, e.Run), true
 	c.markStarted(t.job()) // the owner that started the run may not have written it
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
