job/scheduler: an epoch has a million run numbers for each task

The numbers of an epoch began 1,000 above those of the epoch before.

A million per epoch keeps the numbers below 2^31 for 2,147 epochs and exact in JSON for 9 billion.

Before the change:

--- FAIL: TestRunNumbersRiseAcrossEpochs after 1001 starts up to run 1001: the next owner starts run 1001

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -29,8 +29,9 @@
 
 // runsPerEpoch is the size of the range of run numbers that each epoch uses.
 // Owners need separate ranges because an owner does not know how often its
-// predecessor started a task after the last durable progress.
-const runsPerEpoch = 1000
+// predecessor started a task after the last durable progress. A task that keeps failing
+// or being refused starts some 10 times a second.
+const runsPerEpoch = 1_000_000
 
 // Core holds the jobs and workers of one shard and decides for its owner. It is
 // not safe for concurrent use.
