job/scheduler: no start on a worker whose address another one has taken

A start that is answered by another worker at the address (421) or rejected for a higher epoch was placed again at once, mostly on the same worker, for as long as its last report was not older than 2.5 s. Each try took a run number, the bytes of the job and, on a small link, the time of a heartbeat.

Such a worker now accepts starts again after a report that was requested after the answer. Heartbeats get the same answer, so that there is none while the cause lasts.

Before the change:

--- FAIL: TestMisdirectedStart/another_worker_at_the_address 1 starts after the answer, want 0

--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -47,7 +47,7 @@
 	switch {
 	case !w.listed, w.listing.Draining, c.evacuatedZones[w.listing.Zone], !w.vacatingSince.IsZero():
 		return false
-	case w.reportRequestedAt.IsZero(), now.Sub(w.reportRequestedAt) > maxReportAge:
+	case !w.reportRequestedAt.After(w.misdirectedAt), now.Sub(w.reportRequestedAt) > maxReportAge:
 		return false
 	}
 	return !now.Before(w.health.quarantinedUntil)
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -288,6 +288,8 @@
 		delete(t.step.advice, w.id)
 	case OutcomeUnhealthy:
 		w.health.recordRefusal(now)
+	case OutcomeOtherIncarnation, OutcomeFenced:
+		w.misdirectedAt = now
 	case OutcomeNotSent:
 		t.earliestStart = now.Add(startRetryDelay)
 	case OutcomeInvalid:
--- a/internal/job/scheduler/runnumber_test.go
+++ b/internal/job/scheduler/runnumber_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
@@ -30,3 +31,35 @@
 		}
 	}
 }
+
+// TestMisdirectedStart guards against starts that are repeated without a pause on a worker
+// whose address another one has taken, or that has seen a higher epoch: each costs a run
+// number and the bytes of the job.
+func TestMisdirectedStart(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome Outcome
+		report  bool // the worker reports after the answer
+		starts  int
+	}{
+		{"another worker at the address", OutcomeOtherIncarnation, false, 0},
+		{"another worker was at the address", OutcomeOtherIncarnation, true, 1},
+		{"higher epoch seen", OutcomeFenced, false, 0},
+		{"late", OutcomeDeadlineExceeded, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.addJob("j", smallStep, true)
+			f.takeStarts(tt.outcome)
+			if tt.report {
+				f.now = f.now.Add(time.Millisecond)
+				f.report("w1", nil, nil)
+			}
+			if n := len(f.takeStarts(OutcomeDone)); n != tt.starts {
+				t.Errorf("%d starts after the answer, want %d", n, tt.starts)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -56,6 +56,7 @@
 	listed            bool
 	incarnation       Incarnation // of the last report; 0 before the first one
 	reportRequestedAt time.Time   // when the heartbeat that the last report answers was sent
+	misdirectedAt     time.Time   // when the last start was rejected by another worker at its address, or for a higher epoch
 	leaseExpiry       time.Time   // latest time at which the lease ends; zero: none granted by this owner
 	exitsAt           time.Time   // earliest exit; set while draining
 	runs              map[graph.Task]*run
