--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -48,7 +48,7 @@
 	if !w.listed || w.listing.Draining || c.evacuatedZones[w.listing.Zone] || !w.vacatingSince.IsZero() {
 		return false
 	}
-	return !w.reportRequestedAt.IsZero() && now.Sub(w.reportRequestedAt) <= maxReportAge
+	return w.reportRequestedAt.After(w.misdirectedAt) && now.Sub(w.reportRequestedAt) <= maxReportAge
 }
 
 // withdraw removes a run whose start was not sent, and requeues its task. The other
