job/scheduler: a takeover waits for the longest lease of a worker that restarted before it

Cause: an owner that does not know yet of a worker's restart reads the deadline of a start from the clock of the earlier incarnation. The clock of the next one begins anew, so that the deadline lies far ahead and the start grants the longest lease, 10 s. handleRestart counts with that lease under one owner. A new owner did not: it took a worker that it could not reach as free 9.65 s after its claim and started the task elsewhere, while the worker could run it for up to 5 s more.

Change: a worker whose process began less than 16.5 s before keeps its place until then, at most 6 s longer than the others. Ruled out: that wait for every silent worker, since it holds up all older jobs.

Before the change: --- FAIL: TestRestartBeforeTakeover/restarted_a_second_before starts (-want +got): - 0, + 1

--- a/internal/job/scheduler/lease.go
+++ b/internal/job/scheduler/lease.go
@@ -12,6 +12,11 @@
 // was sent before it is waited for. The answer may list runs that ended as done.
 const maxAnswerWait = 2 * time.Second
 
+// maxRestartDelay is how long after the restart of a worker an owner may take it for the
+// earlier incarnation. The instance list shows a restart up to 3 s late, and no start rests
+// on a view of it that is older than 3 s.
+const maxRestartDelay = 6 * time.Second
+
 // RecordLease records that a worker is about to be sent an order that extends its
 // lease until expiry at the latest. The order counts even if it gets no answer.
 func (c *Core) RecordLease(id unit.InstanceID, expiry time.Time) {
@@ -74,10 +79,29 @@
 	}
 	maps.DeleteFunc(c.unresolved, func(id unit.InstanceID, _ bool) bool {
 		w := c.workers[id]
-		return w == nil || !w.mayHoldLease(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
+		return w == nil || !now.Before(c.inheritedLeaseExpiry(w)) && !w.mayHoldLease(now) && !w.awaitsAnswer(c.inheritedLeasesExpireAt, now)
 	})
 }
 
+// inheritedLeaseExpiry returns when every lease that earlier owners granted to a worker has
+// expired. An owner that does not know of a restart reads the deadline of a start from the
+// clock of the earlier incarnation, and the start grants the later one the longest lease.
+func (c *Core) inheritedLeaseExpiry(w *worker) time.Time {
+	afterRestart := time.UnixMilli(int64(w.listing.Incarnation)).Add(maxRestartDelay + longestLease(c.limits))
+	latest := c.inheritedLeasesExpireAt.Add(maxRestartDelay)
+	switch {
+	case afterRestart.Before(c.inheritedLeasesExpireAt):
+		return c.inheritedLeasesExpireAt
+	case afterRestart.Before(latest):
+		return afterRestart
+	}
+	return latest
+}
+
+// longestLease returns the time in which a lease of the maximum length has expired, with a
+// margin of 5% for the worker's clock.
+func longestLease(l Limits) time.Duration { return l.MaxLease * 105 / 100 }
+
 // expireLease abandons the runs of a worker whose lease has certainly expired.
 func (c *Core) expireLease(w *worker, now time.Time) {
 	// An answer that takes longer than any lease is not waited for.
--- a/internal/job/scheduler/lease_test.go
+++ b/internal/job/scheduler/lease_test.go
@@ -122,3 +122,42 @@
 		})
 	}
 }
+
+// TestRestartBeforeTakeover guards against a second start of a task that runs on a worker
+// which restarted shortly before the takeover and has not reported: its lease is longer
+// than any that the previous owner meant to grant.
+func TestRestartBeforeTakeover(t *testing.T) {
+	tests := []struct {
+		name     string
+		age      time.Duration // of the worker's process at the takeover
+		reported bool
+		wait     time.Duration
+		starts   int
+	}{
+		{"process is old, inherited leases last", time.Hour, false, 5 * time.Second, 0},
+		{"process is old, inherited leases have expired", time.Hour, false, 7 * time.Second, 1},
+		{"restarted a second before", time.Second, false, 7 * time.Second, 0},
+		{"restarted a second before, the longest lease has expired", time.Second, false, 13 * time.Second, 1},
+		{"restarted ten seconds before", 10 * time.Second, false, 7 * time.Second, 1},
+		{"restarted a second before and has reported", time.Second, true, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 6*time.Second)
+			f.core.LoadProgress(nil, []unit.InstanceID{"w1", "w2"}, []unit.InstanceID{"w1", "w2"})
+			silent := newListing("w1")
+			silent.Incarnation = Incarnation(f.now.Add(-tt.age).UnixMilli())
+			f.core.SetWorkers([]Listing{silent, newListing("w2")}, f.now)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			f.addJob("j", smallStep, false)
+			if tt.reported {
+				f.core.HandleReport("w1", Report{Incarnation: silent.Incarnation, RequestedAt: f.now}, f.now)
+			}
+			f.advance(tt.wait)
+			f.report("w2", nil, nil)
+			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -207,11 +207,11 @@
 	c.placementDue = true
 }
 
-// extendToLongestLease records that a worker may hold a lease of the maximum length,
-// plus a margin of 5%. An order whose deadline was computed from the clock of an
-// earlier incarnation grants such a lease.
+// extendToLongestLease records that a worker may hold a lease of the maximum length. An
+// order whose deadline was computed from the clock of an earlier incarnation grants such a
+// lease.
 func (c *Core) extendToLongestLease(w *worker, now time.Time) {
-	c.RecordLease(w.id, now.Add(c.limits.MaxLease*105/100))
+	c.RecordLease(w.id, now.Add(longestLease(c.limits)))
 }
 
 // addRun adds a run of a task to a worker and reserves its resources.
