--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -100,7 +100,7 @@
 	simLeaseLength     = 6 * time.Second
 	simStartWindow     = 2 * time.Second
 	simOrderTimeout    = 2 * time.Second
-	simMaxLateness     = 5 * time.Second         // of an order that is carried out late
+	simMaxLateness     = 12 * time.Second        // of an order that is carried out late
 	simMaxDisconnected = 3500 * time.Millisecond // how long an owner acts without contact to the store
 	simMaxLease        = 10 * time.Second
 	simEndsPerReport   = 2
@@ -116,7 +116,7 @@
 	for i := range 3 {
 		id := unit.InstanceID(fmt.Sprintf("w%d", i))
 		sim.workers[id] = &simWorker{
-			id: id, incarnation: 1, listed: true, clockSlowdown: 1 + float64(i)/100,
+			id: id, incarnation: Incarnation(startTime.Add(-time.Hour).UnixMilli()), listed: true, clockSlowdown: 1 + float64(i)/100,
 			runs: map[graph.Task]graph.RunNumber{}, highestEnded: map[graph.Task]graph.RunNumber{},
 		}
 	}
@@ -740,7 +740,7 @@
 		givenUp := sim.now.After(f.sentAt.Add(simOrderTimeout))
 		return f.order.Worker == s.id && (f.executed || refused || givenUp)
 	})
-	s.incarnation++
+	s.incarnation = max(s.incarnation+1, Incarnation(sim.now.UnixMilli()))
 	s.highestEpoch, s.lastEnd, s.ends, s.leaseExpiry = 0, 0, nil, time.Time{}
 	s.runs, s.highestEnded = map[graph.Task]graph.RunNumber{}, map[graph.Task]graph.RunNumber{}
 }
