job/owner: one slow answer of the store does not space out the next reads

Since the next read was due after half of what the last one took. The answer to a read may take up to 8 s, and then no read was sent for up to 4 s, on a store that may have recovered, so that starts were held back. The time is limited to 0.5 s, which is what a store that takes 1 s needs.

TestViewAge before the change, over a store that answers in 4 ms after a first answer of 8 s:

--- FAIL: TestViewAge/first_answer_takes_8_s view was up to 4.006s old, want at most 320ms

--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -14,6 +14,10 @@
 // takes long, or one connection is silent, the view is confirmed by another read.
 const readsInFlight = 2
 
+// maxReadSpacing limits the time between two reads of which the last one took long. One
+// slow answer shows nothing about the next.
+const maxReadSpacing = 500 * time.Millisecond
+
 // changeHandler applies what a changeReader has read. Its calls do not overlap.
 type changeHandler interface {
 	// applyChanges applies the changes up to the revision read.
@@ -71,7 +75,7 @@
 	if at.Before(now) {
 		at = now
 	}
-	r.nextAt = at.Add(max(r.interval, r.took/readsInFlight))
+	r.nextAt = at.Add(max(r.interval, min(r.took/readsInFlight, maxReadSpacing)))
 	r.mu.Unlock()
 	return r.shard.sleep(at.Sub(now)) && r.shard.ctx.Err() == nil
 }
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -77,10 +77,12 @@
 	}
 }
 
-// timedStore answers reads of changes after a latency; that of the first one never comes.
+// timedStore answers reads of changes after a latency. The answer to the first one may
+// take longer, or never come.
 type timedStore struct {
 	latency  time.Duration
-	silent   bool // the connection of the first read
+	first    time.Duration // what the first read takes longer
+	silent   bool          // the connection of the first read
 	mu       sync.Mutex
 	reads    int
 	revision unit.Revision
@@ -96,6 +98,9 @@
 		<-ctx.Done()
 		return kv.Response{}, errors.Join(ctx.Err(), kv.ErrUnavailable)
 	}
+	if first {
+		time.Sleep(s.first)
+	}
 	time.Sleep(s.latency)
 	return answer, nil
 }
@@ -108,7 +113,9 @@
 
 func (h *ageHandler) applyChanges(_ []kv.Item, _ unit.Revision, sentAt time.Time) {
 	h.oldest = max(h.oldest, time.Since(h.confirmedAt))
-	h.confirmedAt = sentAt
+	if sentAt.After(h.confirmedAt) {
+		h.confirmedAt = sentAt
+	}
 }
 
 func (h *ageHandler) applyPage(listPage) {}
@@ -125,6 +132,7 @@
 		{"4 ms", &timedStore{latency: 4 * time.Millisecond}, 320 * time.Millisecond, 320 * time.Millisecond},
 		{"240 ms", &timedStore{latency: 240 * time.Millisecond}, 550 * time.Millisecond, 550 * time.Millisecond},
 		{"1 s", &timedStore{latency: time.Second}, 1750 * time.Millisecond, 1550 * time.Millisecond},
+		{"first answer takes 8 s", &timedStore{latency: 4 * time.Millisecond, first: 8 * time.Second}, 850 * time.Millisecond, 320 * time.Millisecond},
 		{"connection silent", &timedStore{latency: 4 * time.Millisecond, silent: true}, 650 * time.Millisecond, 320 * time.Millisecond},
 		{"240 ms, connection silent", &timedStore{latency: 240 * time.Millisecond, silent: true}, 850 * time.Millisecond, 550 * time.Millisecond},
 	}
