--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -59,7 +59,7 @@
 	endedDone     bool // a run has ended as done; the task is complete once it, or its gang, has no other run
 	failedRuns    []graph.RunNumber
 	lastRun       graph.RunNumber // highest run number seen or used
-	hasRun        bool            // a run has ended after a worker had begun it
+	ranBefore     bool            // a run has ended after a worker had begun it
 	runs          []*run          // runs on workers
 	checkpoint    string          // latest one; a new run resumes from it
 	earliestStart time.Time
@@ -219,7 +219,7 @@
 		}
 		t := &s.tasks[saved.Index]
 		t.failedRuns, t.checkpoint = saved.Failed, saved.Checkpoint
-		t.hasRun = len(saved.Failed) > 0 || saved.Checkpoint != ""
+		t.ranBefore = len(saved.Failed) > 0 || saved.Checkpoint != ""
 		if saved.Done && !spec.LongRunning {
 			done[saved.Index] = true
 		}
@@ -233,9 +233,9 @@
 	}
 	// The last task of the list is placed first, so that tasks start by index, those that
 	// have run before first.
-	for _, hasRun := range []bool{false, true} {
+	for _, ranBefore := range []bool{false, true} {
 		for n := len(s.tasks) - 1; n >= 0; n-- {
-			if t := &s.tasks[n]; !t.done && t.hasRun == hasRun {
+			if t := &s.tasks[n]; !t.done && t.ranBefore == ranBefore {
 				s.waiting = append(s.waiting, t)
 			}
 		}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -103,7 +103,7 @@
 	}
 	for _, t := range slices.Backward(s.waiting) {
 		if !now.Before(t.earliestStart) {
-			return t.hasRun
+			return t.ranBefore
 		}
 	}
 	return false
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -64,7 +64,7 @@
 		c.recordEarlyEnd(e, now)
 		return
 	}
-	t.lastRun, t.hasRun = max(t.lastRun, e.Run), true
+	t.lastRun, t.ranBefore = max(t.lastRun, e.Run), true
 	c.markStarted(t.job()) // the owner that started the run may not have written it
 	if e.Checkpoint != "" && !t.done {
 		t.checkpoint = e.Checkpoint
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -239,7 +239,7 @@
 // removeRun removes a run from its worker and releases its resources.
 func (c *Core) removeRun(r *run) {
 	t := r.task
-	t.hasRun = t.hasRun || r.reported || r.phase == phaseRunning
+	t.ranBefore = t.ranBefore || r.reported || r.phase == phaseRunning
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	if t.step.runsPerWorker[r.worker.id]--; t.step.runsPerWorker[r.worker.id] == 0 {
 		delete(t.step.runsPerWorker, r.worker.id)
