--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -88,8 +88,8 @@
 }
 
 // AddJob adds a job that is durable in the store, or ends one that is known. A job with a
-// final state is only kept to be shown to callers. createdInTerm says that the job was created after
-// this owner's claim, so that no earlier owner can have started it.
+// final state is only kept to be shown to callers. createdInTerm says that the job was
+// created after this owner's claim, so that no earlier owner can have started it.
 func (c *Core) AddJob(spec *graph.Job, final graph.State, createdInTerm bool, now time.Time) {
 	if old := c.jobs[spec.ID]; old != nil {
 		if final != 0 {
--- a/internal/report/metric/traffic.go
+++ b/internal/report/metric/traffic.go
@@ -37,7 +37,7 @@
 // calls counts the calls sent to workers and the platform, by CallName.
 var calls = expvar.NewMap("calls")
 
-// CallName is the name of a call on the wire, such as "run-start".
+// CallName is the name of a call on the wire, as its client gives it.
 type CallName string
 
 // AddCall counts a call.
--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -26,8 +26,9 @@
 
 // Timeouts and intervals of calls.
 const (
-	// callTimeout limits each call other than a watch that waits, and for a read the time until the
-	// next part of its answer. The store answers in 4 ms, and in 240 ms while it is slow.
+	// callTimeout limits each call other than a watch that waits, and for a read the time
+	// until the next part of its answer. The store answers in 4 ms, and in 240 ms while it
+	// is slow.
 	callTimeout = 800 * time.Millisecond
 	// maxReadDuration limits a read of which parts keep arriving. A page of a list is up
 	// to 1.4 MB, which takes 5.6 s at a fifth of 10 Mbit/s.
