job/owner: the scripted worker reports progress

Repeated, it fails in 2 of some hundreds of runs, at any load.

Cause, by the orders of a failing run: the scripted worker reported every run without progress, so that each run was stopped as stalled, and the stop counted as a further order without an answer.

The worker now reports the progress that the run has made.

--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -102,7 +102,9 @@
 	}
 	w.endRun()
 	if w.run != nil {
-		report.Running = append(report.Running, *w.run)
+		status := *w.run
+		status.ProgressPercent = int(100 * time.Since(w.startedAt) / w.fleet.runDuration)
+		report.Running = append(report.Running, status)
 	}
 	report.Ended = append(report.Ended, w.ends...)
 	clock := w.clock()
