job/interference: keep as many batch classes as a large fleet runs

Cause: the model kept 16 batch classes for each serving image, and the deployment runs 30 (18 on the grown ones, 9 on the first ones). Each report replaced classes that other workers were running, so that most pairs stayed at the prior and the bound for placement and pace meant nothing. Ruled out: places (nothing waited for longer than 0.8 s), the link (3.4 of 11 MB/s), processor time (not charged), reports (all 890 workers).

Change: 64 classes. The sum of a sample skips the classes that do not run on its worker. TestManyBatchClasses fails before: of 30 classes 19 are off by more than the bound, 15 of them at the prior.

--- a/internal/job/interference/model.go
+++ b/internal/job/interference/model.go
@@ -93,8 +93,10 @@
 	initialNoiseReports = 5
 
 	// maxClasses limits the batch classes per class of requests and load band. The
-	// state of each such combination takes 8 bytes x (maxClasses+1)^2 = 2.3 KB.
-	maxClasses = 16
+	// state of each such combination takes at most 8 bytes x (maxClasses+1)^2 = 33 KB.
+	// With more classes in use than rows, samples replace each other's classes and
+	// nothing is learned.
+	maxClasses = 64
 )
 
 // Prior is the assumed rise of a pair without observations: the rise of the
@@ -266,8 +268,10 @@
 	gain := make([]float64, n)
 	predicted, stateVariance := 0.0, 0.0
 	for i := range n {
-		for j := range n {
-			gain[i] += f.covarianceAt(i, j) * inputs[j]
+		for j, input := range inputs {
+			if input != 0 { // a worker runs few of the classes at a time
+				gain[i] += f.covarianceAt(i, j) * input
+			}
 		}
 		predicted += f.mean[i] * inputs[i]
 		stateVariance += gain[i] * inputs[i]
--- a/internal/job/interference/pressure_test.go
+++ b/internal/job/interference/pressure_test.go
@@ -1,6 +1,7 @@
 package interference
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -85,3 +86,45 @@
 		t.Errorf("base pressure %.2f, known %v, want -3", got, known)
 	}
 }
+
+// TestManyBatchClasses guards against estimates that are dropped while their pairs are
+// still in use: with more batch classes than rows, each sample would replace a class that
+// other workers run, and every pair would stay at its prior.
+func TestManyBatchClasses(t *testing.T) {
+	tests := []struct {
+		name    string
+		classes int
+	}{
+		{"few", 9},
+		{"a large fleet", 30},
+		{"as many as the model keeps", maxClasses},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(5, 5))
+			m := NewWithPrior(Prior{Mean: 1, Deviation: 6})
+			bases := make([]BasePressure, 100)
+			class := func(n int) unit.ClassID { return unit.ClassID(fmt.Sprintf("batch-%02d", n)) }
+			added := func(n int) float64 { return float64(n%3) * 3 } // pressure by a class that takes all cores
+			now := time.Unix(1_000_000, 0)
+			for range 100 {
+				now = now.Add(400 * time.Millisecond)
+				for n := range bases {
+					shares, pressure := map[unit.ClassID]float64{}, -3.0
+					for range rng.IntN(5) { // a constant number would be confounded with the own load
+						c := rng.IntN(tt.classes)
+						shares[class(c)] += 0.1
+						pressure += 0.1 * added(c)
+					}
+					m.ObserveTail(&bases[n], TailSample{Time: now, Class: "serving", Pressure: Pressure(pressure), Shares: shares})
+				}
+			}
+			for n := range tt.classes {
+				got := m.AddedPressure("serving", class(n))
+				if want := added(n); math.Abs(got.Mean-want) > 0.75 {
+					t.Errorf("%s: added pressure %.2f (deviation %.2f), want %.2f", class(n), got.Mean, got.Deviation, want)
+				}
+			}
+		})
+	}
+}
