job/owner, platform, job/record: odd entries of others neither end a process nor hide the rest

Decoders skip the item, with a line and a counter; calls answer with a fault; a fault in the core ends the term: the shard is released, the next owner builds its core anew under a new epoch (TestHandlerFault, TestFaultInCore, TestAbandon). Deep nesting alone did no harm: the decoders bound it.

TestJobRoundTrip had a job without steps, which is no valid record; it has one now. The expectation is the same.

--- a/internal/fleet/ownership/claim.go
+++ b/internal/fleet/ownership/claim.go
@@ -35,6 +35,9 @@
 	v, lease, resigned := s.view, s.ownerLease, s.resigned
 	requestedAt, claimPendingUntil := s.viewRequestedAt, s.claimPendingUntil
 	claimAt := s.view.claimTime(s.self, s.storeAccess.LastOutageEnd())
+	if s.mayClaimAt.After(claimAt) {
+		claimAt = s.mayClaimAt
+	}
 	_, registered := s.view.entries[s.self]
 	s.mu.Unlock()
 	switch {
@@ -102,7 +105,7 @@
 }
 
 // claim writes the owner record. The previous owner keeps its epoch when it claims
-// again, as no other entry has claimed since.
+// again, as no other entry has claimed since, unless it has abandoned the shard.
 func (s *Service) claim(ctx context.Context, v View) {
 	lease, _, err := s.store.Grant(ctx, s.ownerTTL)
 	if err != nil {
@@ -111,7 +114,10 @@
 	}
 	epoch := v.epoch.Epoch
 	txn := kv.Txn{Guards: []kv.Guard{{Key: ownerKey}, {Key: EpochKey, Revision: v.epochRevision}}}
-	if v.epoch.Entry != s.self {
+	s.mu.Lock()
+	abandoned := s.abandoned
+	s.mu.Unlock()
+	if v.epoch.Entry != s.self || v.epoch.Epoch == abandoned {
 		epoch++
 		value, err := cbor.Marshal(epochRecord{Entry: s.self, Epoch: epoch})
 		if err != nil {
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -86,6 +86,8 @@
 	claimPendingUntil time.Time     // until then the view may not show the last claim of this entry yet
 	viewChanged       chan struct{} // closed and replaced at each change of the view
 	resigned          bool
+	abandoned         unit.Epoch // this entry no longer owns the shard under that epoch; 0: none
+	mayClaimAt        time.Time  // not before, after it has abandoned the shard
 }
 
 // New returns a service for the entry, which has the given capacity, that is not
@@ -148,7 +150,7 @@
 // owns reports whether this entry owns the shard according to the view. It is called
 // with the lock held.
 func (s *Service) owns() bool {
-	return s.view.epoch.Entry == s.self && !s.resigned &&
+	return s.view.epoch.Entry == s.self && !s.resigned && s.view.epoch.Epoch != s.abandoned &&
 		(s.view.ownerRevision == 0 || s.view.owner.Entry == s.self)
 }
 
@@ -199,6 +201,21 @@
 	s.Release(ctx)
 }
 
+// abandonDelay is how long after it has abandoned the shard an entry may claim it again. By
+// then each of the others has had its turn, and a fault that all of them hit does not
+// become a loop without pause.
+const abandonDelay = 3 * time.Second
+
+// Abandon gives the shard up after a fault, so that another entry can claim it. This
+// entry claims it again only after abandonDelay, and under a new epoch.
+func (s *Service) Abandon(ctx context.Context) {
+	s.mu.Lock()
+	s.abandoned, s.mayClaimAt = s.view.epoch.Epoch, time.Now().Add(abandonDelay)
+	s.notifyViewChanged()
+	s.mu.Unlock()
+	s.Release(ctx)
+}
+
 // Release revokes the lease of the owner record, which removes the record.
 func (s *Service) Release(ctx context.Context) {
 	s.mu.Lock()
--- a/internal/fleet/ownership/watch.go
+++ b/internal/fleet/ownership/watch.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -53,7 +55,8 @@
 	s.viewRequestedAt = requestedAt
 	previousOwner := s.view.owner
 	for _, item := range items {
-		if err := s.view.apply(item, now); err != nil {
+		if err := guard.Call(func() error { return s.view.apply(item, now) }); err != nil {
+			metric.AddSkippedItem(item.Key)
 			s.log.Error(err, "ownership record skipped", "key", item.Key, "revision", item.Revision)
 		}
 	}
--- a/internal/fleet/upkeep/service.go
+++ b/internal/fleet/upkeep/service.go
@@ -9,8 +9,10 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -191,8 +193,9 @@
 		s.log.Info("wave of upkeep withdrawn", "wave", number, "revision", item.Revision)
 		return
 	}
-	wave, err := s.format.Wave(item)
+	wave, err := guard.Value(func() (Wave, error) { return s.format.Wave(item) })
 	if err != nil {
+		metric.AddSkippedItem(item.Key)
 		s.log.Error(err, "wave of upkeep not readable", "key", item.Key, "revision", item.Revision)
 		return
 	}
--- a/internal/job/graph/graph.go
+++ b/internal/job/graph/graph.go
@@ -113,9 +113,10 @@
 
 // Limits of a job, so that one submission cannot exhaust an entry's memory.
 const (
-	MaxSteps = 256
-	MaxTasks = 10_000 // per step
-	MaxTimes = 10_000
+	MaxSteps    = 256
+	MaxTasks    = 10_000 // per step
+	MaxJobTasks = 20_000 // per occurrence
+	MaxTimes    = 10_000
 )
 
 // Validate returns an error that describes the first invalid field of a job.
@@ -126,10 +127,15 @@
 	if j.Times < 0 || j.Times > MaxTimes {
 		return errors.Errorf("times: have %d, want 0 to %d", j.Times, MaxTimes)
 	}
+	total := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(StepIndex(i)); err != nil {
 			return errors.Errorf("step %d: %w", i, err)
 		}
+		total += j.Steps[i].Count
+	}
+	if total > MaxJobTasks {
+		return errors.Errorf("steps: have %d tasks, want at most %d", total, MaxJobTasks)
 	}
 	return nil
 }
--- a/internal/job/interference/pairs.go
+++ b/internal/job/interference/pairs.go
@@ -19,6 +19,12 @@
 	Deviation float32      `cbor:"5,keyasint"`
 }
 
+// Finite reports whether the estimate consists of finite numbers.
+func (p Pair) Finite() bool {
+	sum := float64(p.Rise) + float64(p.Deviation) // not finite unless both are
+	return !math.IsNaN(sum) && !math.IsInf(sum, 0)
+}
+
 // Pairs returns all estimates in a stable order, so that another process can
 // restore them.
 func (m *Model) Pairs() []Pair {
--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -35,7 +35,7 @@
 }
 
 // changeReader reads what changes under a prefix of the store, and all items when the
-// history of the changes is gone.
+// history of the changes is gone or is too long for one answer.
 type changeReader struct {
 	shard     *shard
 	prefix    kv.Key
@@ -88,7 +88,7 @@
 	sentAt := time.Now()
 	events, next, err := r.shard.service.store.Poll(r.shard.ctx, r.prefix, since)
 	switch {
-	case errors.Is(err, kv.ErrCompacted):
+	case errors.Is(err, kv.ErrCompacted), errors.Is(err, kv.ErrOversized):
 		r.readAll(since)
 	case err != nil: // storage/access logs that the store is unreachable
 		r.retry()
--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -4,10 +4,14 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -18,8 +22,12 @@
 	if item.Deleted || item.Revision <= sh.jobRevisions[id] {
 		return
 	}
-	r, err := record.DecodeJob(item.Value)
+	r, err := guard.Value(func() (record.Job, error) { return record.DecodeJob(item.Value) })
+	if err == nil && r.Job.ID != id {
+		err = errors.Errorf("record of job %s under another key", r.Job.ID)
+	}
 	if err != nil {
+		metric.AddSkippedItem(item.Key)
 		sh.log.Error(err, "job record skipped", "key", item.Key, "revision", item.Revision)
 		return
 	}
@@ -48,6 +56,10 @@
 func (sh *shard) accept(jobs []SubmittedJob) {
 	sh.update(func(_ *scheduler.Core, now time.Time) {
 		for _, job := range jobs {
+			if err := job.Record.Validate(); err != nil {
+				sh.log.Error(err, "notice of another entry skipped", "job", job.Record.Job.ID, "revision", job.Revision)
+				continue
+			}
 			sh.applyJob(job, now)
 		}
 	})
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -35,6 +35,7 @@
 	MayOrder(now time.Time) bool
 	MayRenewLeases(now time.Time) bool
 	Resign(ctx context.Context)
+	Abandon(ctx context.Context)
 }
 
 // zoneDirectory reports which zones are out of service, and when the last read of them
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -12,6 +12,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
@@ -64,6 +65,7 @@
 	workerClients      map[unit.InstanceID]*workerClient
 	placement          placementPacer
 	handingOver        bool // no new orders are queued
+	abandoned          bool // the state of the core cannot be trusted after a fault
 	startsHeld         bool // nothing is placed, as a view of the store is too old
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
@@ -94,10 +96,18 @@
 	startedAt := time.Now()
 	var jobsRevision, workersRevision unit.Revision
 	for {
-		var err error
-		if jobsRevision, workersRevision, err = sh.takeOver(startedAt); err == nil {
+		err := guard.Call(func() error {
+			var err error
+			jobsRevision, workersRevision, err = sh.takeOver(startedAt)
+			return err
+		})
+		if err == nil {
 			break
 		}
+		if _, panicked := errors.Into[*guard.PanicError](err); panicked {
+			sh.abandon(err)
+			return
+		}
 		sh.log.Info("takeover failed; retrying", "error", err.Error())
 		if !sh.sleep(retryDelay) {
 			return
@@ -260,10 +270,46 @@
 }
 
 // update applies f to the core, places tasks if this entry may start them, and
-// passes on the orders, expired leases and final states that result.
+// passes on the orders, expired leases and final states that result. If that panics, the
+// state of the core cannot be trusted, and the term ends.
 func (sh *shard) update(f func(c *scheduler.Core, now time.Time)) {
+	err := guard.Call(func() error {
+		sh.mu.Lock()
+		defer sh.mu.Unlock()
+		if !sh.abandoned {
+			sh.updateCore(f)
+		}
+		return nil
+	})
+	if err != nil {
+		sh.abandon(err)
+	}
+}
+
+// abandonTimeout bounds the call that releases an abandoned shard. Its lease expires
+// without that too.
+const abandonTimeout = time.Second
+
+// abandon ends the term after a fault in the core. The next owner builds its core anew
+// from the store and from the reports of the workers.
+func (sh *shard) abandon(cause error) {
 	sh.mu.Lock()
-	defer sh.mu.Unlock()
+	again := sh.abandoned
+	sh.abandoned = true
+	sh.mu.Unlock()
+	if again {
+		return
+	}
+	sh.log.Error(cause, "shard abandoned after a fault")
+	metric.OwnershipChanges.Add("abandoned", 1)
+	sh.cancel()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(sh.ctx), abandonTimeout)
+	defer cancel()
+	sh.service.ownership.Abandon(ctx)
+}
+
+// updateCore is update without its precautions. It is called with the lock held.
+func (sh *shard) updateCore(f func(c *scheduler.Core, now time.Time)) {
 	now := time.Now()
 	f(sh.core, now)
 	if sh.handingOver {
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -7,6 +7,8 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -83,8 +85,9 @@
 		delete(sh.listings, id)
 		return
 	}
-	listing, err := sh.service.fleet.Listing(item)
+	listing, err := guard.Value(func() (scheduler.Listing, error) { return sh.service.fleet.Listing(item) })
 	if err != nil {
+		metric.AddSkippedItem(item.Key)
 		sh.log.Info("entry of the instance list skipped", "key", item.Key, "revision", item.Revision, "error", err.Error())
 		delete(sh.listings, id)
 		return
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -56,6 +56,7 @@
 		{"late once", []error{timeout, nil}, []kv.Op{kv.OpWatch, kv.OpWatch}, countingHandler{changes: 1}},
 		{"late twice", []error{timeout, timeout}, []kv.Op{kv.OpWatch, kv.OpWatch}, countingHandler{}},
 		{"refused", []error{kv.ErrUnavailable}, []kv.Op{kv.OpWatch}, countingHandler{}},
+		{"history too long for one answer", []error{kv.ErrOversized}, []kv.Op{kv.OpWatch, kv.OpRange}, countingHandler{pages: 1}},
 		{"history gone", []error{kv.ErrCompacted}, []kv.Op{kv.OpWatch, kv.OpRange}, countingHandler{pages: 1}},
 	}
 	for _, tt := range tests {
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -11,6 +11,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
@@ -364,7 +365,7 @@
 // the core.
 func (c *workerClient) converse(requests <-chan heartbeat, answers chan<- answer) {
 	for h := range requests {
-		ends, err := c.exchange(h)
+		ends, err := guard.Value(func() (int, error) { return c.exchange(h) })
 		answers <- answer{number: h.number, after: time.Since(h.sentAt), ends: ends, err: err}
 	}
 }
--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -165,6 +165,7 @@
 func (confirmedOwnership) MayOrder(time.Time) bool       { return true }
 func (confirmedOwnership) MayRenewLeases(time.Time) bool { return true }
 func (confirmedOwnership) Resign(context.Context)        {}
+func (confirmedOwnership) Abandon(context.Context)       {}
 
 // runShard drives the clients and the core of two workers and one job for d, without a
 // store.
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -124,9 +124,24 @@
 	if j.Format < 1 || j.Format > Format {
 		return Job{}, errors.Errorf("decode job record: format %d, want 1 to %d", j.Format, Format)
 	}
+	if err := j.Validate(); err != nil {
+		return Job{}, errors.Errorf("decode job record: %w", err)
+	}
 	return j, nil
 }
 
+// Validate returns an error for the content of a record that no entry writes. A job with a
+// final state has no steps.
+func (j *Job) Validate() error {
+	switch {
+	case j.State == 0:
+		return j.Job.Validate()
+	case !j.State.Final() || j.State > graph.Cancelled:
+		return errors.Errorf("state %d is not final", j.State)
+	}
+	return nil
+}
+
 // DecodeProgress decodes the record of a shard's progress.
 func DecodeProgress(body []byte) (Progress, error) {
 	var p Progress
@@ -164,5 +179,7 @@
 	if m.Format < ModelFormat {
 		m.Pairs = nil
 	}
+	// One estimate that is not finite would spread to all pairs of its class.
+	m.Pairs = slices.DeleteFunc(m.Pairs, func(p interference.Pair) bool { return !p.Finite() })
 	return m, nil
 }
--- a/internal/job/record/record_test.go
+++ b/internal/job/record/record_test.go
@@ -15,7 +15,7 @@
 // TestJobRoundTrip guards against a job that changes when it is stored and read
 // again, in particular a deadline truncated to seconds.
 func TestJobRoundTrip(t *testing.T) {
-	want := Job{Format: Format, Job: graph.Job{ID: "5c0e7a21d94b36f8", Spec: "text", Accepted: time.Unix(1_700_000_000, 123_456_789).UTC()}}
+	want := Job{Format: Format, Job: graph.Job{ID: "5c0e7a21d94b36f8", Spec: "text", Steps: []graph.Step{{Count: 1}}, Accepted: time.Unix(1_700_000_000, 123_456_789).UTC()}}
 	body, err := Encode(want)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/quic-go/quic-go"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
@@ -46,7 +47,8 @@
 
 // Limits and timeouts of connections and calls.
 const (
-	maxMessage    = 4 << 20
+	// MaxMessage is the largest request or answer in bytes, with its kind or status.
+	MaxMessage    = 4 << 20
 	maxStreams    = 64
 	dialTimeout   = 500 * time.Millisecond
 	idleTimeout   = 20 * time.Second
@@ -252,8 +254,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, handleTimeout)
 	defer cancel()
 	_ = stream.SetDeadline(time.Now().Add(handleTimeout)) // fails only on a closed stream
-	message, err := io.ReadAll(io.LimitReader(stream, maxMessage+1))
-	if err != nil || len(message) == 0 || len(message) > maxMessage {
+	message, err := io.ReadAll(io.LimitReader(stream, MaxMessage+1))
+	if err != nil || len(message) == 0 || len(message) > MaxMessage {
 		stream.CancelRead(0)
 		return
 	}
@@ -263,7 +265,11 @@
 	s.mu.Unlock()
 	status, body := statusFault, []byte("no handler for this kind of call")
 	if handler != nil {
-		answer, err := handler(ctx, from, message[1:])
+		answer, err := guard.Value(func() ([]byte, error) { return handler(ctx, from, message[1:]) })
+		if _, panicked := errors.Into[*guard.PanicError](err); panicked {
+			s.log.Error(err, "call of another entry failed", "kind", message[0])
+			err = errors.New("fault in the handler")
+		}
 		if err == nil {
 			status, body = statusOK, answer
 		} else {
@@ -293,9 +299,9 @@
 	if err := stream.Close(); err != nil {
 		return nil, errors.Errorf("end request: %w", errors.Join(err, ErrUnknown))
 	}
-	answer, err := io.ReadAll(io.LimitReader(stream, maxMessage+1))
+	answer, err := io.ReadAll(io.LimitReader(stream, MaxMessage+1))
 	metric.PeerTraffic.AddReceived(len(answer))
-	if err != nil || len(answer) == 0 || len(answer) > maxMessage {
+	if err != nil || len(answer) == 0 || len(answer) > MaxMessage {
 		return nil, errors.Errorf("read answer of %d bytes: %w", len(answer), errors.Join(err, ErrUnknown))
 	}
 	if answer[0] != statusOK {
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -5,6 +5,7 @@
 import (
 	"expvar"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,8 +23,15 @@
 	ExpiredLeases    = expvar.NewInt("lapses")       // workers whose lease expired while they had runs
 	LateAnswers      = expvar.NewInt("late_answers") // answers to heartbeats that arrived after the worker counted as not reached
 	StoreCalls       = expvar.NewMap("kv_calls")     // direct store calls, by operation
+	SkippedItems     = expvar.NewMap("skipped")      // items of the store that cannot be used, by the first part of the key
 )
 
+// AddSkippedItem counts an item of the store that cannot be used, by its key.
+func AddSkippedItem[Key ~string](key Key) {
+	record, _, _ := strings.Cut(string(key), "/")
+	SkippedItems.Add(record, 1)
+}
+
 // Latency histograms, in microseconds.
 var (
 	SubmitLatency     = NewHistogram("submit_us")      // from the arrival of a job to its answer
--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -308,6 +308,7 @@
 	statusLeaseEnded
 	statusUnavailable
 	statusUnknown
+	statusOversized
 )
 
 var relayStatuses = []struct {
@@ -320,6 +321,7 @@
 	{statusLeaseEnded, kv.ErrLeaseEnded},
 	{statusUnavailable, kv.ErrUnavailable},
 	{statusUnknown, kv.ErrUnknown},
+	{statusOversized, kv.ErrOversized},
 }
 
 // relayAnswer is the answer of a peer to a relayed call.
@@ -346,6 +348,9 @@
 		answer = encodeAnswer(response, err)
 	}
 	body, err := cbor.Marshal(answer)
+	if err == nil && len(body) >= mesh.MaxMessage {
+		body, err = cbor.Marshal(relayAnswer{Status: statusOversized, Text: "too large to relay"})
+	}
 	if err != nil {
 		return nil, errors.Errorf("encode store answer: %w", err)
 	}
--- a/internal/storage/kv/kv.go
+++ b/internal/storage/kv/kv.go
@@ -20,6 +20,9 @@
 	ErrConflict = errors.New("guard does not hold")
 	// ErrCompacted means that the store no longer has the history that a watch needs.
 	ErrCompacted = errors.New("history is compacted")
+	// ErrOversized means that the store answered with more than a client reads. The items
+	// have to be listed page by page.
+	ErrOversized = errors.New("answer too large")
 	// ErrLeaseEnded means that the lease has expired or was revoked.
 	ErrLeaseEnded = errors.New("lease has ended")
 	// ErrUnavailable means that the call certainly had no effect.
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -11,7 +11,9 @@
 	"github.com/go-logr/logr"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -173,8 +175,14 @@
 	if i.Deleted {
 		return
 	}
-	d, ok, err := s.decoder.Document(i)
+	var d *Document
+	var ok bool
+	err := guard.Call(func() (err error) {
+		d, ok, err = s.decoder.Document(i)
+		return err
+	})
 	if err != nil {
+		metric.AddSkippedItem(i.Key)
 		s.log.Error(err, "item of an operator ignored: it cannot be decoded", "key", i.Key, "revision", i.Revision)
 		return
 	}
