job/intake: notices to the owner keep the times of jobs

Cause: notices were encoded with the library's default, which cuts times to whole seconds, while records in the store keep nanoseconds. The owner of a job that another entry had accepted took it for up to 1 s older than it was, and would have started timed jobs up to 1 s early (the platform allows 250 ms).

--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -6,9 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 )
 
@@ -133,7 +133,7 @@
 	if to == "" {
 		return errors.Errorf("no owner: %w", ErrUnavailable)
 	}
-	body, err := cbor.Marshal(notices)
+	body, err := record.Marshal(notices)
 	if err != nil {
 		return errors.Errorf("encode notices: %w", err)
 	}
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -108,6 +108,12 @@
 
 // Encode returns the stored form of a record.
 func Encode[T Job | Progress | Checkpoints | Model](v T) ([]byte, error) {
+	return Marshal(v)
+}
+
+// Marshal encodes a value that contains records, such as a message between entries.
+// cbor.Marshal would cut times to whole seconds.
+func Marshal(v any) ([]byte, error) {
 	body, err := encMode.Marshal(v)
 	if err != nil {
 		return nil, errors.Errorf("encode record: %w", err)
