job/interference, job/scheduler: cheaper samples and placement for many images

A profile of an owner of 890 stand-in workers over loopback, with about 1,000 starts a second, shows 37% in the core: samples of tails 12%, placement 12%.

Change: a sample divides once for each row instead of once for each element, skips the rows that it does not touch and finds classes by a map; the cached pressures and shares are slices by the index of the image. Restore no longer adds a class twice.

--- a/internal/job/interference/model.go
+++ b/internal/job/interference/model.go
@@ -4,7 +4,6 @@
 package interference
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -151,13 +150,13 @@
 		if f == nil {
 			continue
 		}
-		i := slices.Index(f.classes, batch)
-		if i < 0 {
+		row, ok := f.rows[batch]
+		if !ok {
 			continue
 		}
 		distance := bandDeviation * (float64(b) - float64(band))
-		bandWeight := 1 / (f.covarianceAt(i+1, i+1) + distance*distance)
-		sum += bandWeight * f.mean[i+1]
+		bandWeight := 1 / (f.covarianceAt(row, row) + distance*distance)
+		sum += bandWeight * f.mean[row]
 		weight += bandWeight
 	}
 	return Estimate{Mean: max(sum/weight, 0) * share, Deviation: share / math.Sqrt(weight)}
@@ -224,7 +223,8 @@
 type filter struct {
 	prior         Prior
 	classes       []unit.ClassID // class i has row i+1; row 0 is the baseline
-	lastSeen      []time.Time    // when each class was last observed
+	rows          map[unit.ClassID]int
+	lastSeen      []time.Time // when each class was last observed
 	mean          []float64
 	covariance    []float64 // square matrix in row-major order
 	noiseVariance float64   // variance of the residuals
@@ -246,16 +246,17 @@
 // inputsAt advances the filter to a time, adds rows for new classes, and returns
 // the shares by row, with 0 for the baseline.
 func (f *filter) inputsAt(shares map[unit.ClassID]float64, now time.Time) []float64 {
-	for _, c := range slices.Sorted(maps.Keys(shares)) {
-		if shares[c] > 0 && !slices.Contains(f.classes, c) {
-			f.addClass(c, now)
-		}
-	}
+	f.addClasses(shares, now)
 	f.decay(now)
 	inputs := make([]float64, len(f.mean))
-	for i, c := range f.classes {
-		if inputs[i+1] = shares[c]; inputs[i+1] > 0 && now.After(f.lastSeen[i]) {
-			f.lastSeen[i] = now
+	for c, share := range shares {
+		row, ok := f.rows[c]
+		if !ok {
+			continue // more classes run at once than there are rows
+		}
+		inputs[row] = share
+		if share > 0 && now.After(f.lastSeen[row-1]) {
+			f.lastSeen[row-1] = now
 		}
 	}
 	return inputs
@@ -282,9 +283,14 @@
 	f.noiseReports++
 	f.noiseVariance += max(minNoiseWeight, 1/float64(f.noiseReports+initialNoiseReports)) * (max(residual*residual-stateVariance-measurementVariance, minNoiseDeviation*minNoiseDeviation) - f.noiseVariance)
 	for i := range n {
-		f.mean[i] += gain[i] / totalVariance * residual
-		for j := range n {
-			f.covariance[i*n+j] -= gain[i] * gain[j] / totalVariance
+		if gain[i] == 0 {
+			continue
+		}
+		scaled := gain[i] / totalVariance
+		f.mean[i] += scaled * residual
+		row := f.covariance[i*n : (i+1)*n]
+		for j := range row {
+			row[j] -= scaled * gain[j]
 		}
 	}
 	return residual, totalVariance
@@ -311,6 +317,20 @@
 	}
 }
 
+// addClasses adds rows for the classes that have none, in a fixed order.
+func (f *filter) addClasses(shares map[unit.ClassID]float64, now time.Time) {
+	var added []unit.ClassID
+	for c, share := range shares {
+		if _, ok := f.rows[c]; !ok && share > 0 {
+			added = append(added, c)
+		}
+	}
+	slices.Sort(added)
+	for _, c := range added {
+		f.addClass(c, now)
+	}
+}
+
 // addClass adds a row for a class. If all rows are taken, it replaces the class
 // that was observed least recently.
 func (f *filter) addClass(class unit.ClassID, now time.Time) {
@@ -321,8 +341,9 @@
 				oldest = i
 			}
 		}
-		f.classes[oldest], f.lastSeen[oldest] = class, now
 		n, row := len(f.mean), oldest+1
+		delete(f.rows, f.classes[oldest])
+		f.classes[oldest], f.lastSeen[oldest], f.rows[class] = class, now, row
 		for j := range n {
 			f.covariance[row*n+j], f.covariance[j*n+row] = 0, 0
 		}
@@ -338,5 +359,9 @@
 	f.covariance = widened
 	f.mean = append(f.mean, f.prior.Mean)
 	f.classes = append(f.classes, class)
+	if f.rows == nil {
+		f.rows = map[unit.ClassID]int{}
+	}
+	f.rows[class] = n
 	f.lastSeen = append(f.lastSeen, now)
 }
--- a/internal/job/interference/pairs.go
+++ b/internal/job/interference/pairs.go
@@ -88,8 +88,10 @@
 		}
 		row := 0
 		if p.Batch != "" {
-			f.addClass(p.Batch, now)
-			row = slices.Index(f.classes, p.Batch) + 1
+			if _, ok := f.rows[p.Batch]; !ok {
+				f.addClass(p.Batch, now)
+			}
+			row = f.rows[p.Batch]
 		}
 		f.mean[row] = float64(p.Rise)
 		f.covariance[row*len(f.mean)+row] = float64(p.Deviation) * float64(p.Deviation)
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -50,7 +50,6 @@
 	interference            *interference.Model
 	durations               *duration.Estimator
 	policy                  policy
-	addedPressures          map[imagePair]float64 // added pressure per share of cores, from the interference model
 	startBudget             startBudget
 	candidateBuffer         candidateHeap   // reused by newCandidates
 	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
@@ -91,7 +90,6 @@
 		epoch:                   epoch,
 		jobs:                    map[unit.JobID]*job{},
 		openJobs:                map[unit.JobID]*job{},
-		addedPressures:          map[imagePair]float64{},
 		unplaceableImages:       map[*image]bool{},
 		workers:                 map[unit.InstanceID]*worker{},
 		workersByService:        map[unit.ServiceID][]*worker{},
@@ -193,7 +191,9 @@
 		c.repeatOrders(w, false, now)
 	}
 	if now.Sub(c.addedPressuresClearedAt) > addedPressuresTTL {
-		clear(c.addedPressures)
+		for _, i := range c.images {
+			i.addedPressures = i.addedPressures[:0]
+		}
 		c.addedPressuresClearedAt = now
 	}
 	if c.policy.mayStopRuns() && now.Sub(c.lastRelocation) > relocateInterval {
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -7,16 +7,25 @@
 )
 
 // image identifies an image; steps of the same image share one pointer.
-type image struct{ name string }
+type image struct {
+	name  string
+	index int // among the named images; noIndex without a name
+	// addedPressures caches, for a serving image, the pressure that best-effort images add
+	// for each share of the cores, by their index.
+	addedPressures imageShares
+}
+
+// noIndex is the index of images without a name.
+const noIndex = -1
 
 // imageOf returns the image of a step. A step without one gets an image of its own.
 func (c *Core) imageOf(s *graph.Step) *image {
 	if s.Image == "" {
-		return &image{}
+		return &image{index: noIndex}
 	}
 	i := c.images[s.Image]
 	if i == nil {
-		i = &image{name: s.Image}
+		i = &image{name: s.Image, index: len(c.images)}
 		c.images[s.Image] = i
 	}
 	return i
--- a/internal/job/scheduler/tail.go
+++ b/internal/job/scheduler/tail.go
@@ -64,8 +64,27 @@
 	}
 }
 
-// imagePair is a serving and a best-effort image on one worker.
-type imagePair struct{ serving, bestEffort *image }
+// imageShares holds a number for each image that has an index.
+type imageShares []float64
+
+// get returns the number of an image, or false if there is none.
+func (s imageShares) get(i *image) (float64, bool) {
+	if i.index == noIndex || i.index >= len(s) {
+		return 0, false
+	}
+	return s[i.index], !math.IsNaN(s[i.index])
+}
+
+// set sets the number of an image, unless it has no index.
+func (s *imageShares) set(i *image, number float64) {
+	if i.index == noIndex {
+		return
+	}
+	for len(*s) <= i.index {
+		*s = append(*s, math.NaN())
+	}
+	(*s)[i.index] = number
+}
 
 // addedPressuresTTL is how long the model's answers for pairs of images are cached.
 const addedPressuresTTL = 300 * time.Millisecond
@@ -73,12 +92,13 @@
 // addedPressure returns the pressure that tasks of a best-effort step are expected to
 // add to a serving step when they use the given share of the worker's cores.
 func (c *Core) addedPressure(serving, bestEffort *step, share float64) interference.Pressure {
-	key := imagePair{serving.image, bestEffort.image}
-	perShare, ok := c.addedPressures[key]
+	perShare, ok := serving.image.addedPressures.get(bestEffort.image)
 	if !ok {
 		estimate := c.interference.AddedPressure(imageClass(serving.spec), imageClass(bestEffort.spec))
 		perShare = estimate.Mean + deviationsAdded*estimate.Deviation
-		c.addedPressures[key] = perShare
+		if serving.image.index != noIndex { // the others are not cleared
+			serving.image.addedPressures.set(bestEffort.image, perShare)
+		}
 	}
 	return interference.Pressure(perShare * share)
 }
@@ -106,7 +126,7 @@
 	used          unit.Millicores // used by best-effort runs at their pace
 	serving       bool
 	headrooms     []servingHeadroom
-	allowedShares map[*image]float64
+	allowedShares imageShares // by best-effort image
 }
 
 // servingHeadroom is the pressure by which a serving run stays below the bound for
@@ -124,7 +144,7 @@
 	if w.bestEffort != nil && now.Before(w.bestEffort.validUntil) {
 		return w.bestEffort
 	}
-	view := &bestEffortView{validUntil: now.Add(bestEffortViewTTL), available: w.listing.Capacity.Cores, allowedShares: map[*image]float64{}}
+	view := &bestEffortView{validUntil: now.Add(bestEffortViewTTL), available: w.listing.Capacity.Cores}
 	for _, r := range w.runs {
 		spec := r.task.step.spec
 		switch {
@@ -153,7 +173,7 @@
 // best-effort step may use before a serving run is expected to have no headroom left.
 func (c *Core) allowedShare(w *worker, s *step, now time.Time) float64 {
 	view := c.bestEffortViewOf(w, now)
-	if allowed, ok := view.allowedShares[s.image]; ok {
+	if allowed, ok := view.allowedShares.get(s.image); ok {
 		return allowed
 	}
 	allowed := 1.0
@@ -166,7 +186,7 @@
 			allowed = min(allowed, float64(serving.headroom/perShare))
 		}
 	}
-	view.allowedShares[s.image] = allowed
+	view.allowedShares.set(s.image, allowed)
 	return allowed
 }
 
