job/owner: nothing of a core that panicked is written or acted on

The shard is marked as abandoned before its lock is released, and no batch is built from an abandoned one. TestFaultInCore checks it; without the check in buildBatch it fails.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -91,6 +91,9 @@
 func (sh *shard) buildBatch(handOver bool) (*commitBatch, error) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	if sh.abandoned {
+		return nil, nil
+	}
 	// The store already has a final state of these jobs: that of a write whose answer was
 	// lost, or a cancellation, which must not be overwritten.
 	sh.finalStates = slices.DeleteFunc(sh.finalStates, func(f scheduler.FinalState) bool {
--- a/internal/job/owner/fault_test.go
+++ b/internal/job/owner/fault_test.go
@@ -137,6 +137,13 @@
 			if diff := cmp.Diff(tt.abandoned == 0, updates == 2); diff != "" {
 				t.Errorf("%d updates afterwards (-want +got):\n%s", updates, diff)
 			}
+			batch, err := sh.buildBatch(true)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.abandoned == 0, batch != nil); diff != "" {
+				t.Errorf("progress written (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -273,14 +273,17 @@
 // passes on the orders, expired leases and final states that result. If that panics, the
 // state of the core cannot be trusted, and the term ends.
 func (sh *shard) update(f func(c *scheduler.Core, now time.Time)) {
+	sh.mu.Lock()
+	if sh.abandoned {
+		sh.mu.Unlock()
+		return
+	}
 	err := guard.Call(func() error {
-		sh.mu.Lock()
-		defer sh.mu.Unlock()
-		if !sh.abandoned {
-			sh.updateCore(f)
-		}
+		sh.updateCore(f)
 		return nil
 	})
+	sh.abandoned = err != nil // before anything else uses the core
+	sh.mu.Unlock()
 	if err != nil {
 		sh.abandon(err)
 	}
@@ -293,13 +296,6 @@
 // abandon ends the term after a fault in the core. The next owner builds its core anew
 // from the store and from the reports of the workers.
 func (sh *shard) abandon(cause error) {
-	sh.mu.Lock()
-	again := sh.abandoned
-	sh.abandoned = true
-	sh.mu.Unlock()
-	if again {
-		return
-	}
 	sh.log.Error(cause, "shard abandoned after a fault")
 	metric.OwnershipChanges.Add("abandoned", 1)
 	sh.cancel()
