job/owner: heartbeats keep to a share of the link

Cause: heartbeats were not bounded by the link. 122 workers with runs at 0.4 s take 121 KB/s of 250; each end that waits for its acknowledgement adds ten a second, each late answer adds probes on further connections, and a takeover sends one to every worker at the same moment.

A pacer now gives each heartbeat, acknowledgement and probe its turn, at 25% of the link. The interval of workers with runs follows from 80% of that and the number of workers, from 0.4 s to 1 s; the interval of acknowledgements, the delay of probes and the time after which an answer counts as late follow from it. The time until the turn is taken from the wait of the heartbeat, so that a report is no older for it, and the answer is timed from the turn on. While a probe waits for its turn, a late answer makes it needless. A turn is at most 2 s away, so that two heartbeats are sent within a lease. On links that are wide for their fleet nothing waits and the intervals stay.

--- /dev/null
+++ b/internal/job/owner/link.go
@@ -0,0 +1,13 @@
+package owner
+
+import "github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+
+// heartbeatShare is the share of the link, in percent, that heartbeats may take beside
+// startShare.
+const heartbeatShare = 25
+
+// shareOf returns the bytes a second of a share of a link, or 0 for no bound if the
+// capacity of the link is not known.
+func shareOf(link unit.BitRate, percent unit.Bytes) unit.Bytes {
+	return unit.Bytes(link) / 8 * percent / 100
+}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -86,6 +86,7 @@
 // Options configures a Service.
 type Options struct {
 	Limits scheduler.Limits
+	Link   unit.BitRate // capacity of this entry's link, or 0 if it is not known
 	// FinalStateRetention is the least time for which the final state of a job
 	// can be read.
 	FinalStateRetention time.Duration
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -55,6 +55,7 @@
 	jobsConfirmed    confirmation // of the job records
 	workersConfirmed confirmation // of the instance list
 	zonesConfirmed   confirmation // of the zones out of service
+	heartbeats       *heartbeatPacer
 
 	commitMu           sync.Mutex // held during a transaction, so that transactions stay in order
 	mu                 sync.Mutex
@@ -80,6 +81,7 @@
 	return &shard{
 		service: s, log: s.log.WithValues("epoch", t.Epoch), term: t,
 		ctx: ctx, cancel: cancel,
+		heartbeats:    newHeartbeatPacer(s.options.Link),
 		done:          make(chan struct{}),
 		commitDue:     make(chan struct{}, 1),
 		jobRevisions:  map[unit.JobID]unit.Revision{},
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -106,7 +106,9 @@
 // one, at its current address. It is called with the lock held.
 func (sh *shard) updateWorkerClients() {
 	wanted := map[unit.InstanceID]bool{}
-	for _, listing := range sh.core.Workers() {
+	listings := sh.core.Workers()
+	sh.heartbeats.setWorkers(len(listings), time.Now())
+	for _, listing := range listings {
 		wanted[listing.ID] = true
 		client := sh.workerClients[listing.ID]
 		if client != nil && client.address != listing.Address {
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -19,14 +19,15 @@
 // Timeouts and intervals of the requests to a worker.
 const (
 	// busyHeartbeatWait and idleHeartbeatWait are how long a worker with and without
-	// runs may delay the answer to a heartbeat. They bound the age of its report.
+	// runs may delay the answer to a heartbeat. They bound the age of its report. With
+	// runs it is longer on a link that is narrow for the fleet; see heartbeatPacer.
 	busyHeartbeatWait = 400 * time.Millisecond
 	idleHeartbeatWait = 1200 * time.Millisecond
 	// ackInterval is the time between two heartbeats while the worker lists ends that
 	// are not acknowledged yet, since it then answers without waiting.
 	ackInterval = 100 * time.Millisecond
 	// responseSlack is how long after the wait of a heartbeat its answer may arrive
-	// before the worker counts as not reached.
+	// before the worker counts as not reached, if the link asks for no longer interval.
 	responseSlack = 500 * time.Millisecond
 	// lateAnswerLimit is how long after a heartbeat its answer is still read. It is
 	// longer than the lease, since the ends in a late answer are the only sign that a
@@ -305,6 +306,9 @@
 	// await returns the answer to the heartbeat with the given number, or an error
 	// after d. While the worker is not reached, the answer to another one will do.
 	await := func(number int, d time.Duration) (answer, error) {
+		if d <= 0 {
+			return answer{}, errLateAnswer
+		}
 		timer := time.NewTimer(d)
 		defer timer.Stop()
 		for {
@@ -321,11 +325,28 @@
 			}
 		}
 	}
+	reached := func(a answer) {
+		if failures > 0 {
+			c.log.Info("worker reached again", "failures", failures, "after", a.after.String())
+		}
+		failures = 0
+		if a.ends > 0 {
+			wait.For(c.ctx, max(ackInterval, c.shard.heartbeats.interval()/2))
+		}
+	}
 	for c.ctx.Err() == nil {
+		turn := c.shard.heartbeats.turn(time.Now())
+		switch a, err := await(0, turn); {
+		case err == nil:
+			reached(a) // no probe is needed
+			continue
+		case c.ctx.Err() != nil:
+			return
+		}
 		// After a failure the lease is not extended until the worker answers. An
 		// unanswered heartbeat may still extend it, so repeated ones would keep the
 		// tasks of a lost worker from starting elsewhere.
-		h, err := c.nextHeartbeat(failures > 0)
+		h, err := c.nextHeartbeat(failures > 0, turn)
 		if err != nil {
 			wait.For(c.ctx, heartbeatRetryDelay)
 			continue
@@ -338,29 +359,30 @@
 		}
 		inFlight++
 		requests <- h
-		a, err := await(number, h.wait+responseSlack)
+		interval := c.shard.heartbeats.interval()
+		a, err := await(number, h.wait+max(responseSlack, interval))
 		for err != nil && c.ctx.Err() == nil {
 			if failures++; failures == 1 {
 				c.log.Info("worker not reached", "error", err.Error())
 			}
-			a, err = await(0, min(heartbeatRetryDelay<<min(failures-1, 8), maxHeartbeatRetryDelay))
+			a, err = await(0, probeDelay(failures, interval))
 			if inFlight < maxHeartbeatsInFlight {
 				break
 			}
 		}
-		if err != nil {
-			continue
-		}
-		if failures > 0 {
-			c.log.Info("worker reached again", "failures", failures, "after", a.after.String())
-		}
-		failures = 0
-		if a.ends > 0 {
-			wait.For(c.ctx, ackInterval)
+		if err == nil {
+			reached(a)
 		}
 	}
 }
 
+// probeDelay returns the time between the given number of failed heartbeats in a row and
+// the next one, for an interval that the link asks for.
+func probeDelay(failures int, interval time.Duration) time.Duration {
+	first, longest := max(heartbeatRetryDelay, interval/2), max(maxHeartbeatRetryDelay, interval)
+	return min(first<<min(failures-1, 8), longest)
+}
+
 // converse sends heartbeats, one at a time, and passes the reports in the answers to
 // the core.
 func (c *workerClient) converse(requests <-chan heartbeat, answers chan<- answer) {
@@ -370,8 +392,9 @@
 	}
 }
 
-// nextHeartbeat returns the next heartbeat to send. A probe does not extend the lease.
-func (c *workerClient) nextHeartbeat(probe bool) (heartbeat, error) {
+// nextHeartbeat returns the next heartbeat to send, which has waited for its turn for the
+// given time. A probe does not extend the lease.
+func (c *workerClient) nextHeartbeat(probe bool, turn time.Duration) (heartbeat, error) {
 	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
 		return heartbeat{}, errOwnershipStale
 	}
@@ -379,8 +402,9 @@
 	c.shard.mu.Lock()
 	incarnation, cursor := c.shard.core.AckCursor(c.id)
 	if c.shard.core.HasRuns(c.id) {
-		h.wait = busyHeartbeatWait
+		h.wait = max(busyHeartbeatWait, c.shard.heartbeats.interval())
 	}
+	h.wait = max(0, h.wait-turn) // so that the report is no older than without a turn
 	extend := !probe && c.shard.core.WantsLease(c.id)
 	c.shard.mu.Unlock()
 	if incarnation == c.knownIncarnation() { // otherwise the cursor counts the ends of another one
