job/owner: the record of the progress keeps to a share of the link

What callers saw: on entries of 2 Mbit/s the owner writes the progress whole every 250 ms, up to 46 KB/s of 250, beside starts that take 45%: what is behind it on the link is late. A failed write was repeated after 150 ms with the whole record, which adds load while the store is late.

The next write is now due when 10% of the link has carried the last one (progress, model and checkpoints), not sooner than 250 ms and not later than 2 s after it; after a failed write the same holds without the 250 ms. A hand-over writes at once as before. With 1,000 Mbit/s nothing changes for records below 3 MB, with 200 Mbit/s below 600 KB.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -16,8 +16,9 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// progressInterval is the time between two writes of the progress. The ends of runs
-// are acknowledged to their workers only after such a write.
+// progressInterval is the time between two writes of the progress, if the link carries
+// them faster; see progressPacer. The ends of runs are acknowledged to their workers only
+// after such a write.
 const progressInterval = 250 * time.Millisecond
 
 // finalStatesPerCommit keeps a transaction within the limit of the store: each final
@@ -60,6 +61,15 @@
 	estimates   bool                // the model and the checkpoints are written
 }
 
+// size returns the bytes of the values that the transaction writes.
+func (b *commitBatch) size() unit.Bytes {
+	var n unit.Bytes
+	for _, p := range b.txn.Puts {
+		n += unit.Bytes(len(p.Value))
+	}
+	return n
+}
+
 // commitOnce writes the final states and progress that are due and reports whether
 // more are. With handOver it writes the progress at once and marks it as handed over.
 func (sh *shard) commitOnce(ctx context.Context, handOver bool) (more bool, err error) {
@@ -102,7 +112,7 @@
 	})
 	b := &commitBatch{finalStates: sh.finalStates[:min(len(sh.finalStates), finalStatesPerCommit)]}
 	now := time.Now()
-	due := handOver || (sh.core.ProgressChanged() && now.Sub(sh.lastProgressWrite) >= progressInterval)
+	due := handOver || (sh.core.ProgressChanged() && sh.progress.due(now))
 	if len(b.finalStates) == 0 && !due {
 		return nil, nil
 	}
@@ -120,6 +130,7 @@
 		if err := sh.addProgress(b, handOver, now); err != nil {
 			return nil, err
 		}
+		sh.progress.sent(b.size(), now)
 	}
 	return b, nil
 }
@@ -142,7 +153,6 @@
 	b.snapshot = &snapshot
 	b.txn.Guards = append(b.txn.Guards, kv.Guard{Key: record.ProgressKey, Revision: sh.progressRevision})
 	b.txn.Puts = append(b.txn.Puts, kv.Put{Key: record.ProgressKey, Value: value})
-	sh.lastProgressWrite = now
 	if !handOver && now.Sub(sh.lastEstimatesWrite) < estimatesInterval {
 		return nil
 	}
@@ -159,7 +169,7 @@
 	return nil
 }
 
-// markProgressUnwritten makes the progress of a failed transaction due at once.
+// markProgressUnwritten makes the progress of a failed transaction due again.
 func (sh *shard) markProgressUnwritten(b *commitBatch) {
 	if b.snapshot == nil {
 		return
@@ -167,7 +177,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.core.MarkProgressChanged()
-	sh.lastProgressWrite = time.Time{}
+	sh.progress.failed()
 	if b.estimates {
 		sh.lastEstimatesWrite = time.Time{}
 	}
--- a/internal/job/owner/commit_test.go
+++ b/internal/job/owner/commit_test.go
@@ -96,7 +96,7 @@
 			sh := newShard(t.Context(), s, ownership.Term{Epoch: 1, EpochRevision: 7})
 			defer sh.cancel()
 			sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
-			sh.lastProgressWrite = time.Now() // no progress is due
+			sh.progress.sent(0, time.Now()) // no progress is due
 			sh.applyJob(SubmittedJob{Record: open, Revision: 5, Created: 5}, time.Now())
 			sh.finalStates = []scheduler.FinalState{{Job: "j", State: graph.Completed}}
 			sh.applyJob(SubmittedJob{Record: tt.record, Revision: 9, Created: 5}, time.Now())
--- a/internal/job/owner/link.go
+++ b/internal/job/owner/link.go
@@ -2,9 +2,12 @@
 
 import "github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 
-// heartbeatShare is the share of the link, in percent, that heartbeats may take beside
-// startShare.
-const heartbeatShare = 25
+// Shares of the link, in percent, that heartbeats and the record of the progress may take,
+// beside startShare.
+const (
+	heartbeatShare = 25
+	progressShare  = 10
+)
 
 // shareOf returns the bytes a second of a share of a link, or 0 for no bound if the
 // capacity of the link is not known.
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -65,12 +65,12 @@
 	finalStates        []scheduler.FinalState       // not written yet
 	workerClients      map[unit.InstanceID]*workerClient
 	placement          placementPacer
+	progress           progressPacer
 	handingOver        bool // no new orders are queued
 	abandoned          bool // the state of the core cannot be trusted after a fault
 	startsHeld         bool // nothing is placed, as a view of the store is too old
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
-	lastProgressWrite  time.Time
 	lastEstimatesWrite time.Time
 	lastSummary        time.Time           // used only by run
 	traffic            metric.TrafficMeter // used only by run
@@ -81,7 +81,7 @@
 	return &shard{
 		service: s, log: s.log.WithValues("epoch", t.Epoch), term: t,
 		ctx: ctx, cancel: cancel,
-		heartbeats:    newHeartbeatPacer(s.options.Link),
+		heartbeats: newHeartbeatPacer(s.options.Link), progress: newProgressPacer(s.options.Link),
 		done:          make(chan struct{}),
 		commitDue:     make(chan struct{}, 1),
 		jobRevisions:  map[unit.JobID]unit.Revision{},
@@ -334,7 +334,7 @@
 		metric.FinalStates.Add(f.State.String(), 1)
 		sh.finalStates = append(sh.finalStates, f)
 	}
-	if len(sh.finalStates) > 0 || (sh.core.ProgressChanged() && now.Sub(sh.lastProgressWrite) >= progressInterval) {
+	if len(sh.finalStates) > 0 || (sh.core.ProgressChanged() && sh.progress.due(now)) {
 		select {
 		case sh.commitDue <- struct{}{}:
 		default:
