job/owner, storage/kv: changes that are arriving are not fetched a second time

Once an answer takes longer, two reads that start from the same revision are under way, and every change is fetched twice. That takes the link from the answers, which come later still.

Change: a read follows the answer to the last one, at once if that took longer than the interval. A second read is sent beside it only while nothing arrives of the first one for twice as long as the last answer took to begin (0.3 s to 1 s), and its answer ends the first. While the answers hold no changes, reads overlap as before, since that costs nothing. WithProgress calls the progress function that the context already has too, as storage/access sets one of its own below the reader.

Why it works: with one answer under way each change is sent once, so that the reads need the rate of the changes and no more, and the time of a read settles at the wait on the link divided by the share that they leave free. A view is confirmed for the time at which the read was sent, as before.

TestSlowLink is new: changes of 430 bytes every 12 ms.

A price remains: where answers wait for 0.7 s and a connection goes silent, the view is up to 3.2 s old, which was 2.0 s, as the second read waits for 1 s. TestViewAge is unchanged but for the place of the interval.

--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -10,14 +11,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
-// readsInFlight is the number of unanswered reads of one changeReader. While the store
-// takes long, or one connection is silent, the view is confirmed by another read.
-const readsInFlight = 2
-
-// maxReadSpacing limits the time between two reads of which the last one took long. One
-// slow answer shows nothing about the next.
-const maxReadSpacing = 500 * time.Millisecond
-
 // changeHandler applies what a changeReader has read. Its calls do not overlap.
 type changeHandler interface {
 	// applyChanges applies the changes up to the revision read.
@@ -39,18 +32,16 @@
 type changeReader struct {
 	shard     *shard
 	prefix    kv.Key
-	interval  time.Duration // between two reads
 	handler   changeHandler
 	confirmed *confirmation
+	pace      readPace
 
 	listMu sync.Mutex // held during a list
 	list   kv.Listing // how far the list has come that is not complete
 	listAt time.Time  // when its first page was requested
 
-	mu     sync.Mutex    // held while changes are applied
-	since  unit.Revision // all changes up to it are applied
-	nextAt time.Time     // when the next read is due
-	took   time.Duration // by the last read
+	mu    sync.Mutex    // held while changes are applied
+	since unit.Revision // all changes up to it are applied
 }
 
 // start reads the changes after a revision in readsInFlight goroutines until the term
@@ -59,51 +50,46 @@
 	r.since = since
 	for range readsInFlight {
 		r.shard.goroutines.Go(func() {
-			for r.awaitTurn() {
-				r.read()
+			for r.read() {
 			}
 		})
 	}
 }
 
-// awaitTurn waits until the next read is due and reports whether the term goes on. Reads
-// that take long are spread evenly over that time.
-func (r *changeReader) awaitTurn() bool {
-	now := time.Now()
-	r.mu.Lock()
-	at := r.nextAt
-	if at.Before(now) {
-		at = now
+// read reads and applies the latest changes once that is due, and reports whether the term
+// goes on.
+func (r *changeReader) read() bool {
+	read, ok := r.awaitTurn()
+	if !ok {
+		return false
 	}
-	r.nextAt = at.Add(max(r.interval, min(r.took/readsInFlight, maxReadSpacing)))
-	r.mu.Unlock()
-	return r.shard.sleep(at.Sub(now)) && r.shard.ctx.Err() == nil
-}
-
-// read reads and applies the latest changes.
-func (r *changeReader) read() {
-	r.mu.Lock()
-	since := r.since
-	r.mu.Unlock()
-	sentAt := time.Now()
-	events, next, err := r.shard.service.store.Poll(r.shard.ctx, r.prefix, since)
+	defer r.pace.end(read)
+	progress := func() { r.pace.arrived(read, time.Now()) }
+	since := r.appliedRevision()
+	events, next, err := r.shard.service.store.Poll(kv.WithProgress(read.ctx, progress), r.prefix, since)
 	switch {
 	case errors.Is(err, kv.ErrCompacted), errors.Is(err, kv.ErrOversized):
-		r.readAll(since)
+		r.readAll(kv.WithProgress(r.shard.ctx, progress), read, since)
 	case err != nil: // storage/access logs that the store is unreachable
-		r.retry()
+		r.pace.failed(read, time.Now())
 	default:
-		r.apply(events, next, sentAt)
+		r.pace.answered(read, len(events), time.Now())
+		r.apply(events, next, read.sentAt)
 	}
+	return r.shard.ctx.Err() == nil
 }
 
-// retry makes the next read due soon.
-func (r *changeReader) retry() {
-	at := time.Now().Add(retryDelay)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if at.Before(r.nextAt) {
-		r.nextAt = at
+// awaitTurn waits until the next read is to be sent, or returns false at the end of the
+// term.
+func (r *changeReader) awaitTurn() (*pendingRead, bool) {
+	for {
+		read, askAt := r.pace.begin(r.shard.ctx, time.Now())
+		if read != nil {
+			return read, true
+		}
+		if !r.shard.sleep(time.Until(askAt)) {
+			return nil, false
+		}
 	}
 }
 
@@ -112,7 +98,6 @@
 func (r *changeReader) apply(events []kv.Item, next unit.Revision, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.took = time.Since(sentAt)
 	var fresh []kv.Item
 	for _, e := range events {
 		if e.Revision > r.since {
@@ -128,17 +113,17 @@
 // error, after the history of the changes after since was found to be gone. The next
 // call continues with the page that failed, so that an owner whose link is slow gets to
 // the end.
-func (r *changeReader) readAll(since unit.Revision) {
+func (r *changeReader) readAll(ctx context.Context, read *pendingRead, since unit.Revision) {
 	r.listMu.Lock()
 	defer r.listMu.Unlock()
-	if r.appliedSince(since) {
+	if r.appliedRevision() > since {
 		return // another list has ended meanwhile
 	}
-	for r.shard.ctx.Err() == nil {
+	for ctx.Err() == nil {
 		sentAt, first := time.Now(), r.list.Revision == 0
-		items, err := r.shard.service.store.NextPage(r.shard.ctx, r.prefix, &r.list)
+		items, err := r.shard.service.store.NextPage(ctx, r.prefix, &r.list)
 		if err != nil {
-			r.retry()
+			r.pace.failed(read, time.Now())
 			return
 		}
 		if first {
@@ -153,11 +138,11 @@
 	}
 }
 
-// appliedSince reports whether a change after the given revision has been applied.
-func (r *changeReader) appliedSince(since unit.Revision) bool {
+// appliedRevision returns the revision up to which all changes are applied.
+func (r *changeReader) appliedRevision() unit.Revision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.since > since
+	return r.since
 }
 
 func (r *changeReader) applyPage(p listPage) {
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -133,12 +133,12 @@
 
 // newJobReader returns a reader of the job records.
 func (sh *shard) newJobReader() *changeReader {
-	return &changeReader{shard: sh, prefix: record.JobPrefix, interval: jobReadInterval, handler: jobRecords{sh}, confirmed: &sh.jobsConfirmed}
+	return &changeReader{shard: sh, prefix: record.JobPrefix, handler: jobRecords{sh}, confirmed: &sh.jobsConfirmed, pace: readPace{interval: jobReadInterval}}
 }
 
 // newWorkerReader returns a reader of the instance list.
 func (sh *shard) newWorkerReader() *changeReader {
-	return &changeReader{shard: sh, prefix: sh.service.fleet.Prefix(), interval: workerReadInterval, handler: &instanceList{shard: sh}, confirmed: &sh.workersConfirmed}
+	return &changeReader{shard: sh, prefix: sh.service.fleet.Prefix(), handler: &instanceList{shard: sh}, confirmed: &sh.workersConfirmed, pace: readPace{interval: workerReadInterval}}
 }
 
 // summaryInterval is the time between two summaries of the shard in the log.
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -142,7 +142,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				sh := newShard(t.Context(), &Service{store: kv.Client{Doer: tt.store}}, ownership.Term{Epoch: 1})
 				view := ageHandler{confirmedAt: time.Now()}
-				r := &changeReader{shard: sh, interval: workerReadInterval, handler: &view, confirmed: &confirmation{}}
+				r := &changeReader{shard: sh, handler: &view, confirmed: &confirmation{}, pace: readPace{interval: workerReadInterval}}
 				r.start(0)
 				for _, limit := range []time.Duration{tt.oldest, tt.later} {
 					time.Sleep(10*time.Second + time.Millisecond)
