storage/access: limits of direct calls in a file of their own

No change in what a call does, but one: a watch that waits in the store for less than 0.6 s may take as long as a call that does not wait while answers are late. The limit, its latency and the stall of a read were spread over access.go.

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -30,12 +30,6 @@
 	// until the next part of its answer. The store answers in 4 ms, and in 240 ms while it
 	// is slow.
 	callTimeout = 800 * time.Millisecond
-	// maxCallTimeout is the limit while the answers take long. A call that is given up is
-	// sent again, and its late answer takes up the link all the same.
-	maxCallTimeout = 1200 * time.Millisecond
-	// maxReadDuration limits a read of which parts keep arriving. A page of a list is up
-	// to 1.4 MB, which takes 5.6 s at a fifth of 10 Mbit/s.
-	maxReadDuration = 8 * time.Second
 	// watchGrace is how long the answer of a watch may come after its wait has passed.
 	watchGrace = 600 * time.Millisecond
 	// probeInterval is the time between two direct calls while the store does not answer
@@ -61,19 +55,19 @@
 	log    logr.Logger
 	direct kv.Doer
 	peers  network
+	limit  answerLimit
 	done   chan struct{}
 
 	mu                sync.Mutex
-	directFailing     bool          // direct calls get no answer
-	directAnsweredAt  time.Time     // when the last direct call was answered
-	latency           time.Duration // of direct calls lately, until their answers begin
-	nextProbe         time.Time     // next direct call while directFailing
-	outage            bool          // relayed calls get no answer either
-	nextAttempt       time.Time     // next attempt during an outage
-	outageEnded       time.Time     // when the last outage ended
-	outageStarted     time.Time     // when the current outage began
-	lastRelay         unit.EntryID  // peer that last relayed a call
-	outageConfirmedAt time.Time     // when a peer last reported that it gets no answer either
+	directFailing     bool         // direct calls get no answer
+	directAnsweredAt  time.Time    // when the last direct call was answered
+	nextProbe         time.Time    // next direct call while directFailing
+	outage            bool         // relayed calls get no answer either
+	nextAttempt       time.Time    // next attempt during an outage
+	outageEnded       time.Time    // when the last outage ended
+	outageStarted     time.Time    // when the current outage began
+	lastRelay         unit.EntryID // peer that last relayed a call
+	outageConfirmedAt time.Time    // when a peer last reported that it gets no answer either
 }
 
 // New returns a service over a direct client of the store.
@@ -253,51 +247,10 @@
 	return s.outageEnded
 }
 
-// errStalled is the cause of the end of a read of which no further part arrived.
-var errStalled = errors.Errorf("answer stalled: %w", context.DeadlineExceeded)
-
-// limitCall returns a context that ends when no answer comes within the timeout of the
-// call. That of a read runs again from each part of the answer.
-func (s *Service) limitCall(ctx context.Context, r kv.Request) (context.Context, context.CancelFunc) {
-	timeout := s.answerTimeout()
-	first := timeout
-	if r.Waits() {
-		first = r.Wait + watchGrace
-	}
-	if !r.Op.Reads() {
-		return context.WithTimeout(ctx, first)
-	}
-	ctx, cancel := context.WithTimeout(ctx, first+maxReadDuration)
-	ctx, end := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(first, func() { end(errStalled) })
-	ctx = kv.WithProgress(ctx, func() { timer.Reset(timeout) })
-	return ctx, func() {
-		timer.Stop()
-		end(nil)
-		cancel()
-	}
-}
-
-// answerTimeout returns how long a call waits for the next part of its answer: twice as
-// long as answers have taken to begin lately.
-func (s *Service) answerTimeout() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return min(max(2*s.latency, callTimeout), maxCallTimeout)
-}
-
-// recordLatency records how long an answer took to begin. One slow answer counts at once
-// and is forgotten after a few fast ones.
-func (s *Service) recordLatency(took time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.latency = max(took, (s.latency+took)/2)
-}
-
 // callDirect calls the store directly, within the timeout of the request.
 func (s *Service) callDirect(ctx context.Context, r kv.Request) (kv.Response, error) {
 	metric.StoreCalls.Add(r.Op.String(), 1)
-	ctx, cancel := s.limitCall(ctx, r)
+	ctx, cancel := s.limit.apply(ctx, r)
 	defer cancel()
 	started := time.Now()
 	var began time.Time // when the first part of the answer arrived
@@ -319,7 +272,7 @@
 		began = ended
 	}
 	if !noAnswer(err) {
-		s.recordLatency(began.Sub(started))
+		s.limit.record(began.Sub(started))
 	}
 	return response, err
 }
@@ -445,16 +398,8 @@
 	return kv.Response{}, last
 }
 
-// relayTimeout returns how long a peer may take to relay a call.
-func relayTimeout(r kv.Request) time.Duration {
-	if r.Waits() {
-		return r.Wait + 2*watchGrace
-	}
-	return callTimeout + watchGrace
-}
-
 func (s *Service) relayTo(ctx context.Context, id unit.EntryID, r kv.Request, body []byte) (kv.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout(r))
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r)+watchGrace)
 	defer cancel()
 	raw, err := s.peers.Call(ctx, id, kindStore, body)
 	if errors.Is(err, mesh.ErrUnreachable) {
