--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -30,9 +30,6 @@
 	// until the next part of its answer. The store answers in 4 ms, and in 240 ms while it
 	// is slow.
 	callTimeout = 800 * time.Millisecond
-	// maxReadDuration limits a read of which parts keep arriving. A page of a list is up
-	// to 1.4 MB, which takes 5.6 s at a fifth of 10 Mbit/s.
-	maxReadDuration = 8 * time.Second
 	// watchGrace is how long the answer of a watch may come after its wait has passed.
 	watchGrace = 600 * time.Millisecond
 	// probeInterval is the time between two direct calls while the store does not answer
@@ -58,6 +55,7 @@
 	log    logr.Logger
 	direct kv.Doer
 	peers  network
+	limit  answerLimit
 	done   chan struct{}
 
 	mu                sync.Mutex
@@ -249,47 +247,34 @@
 	return s.outageEnded
 }
 
-// errStalled is the cause of the end of a read of which no further part arrived.
-var errStalled = errors.Errorf("answer stalled: %w", context.DeadlineExceeded)
-
-// limitCall returns a context that ends with the timeout of the request. That of a read
-// runs again from each part of the answer.
-func limitCall(ctx context.Context, r kv.Request) (context.Context, context.CancelFunc) {
-	if !r.Op.Reads() {
-		return context.WithTimeout(ctx, timeoutOf(r))
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r)+maxReadDuration)
-	ctx, end := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(timeoutOf(r), func() { end(errStalled) })
-	ctx = kv.WithProgress(ctx, func() { timer.Reset(callTimeout) })
-	return ctx, func() {
-		timer.Stop()
-		end(nil)
-		cancel()
-	}
-}
-
 // callDirect calls the store directly, within the timeout of the request.
 func (s *Service) callDirect(ctx context.Context, r kv.Request) (kv.Response, error) {
 	metric.StoreCalls.Add(r.Op.String(), 1)
-	ctx, cancel := limitCall(ctx, r)
+	ctx, cancel := s.limit.apply(ctx, r)
 	defer cancel()
 	started := time.Now()
+	var began time.Time // when the first part of the answer arrived
+	ctx = kv.WithProgress(ctx, func() {
+		if began.IsZero() {
+			began = time.Now()
+		}
+	})
 	response, err := s.direct.Do(ctx, r)
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = errors.Join(err, errStalled)
 	}
-	if !r.Waits() {
-		metric.StoreLatency.Record(time.Since(started))
-	}
-	return response, err
-}
-
-func timeoutOf(r kv.Request) time.Duration {
 	if r.Waits() {
-		return r.Wait + watchGrace
+		return response, err
 	}
-	return callTimeout
+	ended := time.Now()
+	metric.StoreLatency.Record(ended.Sub(started))
+	if began.IsZero() {
+		began = ended
+	}
+	if !noAnswer(err) {
+		s.limit.record(began.Sub(started))
+	}
+	return response, err
 }
 
 // noAnswer reports whether the store did not answer the call.
