--- a/internal/fleet/ownership/claim.go
+++ b/internal/fleet/ownership/claim.go
@@ -60,6 +60,10 @@
 	return retryDelay
 }
 
+// lateRenewal is the time after which the answer to a renewal is logged as late. The lease
+// lasts for ownerTTL, so an owner with such answers is about to lose the shard.
+const lateRenewal = 2 * ownerRenewInterval
+
 // renewOwnerLease sends a renewal of the lease of the owner record, waits for the rest
 // of the renewal interval, and returns the further delay until the next step. The
 // next renewal is sent even if this one has no answer yet: a call may hang longer than
@@ -72,7 +76,11 @@
 	s.renewals.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, s.ownerTTL)
 		defer cancel()
+		sentAt := time.Now()
 		err := s.store.Renew(ctx, lease)
+		if took := time.Since(sentAt); err != nil || took > lateRenewal {
+			s.log.Info("renewal of the ownership late or failed", "lease", lease, "took", took.String(), "view", s.viewAge(time.Now()).String(), "error", err)
+		}
 		if err == nil {
 			return
 		}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -86,6 +86,8 @@
 // Options configures a Service.
 type Options struct {
 	Limits scheduler.Limits
+	// Link is the capacity of the entry's network link; 0 if it is not known.
+	Link unit.BitRate
 	// FinalStateRetention is the least time for which the final state of a job
 	// can be read.
 	FinalStateRetention time.Duration
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -159,10 +159,21 @@
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
-		"zonesage", sh.zonesConfirmed.age(now).String(),
+		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(),
+		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
 
+// linkUse returns the share of the link, in percent, that a rate in bytes a second takes
+// without the headers of packets, or 0 if the capacity of the link is not known.
+func (sh *shard) linkUse(bytesPerSecond int64) int64 {
+	link := int64(sh.service.options.Link)
+	if link == 0 {
+		return 0
+	}
+	return 100 * 8 * bytesPerSecond / link
+}
+
 // sleep waits for d and reports whether the term goes on.
 func (sh *shard) sleep(d time.Duration) bool { return wait.For(sh.ctx, d) }
 
--- a/internal/report/metric/traffic.go
+++ b/internal/report/metric/traffic.go
@@ -129,6 +129,20 @@
 	CallsPerSecond    map[CallName]int64
 }
 
+// Received returns the bytes received in a second from all partners.
+func (r TrafficRates) Received() int64 { return sum(r.ReceivedPerSecond) }
+
+// Sent returns the bytes sent in a second to all partners.
+func (r TrafficRates) Sent() int64 { return sum(r.SentPerSecond) }
+
+func sum(rates map[Partner]int64) int64 {
+	var total int64
+	for _, rate := range rates {
+		total += rate
+	}
+	return total
+}
+
 // TrafficMeter measures the traffic between two readings. It is for use by one
 // goroutine.
 type TrafficMeter struct {
