peer/mesh: count what connections between entries exchange on the wire

The traffic of peers was the bodies of calls that were received whole. The counters of the connections are read once a second by one goroutine; handshakes that fail are still not counted.

--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -18,7 +18,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
-	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // ServiceName is the name of the service in a kernel.
@@ -84,6 +83,7 @@
 	mu       sync.Mutex
 	peers    map[unit.EntryID]*peer
 	handlers map[Kind]Handler
+	conns    map[*quic.Conn]traffic // established connections, with what is counted of each
 }
 
 // New returns a service that will listen on the first free UDP port of a range,
@@ -94,6 +94,7 @@
 		done:     make(chan struct{}),
 		peers:    map[unit.EntryID]*peer{},
 		handlers: map[Kind]Handler{},
+		conns:    map[*quic.Conn]traffic{},
 	}
 }
 
@@ -111,6 +112,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.tasks.Go(s.accept)
+	s.tasks.Go(s.countTraffic)
 	go func() {
 		defer close(s.done)
 		<-s.ctx.Done()
@@ -236,6 +238,8 @@
 // serve accepts the calls of one connection and handles them concurrently.
 func (s *Service) serve(conn *quic.Conn) {
 	from := fingerprint(conn.ConnectionState().TLS.PeerCertificates[0].Raw)
+	s.addConn(conn)
+	defer s.removeConn(conn)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -259,7 +263,6 @@
 		stream.CancelRead(0)
 		return
 	}
-	metric.PeerTraffic.AddReceived(len(message))
 	s.mu.Lock()
 	handler := s.handlers[Kind(message[0])]
 	s.mu.Unlock()
@@ -277,8 +280,7 @@
 		}
 	}
 	// If the write fails, the caller reports an unknown outcome.
-	n, _ := stream.Write(append([]byte{status}, body...))
-	metric.PeerTraffic.AddSent(n)
+	_, _ = stream.Write(append([]byte{status}, body...))
 }
 
 // exchange does one call on a new stream.
@@ -291,16 +293,13 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline) // fails only on a closed stream
 	}
-	n, err := stream.Write(append([]byte{byte(k)}, request...))
-	metric.PeerTraffic.AddSent(n)
-	if err != nil {
+	if _, err := stream.Write(append([]byte{byte(k)}, request...)); err != nil {
 		return nil, errors.Errorf("send: %w", errors.Join(err, ErrUnknown))
 	}
 	if err := stream.Close(); err != nil {
 		return nil, errors.Errorf("end request: %w", errors.Join(err, ErrUnknown))
 	}
 	answer, err := io.ReadAll(io.LimitReader(stream, MaxMessage+1))
-	metric.PeerTraffic.AddReceived(len(answer))
 	if err != nil || len(answer) == 0 || len(answer) > MaxMessage {
 		return nil, errors.Errorf("read answer of %d bytes: %w", len(answer), errors.Join(err, ErrUnknown))
 	}
--- a/internal/peer/mesh/peer.go
+++ b/internal/peer/mesh/peer.go
@@ -55,11 +55,13 @@
 			continue
 		}
 		p.service.log.V(1).Info("peer connected", "peer", p.id, "address", p.target.Address)
+		p.service.addConn(conn)
 		select {
 		case <-conn.Context().Done():
 		case <-ctx.Done():
 			_ = conn.CloseWithError(0, "") // the service stops or the peer was removed
 		}
+		p.service.removeConn(conn)
 		p.setConnection(nil, nil)
 	}
 }
--- a/internal/report/metric/traffic.go
+++ b/internal/report/metric/traffic.go
@@ -13,7 +13,7 @@
 const (
 	PartnerWorkers Partner = "workers"
 	PartnerStore   Partner = "store"
-	PartnerPeers   Partner = "peers" // other entries: bodies of calls only
+	PartnerPeers   Partner = "peers" // other entries: without headers of datagrams
 	PartnerCallers Partner = "callers"
 	// PartnerOthers are the machine API, the placement adviser, the load balancer and
 	// the readers of metrics.
