peer/mesh: a late call leaves the connection to the calls that are answered

A call without an answer in time closed the connection to its peer, as a silent connection shows in no other way. The connection is now kept if another call was answered since the late one was sent; a connection on which nothing is answered is closed as before. The test failed in its first case before.

--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -202,8 +202,11 @@
 	if err != nil {
 		return nil, errors.Errorf("call %s: %w", to, err)
 	}
+	sentAt := time.Now()
 	answer, err := exchange(ctx, conn, k, request)
-	if errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnreachable) {
+	if unanswered := errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnreachable); !unanswered {
+		p.recordAnswer(time.Now())
+	} else if !p.answeredSince(sentAt) {
 		// The connection may hang; the next call opens a new one.
 		p.discard(conn)
 	}
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 )
 
 var errRefused = errors.New("refused")
@@ -71,3 +73,54 @@
 	callee.SetPeers(peers)
 	return caller, callee
 }
+
+// TestLateCall guards against a call without an answer in time that closes the connection
+// under other calls: each of them then fails too, and costs a handshake.
+func TestLateCall(t *testing.T) {
+	const late, answered = Kind(1), Kind(2)
+	tests := []struct {
+		name     string
+		delay    time.Duration // of the answers to the other calls
+		timeout  time.Duration // of the late call
+		wantConn bool          // that the connection stays open
+	}{
+		{"others are answered meanwhile", 20 * time.Millisecond, 300 * time.Millisecond, true},
+		{"no other answer", time.Minute, 300 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller, callee := startPair(t)
+			callee.Handle(late, func(ctx context.Context, _ Fingerprint, _ []byte) ([]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+			callee.Handle(answered, func(ctx context.Context, _ Fingerprint, request []byte) ([]byte, error) {
+				wait.For(ctx, tt.delay)
+				return request, nil
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			if _, err := caller.Call(ctx, "b", Kind(3), nil); err == nil { // connects
+				t.Fatal("a call without a handler was answered")
+			}
+			conn := caller.peers["b"].conn
+			lateCtx, cancelLate := context.WithTimeout(ctx, tt.timeout)
+			defer cancelLate()
+			var calls sync.WaitGroup
+			calls.Go(func() {
+				for lateCtx.Err() == nil {
+					_, _ = caller.Call(ctx, "b", answered, []byte("x"))
+				}
+			})
+			_, err := caller.Call(lateCtx, "b", late, []byte("x"))
+			if diff := cmp.Diff(true, errors.Is(err, ErrUnknown)); diff != "" {
+				t.Errorf("late call: %v (-want +got):\n%s", err, diff)
+			}
+			if diff := cmp.Diff(tt.wantConn, conn.Context().Err() == nil); diff != "" {
+				t.Errorf("connection open (-want +got):\n%s", diff)
+			}
+			cancel()
+			calls.Wait()
+		})
+	}
+}
