job/intake: notices do not fill the link of the owner

Callers saw jobs that were accepted and not run after a takeover by an entry with a small link. During a takeover, and while the owner is late, each entry sent up to 32 notices with whole job records (54 KB) again after 50 to 800 ms, of which a link of 2 Mbit/s carries a few in the time that a call has. None arrived whole, all were repeated, and the owner's own calls were late behind them. After a takeover most were needless as well: the owner had read their records since its claim.

A call after a failure holds one notice and the next ones double. Notices of records up to the revision of the owner's claim are dropped.

Now all are received, with at most 3 times their size sent.

--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -137,6 +137,14 @@
 	return s.view.owner.Entry
 }
 
+// ClaimRevision returns the revision of the store at which the owner has claimed the shard
+// according to the view, or 0 without an owner.
+func (s *Service) ClaimRevision() unit.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.claimRevision()
+}
+
 // Term returns the current term of this entry, whether this entry owns the shard, and
 // a channel that is closed when the view changes. A term continues while the owner
 // record is missing, until another entry claims the shard.
--- a/internal/fleet/ownership/view.go
+++ b/internal/fleet/ownership/view.go
@@ -97,6 +97,15 @@
 	return nil
 }
 
+// claimRevision returns the revision at which the owner has claimed the shard, or 0 without
+// an owner. An owner that claims again under its epoch goes on with what it has read.
+func (v *View) claimRevision() unit.Revision {
+	if v.ownerRevision == 0 || v.owner.Epoch != v.epoch.Epoch {
+		return 0
+	}
+	return v.epochRevision
+}
+
 // Delays before a claim.
 const (
 	// claimStagger is the time between the claims of two entries, so that they rarely
--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 )
@@ -69,15 +70,19 @@
 	}
 }
 
-// takeBatch removes the notices of the next call from the queue, and those that expired.
-func (t *notifier) takeBatch(now time.Time) []queuedNotice {
+// takeBatch removes the notices of the next call from the queue, at most limit, and those
+// that are not needed: they have expired, or the owner has read their records since its
+// claim, which has the given revision, or 0 if it is not known.
+func (t *notifier) takeBatch(limit int, claim unit.Revision, now time.Time) []queuedNotice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool { return !now.Before(q.deadline) })
+	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool {
+		return !now.Before(q.deadline) || (claim != 0 && q.notice.Revision <= claim)
+	})
 	var batch []queuedNotice
 	for _, urgent := range []bool{true, false} {
 		t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool {
-			if q.urgent() != urgent || len(batch) == maxNoticesPerCall {
+			if q.urgent() != urgent || len(batch) == limit {
 				return false
 			}
 			batch = append(batch, q)
@@ -97,11 +102,12 @@
 
 // run delivers notices in batches until the context ends. After a failure it waits
 // longer for the answer and before the next call, since each call that it gives up costs
-// an overloaded owner a connection.
+// an overloaded owner a connection. The next calls then begin with one notice: a large one
+// that does not arrive whole in time only fills the owner's link.
 func (t *notifier) run(ctx context.Context) {
-	timeout, delay := ownerTimeout, minNoticeRetryInterval
+	timeout, delay, limit := ownerTimeout, minNoticeRetryInterval, maxNoticesPerCall
 	for ctx.Err() == nil {
-		batch := t.takeBatch(time.Now())
+		batch := t.takeBatch(limit, t.service.ownership.ClaimRevision(), time.Now())
 		if len(batch) == 0 {
 			select {
 			case <-ctx.Done():
@@ -109,13 +115,15 @@
 			}
 			continue
 		}
+		sentAt := time.Now()
 		if err := t.send(ctx, batch, timeout); err == nil {
-			timeout, delay = ownerTimeout, minNoticeRetryInterval
+			timeout = min(max(ownerTimeout, 2*time.Since(sentAt)), maxNoticeTimeout)
+			delay, limit = minNoticeRetryInterval, min(2*limit, maxNoticesPerCall)
 			continue
 		}
 		t.putBack(batch)
 		wait.For(ctx, delay)
-		timeout, delay = min(2*timeout, maxNoticeTimeout), min(2*delay, maxNoticeRetryInterval)
+		timeout, delay, limit = min(2*timeout, maxNoticeTimeout), min(2*delay, maxNoticeRetryInterval), 1
 	}
 }
 
--- a/internal/job/intake/notifier_test.go
+++ b/internal/job/intake/notifier_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +15,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/owner"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
 )
@@ -22,6 +26,8 @@
 func (remoteOwnership) Self() unit.EntryID  { return "a" }
 func (remoteOwnership) Owner() unit.EntryID { return "b" }
 
+func (remoteOwnership) ClaimRevision() unit.Revision { return 0 }
+
 // slowOwner answers no call until a time, and from then on each after a delay.
 type slowOwner struct {
 	until    time.Time
@@ -130,3 +136,105 @@
 		})
 	}
 }
+
+// narrowOwner receives the calls of all notifiers one after the other over one link. What
+// is sent takes its time on the link whether or not the caller still waits.
+type narrowOwner struct {
+	remoteOwnership
+	bytesPerSecond int
+	freeAt         time.Time // when the link has carried all that was sent
+	readyAt        time.Time // before, calls are refused as the takeover is not complete
+	claim          unit.Revision
+
+	mu       sync.Mutex
+	sent     int
+	received map[unit.JobID]bool
+}
+
+func (*narrowOwner) Handle(mesh.Kind, mesh.Handler) {}
+
+func (o *narrowOwner) ClaimRevision() unit.Revision { return o.claim }
+
+func (o *narrowOwner) Call(ctx context.Context, _ unit.EntryID, _ mesh.Kind, body []byte) ([]byte, error) {
+	o.mu.Lock()
+	now := time.Now()
+	if o.freeAt.Before(now) {
+		o.freeAt = now
+	}
+	o.freeAt = o.freeAt.Add(time.Duration(len(body)) * time.Second / time.Duration(o.bytesPerSecond))
+	o.sent += len(body)
+	arrival := time.NewTimer(o.freeAt.Sub(now))
+	o.mu.Unlock()
+	defer arrival.Stop()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-arrival.C:
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if time.Now().Before(o.readyAt) {
+		return nil, owner.ErrNotOwner
+	}
+	var notices []Notice
+	if err := cbor.Unmarshal(body, &notices); err != nil {
+		return nil, err
+	}
+	for _, n := range notices {
+		o.received[n.Record.Job.ID] = true
+	}
+	return nil, nil
+}
+
+// TestNoticesOnNarrowLink guards against notices that fill the link of the owner: the
+// entries send them again and again in large calls, of which none arrives whole in time,
+// and the owner loses the shard as its own calls are late.
+func TestNoticesOnNarrowLink(t *testing.T) {
+	const (
+		entries = 16
+		pending = 40   // notices of each entry
+		spec    = 1500 // bytes
+		claim   = unit.Revision(1000)
+	)
+	tests := []struct {
+		name           string
+		bytesPerSecond int
+		takeover       time.Duration // until the owner takes notices
+		revision       unit.Revision // of the records
+		wantReceived   int
+		maxSent        int // in multiples of all notices
+	}{
+		{"wide link", 100 << 20, 0, claim + 1, entries * pending, 1},
+		{"wide link, takeover of 2.5 s", 100 << 20, 2500 * time.Millisecond, claim + 1, entries * pending, 2},
+		{"2 Mbit/s", 250_000, 0, claim + 1, entries * pending, 3},
+		{"2 Mbit/s, takeover of 2.5 s", 250_000, 2500 * time.Millisecond, claim + 1, entries * pending, 3},
+		{"records that the takeover reads", 250_000, 2500 * time.Millisecond, claim, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peer := &narrowOwner{bytesPerSecond: tt.bytesPerSecond, readyAt: time.Now().Add(tt.takeover), claim: claim, received: map[unit.JobID]bool{}}
+				ctx, cancel := context.WithCancel(t.Context())
+				for e := range entries {
+					s := New(logr.Discard())
+					s.ownership, s.peers = peer, peer
+					n := newNotifier(s)
+					for i := range pending {
+						job := graph.Job{ID: unit.JobID(fmt.Sprintf("%d-%d", e, i)), Spec: strings.Repeat("s", spec)}
+						n.notify(Notice{Record: record.Job{Job: job}, Revision: tt.revision, Created: tt.revision})
+					}
+					go n.run(ctx)
+				}
+				time.Sleep(noticeTTL)
+				cancel()
+				synctest.Wait()
+				if diff := cmp.Diff(tt.wantReceived, len(peer.received)); diff != "" {
+					t.Errorf("notices received (-want +got):\n%s", diff)
+				}
+				if most := tt.maxSent * entries * pending * (spec + 200); peer.sent > most {
+					t.Errorf("%d bytes sent, want at most %d", peer.sent, most)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -50,10 +50,13 @@
 	OutageDuration() time.Duration
 }
 
-// shardOwnership returns the ids of this entry and of the entry that owns the shard.
+// shardOwnership returns the ids of this entry and of the entry that owns the shard, and
+// the revision of the store at which the latter has claimed it. An owner reads all job
+// records after its claim.
 type shardOwnership interface {
 	Self() unit.EntryID
 	Owner() unit.EntryID
+	ClaimRevision() unit.Revision
 }
 
 // Service accepts jobs and answers queries about them on one entry.
