peer/mesh: dials of an entry that does not answer are spaced out

An entry whose link is full answers no handshake in 0.5 s, which leaves time for one retransmission. The others began a new one after 100 ms, for ever, which kept the link full. A dial may take 1 s, with two retransmissions, and the delay between failed ones doubles from 0.1 to 1.6 s. A process that has restarted is a new peer and is dialled at once.

--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -47,15 +47,21 @@
 // Limits and timeouts of connections and calls.
 const (
 	// MaxMessage is the largest request or answer in bytes, with its kind or status.
-	MaxMessage  = 4 << 20
-	maxStreams  = 64
-	dialTimeout = 500 * time.Millisecond
+	MaxMessage = 4 << 20
+	maxStreams = 64
+	// dialTimeout leaves time for two retransmissions of a handshake. Before the first round
+	// trip has been measured, QUIC repeats after 200 and 600 ms.
+	dialTimeout = time.Second
 	idleTimeout = 20 * time.Second
 	// minSilence is the shortest time without an acknowledgement that tells a silent
 	// connection from a call that was given up early.
 	minSilence    = 100 * time.Millisecond
 	handleTimeout = 3 * time.Second
-	redialDelay   = 100 * time.Millisecond
+	// minRedialDelay is the delay after the first failed dial. It doubles with each further
+	// one up to maxRedialDelay: the handshakes of all entries with one whose link is full
+	// would keep it full.
+	minRedialDelay = 100 * time.Millisecond
+	maxRedialDelay = 1600 * time.Millisecond
 )
 
 // Status of an answer, its first byte.
--- a/internal/peer/mesh/peer.go
+++ b/internal/peer/mesh/peer.go
@@ -39,6 +39,7 @@
 // run connects when a call needs a connection, until the context is done.
 func (p *peer) run(ctx context.Context) {
 	defer p.setConnection(nil, ErrUnreachable)
+	delay := minRedialDelay
 	for {
 		select {
 		case <-ctx.Done():
@@ -49,11 +50,13 @@
 		p.setConnection(conn, err)
 		if err != nil {
 			p.service.log.V(1).Info("peer not reached", "peer", p.id, "address", p.target.Address, "error", err.Error())
-			if !wait.For(ctx, redialDelay) {
+			if !wait.For(ctx, delay) {
 				return
 			}
+			delay = min(2*delay, maxRedialDelay)
 			continue
 		}
+		delay = minRedialDelay
 		p.service.log.V(1).Info("peer connected", "peer", p.id, "address", p.target.Address)
 		p.service.addConn(conn)
 		select {
