job/interference: an estimate of a record without uncertainty has a finite weight

A variance of 0 can also be left by rounding. The variance is bounded from below where the weight is computed.

--- a/internal/job/interference/model.go
+++ b/internal/job/interference/model.go
@@ -135,6 +135,10 @@
 	bands[s.Band].observe(s)
 }
 
+// minVariance is the least variance of an estimate, so that its weight is finite. One from
+// a record may have none.
+const minVariance = 1e-6
+
 // Predict returns the predicted rise of the logarithm of the latency of a class of
 // requests at a load band if a batch class uses a share of the worker's cores. It
 // combines the prior and the estimates of all bands; a band counts less the farther
@@ -155,7 +159,7 @@
 			continue
 		}
 		distance := bandDeviation * (float64(b) - float64(band))
-		bandWeight := 1 / (f.covarianceAt(row, row) + distance*distance)
+		bandWeight := 1 / max(f.covarianceAt(row, row)+distance*distance, minVariance)
 		sum += bandWeight * f.mean[row]
 		weight += bandWeight
 	}
