job/relay, job/owner: other entries send starts for an owner with a small link

It sends them in batches of up to 16 starts of one job, with the spec once for each entry; the entry sends each start to its worker, under the owner's fence and deadline, and answers with the outcomes. What is certain about a start is the same as for one that is sent directly.

TestRelayedStarts covers entries that are not reached, fall silent, lose answers or leave.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -20,6 +20,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/upkeep"
 	"github.com/monsoonfold/monsoonfold/internal/job/intake"
 	"github.com/monsoonfold/monsoonfold/internal/job/owner"
+	"github.com/monsoonfold/monsoonfold/internal/job/relay"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
@@ -132,6 +133,7 @@
 		directory.New(log, platform.OperatorDecoder{}, s.Bounds.ConfigDelay),
 		ownership.New(log, self, ownership.Capacity(s.Limits), s.Bounds.MinLeaseTTL),
 		newCollectorService(debug.SetGCPercent),
+		relay.New(log, platform.Fleet{}),
 		e.owner,
 		intake.New(log),
 		newServer("front", s.FrontAddress, metric.CallerTraffic, log, newJobHandler),
--- a/internal/fleet/ownership/register.go
+++ b/internal/fleet/ownership/register.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return 0, err
 	}
-	value, err := cbor.Marshal(entryRecord{Peer: s.peers.Self(), Capacity: s.capacity})
+	value, err := cbor.Marshal(entryRecord{Peer: s.peers.Self(), Capacity: s.capacity, RelaysStarts: true})
 	if err != nil {
 		return 0, errors.Errorf("encode entry record: %w", err)
 	}
--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -145,6 +145,14 @@
 	return s.view.claimRevision()
 }
 
+// StartRelays returns the other entries that send starts for the owner, those with most
+// capacity first.
+func (s *Service) StartRelays() []unit.EntryID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.startRelays(s.self)
+}
+
 // Term returns the current term of this entry, whether this entry owns the shard, and
 // a channel that is closed when the view changes. A term continues while the owner
 // record is missing, until another entry claims the shard.
--- a/internal/fleet/ownership/view.go
+++ b/internal/fleet/ownership/view.go
@@ -33,6 +33,8 @@
 type entryRecord struct {
 	mesh.Peer
 	Capacity Capacity `cbor:"3,keyasint"`
+	// RelaysStarts says that the entry sends starts for the owner.
+	RelaysStarts bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ownerRecord names the owner of the shard. It is stored under the owner's lease, so
@@ -106,6 +108,24 @@
 	return v.epochRevision
 }
 
+// byCapacity compares two registered entries, the one with more capacity first.
+func (v *View) byCapacity(a, b unit.EntryID) int {
+	return cmp.Compare(v.entries[b].Capacity.class(), v.entries[a].Capacity.class())
+}
+
+// startRelays returns the entries other than self that send starts for the owner, those
+// with most capacity first.
+func (v *View) startRelays(self unit.EntryID) []unit.EntryID {
+	var ids []unit.EntryID
+	for id, entry := range v.entries {
+		if entry.RelaysStarts && id != self {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b unit.EntryID) int { return cmp.Or(v.byCapacity(a, b), cmp.Compare(a, b)) })
+	return ids
+}
+
 // Delays before a claim.
 const (
 	// claimStagger is the time between the claims of two entries, so that they rarely
@@ -135,7 +155,7 @@
 		return xxhash.Sum64String(string(id)) ^ xxhash.Sum64String(string(rune(v.epoch.Epoch)))
 	}
 	slices.SortFunc(ids, func(a, b unit.EntryID) int {
-		return cmp.Or(cmp.Compare(v.entries[b].Capacity.class(), v.entries[a].Capacity.class()), cmp.Compare(sortKey(a), sortKey(b)))
+		return cmp.Or(v.byCapacity(a, b), cmp.Compare(sortKey(a), sortKey(b)))
 	})
 	rank := max(slices.Index(ids, self), 0)
 	claimAt := v.ownerlessSince.Add(time.Duration(rank) * claimStagger)
--- a/internal/fleet/ownership/view_test.go
+++ b/internal/fleet/ownership/view_test.go
@@ -182,3 +182,67 @@
 		})
 	}
 }
+
+// TestStartRelays guards against starts that are sent through entries of an earlier
+// release, which answer none, and through small entries while larger ones are registered.
+func TestStartRelays(t *testing.T) {
+	small := Capacity{Cores: 192, Memory: 184 << 20, Link: 10_000_000}
+	large := Capacity{Cores: 800, Memory: 536 << 20, Link: 200_000_000}
+	tests := []struct {
+		name    string
+		entries map[unit.EntryID]entryRecord
+		want    []unit.EntryID
+	}{
+		{"alone", map[unit.EntryID]entryRecord{"self": {Capacity: large, RelaysStarts: true}}, nil},
+		{"large first", map[unit.EntryID]entryRecord{
+			"self": {Capacity: large, RelaysStarts: true}, "a": {Capacity: small, RelaysStarts: true},
+			"b": {Capacity: large, RelaysStarts: true}, "c": {RelaysStarts: true},
+		}, []unit.EntryID{"b", "a", "c"}},
+		{"earlier release", map[unit.EntryID]entryRecord{"a": {Capacity: large}, "b": {Capacity: small, RelaysStarts: true}}, []unit.EntryID{"b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView()
+			for id, record := range tt.entries {
+				if err := v.apply(kv.Item{Key: entryPrefix + kv.Key(id), Revision: 3, Value: encode(t, record)}, ownerGoneAt); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(tt.want, v.startRelays("self")); diff != "" {
+				t.Errorf("relays (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestClaimRevision guards against notices that are dropped although the owner has not read
+// their records, as the revision is not that of its own claim.
+func TestClaimRevision(t *testing.T) {
+	tests := []struct {
+		name  string
+		owner *ownerRecord
+		epoch epochRecord
+		want  unit.Revision
+	}{
+		{"owner", &ownerRecord{Entry: "a", Epoch: 2}, epochRecord{Entry: "a", Epoch: 2}, 7},
+		{"no owner", nil, epochRecord{Entry: "a", Epoch: 2}, 0},
+		{"another entry has claimed", &ownerRecord{Entry: "a", Epoch: 2}, epochRecord{Entry: "b", Epoch: 3}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := newView()
+			items := []kv.Item{{Key: EpochKey, Revision: 7, Value: encode(t, tt.epoch)}}
+			if tt.owner != nil {
+				items = append(items, kv.Item{Key: ownerKey, Revision: 8, Value: encode(t, tt.owner)})
+			}
+			for _, i := range items {
+				if err := v.apply(i, ownerGoneAt); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if diff := cmp.Diff(tt.want, v.claimRevision()); diff != "" {
+				t.Errorf("revision (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/job/owner/relay_test.go
@@ -0,0 +1,169 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+)
+
+// relayingOwnership is an ownership with other entries that relay starts, until they leave.
+type relayingOwnership struct {
+	confirmedOwnership
+	entries []unit.EntryID
+	leaveAt time.Time // zero: they stay
+}
+
+func (o relayingOwnership) StartRelays() []unit.EntryID {
+	if !o.leaveAt.IsZero() && !time.Now().Before(o.leaveAt) {
+		return nil
+	}
+	return o.entries
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// scriptedRelay sends starts to the workers of a fleet.
+type scriptedRelay struct {
+	fleet       *scriptedFleet
+	unreachable bool
+	lostAfter   int  // batches with starts that are answered; later ones are not
+	carriedOut  bool // the starts of batches without an answer are executed
+
+	mu      sync.Mutex
+	batches []StartBatch
+}
+
+// SendStarts implements startRelay.
+func (r *scriptedRelay) SendStarts(ctx context.Context, _ unit.EntryID, b StartBatch) ([]scheduler.Outcome, error) {
+	outcomes := make([]scheduler.Outcome, len(b.Starts))
+	set := func(o scheduler.Outcome) {
+		for i := range outcomes {
+			outcomes[i] = o
+		}
+	}
+	if r.unreachable {
+		set(scheduler.OutcomeNotSent)
+		return outcomes, errNoAnswer
+	}
+	if len(b.Starts) == 0 {
+		return nil, nil
+	}
+	r.mu.Lock()
+	r.batches = append(r.batches, b)
+	lost := r.lostAfter >= 0 && len(r.batches) > r.lostAfter
+	r.mu.Unlock()
+	if !lost || r.carriedOut {
+		for i, s := range b.Starts {
+			outcomes[i], _ = r.fleet.workers[s.Worker].Do(ctx, scheduler.Order{
+				Kind: scheduler.OrderStart, Worker: s.Worker, Run: s.Run, Spec: b.Spec,
+				Task: graph.Task{Job: b.Job, Occurrence: s.Occurrence, Step: s.Step, Index: s.Index},
+			}, b.Fence, s.Until)
+		}
+	}
+	if lost {
+		<-ctx.Done()
+		set(scheduler.OutcomeUnknown)
+		return outcomes, errNoAnswer
+	}
+	return outcomes, nil
+}
+
+// TestRelayedStarts guards against starts that are lost, or carried out twice, because
+// another entry that should send them does not answer, leaves, or answers to nobody after
+// it has sent them.
+func TestRelayedStarts(t *testing.T) {
+	const (
+		tasks  = 20
+		answer = -1 // lostAfter: all batches are answered
+	)
+	entries := []unit.EntryID{"b", "c"}
+	tests := []struct {
+		name        string
+		entries     []unit.EntryID
+		leaveAfter  time.Duration
+		relay       *scriptedRelay
+		relayed     bool // some starts go through another entry
+		extraStarts int  // at most
+	}{
+		{"no other entry", nil, 0, &scriptedRelay{lostAfter: answer}, false, 0},
+		{"entries answer", entries, 0, &scriptedRelay{lostAfter: answer}, true, 0},
+		{"entries are not reached", entries, 0, &scriptedRelay{unreachable: true, lostAfter: answer}, false, 0},
+		{"batches are lost on the way", entries, 0, &scriptedRelay{lostAfter: 0}, true, 0},
+		{"answers are lost", entries, 0, &scriptedRelay{lostAfter: 0, carriedOut: true}, true, 0},
+		{"entries fall silent", entries, 0, &scriptedRelay{lostAfter: 1}, true, 0},
+		{"entries leave while batches wait", entries, 1100 * time.Millisecond, &scriptedRelay{lostAfter: 0}, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{runDuration: time.Second, delay: func(int) time.Duration { return 0 }}
+				f.workers = map[unit.InstanceID]*scriptedWorker{}
+				relay := tt.relay
+				relay.fleet = f
+				s := New(logr.Discard(), f, nil, Options{Limits: scheduler.Limits{
+					StopTimeout: time.Second, MaxLease: 10 * time.Second, StartBytesPerSecond: StartBytesPerSecond(2_000_000),
+				}})
+				held := relayingOwnership{entries: tt.entries}
+				if tt.leaveAfter > 0 {
+					held.leaveAt = time.Now().Add(tt.leaveAfter)
+				}
+				s.ownership, s.relay = held, relay
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				sh.core = scheduler.New(s.options.Limits, 1, time.Now())
+				sh.mu.Lock()
+				for n := range tasks {
+					id := unit.InstanceID(fmt.Sprintf("w%02d", n))
+					f.workers[id] = &scriptedWorker{fleet: f, bornAt: time.Now()}
+					sh.listings[id] = scheduler.Listing{ID: id, Address: string(id), Service: "orders", Incarnation: 1, Capacity: unit.Resources{Cores: 4000, Memory: 1 << 30}}
+				}
+				sh.core.SetWorkers(sh.currentListings(), time.Now())
+				sh.core.ConfirmSnapshot(sh.core.Snapshot())
+				sh.updateWorkerClients()
+				sh.mu.Unlock()
+				tick := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); sh.sleep(tickInterval) {
+						sh.update(func(c *scheduler.Core, now time.Time) {
+							c.SetStartRelays(sh.relays.update(now))
+							c.Tick(now)
+						})
+					}
+				}
+				tick(time.Second)
+				sh.update(func(c *scheduler.Core, now time.Time) {
+					c.AddJob(&graph.Job{
+						ID: "j", Accepted: now, Spec: "spec", Queue: graph.Queue{ID: "quotes", Service: "orders", MaxAttempts: 2, Target: time.Second},
+						Steps: []graph.Step{{Count: tasks, Needs: unit.Resources{Cores: 4000}, Estimate: time.Second}},
+					}, 0, true, now)
+				})
+				tick(20 * time.Second)
+				sh.mu.Lock()
+				final := sh.finalStates
+				sh.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				want := []scheduler.FinalState{{Job: "j", State: graph.Completed, Cause: "all tasks done"}}
+				if diff := cmp.Diff(want, final); diff != "" {
+					t.Errorf("final states (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.relayed, len(relay.batches) > 0); diff != "" {
+					t.Errorf("starts relayed (-want +got):\n%s", diff)
+				}
+				if extra := len(f.starts) - tasks; extra > tt.extraStarts {
+					t.Errorf("%d starts of %d tasks, want at most %d more", len(f.starts), tasks, tt.extraStarts)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -36,6 +36,9 @@
 	MayRenewLeases(now time.Time) bool
 	Resign(ctx context.Context)
 	Abandon(ctx context.Context)
+	// StartRelays returns the other entries that send starts for the owner, those with
+	// most capacity first.
+	StartRelays() []unit.EntryID
 }
 
 // zoneDirectory reports which zones are out of service, and when the last read of them
@@ -105,6 +108,7 @@
 	zones     zoneDirectory
 	outage    outageDetector
 	store     kv.Client
+	relay     startRelay
 
 	mu    sync.Mutex
 	shard *shard // nil until a takeover is complete and after the term ends
@@ -133,6 +137,9 @@
 	if s.store, err = kv.Find(k); err != nil {
 		return err
 	}
+	if s.relay, err = registry.Find[startRelay](k, relayServiceName); err != nil {
+		return errors.Errorf("find relay of starts: %w", err)
+	}
 	s.Begin(ctx, s.runTerms)
 	return nil
 }
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -63,6 +63,7 @@
 	jobRevisions       map[unit.JobID]unit.Revision // revisions of the job records
 	finalStates        []scheduler.FinalState       // not written yet
 	workerClients      map[unit.InstanceID]*workerClient
+	relays             *relayPool
 	placement          placementPacer
 	handingOver        bool // no new orders are queued
 	abandoned          bool // the state of the core cannot be trusted after a fault
@@ -77,7 +78,7 @@
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
 	ctx, cancel := context.WithCancel(ctx)
-	return &shard{
+	sh := &shard{
 		service: s, log: s.log.WithValues("epoch", t.Epoch), term: t,
 		ctx: ctx, cancel: cancel,
 		done:          make(chan struct{}),
@@ -86,6 +87,8 @@
 		workerClients: map[unit.InstanceID]*workerClient{},
 		listings:      map[unit.InstanceID]scheduler.Listing{},
 	}
+	sh.relays = newRelayPool(sh)
+	return sh
 }
 
 // run takes the shard over, retrying until that succeeds, and then drives the core
@@ -125,6 +128,7 @@
 	for sh.sleep(tickInterval) {
 		sh.update(func(c *scheduler.Core, now time.Time) {
 			sh.applyZones(c)
+			c.SetStartRelays(sh.relays.update(now))
 			c.Tick(now)
 		})
 		sh.logSummary()
@@ -159,7 +163,7 @@
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
-		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(),
+		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(), "relays", s.StartRelays, "relayed", metric.RelayedStarts.Value(),
 		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
@@ -328,11 +332,7 @@
 		sh.core.Place(now)
 		sh.placement.ended(began, time.Now())
 	}
-	for _, o := range sh.core.TakeOrders() {
-		if c := sh.workerClients[o.Worker]; c != nil {
-			c.enqueue(o)
-		}
-	}
+	sh.queueOrders(sh.core.TakeOrders())
 	for _, l := range sh.core.TakeExpiredLeases() {
 		metric.ExpiredLeases.Add(1)
 		sh.log.Info("lease of worker expired; its runs are given up", "worker", l.Worker, "runs", l.Runs,
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -135,24 +135,47 @@
 // another entry may own the shard.
 var errOwnershipStale = errors.New("ownership not confirmed lately")
 
-// execute sends one order, unless the core does not want it any more, and passes its
-// outcome to the core. Whether this entry may still start tasks is checked last.
-func (c *workerClient) execute(o scheduler.Order) {
-	now := time.Now()
-	outcome := scheduler.OutcomeNotSent
+// admission says whether an order is sent.
+type admission uint8
+
+// Verdicts on an order.
+const (
+	orderAdmitted  admission = iota + 1
+	orderWithdrawn           // the core does not want it any more; it has no outcome
+	orderRefused             // it may not be sent now
+)
+
+// admit decides whether an order is sent now, and returns by when a worker may accept a
+// start. Whether this entry may still start tasks is checked last.
+func (c *workerClient) admit(o scheduler.Order, now time.Time) (until unit.WorkerTime, verdict admission) {
 	// The deadline is computed before the ownership is checked, so that it is no
 	// later than maxStartWindow after the check however late the order is sent.
 	window := c.shard.startWindow(now)
-	until := c.workerDeadline(window)
-	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
+	until = c.workerDeadline(window)
 	start := o.Kind == scheduler.OrderStart
 	switch {
 	case c.ctx.Err() != nil, start && (until == 0 || window < minStartWindow):
+		return 0, orderRefused
 	case !c.beginOrder(o):
+		return 0, orderWithdrawn
+	case start && !c.shard.service.ownership.MayOrder(time.Now()):
+		return 0, orderRefused
+	}
+	return until, orderAdmitted
+}
+
+// execute sends one order, unless the core does not want it any more, and passes its
+// outcome to the core.
+func (c *workerClient) execute(o scheduler.Order) {
+	now := time.Now()
+	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
+	until, verdict := c.admit(o, now)
+	if verdict == orderWithdrawn {
 		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		return
-	case start && !c.shard.service.ownership.MayOrder(time.Now()):
-	default:
+	}
+	outcome := scheduler.OutcomeNotSent
+	if verdict == orderAdmitted {
 		ctx, cancel := context.WithTimeout(c.ctx, c.orderTimeout())
 		var clock unit.WorkerTime
 		outcome, clock = c.worker.Do(ctx, o, c.shard.term.Epoch, until)
@@ -161,23 +184,36 @@
 		c.recordOrderTime(time.Since(now))
 		metric.OrderLatency.Record(time.Since(now))
 	}
-	if o.FirstStart {
-		metric.FirstStartLatency.Record(now.Sub(o.JobDue))
+	c.shard.settleOrders([]settledOrder{{o, outcome}}, now, "")
+}
+
+// settleOrders logs the outcomes of orders that were sent at sentAt, through the entry via
+// if that is not empty, and passes them to the core.
+func (sh *shard) settleOrders(orders []settledOrder, sentAt time.Time, via unit.EntryID) {
+	if len(orders) == 0 {
+		return
 	}
-	metric.Orders.Add(kindName(o.Kind)+" "+outcome.String(), 1)
-	// Successful pace orders are frequent, so they are counted but not logged.
-	if outcome != scheduler.OutcomeDone || o.Kind != scheduler.OrderPace {
-		c.log.Info("order", "kind", kindName(o.Kind), "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step,
-			"task", o.Task.Index, "run", o.Run, "reason", o.Reason, "percent", o.PacePercent, "outcome", outcome.String())
+	for _, o := range orders {
+		if o.FirstStart {
+			metric.FirstStartLatency.Record(sentAt.Sub(o.JobDue))
+		}
+		metric.Orders.Add(kindName(o.Kind)+" "+o.outcome.String(), 1)
+		// Successful pace orders are frequent, so they are counted but not logged.
+		if o.outcome != scheduler.OutcomeDone || o.Kind != scheduler.OrderPace {
+			sh.log.Info("order", "worker", o.Worker, "kind", kindName(o.Kind), "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step,
+				"task", o.Task.Index, "run", o.Run, "reason", o.Reason, "percent", o.PacePercent, "via", via, "outcome", o.outcome.String())
+		}
 	}
-	c.shard.update(func(core *scheduler.Core, now time.Time) {
-		switch o.Kind {
-		case scheduler.OrderStart:
-			core.HandleStartOutcome(o, outcome, now)
-		case scheduler.OrderStop:
-			core.HandleStopOutcome(o, outcome, now)
-		case scheduler.OrderPace:
-			core.HandlePaceOutcome(o, outcome, now)
+	sh.update(func(core *scheduler.Core, now time.Time) {
+		for _, o := range orders {
+			switch o.Kind {
+			case scheduler.OrderStart:
+				core.HandleStartOutcome(o.Order, o.outcome, now)
+			case scheduler.OrderStop:
+				core.HandleStopOutcome(o.Order, o.outcome, now)
+			case scheduler.OrderPace:
+				core.HandlePaceOutcome(o.Order, o.outcome, now)
+			}
 		}
 	})
 }
--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -166,6 +166,7 @@
 func (confirmedOwnership) MayRenewLeases(time.Time) bool { return true }
 func (confirmedOwnership) Resign(context.Context)        {}
 func (confirmedOwnership) Abandon(context.Context)       {}
+func (confirmedOwnership) StartRelays() []unit.EntryID   { return nil }
 
 // runShard drives the clients and the core of two workers and one job for d, without a
 // store.
--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -10,6 +10,17 @@
 // checkpoint: headers, names and acknowledgements.
 const orderOverhead unit.Bytes = 400
 
+// MaxStartBatch is the largest number of relayed starts that are sent in one call. The
+// entry that relays them may have a small link too.
+const MaxStartBatch = 16
+
+// Bytes of relayed starts on the owner's link. The spec is sent once for the starts of a job
+// that are ordered one after the other.
+const (
+	relayedOrderOverhead unit.Bytes = 120 // of each start beside its checkpoint
+	relayedBatchOverhead unit.Bytes = 300 // of each call beside the spec
+)
+
 // maxStartBurst is the time whose budget starts may use at once. A longer burst
 // would delay the heartbeats behind it.
 const maxStartBurst = 300 * time.Millisecond
@@ -18,11 +29,25 @@
 // last one has used the budget up. Each pass sorts the whole backlog.
 const minStartBatch = 40 * time.Millisecond
 
+// StartRelays counts the other entries that send starts for the owner.
+type StartRelays struct {
+	Registered int
+	Reachable  int // of these, those that answer
+}
+
+// relayHop is about how much longer a start takes through another entry.
+const relayHop = 20 * time.Millisecond
+
+// directShare is the share of the budget for starts that the owner sends itself while no
+// relay answers. The link is full then, and would stay so.
+const directShare = 1.0 / 3
+
 // startBudget bounds the bytes of start orders, so that a backlog of tasks does not
 // fill the owner's link and delay the heartbeats to all workers.
 type startBudget struct {
 	perSecond  unit.Bytes // 0: no bound
 	balance    unit.Bytes // below 0 after a step with many tasks
+	relays     StartRelays
 	refilledAt time.Time
 	deferred   bool // the last placement pass ended because the budget was used up
 }
@@ -43,7 +68,11 @@
 }
 
 func (b *startBudget) accrued(d time.Duration) unit.Bytes {
-	return unit.Bytes(float64(b.perSecond) * d.Seconds())
+	share := 1.0
+	if b.relays.Registered > 0 && b.relays.Reachable == 0 {
+		share = directShare
+	}
+	return unit.Bytes(share * float64(b.perSecond) * d.Seconds())
 }
 
 // allows reports whether another step may be placed.
@@ -52,11 +81,35 @@
 	return !b.deferred
 }
 
+// prefersRelay reports whether the next starts are sent through another entry, which takes
+// a fraction of the owner's link: if the budget runs short, or the link is so small that
+// a batch takes longer on it than a further hop does.
+func (b *startBudget) prefersRelay() bool {
+	if b.relays.Reachable == 0 || b.perSecond == 0 {
+		return false
+	}
+	return b.accrued(relayHop) < MaxStartBatch*orderOverhead || b.balance < b.accrued(maxStartBurst)/2
+}
+
 // charge takes the bytes of start orders from the balance.
 func (b *startBudget) charge(orders []Order) {
-	for _, o := range orders {
-		if o.Kind == OrderStart {
-			b.balance -= unit.Bytes(len(o.Spec)+len(o.Checkpoint)) + orderOverhead
+	batch := 0 // relayed starts of the current call
+	for i, o := range orders {
+		if o.Kind != OrderStart {
+			continue
+		}
+		b.balance -= unit.Bytes(len(o.Checkpoint))
+		if !o.Relayed {
+			b.balance -= unit.Bytes(len(o.Spec)) + orderOverhead
+			continue
+		}
+		if i == 0 || !orders[i-1].Relayed || orders[i-1].Task.Job != o.Task.Job {
+			batch = 0
+		}
+		if batch%MaxStartBatch == 0 {
+			b.balance -= unit.Bytes(len(o.Spec)) + relayedBatchOverhead
 		}
+		b.balance -= relayedOrderOverhead
+		batch++
 	}
 }
--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -56,6 +56,54 @@
 	}
 }
 
+// TestRelayedOrders guards against starts that the owner sends itself although they take
+// several times as much of its small link as relayed ones, and against further hops where
+// the link is wide.
+func TestRelayedOrders(t *testing.T) {
+	const spec, count = 1000, 40 // bytes; tasks of the job
+	relay := StartRelays{Registered: 2, Reachable: 1}
+	tests := []struct {
+		name      string
+		perSecond unit.Bytes
+		relays    StartRelays
+		relayed   int
+		charged   unit.Bytes
+	}{
+		{"no bound", 0, relay, 0, count * (spec + orderOverhead)},
+		{"wide link", 10_000_000, relay, 0, count * (spec + orderOverhead)},
+		{"small link", 100_000, relay, count, 3*(spec+relayedBatchOverhead) + count*relayedOrderOverhead},
+		{"small link, no other entry", 100_000, StartRelays{}, 0, count * (spec + orderOverhead)},
+		{"small link, no entry answers", 100_000, StartRelays{Registered: 2}, 0, count * (spec + orderOverhead)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.core = New(Limits{StopTimeout: time.Second, MaxLease: time.Minute, StartBytesPerSecond: tt.perSecond}, 1, startTime)
+			f.core.SetStartRelays(tt.relays)
+			f.listWorkers("w1")
+			oneCore := smallStep
+			oneCore.Count, oneCore.Needs.Cores = count, 1000
+			job := newJob("j", oneCore)
+			job.Spec = strings.Repeat("s", spec)
+			f.core.AddJob(job, 0, true, f.now)
+			before := f.core.startBudget
+			before.refill(f.now.Add(bestEffortInterval))
+			relayed := 0
+			for _, o := range f.takeStarts(OutcomeDone) {
+				if o.Relayed {
+					relayed++
+				}
+			}
+			if diff := cmp.Diff(tt.relayed, relayed); diff != "" {
+				t.Errorf("starts relayed (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.charged, before.balance-f.core.startBudget.balance); diff != "" {
+				t.Errorf("bytes charged (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestDeferredPasses guards against a backlog that is sorted at each report although the
 // budget allows hardly any start, which takes the processor from heartbeats.
 func TestDeferredPasses(t *testing.T) {
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -149,6 +149,9 @@
 	c.placementDue = true
 }
 
+// SetStartRelays sets how many other entries send starts for the owner.
+func (c *Core) SetStartRelays(r StartRelays) { c.startBudget.relays = r }
+
 // JobState returns the state of a job to show to callers, and whether the job is
 // known. A final state is shown only once it is durable.
 func (c *Core) JobState(id unit.JobID) (graph.State, bool) {
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -141,6 +141,7 @@
 	Reason      Reason
 	FirstStart  bool      // OrderStart: no task of the job is known to have started before
 	JobDue      time.Time // OrderStart: when the job was allowed to start
+	Relayed     bool      // OrderStart: to be sent through another entry, as the owner's link is short
 }
 
 // Reason says why the core gave an order. It is meant for logs.
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -191,7 +191,7 @@
 	c.issueOrder(Order{
 		Ticket: ticket, FirstStart: first, JobDue: j.spec.Due(0),
 		Kind: OrderStart, Worker: w.id, Incarnation: w.incarnation, Task: t.id(), Run: number,
-		Spec: t.job().spec.Spec, Checkpoint: t.checkpoint, Reason: ReasonReady,
+		Spec: t.job().spec.Spec, Checkpoint: t.checkpoint, Reason: ReasonReady, Relayed: c.startBudget.prefersRelay(),
 	})
 }
 
--- a/internal/job/scheduler/smalllink_test.go
+++ b/internal/job/scheduler/smalllink_test.go
@@ -41,6 +41,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 1, 0)
 			f.core = New(Limits{StopTimeout: time.Second, MaxLease: 10 * time.Second, StartBytesPerSecond: tt.perSecond}, 1, startTime)
+			f.core.SetStartRelays(StartRelays{Registered: 1, Reachable: 1})
 			fleet := newSteadyFleet(f, workers, duration)
 			var waited time.Duration
 			var busiest unit.Millicores
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -22,12 +22,13 @@
 	UsedCores   unit.Millicores
 	Unresolved  int           // workers that may still run tasks of an earlier owner
 	LongestWait time.Duration // of a job without a started task, since it was due
+	StartRelays int           // entries that send starts for the owner and answer
 	Deferred    bool          // tasks wait for the bytes that starts may take on the link
 }
 
 // Stats returns a summary of the current state.
 func (c *Core) Stats(now time.Time) Stats {
-	s := Stats{OpenJobs: len(c.openJobs), Unresolved: len(c.unresolved), Deferred: c.startBudget.deferred}
+	s := Stats{OpenJobs: len(c.openJobs), Unresolved: len(c.unresolved), StartRelays: c.startBudget.relays.Reachable, Deferred: c.startBudget.deferred}
 	for _, w := range c.workers {
 		s.addWorker(w, now)
 	}
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -22,6 +22,7 @@
 	OwnershipChanges = expvar.NewMap("terms")        // changes of ownership of a shard: taken over or given up
 	ExpiredLeases    = expvar.NewInt("lapses")       // workers whose lease expired while they had runs
 	LateAnswers      = expvar.NewInt("late_answers") // answers to heartbeats that arrived after the worker counted as not reached
+	RelayedStarts    = expvar.NewInt("relayed")      // starts that were sent through another entry
 	StoreCalls       = expvar.NewMap("kv_calls")     // direct store calls, by operation
 	SkippedItems     = expvar.NewMap("skipped")      // items of the store that cannot be used, by the first part of the key
 )
