--- a/internal/job/owner/link.go
+++ b/internal/job/owner/link.go
@@ -2,9 +2,10 @@
 
 import "github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 
-// Shares of the link, in percent, that heartbeats and the record of the progress may take,
-// beside startShare.
+// Shares of the link, in percent, that starts, heartbeats and the record of the progress
+// may take. The rest is for other orders, the store and callers, and for bursts.
 const (
+	startShare     = 45
 	heartbeatShare = 25
 	progressShare  = 10
 )
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -36,6 +36,9 @@
 	MayRenewLeases(now time.Time) bool
 	Resign(ctx context.Context)
 	Abandon(ctx context.Context)
+	// StartRelays returns the other entries that send starts for the owner, those with
+	// most capacity first.
+	StartRelays() []unit.EntryID
 }
 
 // zoneDirectory reports which zones are out of service, and when the last read of them
@@ -73,14 +76,10 @@
 	Close()
 }
 
-// startShare is the share of the link, in percent, that starts may take. The rest is
-// for heartbeats, other orders, the store and callers, and for bursts.
-const startShare = 45
-
 // StartBytesPerSecond returns the bytes of start orders that an owner with a link of the
 // given capacity may send in a second, or 0 for no bound if the capacity is not known.
 func StartBytesPerSecond(link unit.BitRate) unit.Bytes {
-	return unit.Bytes(link) / 8 * startShare / 100
+	return shareOf(link, startShare)
 }
 
 // Options configures a Service.
@@ -104,6 +103,7 @@
 	zones     zoneDirectory
 	outage    outageDetector
 	store     kv.Client
+	relay     startRelay
 
 	mu    sync.Mutex
 	shard *shard // nil until a takeover is complete and after the term ends
@@ -132,6 +132,9 @@
 	if s.store, err = kv.Find(k); err != nil {
 		return err
 	}
+	if s.relay, err = registry.Find[startRelay](k, relayServiceName); err != nil {
+		return errors.Errorf("find relay of starts: %w", err)
+	}
 	s.Begin(ctx, s.runTerms)
 	return nil
 }
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -64,6 +64,7 @@
 	jobRevisions       map[unit.JobID]unit.Revision // revisions of the job records
 	finalStates        []scheduler.FinalState       // not written yet
 	workerClients      map[unit.InstanceID]*workerClient
+	relays             *relayPool
 	placement          placementPacer
 	progress           progressPacer
 	handingOver        bool // no new orders are queued
@@ -78,7 +79,7 @@
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
 	ctx, cancel := context.WithCancel(ctx)
-	return &shard{
+	sh := &shard{
 		service: s, log: s.log.WithValues("epoch", t.Epoch), term: t,
 		ctx: ctx, cancel: cancel,
 		heartbeats: newHeartbeatPacer(s.options.Link), progress: newProgressPacer(s.options.Link),
@@ -88,6 +89,8 @@
 		workerClients: map[unit.InstanceID]*workerClient{},
 		listings:      map[unit.InstanceID]scheduler.Listing{},
 	}
+	sh.relays = newRelayPool(sh)
+	return sh
 }
 
 // run takes the shard over, retrying until that succeeds, and then drives the core
@@ -127,6 +130,7 @@
 	for sh.sleep(tickInterval) {
 		sh.update(func(c *scheduler.Core, now time.Time) {
 			sh.applyZones(c)
+			c.SetStartRelays(sh.relays.update(now))
 			c.Tick(now)
 		})
 		sh.logSummary()
@@ -161,10 +165,21 @@
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
-		"zonesage", sh.zonesConfirmed.age(now).String(),
+		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(), "relays", s.StartRelays, "relayed", metric.RelayedStarts.Value(),
+		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
 }
 
+// linkUse returns the share of the link, in percent, that a rate in bytes a second takes
+// without the headers of packets, or 0 if the capacity of the link is not known.
+func (sh *shard) linkUse(bytesPerSecond int64) int64 {
+	link := int64(sh.service.options.Link)
+	if link == 0 {
+		return 0
+	}
+	return 100 * 8 * bytesPerSecond / link
+}
+
 // sleep waits for d and reports whether the term goes on.
 func (sh *shard) sleep(d time.Duration) bool { return wait.For(sh.ctx, d) }
 
@@ -319,11 +334,7 @@
 		sh.core.Place(now)
 		sh.placement.ended(began, time.Now())
 	}
-	for _, o := range sh.core.TakeOrders() {
-		if c := sh.workerClients[o.Worker]; c != nil {
-			c.enqueue(o)
-		}
-	}
+	sh.queueOrders(sh.core.TakeOrders())
 	for _, l := range sh.core.TakeExpiredLeases() {
 		metric.ExpiredLeases.Add(1)
 		sh.log.Info("lease of worker expired; its runs are given up", "worker", l.Worker, "runs", l.Runs,
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -18,7 +18,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
-	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // ServiceName is the name of the service in a kernel.
@@ -48,12 +47,21 @@
 // Limits and timeouts of connections and calls.
 const (
 	// MaxMessage is the largest request or answer in bytes, with its kind or status.
-	MaxMessage    = 4 << 20
-	maxStreams    = 64
-	dialTimeout   = 500 * time.Millisecond
-	idleTimeout   = 20 * time.Second
+	MaxMessage = 4 << 20
+	maxStreams = 64
+	// dialTimeout leaves time for two retransmissions of a handshake. Before the first round
+	// trip has been measured, QUIC repeats after 200 and 600 ms.
+	dialTimeout = time.Second
+	idleTimeout = 20 * time.Second
+	// minSilence is the shortest time without an acknowledgement that tells a silent
+	// connection from a call that was given up early.
+	minSilence    = 100 * time.Millisecond
 	handleTimeout = 3 * time.Second
-	redialDelay   = 100 * time.Millisecond
+	// minRedialDelay is the delay after the first failed dial. It doubles with each further
+	// one up to maxRedialDelay: the handshakes of all entries with one whose link is full
+	// would keep it full.
+	minRedialDelay = 100 * time.Millisecond
+	maxRedialDelay = 1600 * time.Millisecond
 )
 
 // Status of an answer, its first byte.
@@ -84,6 +92,7 @@
 	mu       sync.Mutex
 	peers    map[unit.EntryID]*peer
 	handlers map[Kind]Handler
+	conns    map[*quic.Conn]traffic // established connections, with what is counted of each
 }
 
 // New returns a service that will listen on the first free UDP port of a range,
@@ -94,6 +103,7 @@
 		done:     make(chan struct{}),
 		peers:    map[unit.EntryID]*peer{},
 		handlers: map[Kind]Handler{},
+		conns:    map[*quic.Conn]traffic{},
 	}
 }
 
@@ -111,6 +121,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.tasks.Go(s.accept)
+	s.tasks.Go(s.countTraffic)
 	go func() {
 		defer close(s.done)
 		<-s.ctx.Done()
@@ -200,9 +211,12 @@
 	if err != nil {
 		return nil, errors.Errorf("call %s: %w", to, err)
 	}
+	sentAt, before := time.Now(), trafficOf(conn)
 	answer, err := exchange(ctx, conn, k, request)
-	if errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnreachable) {
-		// The connection may hang; the next call opens a new one.
+	unanswered := errors.Is(err, ErrUnknown) || errors.Is(err, ErrUnreachable)
+	if unanswered && time.Since(sentAt) >= minSilence && trafficOf(conn).received == before.received {
+		// Not even an acknowledgement came: the connection may be silent for good. The
+		// next call opens a new one.
 		p.discard(conn)
 	}
 	if err != nil {
@@ -236,6 +250,8 @@
 // serve accepts the calls of one connection and handles them concurrently.
 func (s *Service) serve(conn *quic.Conn) {
 	from := fingerprint(conn.ConnectionState().TLS.PeerCertificates[0].Raw)
+	s.addConn(conn)
+	defer s.removeConn(conn)
 	var calls sync.WaitGroup
 	defer calls.Wait()
 	for {
@@ -259,7 +275,6 @@
 		stream.CancelRead(0)
 		return
 	}
-	metric.PeerTraffic.AddReceived(len(message))
 	s.mu.Lock()
 	handler := s.handlers[Kind(message[0])]
 	s.mu.Unlock()
@@ -277,8 +292,7 @@
 		}
 	}
 	// If the write fails, the caller reports an unknown outcome.
-	n, _ := stream.Write(append([]byte{status}, body...))
-	metric.PeerTraffic.AddSent(n)
+	_, _ = stream.Write(append([]byte{status}, body...))
 }
 
 // exchange does one call on a new stream.
@@ -291,16 +305,13 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = stream.SetDeadline(deadline) // fails only on a closed stream
 	}
-	n, err := stream.Write(append([]byte{byte(k)}, request...))
-	metric.PeerTraffic.AddSent(n)
-	if err != nil {
+	if _, err := stream.Write(append([]byte{byte(k)}, request...)); err != nil {
 		return nil, errors.Errorf("send: %w", errors.Join(err, ErrUnknown))
 	}
 	if err := stream.Close(); err != nil {
 		return nil, errors.Errorf("end request: %w", errors.Join(err, ErrUnknown))
 	}
 	answer, err := io.ReadAll(io.LimitReader(stream, MaxMessage+1))
-	metric.PeerTraffic.AddReceived(len(answer))
 	if err != nil || len(answer) == 0 || len(answer) > MaxMessage {
 		return nil, errors.Errorf("read answer of %d bytes: %w", len(answer), errors.Join(err, ErrUnknown))
 	}
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/standin/relay"
 )
 
 var errRefused = errors.New("refused")
@@ -71,3 +73,68 @@
 	callee.SetPeers(peers)
 	return caller, callee
 }
+
+// TestLateCall guards against a call without an answer in time that closes a connection
+// which works: other calls on it then fail too, and each entry does a handshake with an
+// owner whose link is full. It also guards against a silent connection that is kept.
+func TestLateCall(t *testing.T) {
+	const late, answered = Kind(1), Kind(2)
+	tests := []struct {
+		name     string
+		others   bool // other calls are answered meanwhile
+		silent   bool // the connection carries nothing from the second late call on
+		wantOpen bool // the connection, after three late calls
+	}{
+		{"others are answered meanwhile", true, false, true},
+		{"the peer is late", false, false, true},
+		{"the connection is silent", false, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller, callee := startPair(t)
+			path, err := relay.NewUDP("127.0.0.1:0", callee.Self().Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(path.Close)
+			caller.SetPeers(map[unit.EntryID]Peer{"b": {Address: path.Address(), Fingerprint: callee.Self().Fingerprint}})
+			callee.Handle(late, func(ctx context.Context, _ Fingerprint, _ []byte) ([]byte, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+			callee.Handle(answered, func(_ context.Context, _ Fingerprint, request []byte) ([]byte, error) { return request, nil })
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			if _, err := caller.Call(ctx, "b", answered, []byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			conn := caller.peers["b"].conn
+			var others sync.WaitGroup
+			othersCtx, stopOthers := context.WithCancel(ctx)
+			for n := range 3 {
+				if tt.others && n == 0 {
+					others.Go(func() {
+						for othersCtx.Err() == nil {
+							_, _ = caller.Call(ctx, "b", answered, []byte("x"))
+						}
+					})
+				}
+				if tt.silent && n == 1 {
+					path.Silence()
+				}
+				lateCtx, cancelLate := context.WithTimeout(ctx, 200*time.Millisecond)
+				_, err := caller.Call(lateCtx, "b", late, []byte("x"))
+				cancelLate()
+				if err == nil {
+					t.Error("a late call was answered")
+				}
+			}
+			open := conn.Context().Err() == nil
+			stopOthers()
+			others.Wait()
+			if diff := cmp.Diff(tt.wantOpen, open); diff != "" {
+				t.Errorf("connection open (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/peer/mesh/peer.go
+++ b/internal/peer/mesh/peer.go
@@ -39,6 +39,7 @@
 // run connects when a call needs a connection, until the context is done.
 func (p *peer) run(ctx context.Context) {
 	defer p.setConnection(nil, ErrUnreachable)
+	delay := minRedialDelay
 	for {
 		select {
 		case <-ctx.Done():
@@ -49,17 +50,21 @@
 		p.setConnection(conn, err)
 		if err != nil {
 			p.service.log.V(1).Info("peer not reached", "peer", p.id, "address", p.target.Address, "error", err.Error())
-			if !wait.For(ctx, redialDelay) {
+			if !wait.For(ctx, delay) {
 				return
 			}
+			delay = min(2*delay, maxRedialDelay)
 			continue
 		}
+		delay = minRedialDelay
 		p.service.log.V(1).Info("peer connected", "peer", p.id, "address", p.target.Address)
+		p.service.addConn(conn)
 		select {
 		case <-conn.Context().Done():
 		case <-ctx.Done():
 			_ = conn.CloseWithError(0, "") // the service stops or the peer was removed
 		}
+		p.service.removeConn(conn)
 		p.setConnection(nil, nil)
 	}
 }
@@ -117,7 +122,7 @@
 	}
 }
 
-// discard closes a connection on which a call got no complete answer.
+// discard closes a connection on which nothing came since a call was sent.
 func (p *peer) discard(conn *quic.Conn) {
 	_ = conn.CloseWithError(0, "answer overdue") // may be closed already
 }
