job/owner: a takeover goes on with the read that failed

What callers saw: after a claim nothing starts until progress, workers and all job records have been read, 2 to 3 s on a link of 2 Mbit/s, and an entry on such a link may lose the shard before it gets to the end.

Cause: the five reads followed each other, each after the answer to the last, and any failure, such as one page of the list of jobs, began all of them again, the pages read before included.

Why this is right: all reads follow the claim, and no earlier owner can write any more under the guard on the epoch, so a progress record that was read stays the last one. A list that goes on later is what kv.Listing already allows: changes are read from the revision of its first page, and the view counts as confirmed from the time that page was requested, so nothing starts on an old one. Progress, workers, checkpoints and model are read side by side; the jobs come after them, as an answer behind a long page of jobs would count as stalled.

Evidence: TestTakeoverReads fails before: 1.44 s in place of 0.72 s with answers after 240 ms, and a failed last page repeats the first page, the progress and the list of workers.

--- /dev/null
+++ b/internal/job/owner/restore_test.go
@@ -0,0 +1,121 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// slowStore answers each read after a latency, and lists one job on each page. The given
+// reads fail once.
+type slowStore struct {
+	latency time.Duration
+	jobs    []unit.JobID
+
+	mu      sync.Mutex
+	failing []kv.Key
+	reads   []kv.Key // by key, or by prefix and the last key of the previous page
+}
+
+func (s *slowStore) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op != kv.OpGet && r.Op != kv.OpRange {
+		<-ctx.Done()
+		return kv.Response{}, ctx.Err()
+	}
+	time.Sleep(s.latency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.Key
+	if r.After != "" {
+		key += " after " + r.After
+	}
+	s.reads = append(s.reads, key)
+	if n := slices.Index(s.failing, key); n >= 0 {
+		s.failing = slices.Delete(s.failing, n, n+1)
+		return kv.Response{}, kv.ErrUnavailable
+	}
+	if r.Op == kv.OpGet {
+		return kv.Response{}, kv.ErrNotFound
+	}
+	for i, id := range s.jobs {
+		if jobKey := record.JobKey(id); r.Key == record.JobPrefix && jobKey > r.After {
+			value, err := record.Encode(record.Final(&graph.Job{ID: id}, graph.Cancelled))
+			item := kv.Item{Key: jobKey, Value: value, Revision: 5}
+			return kv.Response{Items: []kv.Item{item}, More: i+1 < len(s.jobs), Revision: unit.Revision(9 + i)}, err
+		}
+	}
+	return kv.Response{Revision: 9}, nil
+}
+
+// TestTakeoverReads guards against a takeover on a slow link that reads everything again
+// when one read fails, and against one that waits for each answer before the next read.
+func TestTakeoverReads(t *testing.T) {
+	const latency = 240 * time.Millisecond
+	once := map[kv.Key]int{
+		record.ProgressKey: 1, record.CheckpointsKey: 1, record.ModelKey: 1, "workers/": 1, "job/": 1, "job/ after job/a": 1,
+	}
+	twice := func(key kv.Key) map[kv.Key]int {
+		reads := map[kv.Key]int{key: 2}
+		for k, n := range once {
+			reads[k] = max(reads[k], n)
+		}
+		return reads
+	}
+	tests := []struct {
+		name    string
+		failing []kv.Key
+		reads   map[kv.Key]int
+		took    time.Duration
+	}{
+		{"no read fails", nil, once, 3 * latency},
+		{"progress fails", []kv.Key{record.ProgressKey}, twice(record.ProgressKey), 4*latency + retryDelay},
+		{"list of workers fails", []kv.Key{"workers/"}, twice("workers/"), 4*latency + retryDelay},
+		{"last page of the jobs fails", []kv.Key{"job/ after job/a"}, twice("job/ after job/a"), 4*latency + retryDelay},
+		{"model fails, which is not needed", []kv.Key{record.ModelKey}, once, 3 * latency},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &slowStore{latency: latency, jobs: []unit.JobID{"a", "b"}, failing: slices.Clone(tt.failing)}
+				s := New(logr.Discard(), &scriptedFleet{}, nil, Options{Limits: scheduler.Limits{MaxLease: 10 * time.Second}})
+				s.ownership, s.zones, s.outage, s.store = confirmedOwnership{}, fixedZones{}, fixedOutage(false), kv.Client{Doer: store}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 2})
+				began, took := time.Now(), time.Duration(0)
+				go sh.run()
+				for took = 0; s.currentShard() == nil && took < time.Minute; took = time.Since(began) {
+					time.Sleep(time.Millisecond)
+				}
+				for _, id := range store.jobs {
+					if state, ok := sh.state(id); !ok || state != graph.Cancelled {
+						t.Errorf("job %s is not known", id)
+					}
+				}
+				sh.cancel()
+				synctest.Wait()
+				reads := map[kv.Key]int{}
+				for _, key := range store.reads {
+					reads[key]++
+				}
+				if diff := cmp.Diff(tt.reads, reads); diff != "" {
+					t.Errorf("reads (-want +got):\n%s", diff)
+				}
+				if took > tt.took+5*time.Millisecond {
+					t.Errorf("took %s, want %s", took, tt.took)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -15,7 +15,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
-	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
 // Intervals, timeouts and lease lengths of the shard.
@@ -94,11 +93,12 @@
 	defer sh.goroutines.Wait()
 	defer sh.cancel()
 	startedAt := time.Now()
+	stored := newStoredState(sh.service.fleet.Prefix())
 	var jobsRevision, workersRevision unit.Revision
 	for {
 		err := guard.Call(func() error {
 			var err error
-			jobsRevision, workersRevision, err = sh.takeOver(startedAt)
+			jobsRevision, workersRevision, err = sh.takeOver(stored, startedAt)
 			return err
 		})
 		if err == nil {
@@ -166,26 +166,19 @@
 // sleep waits for d and reports whether the term goes on.
 func (sh *shard) sleep(d time.Duration) bool { return wait.For(sh.ctx, d) }
 
-// takeOver loads progress, workers, jobs and the interference model from the store
-// into a new core. No task starts before it succeeds. It returns the revisions
-// from which changes of jobs and workers are read.
-func (sh *shard) takeOver(claimedAt time.Time) (jobsRevision, workersRevision unit.Revision, err error) {
-	progress, progressRevision, err := sh.loadProgress()
-	if err != nil {
+// takeOver builds a new core from what the store holds and reads what of that is missing.
+// No task starts before it succeeds. It returns the revisions from which changes of jobs
+// and workers are read.
+func (sh *shard) takeOver(stored *storedState, claimedAt time.Time) (jobsRevision, workersRevision unit.Revision, err error) {
+	if err := stored.read(sh.ctx, sh.service.store); err != nil {
 		return 0, 0, err
 	}
-	workersSentAt := time.Now()
-	workers, workersRevision, err := sh.service.store.List(sh.ctx, sh.service.fleet.Prefix())
-	if err != nil {
-		return 0, 0, errors.Errorf("list workers: %w", err)
-	}
-	jobsSentAt := time.Now()
-	jobs, jobsRevision, err := sh.service.store.List(sh.ctx, record.JobPrefix)
+	progress, progressRevision, err := stored.decodeProgress(sh.term.Epoch)
 	if err != nil {
-		return 0, 0, errors.Errorf("list jobs: %w", err)
+		return 0, 0, err
 	}
-	model := sh.loadModel()
-	progress.AddCheckpoints(sh.loadCheckpoints())
+	progress.AddCheckpoints(stored.decodeCheckpoints(sh.log))
+	model := stored.decodeModel(sh.log)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	leasesExpireAt := claimedAt.Add(ownership.MaxRenewalOverlap + withMaxDrift(workerLeaseTTL))
@@ -200,73 +193,21 @@
 	now := time.Now()
 	core.RestoreInterference(model.Pairs, now)
 	sh.applyZones(core)
-	for _, item := range workers {
+	for _, item := range stored.workers.items {
 		sh.applyListing(item)
 	}
 	core.SetWorkers(sh.currentListings(), now)
 	if !progress.HandedOver {
 		core.AwaitReports()
 	}
-	for _, item := range jobs {
+	for _, item := range stored.jobs.items {
 		sh.applyJobRecord(item, now)
 	}
 	sh.updateWorkerClients()
-	sh.workersConfirmed.record(workersSentAt)
-	sh.jobsConfirmed.record(jobsSentAt)
-	sh.log.Info("shard taken over", "jobs", len(jobs), "workers", len(sh.listings), "clean", progress.HandedOver, "took", time.Since(claimedAt).String())
-	return jobsRevision, workersRevision, nil
-}
-
-func (sh *shard) loadProgress() (record.Progress, unit.Revision, error) {
-	item, err := sh.service.store.Get(sh.ctx, record.ProgressKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return record.Progress{HandedOver: sh.term.Epoch == 1}, 0, nil
-	}
-	if err != nil {
-		return record.Progress{}, 0, errors.Errorf("read progress: %w", err)
-	}
-	p, err := record.DecodeProgress(item.Value)
-	if err != nil {
-		return record.Progress{}, 0, err
-	}
-	// A hand-over counts only for the next epoch: an owner in between may have
-	// started tasks.
-	p.HandedOver = p.HandedOver && p.Epoch+1 == sh.term.Epoch
-	return p, item.Revision, nil
-}
-
-// loadCheckpoints reads the checkpoints that workers held at the time of the last write.
-// Without them tasks whose worker is lost too begin again.
-func (sh *shard) loadCheckpoints() record.Checkpoints {
-	item, err := sh.service.store.Get(sh.ctx, record.CheckpointsKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return record.Checkpoints{}
-	}
-	var c record.Checkpoints
-	if err == nil {
-		c, err = record.DecodeCheckpoints(item.Value)
-	}
-	if err != nil {
-		sh.log.Info("checkpoints not read; tasks of lost workers begin again", "error", err.Error())
-	}
-	return c
-}
-
-// loadModel reads the interference model of earlier owners. Without it the model
-// starts empty.
-func (sh *shard) loadModel() record.Model {
-	item, err := sh.service.store.Get(sh.ctx, record.ModelKey)
-	if errors.Is(err, kv.ErrNotFound) {
-		return record.Model{}
-	}
-	var m record.Model
-	if err == nil {
-		m, err = record.DecodeModel(item.Value)
-	}
-	if err != nil {
-		sh.log.Info("interference model not read; learning it again", "error", err.Error())
-	}
-	return m
+	sh.workersConfirmed.record(stored.workers.requestedAt)
+	sh.jobsConfirmed.record(stored.jobs.requestedAt)
+	sh.log.Info("shard taken over", "jobs", len(stored.jobs.items), "workers", len(sh.listings), "clean", progress.HandedOver, "took", time.Since(claimedAt).String())
+	return stored.jobs.listing.Revision, stored.workers.listing.Revision, nil
 }
 
 // update applies f to the core, places tasks if this entry may start them, and
