job/scheduler: a task whose only run was seen does not wait for silent workers

What callers saw: after a takeover one worker that has left or is cut off holds every task of earlier jobs for up to 10 s, 16 s after a restart. So a long-running task on a worker that leaves is stopped there and then does not run, with room on all workers that have answered.

Cause: a task was placed only once every worker of the durable progress had answered or all leases had expired, whatever was known of its runs.

Why this is right: an owner decides to start a task only when no other run of it goes on or can still begin, so of two runs of a task the one that is present excludes the other. A run that is present in a report requested more than MaxOrderOverlap after the claim, when earlier owners decide nothing more, is the only one that they have left: an earlier run had ended before it was started, and a later one was not decided. From then on its end, which this owner reads, is all that another start waits for, as for its own runs. A reported end alone proves nothing, as the previous owner may have read it too and started the next run; several runs of a speculative step are allowed; and a gang is placed only with all of its members. That a step goes on does not show that no later step was started: an owner in between may have read a late end as done and written nothing.

--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -188,6 +188,7 @@
 		unresolved = progress.BusyWorkers
 	}
 	core.LoadProgress(progress.Jobs, progress.KnownWorkers, unresolved)
+	core.SetEarlierStartsEnd(claimedAt.Add(ownership.MaxOrderOverlap))
 	sh.core, sh.progressRevision = core, progressRevision
 	sh.takeover = takeover{claimedAt: claimedAt, claimRevision: sh.term.EpochRevision, handedOver: progress.HandedOver}
 	now := time.Now()
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -70,6 +70,9 @@
 	// inheritedLeasesExpireAt is when every lease granted by earlier owners has
 	// expired, so that no unresolved worker still runs their tasks.
 	inheritedLeasesExpireAt time.Time
+	// earlierStartsEndAt is when the last start by an earlier owner was decided at the
+	// latest; zero: unknown.
+	earlierStartsEndAt time.Time
 
 	// Results that the caller has not taken yet.
 	orders        []Order
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -60,6 +60,7 @@
 	failedRuns    []graph.RunNumber
 	lastRun       graph.RunNumber // highest run number seen or used
 	ranBefore     bool            // a run has ended after a worker had begun it
+	noHiddenRun   bool            // no unresolved worker can have another run of it; see observeRun
 	runs          []*run          // runs on workers
 	checkpoint    string          // latest one; a new run resumes from it
 	earliestStart time.Time
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -148,6 +148,7 @@
 	leasesExpireAt := sim.now.Add(simMaxDisconnected + simLeaseLength*1025/1000)
 	sim.core = New(Limits{StopTimeout: 500 * time.Millisecond, MaxLease: simMaxLease}, sim.epoch, leasesExpireAt)
 	sim.core.LoadProgress(maps.Clone(sim.durableSnapshot.Jobs), sim.durableSnapshot.KnownWorkers, unresolved)
+	sim.core.SetEarlierStartsEnd(sim.now.Add(simMaxOrderOverlap))
 	sim.core.SetWorkers(sim.listings(), sim.now)
 }
 
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -43,14 +43,10 @@
 			c.placementDue = true
 			break
 		}
-		if !c.safeToStart(s.occurrence.job) || (s.spec.BestEffort && !includeBestEffort) {
+		if s.spec.BestEffort && !includeBestEffort {
 			continue
 		}
-		if s.spec.Gang {
-			c.placeGang(s, now)
-			continue
-		}
-		c.placeStep(s, now)
+		c.placeSafely(s, now)
 	}
 }
 
@@ -115,6 +111,38 @@
 	return len(c.unresolved) == 0 || j.createdInTerm
 }
 
+// placeSafely starts the waiting tasks of a step of which no unresolved worker can still
+// have a run, until no worker takes one. The others keep their places.
+func (c *Core) placeSafely(s *step, now time.Time) {
+	if c.safeToStart(s.occurrence.job) {
+		c.placeWaiting(s, now)
+		return
+	}
+	var safe, unsafe []*task
+	for _, t := range s.waiting {
+		if t.noHiddenRun {
+			safe = append(safe, t)
+		} else {
+			unsafe = append(unsafe, t)
+		}
+	}
+	if len(safe) == 0 {
+		return
+	}
+	s.waiting = safe
+	c.placeWaiting(s, now)
+	s.waiting = append(unsafe, s.waiting...)
+}
+
+// placeWaiting starts the waiting tasks of a step until no worker takes one.
+func (c *Core) placeWaiting(s *step, now time.Time) {
+	if s.spec.Gang {
+		c.placeGang(s, now)
+		return
+	}
+	c.placeStep(s, now)
+}
+
 // placeStep starts the waiting tasks of a step until no worker takes one.
 func (c *Core) placeStep(s *step, now time.Time) {
 	var deferred []*task
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -44,7 +44,7 @@
 	present := make(map[graph.Task]bool, len(report.Running))
 	for _, s := range report.Running {
 		present[s.Task] = true
-		c.observeRun(w, s, now)
+		c.observeRun(w, s, report.RequestedAt, now)
 	}
 	for id := range w.unknownRuns {
 		c.stopUnknownRun(w, id, stopsUnderWay[id])
@@ -156,7 +156,11 @@
 }
 
 // observeRun applies a run that a worker reports as present.
-func (c *Core) observeRun(w *worker, status RunStatus, now time.Time) {
+//
+// An owner starts a task only when no other run of it goes on or can still begin. A run that
+// is present after the last start by an earlier owner was decided is thus the only one that
+// earlier owners have left, and its end is all that another start has to wait for.
+func (c *Core) observeRun(w *worker, status RunStatus, requestedAt, now time.Time) {
 	t := c.lookupTask(status.Task)
 	if t == nil {
 		w.unknownRuns[runID{status.Task, status.Run}] = false
@@ -171,6 +175,9 @@
 		}
 	}
 	r.reported = true
+	if !c.earlierStartsEndAt.IsZero() && requestedAt.After(c.earlierStartsEndAt) && !t.step.spec.Speculative {
+		t.noHiddenRun = true
+	}
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 		r.phase, r.absenceConclusiveAt = phaseRunning, now
 	}
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -153,6 +153,9 @@
 	}
 }
 
+// SetEarlierStartsEnd sets the time after which no earlier owner decides to start a task.
+func (c *Core) SetEarlierStartsEnd(at time.Time) { c.earlierStartsEndAt = at }
+
 // progress returns the progress of the job's opened occurrences.
 func (j *job) progress() Progress {
 	p := Progress{Started: j.started}
