job/scheduler: a partial report ends runs whose end no longer matters

An end as done is held, unacknowledged, while a later run of its task may still start. Held ends can fill the page of ends that a worker lists. The later runs have been stopped, but their ends are listed on other full pages, behind other held ends, and a partial report did not end a run by its absence. Each page then waits for the other.

The absence of a run may not end it while its own end is unread, as that may be an end as done. For a task that has ended as done, is complete or whose job has its final state, no end changes the result, so absence is enough, under the conditions of a complete report: the worker has answered the stop, and the report was requested after the stop timeout. The worker then refuses a late start of that run, so no start follows the end that is acknowledged.

TestFullPageOfEnds fails without the change, in its cases "further ends follow" and "further ends follow, the job is cancelled".

--- a/internal/job/scheduler/heldend_test.go
+++ b/internal/job/scheduler/heldend_test.go
@@ -206,3 +206,54 @@
 		})
 	}
 }
+
+// TestFullPageOfEnds guards against held ends that fill the pages of the workers for ever:
+// the ends of the later runs for which they wait are listed behind them.
+func TestFullPageOfEnds(t *testing.T) {
+	tests := []struct {
+		name    string
+		ended   bool // the first run has ended as done
+		cancel  bool
+		partial bool
+		running bool // the later run is still listed
+		wait    time.Duration
+		runs    int
+		acked   EndNumber
+	}{
+		{"complete report", true, false, false, false, 2 * time.Second, 0, 1},
+		{"further ends follow", true, false, true, false, 2 * time.Second, 0, 1},
+		{"further ends follow, the stop may be under way", true, false, true, false, 500 * time.Millisecond, 1, 0},
+		{"further ends follow, the later run is present", true, false, true, true, 2 * time.Second, 1, 0},
+		{"further ends follow, the later run may have ended as done", false, false, true, false, 2 * time.Second, 1, 0},
+		{"further ends follow, the job is cancelled", false, true, true, false, 2 * time.Second, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			first, later := f.startTwice()
+			f.core.HandleStartOutcome(later, OutcomeDone, f.now)
+			if tt.ended {
+				f.report(first.Worker, nil, []End{{Number: 1, Task: first.Task, Run: first.Run, Kind: EndDone}})
+			}
+			if tt.cancel {
+				f.core.Cancel("j", f.now)
+			}
+			if tt.ended || tt.cancel {
+				f.core.HandleStopOutcome(Order{Kind: OrderStop, Worker: later.Worker, Incarnation: 1, Task: later.Task, Run: later.Run}, OutcomeDone, f.now)
+			}
+			f.now = f.now.Add(tt.wait)
+			report := Report{Incarnation: 1, RequestedAt: f.now, Partial: tt.partial}
+			if tt.running {
+				report.Running = []RunStatus{{Task: later.Task, Run: later.Run}}
+			}
+			f.core.HandleReport(later.Worker, report, f.now)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			if diff := cmp.Diff(tt.runs, len(f.core.lookupTask(later.Task).runs)); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+			if _, acked := f.core.AckCursor(first.Worker); acked != tt.acked {
+				t.Errorf("acknowledged end %d, want %d", acked, tt.acked)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -49,9 +49,7 @@
 	for id := range w.unknownRuns {
 		c.stopUnknownRun(w, id, stopsUnderWay[id])
 	}
-	if !report.Partial {
-		c.endAbsentRuns(w, present, report.RequestedAt, now)
-	}
+	c.endAbsentRuns(w, present, report, now)
 	c.stopStalledRuns(w, present, report.RequestedAt, now)
 	c.repeatOrders(w, true, now)
 	c.policy.onReport(w, now)
@@ -237,11 +235,13 @@
 	r.accrueWork(now)
 }
 
-// endAbsentRuns removes the runs that a complete report does not contain, if the
-// report was requested after the worker had answered their last order.
-func (c *Core) endAbsentRuns(w *worker, present map[graph.Task]bool, requestedAt, now time.Time) {
+// endAbsentRuns removes the runs that a report does not contain, if the report was
+// requested after the worker had answered their last order. A partial report may lack the
+// ends of these runs, so that it ends only runs whose end is of no consequence.
+func (c *Core) endAbsentRuns(w *worker, present map[graph.Task]bool, report Report, now time.Time) {
+	requestedAt := report.RequestedAt
 	for id, r := range w.runs {
-		if present[id] {
+		if present[id] || (report.Partial && !r.task.isSettled()) {
 			continue
 		}
 		if r.phase == phaseUnconfirmed && requestedAt.After(r.orderedAt) {
@@ -257,6 +257,10 @@
 	}
 }
 
+// isSettled reports whether no end of a run can change the result of the task. Ends that
+// are held wait for its runs, and a worker may list only held ends.
+func (t *task) isSettled() bool { return t.done || t.endedDone || t.job().final != 0 }
+
 // HandleStartOutcome applies the outcome of a start order.
 func (c *Core) HandleStartOutcome(o Order, outcome Outcome, now time.Time) {
 	r := c.runOfOrder(o)
