job/scheduler: a long-running task starts behind a short one that fits nowhere

Found by reading, not seen in a play: a long-running task waits for up to 8 s although a worker has room for it, while every worker with room is quarantined and a more urgent short task waits.

A quarantined worker takes starts of long-running tasks only. A placement pass remembers the demands that no worker met, to skip steps that need as much or more, and did not tell apart for which kind of task the workers were tried: a short task that found all of them quarantined made the pass skip the long-running ones. The remembered demand now says whether it was that of a long-running task; that of a short one covers only short ones.

TestStartBehindUnplaceableStep fails without the change in its case "long-running in a quarantine, behind a short one".

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -143,8 +143,14 @@
 
 // unmetDemand is the demand of a step that no worker could meet in this pass.
 type unmetDemand struct {
-	service unit.ServiceID
-	needs   unit.Resources
+	service     unit.ServiceID
+	longRunning bool // so that quarantined workers were tried too
+	needs       unit.Resources
+}
+
+// includes reports whether no worker can meet the demand of the step either.
+func (d unmetDemand) includes(s *step) bool {
+	return d.service == s.occurrence.job.spec.Queue.Service && (d.longRunning || !s.spec.LongRunning) && d.needs.Fits(s.spec.Needs)
 }
 
 // recordUnplaceable records that no worker takes a task of the step in this pass.
@@ -155,7 +161,7 @@
 	case s.spec.BestEffort:
 		c.unplaceableImages[s.image] = true
 	default:
-		c.unmetDemands = append(c.unmetDemands, unmetDemand{s.occurrence.job.spec.Queue.Service, s.spec.Needs})
+		c.unmetDemands = append(c.unmetDemands, unmetDemand{s.occurrence.job.spec.Queue.Service, s.spec.LongRunning, s.spec.Needs})
 	}
 }
 
@@ -165,13 +171,7 @@
 	if s.spec.BestEffort {
 		return c.unplaceableImages[s.image]
 	}
-	service := s.occurrence.job.spec.Queue.Service
-	for _, demand := range c.unmetDemands {
-		if demand.service == service && demand.needs.Fits(s.spec.Needs) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.unmetDemands, func(d unmetDemand) bool { return d.includes(s) })
 }
 
 // constrained reports whether placement limits the step to some of its service's
