job/scheduler: a large best-effort task does not keep smaller ones waiting

A placement pass remembers what found no worker. For best-effort steps it remembered the image alone, neither the resources nor the service. They are now remembered like the demands of other steps, with the image added, so that only steps of that image and service that need as much or more are skipped.

TestStartBehindUnplaceableStep fails without the change in its cases "best-effort, behind one of the same image that needs more memory" and "... more cores".

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,11 +51,10 @@
 	durations               *duration.Estimator
 	policy                  policy
 	startBudget             startBudget
-	candidateBuffer         candidateHeap   // reused by newCandidates
-	unmetDemands            []unmetDemand   // demands that no worker could meet in this pass
-	lastPlacement           time.Time       // when the last placement pass began
-	lastPreemption          time.Time       // when preemption was last tried
-	unplaceableImages       map[*image]bool // images whose best-effort tasks fit nowhere in this pass
+	candidateBuffer         candidateHeap // reused by newCandidates
+	unmetDemands            []unmetDemand // demands that no worker could meet in this pass
+	lastPlacement           time.Time     // when the last placement pass began
+	lastPreemption          time.Time     // when preemption was last tried
 	addedPressuresClearedAt time.Time
 	lastBestEffortPlacement time.Time // when a pass last included best-effort tasks
 	lastRelocation          time.Time // when slowed runs were last checked for relocation
@@ -90,7 +89,6 @@
 		epoch:                   epoch,
 		jobs:                    map[unit.JobID]*job{},
 		openJobs:                map[unit.JobID]*job{},
-		unplaceableImages:       map[*image]bool{},
 		workers:                 map[unit.InstanceID]*worker{},
 		workersByService:        map[unit.ServiceID][]*worker{},
 		evacuatedZones:          map[unit.ZoneID]bool{},
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -32,7 +32,6 @@
 	} else {
 		c.placementDue = true // a later pass handles best-effort tasks
 	}
-	clear(c.unplaceableImages)
 	c.unmetDemands = c.unmetDemands[:0]
 	c.startBudget.deferred = false
 	charged := len(c.orders)
@@ -144,34 +143,38 @@
 // unmetDemand is the demand of a step that no worker could meet in this pass.
 type unmetDemand struct {
 	service     unit.ServiceID
-	longRunning bool // so that quarantined workers were tried too
+	image       *image // of a best-effort step, which is kept from workers by what it disturbs; nil for others
+	longRunning bool   // so that quarantined workers were tried too
 	needs       unit.Resources
 }
 
-// includes reports whether no worker can meet the demand of the step either.
-func (d unmetDemand) includes(s *step) bool {
-	return d.service == s.occurrence.job.spec.Queue.Service && (d.longRunning || !s.spec.LongRunning) && d.needs.Fits(s.spec.Needs)
+// demandOf returns the demand of a step.
+func demandOf(s *step) unmetDemand {
+	d := unmetDemand{service: s.occurrence.job.spec.Queue.Service, longRunning: s.spec.LongRunning, needs: s.spec.Needs}
+	if s.spec.BestEffort {
+		d.image = s.image
+	}
+	return d
+}
+
+// includes reports whether no worker can meet the other demand either.
+func (d unmetDemand) includes(other unmetDemand) bool {
+	return d.service == other.service && d.image == other.image && (d.longRunning || !other.longRunning) && d.needs.Fits(other.needs)
 }
 
 // recordUnplaceable records that no worker takes a task of the step in this pass.
 // Constrained steps are not recorded, as others may still fit where they do not.
 func (c *Core) recordUnplaceable(s *step) {
-	switch {
-	case s.constrained():
-	case s.spec.BestEffort:
-		c.unplaceableImages[s.image] = true
-	default:
-		c.unmetDemands = append(c.unmetDemands, unmetDemand{s.occurrence.job.spec.Queue.Service, s.spec.LongRunning, s.spec.Needs})
+	if !s.constrained() {
+		c.unmetDemands = append(c.unmetDemands, demandOf(s))
 	}
 }
 
 // isUnplaceable reports whether earlier attempts in this pass show that no worker
 // takes a task of the step.
 func (c *Core) isUnplaceable(s *step) bool {
-	if s.spec.BestEffort {
-		return c.unplaceableImages[s.image]
-	}
-	return slices.ContainsFunc(c.unmetDemands, func(d unmetDemand) bool { return d.includes(s) })
+	demand := demandOf(s)
+	return slices.ContainsFunc(c.unmetDemands, func(d unmetDemand) bool { return d.includes(demand) })
 }
 
 // constrained reports whether placement limits the step to some of its service's
--- a/internal/job/scheduler/starved_test.go
+++ b/internal/job/scheduler/starved_test.go
@@ -26,6 +26,11 @@
 		f.now = f.now.Add(trialInterval)
 		f.report("w1", nil, nil)
 	}
+	bestEffort := func(cores unit.Millicores, memory unit.Bytes) graph.Step {
+		return change(func(s *graph.Step) {
+			s.BestEffort, s.Image, s.Needs = true, "f", unit.Resources{Cores: cores, Memory: memory}
+		})
+	}
 	tests := []struct {
 		name          string
 		prepare       func(*fixture)
@@ -34,6 +39,9 @@
 	}{
 		{"long-running in a quarantine, behind a short one", quarantine, short, longRunning, []unit.JobID{"other"}},
 		{"short in a quarantine, behind a short one", quarantine, short, short, nil},
+		{"best-effort, behind one of the same image that needs more memory", func(*fixture) {}, bestEffort(4000, 300<<30), bestEffort(4000, 1<<30), []unit.JobID{"other"}},
+		{"best-effort, behind one of the same image that needs more cores", func(*fixture) {}, bestEffort(80000, 1<<30), bestEffort(4000, 1<<30), []unit.JobID{"other"}},
+		{"best-effort, behind one of the same image that needs as much", func(*fixture) {}, bestEffort(80000, 1<<30), bestEffort(80000, 1<<30), nil},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
