storage/access: entries that are cut off together do not take that for an outage

Callers saw tasks run twice at once.

A zone with the owner is cut off from the others for 8 s or more. Another entry claims the shard 1.5 s later and takes over the runs on the workers that it reaches. The old owner, though its views are 7 s old, still starts the tasks of these workers elsewhere once it takes their leases as expired.

An owner may act on old views while the store answers no entry, since nobody can claim the shard then. One peer that did not reach the store either was enough to conclude that, and the entries of the cut-off zone told each other.

Now the peers that say so must outnumber those that were not reached, and be at least three, or more than half if there are fewer. During an outage the peers are asked in turn, so that the reports of all are recent. An owner that is cut off with more than half of all entries can still be wrong. One that reaches half or less stops starting tasks and renewing leases during a real outage; with fewer entries down it goes on.

TestOutageBesideUnreachedPeers fails without the change in three of its cases and passes 300 times with it.

--- a/internal/fleet/ownership/service.go
+++ b/internal/fleet/ownership/service.go
@@ -53,8 +53,8 @@
 // storeAccess sends requests to the store and reports whether it is reachable.
 type storeAccess interface {
 	kv.Doer
-	// Outage reports whether the store answers neither this entry nor any peer
-	// that it reaches.
+	// Outage reports whether the store answers neither this entry nor its peers, most of
+	// which it reaches.
 	Outage() bool
 	// LastOutageEnd returns when the last outage ended.
 	LastOutageEnd() time.Time
--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -60,21 +61,21 @@
 	peers  network
 	done   chan struct{}
 
-	mu                sync.Mutex
-	directFailing     bool         // direct calls get no answer
-	directAnsweredAt  time.Time    // when the last direct call was answered
-	nextProbe         time.Time    // next direct call while directFailing
-	outage            bool         // relayed calls get no answer either
-	nextAttempt       time.Time    // next attempt during an outage
-	outageEnded       time.Time    // when the last outage ended
-	outageStarted     time.Time    // when the current outage began
-	lastRelay         unit.EntryID // peer that last relayed a call
-	outageConfirmedAt time.Time    // when a peer last reported that it gets no answer either
+	mu               sync.Mutex
+	directFailing    bool         // direct calls get no answer
+	directAnsweredAt time.Time    // when the last direct call was answered
+	nextProbe        time.Time    // next direct call while directFailing
+	outage           bool         // relayed calls get no answer either
+	nextAttempt      time.Time    // next attempt during an outage
+	outageEnded      time.Time    // when the last outage ended
+	outageStarted    time.Time    // when the current outage began
+	lastRelay        unit.EntryID // peer that last relayed a call
+	reports          peerReports  // of the peers asked to relay a call
 }
 
 // New returns a service over a direct client of the store.
 func New(log logr.Logger, direct kv.Doer) *Service {
-	return &Service{log: log, direct: direct, done: make(chan struct{})}
+	return &Service{log: log, direct: direct, done: make(chan struct{}), reports: peerReports{}}
 }
 
 // Name implements registry.Service.
@@ -101,17 +102,14 @@
 // Done implements registry.Service.
 func (s *Service) Done() <-chan struct{} { return s.done }
 
-// confirmationMaxAge is how long the report of a peer that the store does not answer
-// counts.
-const confirmationMaxAge = 2 * time.Second
-
 // Outage reports whether the store answers neither this entry nor, according to their
-// recent reports, its peers. An entry that reaches no peer cannot tell, and reports
-// false.
+// recent reports, its peers. An entry that does not reach most of its peers cannot tell,
+// and reports false.
 func (s *Service) Outage() bool {
+	peers := len(s.peers.Peers())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outage && time.Since(s.outageConfirmedAt) < confirmationMaxAge
+	return s.outage && s.reports.showOutage(peers, time.Now())
 }
 
 // Do implements kv.Doer. It returns ErrUnavailable only if neither the direct nor the
@@ -414,9 +412,12 @@
 }
 
 func (s *Service) relayTo(ctx context.Context, id unit.EntryID, r kv.Request, body []byte) (kv.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(r)+watchGrace)
+	callCtx, cancel := context.WithTimeout(ctx, timeoutOf(r)+watchGrace)
 	defer cancel()
-	raw, err := s.peers.Call(ctx, id, kindStore, body)
+	raw, err := s.peers.Call(callCtx, id, kindStore, body)
+	if err != nil && ctx.Err() == nil { // otherwise the caller gave up, which shows nothing about the peer
+		s.recordReport(id, false)
+	}
 	if errors.Is(err, mesh.ErrUnreachable) {
 		return kv.Response{}, errors.Errorf("relay by %s: %v: %w", id, err, kv.ErrUnavailable)
 	}
@@ -428,29 +429,34 @@
 		return kv.Response{}, errors.Errorf("relay by %s: decode: %v: %w", id, err, kv.ErrUnknown)
 	}
 	if answer.Status == statusUnavailable || answer.Status == statusUnknown {
-		s.mu.Lock()
-		s.outageConfirmedAt = time.Now()
-		s.mu.Unlock()
+		s.recordReport(id, true)
 	}
 	return answer.decode()
 }
 
-// relayCandidates returns the peers to ask, in order.
-func (s *Service) relayCandidates() []unit.EntryID {
+// recordReport records what a peer that was asked to relay a call has shown.
+func (s *Service) recordReport(id unit.EntryID, noStore bool) {
 	s.mu.Lock()
-	lastRelay := s.lastRelay
-	s.mu.Unlock()
-	ids := make([]unit.EntryID, 0, maxRelayPeers)
+	defer s.mu.Unlock()
+	s.reports.settle(id, noStore, time.Now())
+}
+
+// relayCandidates returns the peers to ask, in order: the one that relayed the last call,
+// or during an outage those that were not asked for longest.
+func (s *Service) relayCandidates() []unit.EntryID {
 	peers := s.peers.Peers() // in random order, as the keys of a map
-	for _, id := range peers {
-		if id == lastRelay {
-			ids = append(ids, id)
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.reports.forget(now)
+	if s.outage {
+		slices.SortStableFunc(peers, func(a, b unit.EntryID) int { return s.reports[a].askedAt.Compare(s.reports[b].askedAt) })
+	} else if i := slices.Index(peers, s.lastRelay); i > 0 {
+		peers[0], peers[i] = peers[i], peers[0]
 	}
+	peers = peers[:min(len(peers), maxRelayPeers)]
 	for _, id := range peers {
-		if id != lastRelay && len(ids) < maxRelayPeers {
-			ids = append(ids, id)
-		}
+		s.reports.ask(id, now)
 	}
-	return ids
+	return peers
 }
