job/scheduler: a later owner knows which long-running tasks have run

A long-running task that has run before is placed ahead of short tasks of its priority, as short ones would take each free place first. An owner learned that from reports alone: from runs that it adopted and ends that it read. If one owner has read and acknowledged the ends of expired leases and the next one takes over before the tasks run again, or if the workers leave together with the owner, the next owner took the tasks for new ones and let them wait behind the backlog.

The progress now has an entry for each long-running task that a worker has begun. TestBegunLongRunningTask and two new cases of TestInterruptedLongRunningTask fail without the change.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -219,7 +219,7 @@
 		}
 		t := &s.tasks[saved.Index]
 		t.failedRuns, t.checkpoint = saved.Failed, saved.Checkpoint
-		t.ranBefore = len(saved.Failed) > 0 || saved.Checkpoint != ""
+		t.ranBefore = spec.LongRunning || len(saved.Failed) > 0 || saved.Checkpoint != ""
 		if saved.Done && !spec.LongRunning {
 			done[saved.Index] = true
 		}
--- a/internal/job/scheduler/place_test.go
+++ b/internal/job/scheduler/place_test.go
@@ -180,6 +180,8 @@
 		{"new, later owner", 3, 0, nil, []unit.JobID{"s1", "s2"}},
 		{"one task interrupted, later owner", 3, 1, nil, []unit.JobID{"l", "s1"}},
 		{"second task failed under an earlier owner", 3, 0, []TaskProgress{{Index: 1, Failed: []graph.RunNumber{1}}}, []unit.JobID{"l", "s1"}},
+		{"second task ran under an earlier owner", 3, 0, []TaskProgress{{Index: 1}}, []unit.JobID{"l", "s1"}},
+		{"both tasks ran under an earlier owner", 3, 0, []TaskProgress{{}, {Index: 1}}, []unit.JobID{"l", "l"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -168,6 +168,9 @@
 			return
 		}
 	}
+	if t.step.spec.LongRunning && !t.begun() {
+		c.progressChanged = true
+	}
 	r.reported = true
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 		r.phase, r.absenceConclusiveAt = phaseRunning, now
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -11,7 +11,7 @@
 )
 
 // TaskProgress is the durable progress of one task. Tasks without progress are left
-// out.
+// out. A long-running task that a worker has begun has some.
 type TaskProgress struct {
 	Occurrence graph.Occurrence  `cbor:"1,keyasint,omitempty"`
 	Step       graph.StepIndex   `cbor:"2,keyasint,omitempty"`
@@ -164,7 +164,7 @@
 				if t.checkpointHeld() {
 					checkpoint = ""
 				}
-				if !t.done && len(t.failedRuns) == 0 && checkpoint == "" {
+				if !t.done && len(t.failedRuns) == 0 && checkpoint == "" && !(s.spec.LongRunning && t.begun()) {
 					continue
 				}
 				p.Tasks = append(p.Tasks, TaskProgress{
@@ -177,6 +177,11 @@
 	return p
 }
 
+// begun reports whether a worker has begun a run of the task.
+func (t *task) begun() bool {
+	return t.ranBefore || slices.ContainsFunc(t.runs, func(r *run) bool { return r.reported })
+}
+
 // checkpointHeld reports whether a worker has reported the task's checkpoint with a run
 // that goes on.
 func (t *task) checkpointHeld() bool {
