job/scheduler: a start that a restarted worker executes late extends its lease

The start was sent to one incarnation of a worker and executed 10 s later by the next one. Its deadline was read from the clock of the first, so that the second takes it as a lease of the longest length, from the time at which it executes the start. The core counted that lease from the restart, and gave the runs up, and started the task elsewhere, after the lease of the last heartbeat.

The core now marks a run whose start was sent before the restart and extends the recorded lease when a report first lists it. If the worker is lost between the execution and the next report, the core still does not know of it.

TestStartExecutedAfterRestart fails without the change in its case "executed, the lease since then lasts".

--- a/internal/job/scheduler/lease_test.go
+++ b/internal/job/scheduler/lease_test.go
@@ -161,3 +161,39 @@
 		})
 	}
 }
+
+// TestStartExecutedAfterRestart guards against a second start of a task whose start was
+// sent to an earlier incarnation of its worker and executed late by the present one. The
+// deadline in it is far ahead on the clock of that one, so that it grants the longest
+// lease from then on.
+func TestStartExecutedAfterRestart(t *testing.T) {
+	tests := []struct {
+		name     string
+		executed bool          // 9 s after the restart
+		wait     time.Duration // after that
+		runs     int
+	}{
+		{"not executed, the lease since the restart lasts", false, time.Second, 1},
+		{"not executed, that lease has expired", false, 2 * time.Second, 0},
+		{"executed, the lease since then lasts", true, 10 * time.Second, 1},
+		{"executed, that lease has expired", true, 11 * time.Second, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			o := f.placeOn("w1", smallStep)
+			f.begin(o)
+			f.report("w1", nil, nil)
+			f.restart("w1")
+			f.now = f.now.Add(9 * time.Second)
+			if tt.executed {
+				f.core.HandleReport("w1", Report{Incarnation: 2, RequestedAt: f.now, Running: []RunStatus{{Task: o.Task, Run: o.Run}}}, f.now)
+			}
+			f.core.SetEvacuatedZones(map[unit.ZoneID]bool{"z1": true}) // no further start
+			f.advance(tt.wait)
+			if diff := cmp.Diff(tt.runs, len(f.core.lookupTask(o.Task).runs)); diff != "" {
+				t.Errorf("runs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -171,6 +171,9 @@
 	if t.step.spec.LongRunning && !t.begun() {
 		c.progressChanged = true
 	}
+	if r.sentBeforeRestart && !r.reported {
+		c.extendToLongestLease(w, now) // the start may have been executed just now
+	}
 	r.reported = true
 	if r.phase == phaseStarting || r.phase == phaseUnconfirmed {
 		r.phase, r.absenceConclusiveAt = phaseRunning, now
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -35,6 +35,7 @@
 	absenceConclusiveAt   time.Time
 	orderedAt             time.Time // when the start was sent (before that: ordered) or the run adopted
 	reported              bool      // by the current incarnation of the worker
+	sentBeforeRestart     bool      // the start was sent to an earlier incarnation of the worker
 	stopReason            Reason    // while stopping
 	repeatOrderAt         time.Time // when the last stop or pace order is repeated; zero: it is not
 	progressPercent       int
@@ -197,7 +198,7 @@
 			c.requeue(r.task)
 			continue
 		}
-		r.repeatOrderAt, r.absenceConclusiveAt = time.Time{}, time.Time{}
+		r.repeatOrderAt, r.absenceConclusiveAt, r.sentBeforeRestart = time.Time{}, time.Time{}, true
 		if r.phase == phaseStopping {
 			c.orderStop(r)
 		} else {
