--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -175,6 +175,9 @@
 	if t.step.spec.LongRunning && !t.begun() {
 		c.progressChanged = true
 	}
+	if r.sentBeforeRestart && !r.reported {
+		c.extendToLongestLease(w, now) // the start may have been executed just now
+	}
 	r.reported = true
 	if !c.earlierStartsEndAt.IsZero() && requestedAt.After(c.earlierStartsEndAt) && !t.step.spec.Speculative {
 		t.noHiddenRun = true
