job/scheduler: best-effort runs are paused in time where reports are rare

After 1.5 s over a target all best-effort runs on a worker are paused, but only at a report. With 214 workers on 2 Mbit/s reports come each 1.4 s: the second came 1.4 s after the first over the target, and the pause followed with the third after 2.8 s.

The report that is nearest to the limit decides now. With the usual interval of 0.4 s that is the one at 1.6 s, as before. TestPauseBestEffort became a table, with the case that it had; the new case "rare reports" failed before.

--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -24,7 +24,8 @@
 	// metrics.
 	paceEffectDelay = 750 * time.Millisecond
 	// maxTimeOverTarget is how long a tail may exceed its target before all best-effort
-	// runs on the worker are paused, whatever the interference model expects of them.
+	// runs on the worker are paused, whatever the interference model expects of them. Of
+	// the reports around that time the nearest one decides.
 	maxTimeOverTarget = 1500 * time.Millisecond
 )
 
@@ -49,6 +50,8 @@
 			}
 		}
 	}
+	interval := now.Sub(w.tailsReadAt)
+	w.tailsReadAt = now
 	if !overTarget {
 		w.overTargetSince = time.Time{}
 	} else if w.overTargetSince.IsZero() {
@@ -56,7 +59,7 @@
 	}
 	switch {
 	case !hasBestEffort:
-	case !w.overTargetSince.IsZero() && now.Sub(w.overTargetSince) > maxTimeOverTarget:
+	case overTarget && now.Sub(w.overTargetSince) > maxTimeOverTarget-interval/2 && now.After(w.overTargetSince):
 		c.pauseBestEffort(w, now)
 	case highestPressure >= interference.PressureOf(slowAboveTail):
 		c.slowBestEffort(w, worstServing, highestPressure-interference.PressureOf(slowToTail), now)
--- a/internal/job/scheduler/place_test.go
+++ b/internal/job/scheduler/place_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/interference"
 )
 
 // TestPlacement guards against starts on workers that must not run the task or lack
@@ -141,22 +142,39 @@
 // the interference model expects no effect of the best-effort runs beside them. Those
 // must be paused all the same.
 func TestPauseBestEffort(t *testing.T) {
-	f := newFixture(t, 1, 0)
-	f.listWorkers("w1")
-	serving := graph.Step{Count: 1, Needs: unit.Resources{Cores: 30000}, LongRunning: true, Image: "s", TailTarget: 50 * time.Millisecond}
-	bestEffort := graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}, BestEffort: true, Checkpoints: true, Image: "f", Estimate: time.Minute}
-	f.addJob("s", serving, true)
-	f.addJob("f", bestEffort, true)
-	f.takeStarts(OutcomeDone)
-	for range 6 {
-		f.advance(400 * time.Millisecond)
-		f.report("w1", []RunStatus{
-			{Task: firstTask("s"), Run: 1, ProgressPercent: 100, Metric: 80},
-			{Task: firstTask("f"), Run: 1, ProgressPercent: 5, Metric: 8000},
-		}, nil)
+	tests := []struct {
+		name     string
+		interval time.Duration // between two reports
+		reports  int           // with a tail over the target
+		want     int           // pace
+	}{
+		{"first report", 400 * time.Millisecond, 1, 100},
+		{"over the target for 2 s", 400 * time.Millisecond, 6, 0},
+		{"over the target for 0.8 s", 400 * time.Millisecond, 3, 100},
+		{"rare reports, the first", 1400 * time.Millisecond, 1, 100},
+		{"rare reports, the third would come after 2.8 s", 1400 * time.Millisecond, 2, 0},
 	}
-	if got := f.core.workers["w1"].runs[firstTask("f")].pacePercent; got != 0 {
-		t.Errorf("pace %d after 2.4 s over the target, want 0", got)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			serving := graph.Step{Count: 1, Needs: unit.Resources{Cores: 30000}, LongRunning: true, Image: "s", TailTarget: 50 * time.Millisecond}
+			bestEffort := graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}, BestEffort: true, Checkpoints: true, Image: "f", Estimate: time.Minute}
+			f.core.RestoreInterference([]interference.Pair{{Requests: "s", Batch: "f", Rise: 0, Deviation: 0.01}}, f.now) // no effect
+			f.addJob("s", serving, true)
+			f.addJob("f", bestEffort, true)
+			f.takeStarts(OutcomeDone)
+			for range tt.reports {
+				f.advance(tt.interval)
+				f.report("w1", []RunStatus{
+					{Task: firstTask("s"), Run: 1, ProgressPercent: 100, Metric: 80},
+					{Task: firstTask("f"), Run: 1, ProgressPercent: 5, Metric: 8000},
+				}, nil)
+			}
+			if diff := cmp.Diff(tt.want, f.core.workers["w1"].runs[firstTask("f")].pacePercent); diff != "" {
+				t.Errorf("pace (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -72,6 +72,7 @@
 	paceChangedAt     time.Time       // when the pace of any of its runs was last changed
 	bestEffort        *bestEffortView // cached; nil after a change
 	overTargetSince   time.Time       // since when a serving run exceeds its target; zero: none does
+	tailsReadAt       time.Time       // when the last report with tails was handled
 	answersDue        []time.Time     // when the heartbeats without an answer so far were sent
 }
 
