job/owner: a list of all items is given up once later changes have been read

Callers see no starts on workers that drain, are out of the list or have left, which an owner had known and took back.

Cause: when a page of a list fails, the next list goes on with that page. In between a read of the changes may succeed: an answer that is too long for a relay (4 MB) may come whole from the store. The list then went on with first pages from before these changes, replaced the instance list by them, and read on from the later revision, so that the changes were never read again, although the view counted as confirmed.

A list now goes on only if nothing was applied since it began, and begins anew otherwise. That is checked with the lock that guards what is applied, for each page.

TestStaleList fails without the change: worker a drains and is listed as not draining.

--- a/internal/job/owner/changes.go
+++ b/internal/job/owner/changes.go
@@ -36,9 +36,10 @@
 	confirmed *confirmation
 	pace      readPace
 
-	listMu sync.Mutex // held during a list
-	list   kv.Listing // how far the list has come that is not complete
-	listAt time.Time  // when its first page was requested
+	listMu    sync.Mutex    // held during a list
+	list      kv.Listing    // how far the list has come that is not complete
+	listAt    time.Time     // when its first page was requested
+	listSince unit.Revision // up to which changes were applied then
 
 	mu    sync.Mutex    // held while changes are applied
 	since unit.Revision // all changes up to it are applied
@@ -112,13 +113,17 @@
 // readAll applies the pages of a list of all items as they arrive, up to the first
 // error, after the history of the changes after since was found to be gone. The next
 // call continues with the page that failed, so that an owner whose link is slow gets to
-// the end.
+// the end. A list is given up when changes have been read after it had begun, as its first
+// pages may be older than those: a direct read may succeed where a relayed one was too long.
 func (r *changeReader) readAll(ctx context.Context, read *pendingRead, since unit.Revision) {
 	r.listMu.Lock()
 	defer r.listMu.Unlock()
 	if r.appliedRevision() > since {
 		return // another list has ended meanwhile
 	}
+	if r.listSince != since {
+		r.list = kv.Listing{}
+	}
 	for ctx.Err() == nil {
 		sentAt, first := time.Now(), r.list.Revision == 0
 		items, err := r.shard.service.store.NextPage(ctx, r.prefix, &r.list)
@@ -127,9 +132,12 @@
 			return
 		}
 		if first {
-			r.listAt = sentAt
+			r.listAt, r.listSince = sentAt, since
+		}
+		if !r.applyPage(listPage{items: items, read: r.list.Revision, sentAt: sentAt, first: first, last: r.list.Complete}) {
+			r.list = kv.Listing{}
+			return
 		}
-		r.applyPage(listPage{items: items, read: r.list.Revision, sentAt: sentAt, first: first, last: r.list.Complete})
 		if r.list.Complete {
 			r.confirmed.record(r.listAt)
 			r.list = kv.Listing{}
@@ -145,11 +153,17 @@
 	return r.since
 }
 
-func (r *changeReader) applyPage(p listPage) {
+// applyPage applies a page of the list, unless changes have been applied since the list has
+// begun, and reports whether it has.
+func (r *changeReader) applyPage(p listPage) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.since != r.listSince {
+		return false
+	}
 	r.handler.applyPage(p)
 	if p.last {
 		r.since = max(r.since, p.read)
 	}
+	return true
 }
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -54,6 +54,9 @@
 }
 
 func (l *instanceList) applyPage(p listPage) {
+	if p.first {
+		l.listed = nil // of a list that was given up
+	}
 	l.listed = append(l.listed, p.items...)
 	if p.last {
 		l.apply(l.listed, true)
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -293,3 +294,89 @@
 		})
 	}
 }
+
+// namedFleet has a worker for each key below its prefix, which drains if its item says so.
+type namedFleet struct{ *scriptedFleet }
+
+func (f namedFleet) Worker(k kv.Key) unit.InstanceID {
+	return unit.InstanceID(strings.TrimPrefix(string(k), string(f.Prefix())))
+}
+
+func (f namedFleet) Listing(i kv.Item) (scheduler.Listing, error) {
+	return scheduler.Listing{ID: f.Worker(i.Key), Address: "a:1", Service: "orders", Draining: string(i.Value) == "draining"}, nil
+}
+
+// drainedStore lists two workers on a page each. The second page fails once, and then worker
+// a drains. Some reads of the changes are refused as too long.
+type drainedStore struct {
+	refused  []bool // by read of the changes
+	draining bool
+}
+
+func (s *drainedStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op == kv.OpWatch {
+		refused := s.refused[0]
+		s.refused = s.refused[1:]
+		switch {
+		case refused:
+			return kv.Response{}, kv.ErrOversized
+		case !s.draining:
+			return kv.Response{Revision: 8}, nil
+		}
+		return kv.Response{Items: []kv.Item{{Key: "workers/a", Value: []byte("draining"), Revision: 9}}, Revision: 9}, nil
+	}
+	switch {
+	case r.After == "" && s.draining:
+		return kv.Response{Items: []kv.Item{{Key: "workers/a", Value: []byte("draining"), Revision: 9}}, Revision: 10, More: true}, nil
+	case r.After == "":
+		return kv.Response{Items: []kv.Item{{Key: "workers/a", Revision: 5}}, Revision: 8, More: true}, nil
+	case !s.draining:
+		s.draining = true
+		return kv.Response{}, kv.ErrUnavailable
+	}
+	return kv.Response{Items: []kv.Item{{Key: "workers/b", Revision: 6}}, Revision: 10}, nil
+}
+
+// TestStaleList guards against starts on a worker that drains or has left, since a list goes
+// on with its first pages of some time ago although later changes have been read meanwhile.
+func TestStaleList(t *testing.T) {
+	tests := []struct {
+		name    string
+		refused []bool
+		want    map[unit.InstanceID]bool // workers listed, with whether they drain
+	}{
+		{"list goes on", []bool{true, true}, map[unit.InstanceID]bool{"a": false, "b": false}}, // the next read brings the change
+		{"changes read before the list goes on", []bool{true, false, true}, map[unit.InstanceID]bool{"a": true, "b": false}},
+		{"changes read after the list", []bool{true, true, false}, map[unit.InstanceID]bool{"a": true, "b": false}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedFleet{workers: map[unit.InstanceID]*scriptedWorker{}}
+				for _, id := range []unit.InstanceID{"a", "b"} {
+					f.workers[id] = &scriptedWorker{fleet: f, bornAt: time.Now()}
+				}
+				s := New(logr.Discard(), namedFleet{f}, nil, Options{})
+				s.ownership, s.store = confirmedOwnership{}, kv.Client{Doer: &drainedStore{refused: tt.refused}}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
+				r := sh.newWorkerReader()
+				r.since = 7
+				for range tt.refused {
+					r.read()
+				}
+				got := map[unit.InstanceID]bool{}
+				sh.mu.Lock()
+				for id, l := range sh.listings {
+					got[id] = l.Draining
+				}
+				sh.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("workers that drain (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
