job/intake: one notice of each job waits for the owner

Callers that look at a job again and again no longer add to the load of an owner that is late.

The queue grew just while the owner was late, and took the place of notices of other jobs.

A notice now takes the place of an earlier record of its job, and one that a queued record covers is not added; the same holds for notices that a failed call puts back. So an earlier record never replaces a cancellation.

--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -45,16 +45,26 @@
 // urgent reports whether the record ends its job, whose tasks run until the owner knows.
 func (q queuedNotice) urgent() bool { return q.notice.Record.State.Final() }
 
+// coveredBy reports whether another notice has the same record or a later one.
+func (q queuedNotice) coveredBy(other queuedNotice) bool {
+	return q.notice.Record.Job.ID == other.notice.Record.Job.ID && q.notice.Revision <= other.notice.Revision
+}
+
 func newNotifier(s *Service) *notifier {
 	return &notifier{service: s, queued: make(chan struct{}, 1)}
 }
 
-// notify queues a notice. If the queue is full, a cancellation replaces the oldest other
-// notice, and another notice is dropped, since the owner finds the record in the store.
+// notify queues a notice in place of an earlier one of the same job. If the queue is full, a
+// cancellation replaces the oldest other notice, and another notice is dropped, since the
+// owner finds the record in the store.
 func (t *notifier) notify(n Notice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	added := queuedNotice{n, time.Now().Add(noticeTTL)}
+	if slices.ContainsFunc(t.pending, added.coveredBy) {
+		return // each look at a job that the owner does not know yet asks for a notice
+	}
+	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool { return q.coveredBy(added) })
 	if len(t.pending) >= maxQueuedNotices {
 		i := slices.IndexFunc(t.pending, func(q queuedNotice) bool { return !q.urgent() })
 		if !added.urgent() || i < 0 {
@@ -93,10 +103,12 @@
 }
 
 // putBack returns the notices of a failed call to the queue, which may then exceed its
-// bound by one call.
+// bound by one call. Of two about one job it keeps that with the later record.
 func (t *notifier) putBack(batch []queuedNotice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	batch = slices.DeleteFunc(batch, func(q queuedNotice) bool { return slices.ContainsFunc(t.pending, q.coveredBy) })
+	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool { return slices.ContainsFunc(batch, q.coveredBy) })
 	t.pending = append(batch, t.pending...)
 }
 
