job/owner: batches for an entry that has stopped answering go back at once

Callers see shorter waits of tasks whose starts were queued for an entry that failed.

Cause: the goroutine that sends the batches of an entry took a batch out of the queue before it could be sent, and went on with the queue when both a failure and a free place were there.

A batch now stays in the queue until it can be sent, and none is sent once the entry counts as not reached; the queue goes back to the core then.

TestUnsentBatches fails without the change in its row "no batch answered" (16 tasks back instead of 48). Its other rows pass before and cover paths that no test did: batches that are refused since the ownership is not confirmed, a worker has no client or no clock is known, and a spec that the entry has dropped.

--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -195,16 +195,18 @@
 	r.refuseQueued()
 }
 
-// sendBatches sends batches until one has no answer or the context ends.
+// sendBatches sends batches until one has no answer or the context ends. A batch stays in
+// the queue until it can be sent.
 func (r *relayClient) sendBatches() {
-	for {
+	for r.takeSlot() {
 		select {
 		case <-r.ctx.Done():
+			<-r.slots
 			return
 		case <-r.failed:
+			<-r.slots
 			return
 		case orders := <-r.queue:
-			r.slots <- struct{}{}
 			r.shard.goroutines.Go(func() {
 				defer func() { <-r.slots }()
 				r.send(orders)
@@ -213,6 +215,23 @@
 	}
 }
 
+// takeSlot waits until another batch may be in flight, and returns false if a batch has no
+// answer or the context ends.
+func (r *relayClient) takeSlot() bool {
+	select {
+	case <-r.ctx.Done():
+		return false
+	case <-r.failed:
+		return false
+	case r.slots <- struct{}{}:
+	}
+	if r.reachable.Load() {
+		return true
+	}
+	<-r.slots // a batch that had no answer has left it
+	return false
+}
+
 // refuseQueued returns the queued starts to the core.
 func (r *relayClient) refuseQueued() {
 	for {
--- a/internal/job/owner/relay_test.go
+++ b/internal/job/owner/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -250,3 +251,121 @@
 		})
 	}
 }
+
+// flakyRelay answers some batches with starts, and no further ones. It holds no spec for
+// longer than one batch.
+type flakyRelay struct {
+	answered int
+	notSent  bool // the answers say that no start was sent
+
+	mu    sync.Mutex
+	specs []string // of the batches with starts
+}
+
+// SendStarts implements startRelay.
+func (r *flakyRelay) SendStarts(ctx context.Context, _ unit.EntryID, b StartBatch) ([]scheduler.Outcome, error) {
+	if len(b.Starts) == 0 {
+		return nil, nil
+	}
+	if ctx.Err() != nil {
+		return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeNotSent}, len(b.Starts)), ctx.Err()
+	}
+	r.mu.Lock()
+	r.specs = append(r.specs, b.Spec)
+	answered := len(r.specs) <= r.answered
+	r.mu.Unlock()
+	time.Sleep(10 * time.Millisecond)
+	switch {
+	case !answered:
+		<-ctx.Done()
+		return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeUnknown}, len(b.Starts)), ctx.Err()
+	case r.notSent:
+		return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeNotSent}, len(b.Starts)), nil
+	}
+	return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeDone}, len(b.Starts)), nil
+}
+
+// TestUnsentBatches guards against tasks that wait for good, because a batch with their
+// starts was not sent and nobody told the core, and against batches that an entry refuses
+// for good, as it has dropped the spec of their job.
+func TestUnsentBatches(t *testing.T) {
+	const batches, batch = 5, scheduler.MaxStartBatch
+	const all = batches * batch
+	nothing := func(*shard) {}
+	tests := []struct {
+		name     string
+		relay    *flakyRelay
+		mayOrder bool
+		change   func(sh *shard) // before the batches are sent, with the lock held
+		unplaced int             // tasks that can start elsewhere two seconds later
+		specs    int             // batches with the spec
+	}{
+		{"all batches sent", &flakyRelay{answered: all}, true, nothing, 0, batchesInFlight},
+		{"no batch answered", &flakyRelay{}, true, nothing, all - batchesInFlight*batch, batchesInFlight},
+		{"spec dropped", &flakyRelay{answered: all, notSent: true}, true, nothing, all, batches},
+		{"ownership not confirmed", &flakyRelay{answered: all}, false, nothing, all, 0},
+		{"workers without a client", &flakyRelay{answered: all}, true, func(sh *shard) { clear(sh.workerClients) }, all, 0},
+		{"clocks of the workers not known", &flakyRelay{answered: all}, true, func(sh *shard) {
+			for _, c := range sh.workerClients {
+				c.clockReadAt = time.Time{}
+			}
+		}, all, 0},
+		{"entry has left", &flakyRelay{answered: all}, true, func(sh *shard) { sh.relays.replace(nil) }, all, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(logr.Discard(), &scriptedFleet{}, nil, Options{})
+				s.relay, s.ownership = tt.relay, constantOwnership{mayOrder: tt.mayOrder}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				sh.core = scheduler.New(s.options.Limits, 1, time.Now())
+				sh.handingOver = true // so that no further order is given
+				now := time.Now()
+				for n := range all {
+					id := unit.InstanceID(fmt.Sprint("w", n))
+					sh.listings[id] = scheduler.Listing{ID: id, Service: "orders", Incarnation: 1, Capacity: unit.Resources{Cores: 4000, Memory: 1 << 30}}
+					sh.workerClients[id] = &workerClient{shard: sh, id: id, ctx: sh.ctx, clock: 1, clockReadAt: now, incarnation: 1}
+				}
+				sh.core.SetWorkers(sh.currentListings(), now)
+				sh.core.ConfirmSnapshot(sh.core.Snapshot())
+				for id := range sh.workerClients {
+					sh.core.HandleReport(id, scheduler.Report{Incarnation: 1, RequestedAt: now}, now)
+				}
+				sh.core.AddJob(&graph.Job{
+					ID: "j", Accepted: now, Spec: "spec", Queue: graph.Queue{ID: "quotes", Service: "orders", MaxAttempts: 2, Target: time.Second},
+					Steps: []graph.Step{{Count: all, Needs: unit.Resources{Cores: 4000}, Estimate: time.Second}},
+				}, 0, true, now)
+				sh.core.Place(now)
+				sh.mu.Lock()
+				sh.relays.replace([]unit.EntryID{"b"})
+				sh.mu.Unlock()
+				synctest.Wait()
+				sh.mu.Lock()
+				for orders := sh.core.TakeOrders(); len(orders) > 0; orders = orders[batch:] {
+					if !sh.relays.offer(orders[:batch]) {
+						t.Error("batch not taken")
+					}
+				}
+				tt.change(sh)
+				sh.mu.Unlock()
+				time.Sleep(2 * time.Second)
+				unplaced, specs := 0, 0
+				sh.mu.Lock()
+				for _, n := range sh.core.Stats(now).Unplaced {
+					unplaced += n
+				}
+				sh.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				for _, spec := range tt.relay.specs {
+					if spec != "" {
+						specs++
+					}
+				}
+				if diff := cmp.Diff([]int{tt.unplaced, tt.specs}, []int{unplaced, specs}); diff != "" {
+					t.Errorf("tasks to place, and batches with the spec (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
