job/relay: an outcome that is not known counts as unknown

Callers see no second run of a task whose first start was relayed by an entry of another release.

Cause: the answer of the entry is a list of numbers, and one that no release up to this one has was passed to the core. HandleStartOutcome took it for a rejection and placed the task again, although the start may have been executed. Evidence is the test only; no release with other outcomes exists yet.

TestForeignOutcomes fails without the change in its row "not known".

--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -133,6 +133,11 @@
 	if len(outcomes) != len(b.Starts) {
 		return nil, errors.Errorf("%d outcomes of %d starts", len(outcomes), len(b.Starts))
 	}
+	for i, o := range outcomes {
+		if !o.Known() { // of another release
+			outcomes[i] = scheduler.OutcomeUnknown
+		}
+	}
 	return outcomes, nil
 }
 
--- a/internal/job/relay/service_test.go
+++ b/internal/job/relay/service_test.go
@@ -183,3 +183,45 @@
 		_, _ = s.handleStarts(t.Context(), "", request)
 	})
 }
+
+// answeringNetwork answers each call with fixed outcomes.
+type answeringNetwork struct {
+	directNetwork
+	outcomes []scheduler.Outcome
+}
+
+func (n answeringNetwork) Call(context.Context, unit.EntryID, mesh.Kind, []byte) ([]byte, error) {
+	return record.Marshal(n.outcomes)
+}
+
+// TestForeignOutcomes guards against a task that is started again elsewhere although the
+// first start may have been executed, since the answer of an entry of another release is
+// not understood.
+func TestForeignOutcomes(t *testing.T) {
+	const done, unknown, notSent = scheduler.OutcomeDone, scheduler.OutcomeUnknown, scheduler.OutcomeNotSent
+	tests := []struct {
+		name     string
+		outcomes []scheduler.Outcome
+		want     []scheduler.Outcome
+		wantErr  bool
+	}{
+		{"known", []scheduler.Outcome{done, notSent}, []scheduler.Outcome{done, notSent}, false},
+		{"not known", []scheduler.Outcome{0, 200}, []scheduler.Outcome{unknown, unknown}, false},
+		{"too few", []scheduler.Outcome{notSent}, []scheduler.Outcome{unknown, unknown}, true},
+		{"too many", []scheduler.Outcome{notSent, notSent, notSent}, []scheduler.Outcome{unknown, unknown}, true},
+		{"none", nil, []scheduler.Outcome{unknown, unknown}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(logr.Discard(), &recordingFleet{})
+			s.peers = answeringNetwork{outcomes: tt.outcomes}
+			got, err := s.SendStarts(t.Context(), "b", owner.StartBatch{Job: "j", Starts: make([]owner.RelayedStart, 2)})
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("outcomes (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.wantErr, err != nil); diff != "" {
+				t.Errorf("error %v (-want +got):\n%s", err, diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -109,9 +109,12 @@
 	OutcomeOtherIncarnation: "reborn", OutcomeInvalid: "invalid", OutcomeNoTicket: "no ticket",
 }
 
+// Known reports whether the outcome is one of those above.
+func (o Outcome) Known() bool { return o != 0 && int(o) < len(outcomeNames) }
+
 // String returns the name of the outcome.
 func (o Outcome) String() string {
-	if int(o) >= len(outcomeNames) || o == 0 {
+	if !o.Known() {
 		return "none"
 	}
 	return outcomeNames[o]
