job/owner: each relayed start is decided by the time of its own admission

Callers see no relayed start on a worker, in a zone or of a job for longer after the acknowledgement of a drain, an evacuation or a cancellation than the platform allows.

Cause: the window of all starts of a batch was computed from the time at which the batch was taken from the queue, but its end on the worker's clock from the time of each start. In between lie up to 32 waits for the lock of the core. The end was later by that time.

TestLateAdmission fails without the change: with a wait of 0.5 s a start may be executed after 1.5 s where the view allows 1 s, and one is sent on a view that is too old.

--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -313,10 +313,11 @@
 	outcome scheduler.Outcome
 }
 
-// admitBatch returns the starts of a batch that are still wanted and may be sent, and
-// those that may not be sent now.
-func (sh *shard) admitBatch(orders []scheduler.Order, now time.Time) (b StartBatch, admitted, refused []settledOrder) {
-	b = StartBatch{Job: orders[0].Task.Job, Spec: orders[0].Spec, Fence: sh.term.Epoch, Deadline: now.Add(maxStartWindow)}
+// admitBatch returns the starts of a batch that is sent at sentAt which are still wanted and
+// may be sent, and those that may not be sent now. Waiting for the lock of the core may take
+// long, so each is decided by the time then.
+func (sh *shard) admitBatch(orders []scheduler.Order, sentAt time.Time) (b StartBatch, admitted, refused []settledOrder) {
+	b = StartBatch{Job: orders[0].Task.Job, Spec: orders[0].Spec, Fence: sh.term.Epoch, Deadline: sentAt.Add(maxStartWindow)}
 	for _, o := range orders {
 		sh.mu.Lock()
 		client := sh.workerClients[o.Worker]
@@ -325,7 +326,7 @@
 			refused = append(refused, settledOrder{o, scheduler.OutcomeNotSent})
 			continue
 		}
-		switch until, verdict := client.admit(o, now); verdict {
+		switch until, verdict := client.admit(o, time.Now()); verdict {
 		case orderWithdrawn:
 			metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		case orderRefused:
--- a/internal/job/owner/relay_test.go
+++ b/internal/job/owner/relay_test.go
@@ -369,3 +369,47 @@
 		})
 	}
 }
+
+// TestLateAdmission guards against relayed starts on a worker that drains, since their
+// batch has waited for the lock of the core after the age of the view was checked.
+func TestLateAdmission(t *testing.T) {
+	const drainDelay = 2 * time.Second
+	tests := []struct {
+		name    string
+		waited  time.Duration // since the batch was taken from the queue
+		listAge time.Duration // now
+		sent    int
+	}{
+		{"at once", 0, time.Second, 1},
+		{"lock taken late", 500 * time.Millisecond, time.Second, 1},
+		{"view too old by then", time.Second, drainDelay - minStartWindow/2, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(logr.Discard(), &scriptedFleet{}, nil, Options{Delays: Delays{Drain: drainDelay}})
+			s.ownership, s.outage = confirmedOwnership{}, fixedOutage(false)
+			sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+			now := time.Now()
+			sh.core = scheduler.New(s.options.Limits, 1, now)
+			room := unit.Resources{Cores: 4000, Memory: 1 << 30}
+			sh.core.SetWorkers([]scheduler.Listing{{ID: "w", Service: "orders", Incarnation: 1, Capacity: room}}, now)
+			sh.core.ConfirmSnapshot(sh.core.Snapshot())
+			sh.core.HandleReport("w", scheduler.Report{Incarnation: 1, RequestedAt: now}, now)
+			sh.core.AddJob(&graph.Job{
+				ID: "j", Accepted: now, Queue: graph.Queue{ID: "q", Service: "orders"}, Steps: []graph.Step{{Count: 1, Needs: room}},
+			}, 0, true, now)
+			sh.core.Place(now)
+			sh.workerClients["w"] = &workerClient{shard: sh, id: "w", ctx: t.Context(), clock: 1, clockReadAt: now, incarnation: 1}
+			sh.workersConfirmed.record(now.Add(-tt.listAge))
+			batch, _, _ := sh.admitBatch(sh.core.TakeOrders(), now.Add(-tt.waited))
+			if diff := cmp.Diff(tt.sent, len(batch.Starts)); diff != "" {
+				t.Fatalf("starts sent (-want +got):\n%s", diff)
+			}
+			for _, start := range batch.Starts {
+				if latest := drainDelay - tt.listAge; time.Duration(start.Until) > latest+time.Millisecond {
+					t.Errorf("start may be executed after %s, want at most %s", time.Duration(start.Until), latest)
+				}
+			}
+		})
+	}
+}
