--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -192,3 +192,34 @@
 		})
 	}
 }
+
+// TestBudgetByRelays guards against an owner that sends the starts of the whole fleet itself
+// over a full link after its relays have failed, and against starts that it sends itself
+// although they take longer on its link than through another entry, or the budget is short.
+func TestBudgetByRelays(t *testing.T) {
+	const small, wide = 100_000, 1_000_000 // bytes a second
+	tests := []struct {
+		name      string
+		perSecond unit.Bytes
+		relays    StartRelays
+		balance   unit.Bytes
+		accrued   unit.Bytes // in a second
+		relayed   bool
+	}{
+		{"no bound", 0, StartRelays{2, 1}, 0, 0, false},
+		{"small link, no entry", small, StartRelays{0, 0}, small * 3 / 10, small, false},
+		{"small link", small, StartRelays{2, 1}, small * 3 / 10, small, true},
+		{"small link, no entry answers", small, StartRelays{2, 0}, small * 3 / 10, small / 3, false},
+		{"wide link", wide, StartRelays{2, 1}, wide * 3 / 10, wide, false},
+		{"wide link, budget is short", wide, StartRelays{2, 1}, wide / 10, wide, true},
+		{"wide link, budget is short, no entry answers", wide, StartRelays{2, 0}, wide / 10, wide / 3, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := startBudget{perSecond: tt.perSecond, relays: tt.relays, balance: tt.balance}
+			if diff := cmp.Diff([]any{tt.accrued, tt.relayed}, []any{b.accrued(time.Second), b.prefersRelay()}); diff != "" {
+				t.Errorf("bytes accrued in a second, and starts relayed (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/peer/mesh/mesh_test.go
+++ b/internal/peer/mesh/mesh_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -138,3 +141,43 @@
 		})
 	}
 }
+
+// TestRedial guards against entries that fill the link of one that does not answer with
+// their handshakes, and against an entry that is reached late after its first failure.
+func TestRedial(t *testing.T) {
+	const period = 2 * time.Second
+	tests := []struct {
+		name               string
+		otherKey           bool // the peer has another one, so that each dial fails
+		minDials, maxDials int  // that fail
+	}{
+		{"peer with another key", true, 3, 6},
+		{"peer answers", false, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			caller, callee := startPair(t)
+			var dials atomic.Int32
+			caller.log = funcr.New(func(_, args string) {
+				if strings.Contains(args, "peer not reached") {
+					dials.Add(1)
+				}
+			}, funcr.Options{Verbosity: 1})
+			target := Peer{Address: callee.Self().Address, Fingerprint: callee.Self().Fingerprint}
+			if tt.otherKey {
+				other, _ := startPair(t)
+				target.Fingerprint = other.Self().Fingerprint
+			}
+			caller.SetPeers(map[unit.EntryID]Peer{"c": target})
+			callee.Handle(1, func(_ context.Context, _ Fingerprint, request []byte) ([]byte, error) { return request, nil })
+			for began := time.Now(); time.Since(began) < period; time.Sleep(time.Millisecond) {
+				ctx, cancel := context.WithTimeout(t.Context(), period)
+				_, _ = caller.Call(ctx, "c", 1, []byte("x"))
+				cancel()
+			}
+			if n := int(dials.Load()); n < tt.minDials || n > tt.maxDials {
+				t.Errorf("%d failed dials in %s, want %d to %d", n, period, tt.minDials, tt.maxDials)
+			}
+		})
+	}
+}
