job/intake: transactions of submissions are bounded by bytes

Callers whose jobs have large specs see fewer refusals in bursts at an entry with a small link. Nothing changes for specs of about 1 KB, which the limit of a transaction bounds.

The more submissions wait, the larger the transactions are.

No job is added any more to a transaction with 32 KB of specs.

TestBurstOnNarrowLink fails without the change in its row "large specs" (0 of 200 submissions accepted); its other rows pass with and without it.

--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -14,6 +14,11 @@
 // guard and a put, which both count against the store's limit.
 const jobsPerCommit = kv.MaxTxnOps / 2
 
+// specsPerCommit is the size of the specs from which on no further job is added to a
+// transaction. All transactions in flight have to pass a small link within the time that a
+// call of the store has, as each one that does not is sent again.
+const specsPerCommit unit.Bytes = 32 << 10
+
 // maxConcurrentCommits is the number of transactions in flight. With more than one,
 // a transaction whose response is lost does not block the others.
 const maxConcurrentCommits = 4
@@ -31,6 +36,9 @@
 	result chan writeResult
 }
 
+// size returns the bytes of the spec, by far the largest part of a record.
+func (s *submission) size() unit.Bytes { return unit.Bytes(len(s.record.Job.Spec)) }
+
 // writeResult is the result of writing a submission.
 type writeResult struct {
 	revision unit.Revision
@@ -75,24 +83,28 @@
 // run commits pending submissions in batches until the context ends.
 func (w *writer) run(ctx context.Context) {
 	for {
-		var batch []*submission
 		select {
 		case <-ctx.Done():
 			return
 		case sub := <-w.pending:
-			batch = append(batch, sub)
+			w.commit(ctx, w.fillBatch(sub))
 		}
-		for len(batch) < jobsPerCommit {
-			select {
-			case sub := <-w.pending:
-				batch = append(batch, sub)
-				continue
-			default:
-			}
-			break
+	}
+}
+
+// fillBatch returns a submission with those that wait behind it, as many as one transaction
+// may take.
+func (w *writer) fillBatch(first *submission) []*submission {
+	batch, size := []*submission{first}, first.size()
+	for len(batch) < jobsPerCommit && size < specsPerCommit {
+		select {
+		case sub := <-w.pending:
+			batch, size = append(batch, sub), size+sub.size()
+		default:
+			return batch
 		}
-		w.commit(ctx, batch)
 	}
+	return batch
 }
 
 // commit writes a batch in one transaction. If some of its records already exist,
--- a/internal/job/intake/writer_test.go
+++ b/internal/job/intake/writer_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/go-cmp/cmp"
@@ -70,3 +76,76 @@
 		})
 	}
 }
+
+// linkStore receives transactions one after the other over one link. One that has not come
+// whole within its time has to be sent again.
+type linkStore struct {
+	bytesPerSecond int
+	limit          time.Duration
+
+	mu     sync.Mutex
+	freeAt time.Time // when the link has carried all that was sent
+}
+
+// Do implements kv.Doer.
+func (s *linkStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	size := 0
+	for _, p := range r.Txn.Puts {
+		size += len(p.Value)
+	}
+	s.mu.Lock()
+	now := time.Now()
+	if s.freeAt.Before(now) {
+		s.freeAt = now
+	}
+	s.freeAt = s.freeAt.Add(time.Duration(size) * time.Second / time.Duration(s.bytesPerSecond))
+	took := s.freeAt.Sub(now)
+	s.mu.Unlock()
+	time.Sleep(min(took, s.limit))
+	if took > s.limit {
+		return kv.Response{}, kv.ErrUnavailable
+	}
+	return kv.Response{Revision: 7}, nil
+}
+
+// TestBurstOnNarrowLink guards against submissions that are refused because they wait: the
+// more there are, the larger their transactions, of which none passes the link in time.
+func TestBurstOnNarrowLink(t *testing.T) {
+	const jobs = 200
+	tests := []struct {
+		name           string
+		bytesPerSecond int
+		spec           int
+	}{
+		{"wide link", 100 << 20, 1200},
+		{"2 Mbit/s", 250_000, 1200},
+		{"2 Mbit/s, large specs", 250_000, 20_000},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				w := newWriter(kv.Client{Doer: &linkStore{bytesPerSecond: tt.bytesPerSecond, limit: 800 * time.Millisecond}})
+				var accepted atomic.Int32
+				var submissions sync.WaitGroup
+				for n := range jobs {
+					submissions.Go(func() {
+						job := graph.Job{ID: unit.JobID(fmt.Sprint(n)), Spec: strings.Repeat("s", tt.spec)}
+						if w.write(ctx, record.Job{Job: job}).err == nil {
+							accepted.Add(1)
+						}
+					})
+				}
+				synctest.Wait()
+				for range maxConcurrentCommits {
+					go w.run(ctx)
+				}
+				submissions.Wait()
+				cancel()
+				if diff := cmp.Diff(jobs, int(accepted.Load())); diff != "" {
+					t.Errorf("submissions accepted (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
