job/owner: test of the bound after which a run that was seen is the only one

No change of behaviour. No test saw a takeover that passes the time of its claim to the core in place of the time until which the previous owner may start tasks; the task of a run that was seen in between would be started beside a second run on a silent worker. The new test fails with that change.

--- a/internal/job/owner/restore_test.go
+++ b/internal/job/owner/restore_test.go
@@ -119,3 +119,89 @@
 		})
 	}
 }
+
+// silentFleet has workers that answer no heartbeat.
+type silentFleet struct{ namedFleet }
+
+func (silentFleet) Connect(unit.InstanceID, string) Worker { return silentWorker{} }
+
+type silentWorker struct{ Worker }
+
+func (silentWorker) Heartbeat(ctx context.Context, _ unit.Epoch, _ unit.WorkerTime, _ scheduler.EndNumber, _ time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+	<-ctx.Done()
+	return scheduler.Report{}, 0, ctx.Err()
+}
+
+func (silentWorker) Close() {}
+
+// inheritedStore holds what the previous owner has left: two workers and a job.
+type inheritedStore struct{ t *testing.T }
+
+func (s inheritedStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	s.t.Helper()
+	encoded := func(key kv.Key, value []byte, err error) (kv.Response, error) {
+		return kv.Response{Items: []kv.Item{{Key: key, Value: value, Revision: 5}}, Revision: 9}, err
+	}
+	switch r.Key {
+	case record.ProgressKey:
+		value, err := record.Encode(record.Progress{Format: record.Format, Epoch: 1, KnownWorkers: []unit.InstanceID{"w1", "w2"}})
+		return encoded(r.Key, value, err)
+	case record.JobPrefix:
+		value, err := record.Encode(record.Job{Format: record.Format, Job: graph.Job{
+			ID: "j", Accepted: time.Now(), Queue: graph.Queue{ID: "quotes", Service: "orders", MaxAttempts: 2},
+			Steps: []graph.Step{{Count: 1, Needs: unit.Resources{Cores: 1000}, Estimate: time.Second}},
+		}})
+		return encoded(record.JobKey("j"), value, err)
+	case "workers/":
+		return kv.Response{Items: []kv.Item{{Key: "workers/w1", Revision: 5}, {Key: "workers/w2", Revision: 5}}, Revision: 9}, nil
+	}
+	return kv.Response{}, kv.ErrNotFound
+}
+
+// TestTakeoverBesideEarlierStarts guards against a second run of a task after a takeover: a
+// run that was seen while the previous owner could still start another one says nothing
+// about a worker that is silent.
+func TestTakeoverBesideEarlierStarts(t *testing.T) {
+	tests := []struct {
+		name string
+		seen time.Duration // after the claim
+		want int           // starts after the end of the run
+	}{
+		{"previous owner may start tasks", ownership.MaxOrderOverlap - time.Millisecond, 0},
+		{"previous owner starts nothing more", ownership.MaxOrderOverlap + time.Millisecond, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(logr.Discard(), silentFleet{namedFleet{&scriptedFleet{}}}, nil, Options{Limits: scheduler.Limits{MaxLease: 10 * time.Second}})
+				s.ownership, s.zones, s.outage, s.store = confirmedOwnership{}, fixedZones{}, fixedOutage(false), kv.Client{Doer: inheritedStore{t}}
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 2})
+				claimedAt := time.Now()
+				if _, _, err := sh.takeOver(newStoredState("workers/"), claimedAt); err != nil {
+					t.Fatal(err)
+				}
+				run := scheduler.RunStatus{Task: graph.Task{Job: "j"}, Run: 1}
+				end := scheduler.End{Number: 1, Task: run.Task, Run: run.Run, Kind: scheduler.EndFailed}
+				seenAt := claimedAt.Add(tt.seen)
+				endedAt := seenAt.Add(time.Second)
+				sh.mu.Lock()
+				sh.core.ConfirmSnapshot(sh.core.Snapshot())
+				sh.core.HandleReport("w2", scheduler.Report{RequestedAt: seenAt, Running: []scheduler.RunStatus{run}}, seenAt)
+				sh.core.HandleReport("w2", scheduler.Report{RequestedAt: endedAt, Ended: []scheduler.End{end}}, endedAt)
+				sh.core.Place(endedAt)
+				starts := 0
+				for _, o := range sh.core.TakeOrders() {
+					if o.Kind == scheduler.OrderStart {
+						starts++
+					}
+				}
+				sh.mu.Unlock()
+				sh.cancel()
+				sh.goroutines.Wait()
+				if diff := cmp.Diff(tt.want, starts); diff != "" {
+					t.Errorf("starts (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -303,7 +303,8 @@
 }
 
 func (f namedFleet) Listing(i kv.Item) (scheduler.Listing, error) {
-	return scheduler.Listing{ID: f.Worker(i.Key), Address: "a:1", Service: "orders", Draining: string(i.Value) == "draining"}, nil
+	room := unit.Resources{Cores: 4000, Memory: 1 << 30}
+	return scheduler.Listing{ID: f.Worker(i.Key), Address: "a:1", Service: "orders", Capacity: room, Draining: string(i.Value) == "draining"}, nil
 }
 
 // drainedStore lists two workers on a page each. The second page fails once, and then worker
