job/scheduler: the spec that a relay holds is not counted again

With starts that no entry takes kept to the budget, too little was started.

The spec is counted once for each group of 16 tasks of a job, which go through the same entry, and again after starts of the group were given back. TestHeldSpec failed before in its case "same group" (charged three times).

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -20,8 +20,9 @@
 	occurrences          []*occurrence
 	openedOccurrences    int // occurrences whose due time has passed
 	completedOccurrences int
-	activeRuns           int  // runs on workers
-	longRunning          bool // has tasks that run until the job is cancelled
+	activeRuns           int                     // runs on workers
+	longRunning          bool                    // has tasks that run until the job is cancelled
+	specRelayed          map[unit.TaskIndex]bool // groups of tasks of which a start was relayed; see chargeStarts
 }
 
 // occurrence is one execution of a job's graph of steps.
