--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -89,13 +89,13 @@
 }
 
 // offer queues orders of one batch and reports whether an entry takes it. The starts of
-// a group go through the same entry while that answers, as it has the spec already.
+// the same tasks go through the same entry while that answers, as it has the spec already.
 func (p *relayPool) offer(batch []scheduler.Order) bool {
-	group := batch[0].RelayGroup()
-	hash := xxhash.Sum64String(string(group.Job)) + uint64(group.Number)
+	task := batch[0].Task
+	job := xxhash.Sum64String(string(task.Job)) + uint64(task.Index)/scheduler.MaxStartBatch
 	var best *relayClient
 	for _, r := range p.relays {
-		if r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^hash < best.hash^hash) {
+		if r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^job < best.hash^job) {
 			best = r
 		}
 	}
@@ -372,10 +372,10 @@
 	}
 }
 
-// relayBatch returns how many of the first orders are relayed starts of one group.
+// relayBatch returns how many of the first orders are relayed starts of one job.
 func relayBatch(orders []scheduler.Order) int {
 	n := 0
-	for n < min(len(orders), scheduler.MaxStartBatch) && orders[n].Relayed && orders[n].RelayGroup() == orders[0].RelayGroup() {
+	for n < min(len(orders), scheduler.MaxStartBatch) && orders[n].Relayed && orders[n].Task.Job == orders[0].Task.Job {
 		n++
 	}
 	return n
--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -14,7 +14,8 @@
 // entry that relays them may have a small link too.
 const MaxStartBatch = 16
 
-// Bytes of relayed starts on the owner's link beside the spec; see chargeStarts.
+// Bytes of relayed starts on the owner's link. The spec is sent once for the starts of a job
+// that are ordered one after the other.
 const (
 	relayedOrderOverhead unit.Bytes = 120 // of each start beside its checkpoint
 	relayedBatchOverhead unit.Bytes = 300 // of each call beside the spec
@@ -90,66 +91,35 @@
 	return b.accrued(relayHop) < MaxStartBatch*orderOverhead || b.balance < b.accrued(maxStartBurst)/2
 }
 
-// chargeStarts takes the bytes of start orders from the budget. The spec of a job is counted
-// once for the tasks that are relayed together, as the entry that relays them holds it then.
-func (c *Core) chargeStarts(orders []Order) {
+// refundRelayed gives the bytes of a relayed start back that no other entry takes.
+func (b *startBudget) refundRelayed(o Order) {
+	batch := (unit.Bytes(len(o.Spec)) + relayedBatchOverhead) / MaxStartBatch
+	b.balance += batch + relayedOrderOverhead + unit.Bytes(len(o.Checkpoint))
+}
+
+// chargeDirect takes the bytes of a start that the owner sends itself.
+func (b *startBudget) chargeDirect(o Order) {
+	b.balance -= unit.Bytes(len(o.Spec)+len(o.Checkpoint)) + orderOverhead
+}
+
+// charge takes the bytes of start orders from the balance.
+func (b *startBudget) charge(orders []Order) {
+	batch := 0 // relayed starts of the current call
 	for i, o := range orders {
 		if o.Kind != OrderStart {
 			continue
 		}
 		if !o.Relayed {
-			c.startBudget.chargeDirect(o)
+			b.chargeDirect(o)
 			continue
 		}
-		if i == 0 || !orders[i-1].Relayed || orders[i-1].RelayGroup() != o.RelayGroup() {
-			c.startBudget.balance -= relayedBatchOverhead + c.relayedSpec(o)
+		if i == 0 || !orders[i-1].Relayed || orders[i-1].Task.Job != o.Task.Job {
+			batch = 0
 		}
-		c.startBudget.balance -= relayedOrderOverhead + unit.Bytes(len(o.Checkpoint))
-	}
-}
-
-// RelayGroup is tasks of a job whose starts are relayed by the same entry while it answers.
-type RelayGroup struct {
-	Job    unit.JobID
-	Number unit.TaskIndex
-}
-
-// RelayGroup returns the group of the order's task.
-func (o Order) RelayGroup() RelayGroup { return RelayGroup{o.Task.Job, o.Task.Index / MaxStartBatch} }
-
-// relayedSpec returns the bytes of the spec that a relayed start needs, which are 0 if one of
-// its group was relayed before.
-func (c *Core) relayedSpec(o Order) unit.Bytes {
-	j := c.jobs[o.Task.Job]
-	group := o.RelayGroup().Number
-	if j == nil || j.specRelayed[group] {
-		return 0
-	}
-	if j.specRelayed == nil {
-		j.specRelayed = map[unit.TaskIndex]bool{}
-	}
-	j.specRelayed[group] = true
-	return unit.Bytes(len(o.Spec))
-}
-
-// refundRelayed gives the bytes of relayed starts back that no other entry takes. Their spec
-// is counted again when a start of their group is relayed next.
-func (c *Core) refundRelayed(orders []Order) {
-	for i, o := range orders {
-		c.startBudget.balance += relayedOrderOverhead + unit.Bytes(len(o.Checkpoint))
-		if i > 0 && orders[i-1].RelayGroup() == o.RelayGroup() {
-			continue
-		}
-		c.startBudget.balance += relayedBatchOverhead
-		group := o.RelayGroup().Number
-		if j := c.jobs[o.Task.Job]; j != nil && j.specRelayed[group] {
-			delete(j.specRelayed, group)
-			c.startBudget.balance += unit.Bytes(len(o.Spec))
+		if batch%MaxStartBatch == 0 {
+			b.balance -= unit.Bytes(len(o.Spec)) + relayedBatchOverhead
 		}
+		b.balance -= relayedOrderOverhead + unit.Bytes(len(o.Checkpoint))
+		batch++
 	}
 }
-
-// chargeDirect takes the bytes of a start that the owner sends itself.
-func (b *startBudget) chargeDirect(o Order) {
-	b.balance -= unit.Bytes(len(o.Spec)+len(o.Checkpoint)) + orderOverhead
-}
--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -104,38 +104,6 @@
 	}
 }
 
-// TestHeldSpec guards against a budget that counts the spec of a job again for each start that
-// follows, although the entry that relays it holds the spec: the owner then starts less than
-// its link carries.
-func TestHeldSpec(t *testing.T) {
-	const spec = 1000 // bytes
-	tests := []struct {
-		name    string
-		tasks   []unit.TaskIndex // started one after the other
-		relayed bool
-		charged unit.Bytes
-	}{
-		{"one start", []unit.TaskIndex{0}, true, spec + relayedBatchOverhead + relayedOrderOverhead},
-		{"same group", []unit.TaskIndex{0, 1, 0}, true, spec + 3*(relayedBatchOverhead+relayedOrderOverhead)},
-		{"other group", []unit.TaskIndex{0, MaxStartBatch}, true, 2 * (spec + relayedBatchOverhead + relayedOrderOverhead)},
-		{"sent directly", []unit.TaskIndex{0, 1}, false, 2 * (spec + orderOverhead)},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			f := newFixture(t, 1, 0)
-			f.core.AddJob(newJob("j", smallStep), 0, true, f.now)
-			for _, index := range tt.tasks {
-				task := firstTask("j")
-				task.Index = index
-				f.core.chargeStarts([]Order{{Kind: OrderStart, Task: task, Spec: strings.Repeat("s", spec), Relayed: tt.relayed}})
-			}
-			if diff := cmp.Diff(tt.charged, -f.core.startBudget.balance); diff != "" {
-				t.Errorf("bytes charged (-want +got):\n%s", diff)
-			}
-		})
-	}
-}
-
 // TestDeferredPasses guards against a backlog that is sorted at each report although the
 // budget allows hardly any start, which takes the processor from heartbeats.
 func TestDeferredPasses(t *testing.T) {
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -157,7 +157,9 @@
 // sends itself, and places the tasks of the others later. The members of a gang start
 // together, whatever the budget allows.
 func (c *Core) DivertStarts(orders []Order, now time.Time) []Order {
-	c.refundRelayed(orders)
+	for _, o := range orders {
+		c.startBudget.refundRelayed(o)
+	}
 	var direct []Order
 	for _, o := range orders {
 		if t := c.lookupTask(o.Task); (t != nil && t.step.spec.Gang) || c.startBudget.allows() {
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -20,9 +20,8 @@
 	occurrences          []*occurrence
 	openedOccurrences    int // occurrences whose due time has passed
 	completedOccurrences int
-	activeRuns           int                     // runs on workers
-	longRunning          bool                    // has tasks that run until the job is cancelled
-	specRelayed          map[unit.TaskIndex]bool // groups of tasks of which a start was relayed; see chargeStarts
+	activeRuns           int  // runs on workers
+	longRunning          bool // has tasks that run until the job is cancelled
 }
 
 // occurrence is one execution of a job's graph of steps.
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -35,9 +35,9 @@
 	c.unmetDemands = c.unmetDemands[:0]
 	c.startBudget.deferred = false
 	charged := len(c.orders)
-	defer func() { c.chargeStarts(c.orders[charged:]) }()
+	defer func() { c.startBudget.charge(c.orders[charged:]) }()
 	for _, s := range c.readySteps {
-		c.chargeStarts(c.orders[charged:])
+		c.startBudget.charge(c.orders[charged:])
 		if charged = len(c.orders); !c.startBudget.allows() {
 			c.placementDue = true
 			break
