--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -48,9 +47,6 @@
 	maxHeartbeatRetryDelay = 800 * time.Millisecond
 )
 
-// maxOrdersInFlight is the largest number of unanswered orders to one worker.
-const maxOrdersInFlight = 2
-
 // maxHeartbeatsInFlight is the largest number of unanswered heartbeats to one worker:
 // one that is late, and two probes, as the connection of the first may be silent for
 // good as well.
@@ -91,162 +87,10 @@
 	return c
 }
 
-// enqueue adds an order to the queue of the worker.
-func (c *workerClient) enqueue(o scheduler.Order) {
-	c.mu.Lock()
-	c.queue = append(c.queue, o)
-	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default: // the sending goroutines have enough wake-ups pending
-	}
-}
-
-// dequeue removes the next order from the queue: the oldest stop, or the oldest order. A
-// start in front of a stop may take maxOrderTimeout.
-func (c *workerClient) dequeue() (scheduler.Order, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.queue) == 0 {
-		return scheduler.Order{}, false
-	}
-	next := max(0, slices.IndexFunc(c.queue, func(o scheduler.Order) bool { return o.Kind == scheduler.OrderStop }))
-	o := c.queue[next]
-	c.queue = slices.Delete(c.queue, next, next+1)
-	return o, true
-}
-
-// sendOrders sends queued orders to the worker, one at a time.
-func (c *workerClient) sendOrders() {
-	for {
-		o, ok := c.dequeue()
-		if ok {
-			c.execute(o)
-			continue
-		}
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-c.wake:
-		}
-	}
-}
-
 // errOwnershipStale means that the view of the ownership is too old to renew leases:
 // another entry may own the shard.
 var errOwnershipStale = errors.New("ownership not confirmed lately")
 
-// admission says whether an order is sent.
-type admission uint8
-
-// Verdicts on an order.
-const (
-	orderAdmitted  admission = iota + 1
-	orderWithdrawn           // the core does not want it any more; it has no outcome
-	orderRefused             // it may not be sent now
-)
-
-// admit decides whether an order is sent now, and returns by when a worker may accept a
-// start. Whether this entry may still start tasks is checked last.
-func (c *workerClient) admit(o scheduler.Order, now time.Time) (until unit.WorkerTime, verdict admission) {
-	// The deadline is computed before the ownership is checked, so that it is no
-	// later than maxStartWindow after the check however late the order is sent.
-	window := c.shard.startWindow(now)
-	until = c.workerDeadline(window)
-	start := o.Kind == scheduler.OrderStart
-	switch {
-	case c.ctx.Err() != nil, start && (until == 0 || window < minStartWindow):
-		return 0, orderRefused
-	case !c.beginOrder(o):
-		return 0, orderWithdrawn
-	case start && !c.shard.service.ownership.MayOrder(time.Now()):
-		return 0, orderRefused
-	}
-	return until, orderAdmitted
-}
-
-// execute sends one order, unless the core does not want it any more, and passes its
-// outcome to the core.
-func (c *workerClient) execute(o scheduler.Order) {
-	now := time.Now()
-	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
-	until, verdict := c.admit(o, now)
-	if verdict == orderWithdrawn {
-		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
-		return
-	}
-	outcome := scheduler.OutcomeNotSent
-	if verdict == orderAdmitted {
-		ctx, cancel := context.WithTimeout(c.ctx, c.orderTimeout())
-		var clock unit.WorkerTime
-		outcome, clock = c.worker.Do(ctx, o, c.shard.term.Epoch, until)
-		cancel()
-		c.recordClock(clock, incarnation)
-		c.recordOrderTime(time.Since(now))
-		metric.OrderLatency.Record(time.Since(now))
-	}
-	c.shard.settleOrders([]settledOrder{{o, outcome}}, now, "")
-}
-
-// settleOrders logs the outcomes of orders that were sent at sentAt, through the entry via
-// if that is not empty, and passes them to the core.
-func (sh *shard) settleOrders(orders []settledOrder, sentAt time.Time, via unit.EntryID) {
-	if len(orders) == 0 {
-		return
-	}
-	for _, o := range orders {
-		if o.FirstStart {
-			metric.FirstStartLatency.Record(sentAt.Sub(o.JobDue))
-		}
-		metric.Orders.Add(kindName(o.Kind)+" "+o.outcome.String(), 1)
-		// Successful pace orders are frequent, so they are counted but not logged.
-		if o.outcome != scheduler.OutcomeDone || o.Kind != scheduler.OrderPace {
-			sh.log.Info("order", "worker", o.Worker, "kind", kindName(o.Kind), "job", o.Task.Job, "occurrence", o.Task.Occurrence, "step", o.Task.Step,
-				"task", o.Task.Index, "run", o.Run, "reason", o.Reason, "percent", o.PacePercent, "via", via, "outcome", o.outcome.String())
-		}
-	}
-	sh.update(func(core *scheduler.Core, now time.Time) {
-		for _, o := range orders {
-			switch o.Kind {
-			case scheduler.OrderStart:
-				core.HandleStartOutcome(o.Order, o.outcome, now)
-			case scheduler.OrderStop:
-				core.HandleStopOutcome(o.Order, o.outcome, now)
-			case scheduler.OrderPace:
-				core.HandlePaceOutcome(o.Order, o.outcome, now)
-			}
-		}
-	})
-}
-
-// orderTimeout returns the timeout of the next order.
-func (c *workerClient) orderTimeout() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return min(max(minOrderTimeout, 2*c.orderTime), maxOrderTimeout)
-}
-
-// recordOrderTime records how long an order took. That of one without an answer is its
-// timeout.
-func (c *workerClient) recordOrderTime(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.orderTime = d
-}
-
-// beginOrder reports whether the core still wants an order, and records the lease that
-// it grants.
-func (c *workerClient) beginOrder(o scheduler.Order) bool {
-	leaseExpiresAt := leaseExpiry(maxStartWindow)
-	c.shard.mu.Lock()
-	defer c.shard.mu.Unlock()
-	return c.shard.core.BeginOrder(o, leaseExpiresAt, time.Now())
-}
-
-var kindNames = [...]string{scheduler.OrderStart: "start", scheduler.OrderStop: "stop", scheduler.OrderPace: "pace"}
-
-func kindName(k scheduler.OrderKind) string { return kindNames[k] }
-
 // workerDeadline returns a reading that is at most d ahead of the worker's clock, or 0
 // if no reading of the clock is known.
 func (c *workerClient) workerDeadline(d time.Duration) unit.WorkerTime {
