report/metric: processor time by kind of work in the shard line

No line tells what it is used for, so calls, decisions, collection and log lines cannot be told apart.

The shard line and the metrics get the processor time of the process, the part in the kernel, the time of timed work by kind, events a second, the wait for the core and the delay of ticks. The lock of the core measures how long it is held and waited for.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -13,6 +13,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
 
@@ -138,6 +139,7 @@
 // addProgress adds the progress to a transaction, and the model and the checkpoints if
 // they are due. It is called with the lock held.
 func (sh *shard) addProgress(b *commitBatch, handOver bool, now time.Time) error {
+	defer metric.RecordTimer.Since(time.Now())
 	snapshot := sh.core.Snapshot()
 	progress := record.Progress{
 		Format: record.Format, Epoch: sh.term.Epoch,
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -57,7 +57,7 @@
 	heartbeats       *heartbeatPacer
 
 	commitMu           sync.Mutex // held during a transaction, so that transactions stay in order
-	mu                 sync.Mutex
+	mu                 coreLock
 	core               *scheduler.Core
 	takeover           takeover
 	jobRevisions       map[unit.JobID]unit.Revision // revisions of the job records
@@ -72,8 +72,10 @@
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
 	lastEstimatesWrite time.Time
-	lastSummary        time.Time           // used only by run
-	traffic            metric.TrafficMeter // used only by run
+	lastSummary        time.Time             // used only by run
+	traffic            metric.TrafficMeter   // used only by run
+	processor          metric.ProcessorMeter // used only by run
+	maxTickDelay       time.Duration         // since the last summary; used only by run
 }
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
@@ -127,7 +129,7 @@
 	}
 	metric.OwnershipChanges.Add("taken over", 1)
 	sh.service.setShard(sh)
-	for sh.sleep(tickInterval) {
+	for sh.awaitTick() {
 		sh.update(func(c *scheduler.Core, now time.Time) {
 			sh.applyZones(c)
 			c.SetStartRelays(sh.relays.update(now))
@@ -137,6 +139,14 @@
 	}
 }
 
+// awaitTick waits for the next tick and reports whether the term goes on.
+func (sh *shard) awaitTick() bool {
+	due := time.Now().Add(tickInterval)
+	goesOn := sh.sleep(tickInterval)
+	sh.maxTickDelay = max(sh.maxTickDelay, time.Since(due))
+	return goesOn
+}
+
 // newJobReader returns a reader of the job records.
 func (sh *shard) newJobReader() *changeReader {
 	return &changeReader{shard: sh, prefix: record.JobPrefix, handler: jobRecords{sh}, confirmed: &sh.jobsConfirmed, pace: readPace{interval: jobReadInterval}}
@@ -160,14 +170,17 @@
 	sh.mu.Lock()
 	s := sh.core.Stats(now)
 	sh.mu.Unlock()
-	traffic := sh.traffic.Rates(now)
+	traffic, processor := sh.traffic.Rates(now), sh.processor.Rates(now)
 	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
 		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(), "relays", s.StartRelays, "relayed", metric.RelayedStarts.Value(),
 		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
-		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond)
+		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond,
+		"cpu", processor.Total, "system", processor.System, "work", processor.Work, "events", processor.EventsPerSecond,
+		"lockwait", processor.LockWait, "late", sh.maxTickDelay.String())
+	sh.maxTickDelay = 0
 }
 
 // linkUse returns the share of the link, in percent, that a rate in bytes a second takes
@@ -265,6 +278,7 @@
 
 // updateCore is update without its precautions. It is called with the lock held.
 func (sh *shard) updateCore(f func(c *scheduler.Core, now time.Time)) {
+	metric.CoreUpdates.Add(1)
 	now := time.Now()
 	f(sh.core, now)
 	if sh.handingOver {
@@ -275,6 +289,8 @@
 		began := time.Now()
 		sh.core.Place(now)
 		sh.placement.ended(began, time.Now())
+		metric.PlaceTimer.Since(began)
+		metric.PlacementPasses.Add(1)
 	}
 	sh.queueOrders(sh.core.TakeOrders())
 	for _, l := range sh.core.TakeExpiredLeases() {
--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -68,6 +68,7 @@
 func (l *instanceList) apply(items []kv.Item, all bool) {
 	sh := l.shard
 	sh.update(func(c *scheduler.Core, now time.Time) {
+		defer metric.ListingTimer.Since(time.Now())
 		if all {
 			clear(sh.listings)
 		}
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -332,6 +332,7 @@
 	if time.Since(h.sentAt) > h.wait+responseSlack {
 		metric.LateAnswers.Add(1)
 	}
+	metric.Reports.Add(1)
 	c.recordClock(clock, report.Incarnation)
 	c.shard.update(func(core *scheduler.Core, now time.Time) {
 		core.HandleReport(c.id, report, now)
--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -23,6 +23,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // ServiceName is the name of the service in a kernel.
@@ -118,7 +119,7 @@
 }
 
 func (s *Service) call(ctx context.Context, via unit.EntryID, b owner.StartBatch) ([]scheduler.Outcome, error) {
-	request, err := record.Marshal(b)
+	request, err := encodeBatch(b)
 	if err != nil {
 		return nil, errors.Errorf("encode starts: %w", errors.Join(err, mesh.ErrUnreachable))
 	}
@@ -126,8 +127,8 @@
 	if err != nil {
 		return nil, errors.Errorf("relay starts: %w", err)
 	}
-	var outcomes []scheduler.Outcome
-	if err := cbor.Unmarshal(answer, &outcomes); err != nil {
+	outcomes, err := decodeOutcomes(answer)
+	if err != nil {
 		return nil, errors.Errorf("decode outcomes: %w", err)
 	}
 	if len(outcomes) != len(b.Starts) {
@@ -142,6 +143,18 @@
 }
 
 // notSent returns the outcomes of n starts that were certainly not sent.
+func encodeBatch(b owner.StartBatch) ([]byte, error) {
+	defer metric.PeersTimer.Since(time.Now())
+	return record.Marshal(b)
+}
+
+func decodeOutcomes(answer []byte) ([]scheduler.Outcome, error) {
+	defer metric.PeersTimer.Since(time.Now())
+	var outcomes []scheduler.Outcome
+	err := cbor.Unmarshal(answer, &outcomes)
+	return outcomes, err
+}
+
 func notSent(n int) []scheduler.Outcome {
 	return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeNotSent}, n)
 }
--- a/internal/report/output/output.go
+++ b/internal/report/output/output.go
@@ -227,5 +227,5 @@
 // Logger returns a logger that writes one JSON object per line, for lines of at
 // least a level.
 func (w *Writer) Logger(minLevel slog.Level) logr.Logger {
-	return logr.FromSlogHandler(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: minLevel}))
+	return logr.FromSlogHandler(timedHandler{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: minLevel})})
 }
--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -409,8 +409,8 @@
 	if err != nil {
 		return kv.Response{}, errors.Errorf("relay by %s: %v: %w", id, err, kv.ErrUnknown)
 	}
-	var answer relayAnswer
-	if err := cbor.Unmarshal(raw, &answer); err != nil {
+	answer, err := decodeRelayAnswer(raw)
+	if err != nil {
 		return kv.Response{}, errors.Errorf("relay by %s: decode: %v: %w", id, err, kv.ErrUnknown)
 	}
 	if answer.Status == statusUnavailable || answer.Status == statusUnknown {
@@ -419,6 +419,13 @@
 	return answer.decode()
 }
 
+func decodeRelayAnswer(raw []byte) (relayAnswer, error) {
+	defer metric.PeersTimer.Since(time.Now())
+	var answer relayAnswer
+	err := cbor.Unmarshal(raw, &answer)
+	return answer, err
+}
+
 // recordReport records what a peer that was asked to relay a call has shown.
 func (s *Service) recordReport(id unit.EntryID, noStore bool) {
 	s.mu.Lock()
