--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -142,7 +142,6 @@
 	return outcomes, nil
 }
 
-// notSent returns the outcomes of n starts that were certainly not sent.
 func encodeBatch(b owner.StartBatch) ([]byte, error) {
 	defer metric.PeersTimer.Since(time.Now())
 	return record.Marshal(b)
@@ -155,6 +154,7 @@
 	return outcomes, err
 }
 
+// notSent returns the outcomes of n starts that were certainly not sent.
 func notSent(n int) []scheduler.Outcome {
 	return slices.Repeat([]scheduler.Outcome{scheduler.OutcomeNotSent}, n)
 }
