job/owner, job/relay: heartbeats are sent by other entries where the owner is small for the fleet

Cause: one owner sends each heartbeat and each start to 890 workers as an HTTP call of its own, some 5,500 a second, and each answer wakes its process.

Change: where regular heartbeats would take more than a quarter of the owner's processor, or its link asks for longer intervals, it passes heartbeats to up to 8 other entries, in sessions of calls that carry many heartbeats and return the reports as differences. The owner decides each lease and acknowledgement as before; an entry that is late is the same as a network that is late. What a session has lost is sent directly. Starts go through three of these entries, and more batches are in flight on a link that carries them.

Ruled out: lost leases or old reports while entries fall silent, end sessions, are of an earlier release or do not reach some workers (TestSharedHeartbeats).

Before: TestSharedHeartbeats/entries_answer, "the owner sends 325 calls a second, want at most 167" (with the sharing switched off).

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -121,6 +121,7 @@
 			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
 		},
 		Link:                s.Limits.Link,
+		Processor:           s.Limits.Cores,
 		FinalStateRetention: s.Bounds.FinalStateRetention,
 		Delays: owner.Delays{
 			Cancel: s.Bounds.CancelDelay, Drain: s.Bounds.DrainDelay,
--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
+	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
@@ -55,9 +57,18 @@
 	// maxRelays is the largest number of entries that starts are sent through. Each may
 	// open connections to every worker, which accepts a few dozen.
 	maxRelays = 8
-	// batchesInFlight is the number of unanswered batches at one entry, whose link may be
-	// small too. A batch with a worker that does not answer takes RelayedStartTimeout.
-	batchesInFlight = 2
+	// maxStartRelays is the largest number of entries that starts are sent through for want
+	// of processor time. It is less than maxRelays, as each opens connections to every worker.
+	maxStartRelays = 3
+	// minBatchesInFlight and maxBatchesInFlight bound the number of unanswered batches at
+	// one entry, whose link may be as small as the owner's. A batch with a worker that does
+	// not answer takes RelayedStartTimeout.
+	minBatchesInFlight = 2
+	maxBatchesInFlight = 16
+	// batchBytes is about what a batch takes on the link of the entry.
+	batchBytes unit.Bytes = 16 << 10
+	// batchTime is the time in which a link carries the batches in flight.
+	batchTime = 100 * time.Millisecond
 	// queuedBatches is the number of batches that wait for one entry.
 	queuedBatches = 32
 	// maxKnownSpecs is the number of specs that an entry is taken to hold.
@@ -76,12 +87,20 @@
 	relayUpdateInterval = 500 * time.Millisecond
 )
 
+// batchesInFlight returns the number of unanswered batches at one entry for a link of the
+// given capacity.
+func batchesInFlight(link unit.BitRate) int {
+	carried := float64(link) / 8 * batchTime.Seconds() / float64(batchBytes)
+	return min(max(int(carried), minBatchesInFlight), maxBatchesInFlight)
+}
+
 // relayPool sends batches of starts through other entries. The lock of the shard guards
 // its fields.
 type relayPool struct {
 	shard     *shard
 	relays    map[unit.EntryID]*relayClient
 	updatedAt time.Time
+	sharing   int // number of entries that send heartbeats; 0: the owner does
 }
 
 func newRelayPool(sh *shard) *relayPool {
@@ -95,7 +114,7 @@
 	job := xxhash.Sum64String(string(task.Job)) + uint64(task.Index)/scheduler.MaxStartBatch
 	var best *relayClient
 	for _, r := range p.relays {
-		if r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^job < best.hash^job) {
+		if r.rank < p.startRelays() && r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^job < best.hash^job) {
 			best = r
 		}
 	}
@@ -106,14 +125,23 @@
 	return true
 }
 
+// startRelays returns through how many entries starts are sent.
+func (p *relayPool) startRelays() int {
+	if p.sharing > 0 && p.shard.heartbeats.interval() <= busyHeartbeatWait {
+		return maxStartRelays
+	}
+	return maxRelays // the link is short
+}
+
 // update replaces the entries that batches are sent through by those that are registered
 // now, at most once in a relayUpdateInterval, and returns how many there are.
 func (p *relayPool) update(now time.Time) scheduler.StartRelays {
 	if now.Sub(p.updatedAt) >= relayUpdateInterval {
 		p.updatedAt = now
 		p.replace(p.shard.service.ownership.StartRelays())
+		p.shareHeartbeats()
 	}
-	count := scheduler.StartRelays{Registered: len(p.relays)}
+	count := scheduler.StartRelays{Registered: len(p.relays), Preferred: p.sharing > 0}
 	for _, r := range p.relays {
 		if r.reachable.Load() {
 			count.Reachable++
@@ -127,11 +155,12 @@
 func (p *relayPool) replace(entries []unit.EntryID) {
 	entries = entries[:min(len(entries), maxRelays)]
 	wanted := map[unit.EntryID]bool{}
-	for _, id := range entries {
+	for rank, id := range entries {
 		wanted[id] = true
 		if p.relays[id] == nil {
 			p.relays[id] = newRelayClient(p.shard, id)
 		}
+		p.relays[id].rank = rank
 	}
 	for id, r := range p.relays {
 		if !wanted[id] {
@@ -141,18 +170,52 @@
 	}
 }
 
+// shareHeartbeats decides through how many entries heartbeats are sent.
+func (p *relayPool) shareHeartbeats() {
+	options := p.shard.service.options
+	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.interval()
+	n := heartbeatRelays(workers, options.Processor, interval)
+	if n == 0 && p.sharing > 0 {
+		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval)
+	}
+	if n != p.sharing {
+		p.shard.log.Info("entries that send heartbeats and starts for the owner", "entries", n, "before", p.sharing, "workers", workers,
+			"registered", len(p.relays), "interval", interval.String())
+	}
+	p.sharing = n
+}
+
+// heartbeatSession returns the session in which the heartbeats to a worker are sent, or nil
+// if they are sent directly.
+func (p *relayPool) heartbeatSession(id unit.InstanceID) *heartbeatSession {
+	if p.sharing == 0 {
+		return nil
+	}
+	worker := xxhash.Sum64String(string(id))
+	var best *heartbeatSession
+	var bestHash uint64
+	for _, r := range p.relays {
+		if s := r.session.Load(); s != nil && r.rank < p.sharing && (best == nil || r.hash^worker < bestHash) {
+			best, bestHash = s, r.hash^worker
+		}
+	}
+	return best
+}
+
 // relayClient sends batches through one entry.
 type relayClient struct {
 	shard     *shard
 	entry     unit.EntryID
 	hash      uint64 // of the entry
+	rank      int    // by capacity, from 0; guarded by the lock of the shard
 	ctx       context.Context
 	cancel    context.CancelFunc
 	queue     chan []scheduler.Order
-	slots     chan struct{} // holds an element for each batch in flight
-	failed    chan struct{} // signals that a batch had no answer
-	reachable atomic.Bool   // the entry has answered the last call
-	useful    atomic.Bool   // the entry has answered a batch since the last pause
+	slots     chan struct{}                    // holds an element for each batch in flight
+	failed    chan struct{}                    // signals that a batch had no answer
+	reachable atomic.Bool                      // the entry has answered the last call
+	useful    atomic.Bool                      // the entry has answered a batch or heartbeats since the last pause
+	session   atomic.Pointer[heartbeatSession] // nil while no heartbeats go through the entry
 
 	mu    sync.Mutex
 	specs map[unit.JobID]bool // jobs whose spec the entry holds
@@ -163,7 +226,7 @@
 	r := &relayClient{
 		shard: sh, entry: entry, hash: xxhash.Sum64String(string(entry)), ctx: ctx, cancel: cancel,
 		queue:  make(chan []scheduler.Order, queuedBatches),
-		slots:  make(chan struct{}, batchesInFlight),
+		slots:  make(chan struct{}, batchesInFlight(sh.service.options.Link)),
 		failed: make(chan struct{}, 1),
 		specs:  map[unit.JobID]bool{},
 	}
@@ -182,7 +245,7 @@
 			default:
 			}
 			r.reachable.Store(true)
-			r.sendBatches()
+			r.serve()
 			r.reachable.Store(false)
 		}
 		r.refuseQueued()
@@ -195,6 +258,50 @@
 	r.refuseQueued()
 }
 
+// serve sends batches and heartbeats until one of the calls has no answer or the context
+// ends.
+func (r *relayClient) serve() {
+	ctx, cancel := context.WithCancel(r.ctx)
+	var heartbeats sync.WaitGroup
+	heartbeats.Go(func() { r.exchangeHeartbeats(ctx) })
+	r.sendBatches()
+	cancel()
+	heartbeats.Wait()
+}
+
+// exchangeHeartbeats runs sessions of heartbeats until a call has no answer or the context
+// ends. An entry that answers but ends sessions, such as one of an earlier release, gets
+// starts all the same.
+func (r *relayClient) exchangeHeartbeats(ctx context.Context) {
+	for ctx.Err() == nil {
+		s := newHeartbeatSession(r.shard, r.entry)
+		r.session.Store(s)
+		answered, err := s.run(ctx)
+		r.session.Store(nil)
+		if answered > 0 {
+			r.useful.Store(true)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		r.shard.log.Info("session of heartbeats ended", "via", r.entry, "calls", answered, "error", err.Error())
+		if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrUnknown) {
+			r.reachable.Store(false)
+			r.signalFailure()
+			return
+		}
+		wait.For(ctx, maxRelayPause)
+	}
+}
+
+// signalFailure ends sendBatches.
+func (r *relayClient) signalFailure() {
+	select {
+	case r.failed <- struct{}{}:
+	default:
+	}
+}
+
 // sendBatches sends batches until one has no answer or the context ends. A batch stays in
 // the queue until it can be sent.
 func (r *relayClient) sendBatches() {
@@ -264,10 +371,7 @@
 	if err != nil {
 		r.shard.log.Info("starts not relayed", "via", r.entry, "job", batch.Job, "starts", len(batch.Starts), "error", err.Error())
 		r.reachable.Store(false)
-		select {
-		case r.failed <- struct{}{}:
-		default:
-		}
+		r.signalFailure()
 	} else {
 		r.useful.Store(true)
 	}
--- a/internal/job/owner/relay_test.go
+++ b/internal/job/owner/relay_test.go
@@ -217,8 +217,8 @@
 		unplaced int             // tasks that can start elsewhere two seconds later
 		specs    int             // batches with the spec
 	}{
-		{"all batches sent", &flakyRelay{answered: all}, true, nothing, 0, batchesInFlight},
-		{"no batch answered", &flakyRelay{}, true, nothing, all - batchesInFlight*batch, batchesInFlight},
+		{"all batches sent", &flakyRelay{answered: all}, true, nothing, 0, minBatchesInFlight},
+		{"no batch answered", &flakyRelay{}, true, nothing, all - minBatchesInFlight*batch, minBatchesInFlight},
 		{"spec dropped", &flakyRelay{answered: all, notSent: true}, true, nothing, all, batches},
 		{"ownership not confirmed", &flakyRelay{answered: all}, false, nothing, all, 0},
 		{"workers without a client", &flakyRelay{answered: all}, true, func(sh *shard) { clear(sh.workerClients) }, all, 0},
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -86,6 +86,8 @@
 type Options struct {
 	Limits scheduler.Limits
 	Link   unit.BitRate // capacity of this entry's link, or 0 if it is not known
+	// Processor is what this entry may use of a processor, or 0 if that is not known.
+	Processor unit.Millicores
 	// FinalStateRetention is the least time for which the final state of a job
 	// can be read.
 	FinalStateRetention time.Duration
@@ -105,6 +107,8 @@
 	store     kv.Client
 	relay     startRelay
 
+	heartbeatRelay heartbeatRelay
+
 	mu    sync.Mutex
 	shard *shard // nil until a takeover is complete and after the term ends
 }
@@ -135,6 +139,9 @@
 	if s.relay, err = registry.Find[startRelay](k, relayServiceName); err != nil {
 		return errors.Errorf("find relay of starts: %w", err)
 	}
+	if s.heartbeatRelay, err = registry.Find[heartbeatRelay](k, relayServiceName); err != nil {
+		return errors.Errorf("find relay of heartbeats: %w", err)
+	}
 	s.Begin(ctx, s.runTerms)
 	return nil
 }
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -70,6 +70,7 @@
 	clockReadAt time.Time       // when the answer with that reading arrived
 	incarnation scheduler.Incarnation
 	orderTime   time.Duration // that the last order took, with or without an answer
+	directUntil time.Time     // before it no heartbeat goes through another entry
 }
 
 func newWorkerClient(sh *shard, listing scheduler.Listing) *workerClient {
@@ -158,6 +159,7 @@
 	cursor scheduler.EndNumber
 	wait   time.Duration // how long the worker may delay its answer
 	sentAt time.Time
+	via    *heartbeatSession // through another entry; nil: directly
 }
 
 // answer is the outcome of a heartbeat.
@@ -301,6 +303,9 @@
 	h.sentAt = time.Now()
 	c.shard.mu.Lock()
 	c.shard.core.AwaitAnswer(c.id, h.sentAt)
+	if c.mayRelay(probe, h.sentAt) {
+		h.via = c.shard.relays.heartbeatSession(c.id)
+	}
 	c.shard.mu.Unlock()
 	// Checked again after the deadline is computed: waiting for the lock of the core
 	// may have taken long, and the lease must end before the next owner assumes
@@ -312,6 +317,17 @@
 	return h, nil
 }
 
+// mayRelay reports whether a heartbeat may go through another entry. A probe goes directly,
+// and so do those that follow it for a while.
+func (c *workerClient) mayRelay(probe bool, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if probe {
+		c.directUntil = now.Add(directPeriod)
+	}
+	return !now.Before(c.directUntil)
+}
+
 // settle tells the core that no answer to a heartbeat will come.
 func (c *workerClient) settle(h heartbeat) {
 	c.shard.mu.Lock()
@@ -324,24 +340,44 @@
 func (c *workerClient) exchange(h heartbeat) (ends int, err error) {
 	ctx, cancel := context.WithDeadline(c.ctx, h.sentAt.Add(lateAnswerLimit))
 	defer cancel()
-	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
+	if h.via == nil {
+		ends, err = c.exchangeDirectly(ctx, h)
+	} else if ends, err = h.via.exchange(ctx, c, h); errors.Is(err, errSessionEnded) {
+		// Sent twice, a heartbeat has the same effect.
+		h.wait = max(0, h.wait-time.Since(h.sentAt))
+		ends, err = c.exchangeDirectly(ctx, h)
+	}
 	if err != nil {
 		c.settle(h)
 		return 0, errors.Errorf("hold: %w", err)
 	}
-	if time.Since(h.sentAt) > h.wait+responseSlack {
-		metric.LateAnswers.Add(1)
+	return ends, nil
+}
+
+// exchangeDirectly is exchange without another entry.
+func (c *workerClient) exchangeDirectly(ctx context.Context, h heartbeat) (ends int, err error) {
+	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
+	if err != nil {
+		return 0, err
 	}
-	metric.Reports.Add(1)
-	c.recordClock(clock, report.Incarnation)
+	c.recordAnswer(h, report, clock)
 	c.shard.update(func(core *scheduler.Core, now time.Time) {
 		core.HandleReport(c.id, report, now)
 		core.AnswerSettled(c.id, h.sentAt)
 	})
+	return len(report.Ended), nil
+}
+
+// recordAnswer records what the answer to a heartbeat shows beside the state of the runs.
+func (c *workerClient) recordAnswer(h heartbeat, report scheduler.Report, clock unit.WorkerTime) {
+	if time.Since(h.sentAt) > h.wait+responseSlack {
+		metric.LateAnswers.Add(1)
+	}
+	metric.Reports.Add(1)
+	c.recordClock(clock, report.Incarnation)
 	for _, e := range report.Ended {
 		if e.Number > h.cursor {
 			metric.RunEnds.Add(e.Kind.String(), 1)
 		}
 	}
-	return len(report.Ended), nil
 }
--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -1,6 +1,6 @@
-// Package relay sends starts of tasks to workers for the owner of the shard, whose link
-// may be too small for the starts of the whole fleet. The owner decides; an entry that
-// relays a start neither repeats it nor keeps anything of it.
+// Package relay sends starts and heartbeats to workers for the owner of the shard, whose
+// link or processor may be too small for the calls to the whole fleet. The owner decides; an
+// entry that relays a call neither repeats it nor keeps anything of it.
 package relay
 
 import (
@@ -30,8 +30,12 @@
 const ServiceName registry.Name = "relay"
 
 // kindStarts is the kind of mesh call that carries an owner.StartBatch and returns the
-// outcomes of its starts.
-const kindStarts mesh.Kind = 20
+// outcomes of its starts; kindHeartbeats is that of a call of a session of heartbeats, which
+// carries an owner.HeartbeatBatch and returns a list of owner.RelayedAnswer.
+const (
+	kindStarts     mesh.Kind = 20
+	kindHeartbeats mesh.Kind = 21
+)
 
 const (
 	// maxClockSkew is how far the clocks of two entries may be apart. A batch that comes
@@ -54,16 +58,21 @@
 	Connect(id unit.InstanceID, address string) owner.Worker
 }
 
-// Service relays starts for the owner, and passes those of the owner to other entries.
+// Service relays calls for the owner, and passes those of the owner to other entries.
 type Service struct {
 	*registry.Tasks
 	log   logr.Logger
 	fleet fleet
 	peers network
 
-	mu      sync.Mutex
-	clients map[workerKey]*client
-	specs   map[unit.JobID]heldSpec
+	heartbeats      sync.WaitGroup // relayed ones under way
+	heartbeatCtx    context.Context
+	abortHeartbeats context.CancelFunc
+
+	mu       sync.Mutex
+	clients  map[workerKey]*client
+	specs    map[unit.JobID]heldSpec
+	sessions map[mesh.Fingerprint]*session // the latest of each entry
 }
 
 // heldSpec is the spec of a job of which starts were relayed.
@@ -78,16 +87,21 @@
 	address string
 }
 
-// client is a client of one worker, shared by the starts that are sent to it.
+// client is a client of one worker, shared by the calls that are sent to it.
 type client struct {
 	worker owner.Worker
-	starts int       // under way
+	calls  int       // under way
 	usedAt time.Time // when the last one ended
 }
 
 // New returns a service that is not started.
 func New(log logr.Logger, f fleet) *Service {
-	return &Service{Tasks: registry.NewTasks(), log: log, fleet: f, clients: map[workerKey]*client{}, specs: map[unit.JobID]heldSpec{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Service{
+		Tasks: registry.NewTasks(), log: log, fleet: f,
+		heartbeatCtx: ctx, abortHeartbeats: cancel,
+		clients: map[workerKey]*client{}, specs: map[unit.JobID]heldSpec{}, sessions: map[mesh.Fingerprint]*session{},
+	}
 }
 
 // Name implements registry.Service.
@@ -100,6 +114,7 @@
 		return errors.Errorf("find mesh: %w", err)
 	}
 	s.peers.Handle(kindStarts, s.handleStarts)
+	s.peers.Handle(kindHeartbeats, s.handleHeartbeats)
 	s.Begin(ctx, s.dropUnused)
 	return nil
 }
@@ -213,7 +228,7 @@
 	return outcome
 }
 
-// acquire returns the client of a worker for one start.
+// acquire returns the client of a worker for one call.
 func (s *Service) acquire(key workerKey) *client {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,15 +237,15 @@
 		c = &client{worker: s.fleet.Connect(key.id, key.address)}
 		s.clients[key] = c
 	}
-	c.starts++
+	c.calls++
 	return c
 }
 
-// release ends the use of a client for one start.
+// release ends the use of a client for one call.
 func (s *Service) release(c *client) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.starts--
+	c.calls--
 	c.usedAt = time.Now()
 }
 
@@ -250,24 +265,27 @@
 	return true
 }
 
-// dropUnused closes clients and drops specs that have had no start for a while, and closes
-// all clients when the context ends.
+// dropUnused closes clients and drops specs and sessions that have not been used for a
+// while, and closes all clients when the context ends.
 func (s *Service) dropUnused(ctx context.Context) {
 	for wait.For(ctx, clientIdleTimeout/2) {
 		now := time.Now()
 		s.closeClients(now.Add(-clientIdleTimeout))
 		s.dropSpecs(now.Add(-specIdleTimeout))
+		s.dropSessions(now.Add(-sessionIdleTimeout))
 	}
+	s.abortHeartbeats()
+	s.heartbeats.Wait()
 	s.closeClients(time.Now())
 }
 
-// closeClients closes the clients without a start under way that were last used before
+// closeClients closes the clients without a call under way that were last used before
 // the given time.
 func (s *Service) closeClients(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, c := range s.clients {
-		if c.starts == 0 && c.usedAt.Before(before) {
+		if c.calls == 0 && c.usedAt.Before(before) {
 			c.worker.Close()
 			delete(s.clients, key)
 		}
--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -33,6 +33,9 @@
 type StartRelays struct {
 	Registered int
 	Reachable  int // of these, those that answer
+	// Preferred says that starts go through these entries while they answer, as the
+	// processor of the owner is short.
+	Preferred bool
 }
 
 // relayHop is about how much longer a start takes through another entry.
@@ -83,9 +86,14 @@
 
 // prefersRelay reports whether the next starts are sent through another entry, which takes
 // a fraction of the owner's link: if the budget runs short, or the link is so small that
-// a batch takes longer on it than a further hop does.
+// a batch takes longer on it than a further hop does, or the processor is short.
 func (b *startBudget) prefersRelay() bool {
-	if b.relays.Reachable == 0 || b.perSecond == 0 {
+	switch {
+	case b.relays.Reachable == 0:
+		return false
+	case b.relays.Preferred:
+		return true
+	case b.perSecond == 0:
 		return false
 	}
 	return b.accrued(relayHop) < MaxStartBatch*orderOverhead || b.balance < b.accrued(maxStartBurst)/2
--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -168,13 +168,16 @@
 		accrued   unit.Bytes // in a second
 		relayed   bool
 	}{
-		{"no bound", 0, StartRelays{2, 1}, 0, 0, false},
-		{"small link, no entry", small, StartRelays{0, 0}, small * 3 / 10, small, false},
-		{"small link", small, StartRelays{2, 1}, small * 3 / 10, small, true},
-		{"small link, no entry answers", small, StartRelays{2, 0}, small * 3 / 10, small / 3, false},
-		{"wide link", wide, StartRelays{2, 1}, wide * 3 / 10, wide, false},
-		{"wide link, budget is short", wide, StartRelays{2, 1}, wide / 10, wide, true},
-		{"wide link, budget is short, no entry answers", wide, StartRelays{2, 0}, wide / 10, wide / 3, false},
+		{"no bound", 0, StartRelays{2, 1, false}, 0, 0, false},
+		{"small link, no entry", small, StartRelays{0, 0, false}, small * 3 / 10, small, false},
+		{"small link", small, StartRelays{2, 1, false}, small * 3 / 10, small, true},
+		{"small link, no entry answers", small, StartRelays{2, 0, false}, small * 3 / 10, small / 3, false},
+		{"wide link", wide, StartRelays{2, 1, false}, wide * 3 / 10, wide, false},
+		{"wide link, budget is short", wide, StartRelays{2, 1, false}, wide / 10, wide, true},
+		{"wide link, budget is short, no entry answers", wide, StartRelays{2, 0, false}, wide / 10, wide / 3, false},
+		{"processor is short", wide, StartRelays{2, 1, true}, wide * 3 / 10, wide, true},
+		{"processor is short, no bound", 0, StartRelays{2, 1, true}, 0, 0, true},
+		{"processor is short, no entry answers", wide, StartRelays{2, 0, true}, wide * 3 / 10, wide / 3, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -23,8 +23,10 @@
 	ExpiredLeases    = expvar.NewInt("lapses")       // workers whose lease expired while they had runs
 	LateAnswers      = expvar.NewInt("late_answers") // answers to heartbeats that arrived after the worker counted as not reached
 	RelayedStarts    = expvar.NewInt("relayed")      // starts that were sent through another entry
-	StoreCalls       = expvar.NewMap("kv_calls")     // direct store calls, by operation
-	SkippedItems     = expvar.NewMap("skipped")      // items of the store that cannot be used, by the first part of the key
+	// RelayedHeartbeats counts the answers to heartbeats that were sent through another entry.
+	RelayedHeartbeats = expvar.NewInt("relayedheartbeats")
+	StoreCalls        = expvar.NewMap("kv_calls") // direct store calls, by operation
+	SkippedItems      = expvar.NewMap("skipped")  // items of the store that cannot be used, by the first part of the key
 )
 
 // AddSkippedItem counts an item of the store that cannot be used, by its key.
