job/owner, job/scheduler: specs that relays hold do not count as bytes of starts

The budget for starts counts the spec of a job with each batch, although the entry that relays it holds the spec after the first one. Only the owner knows which entries do, so it gives the bytes back when it sends a batch without the spec.

--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -365,6 +365,7 @@
 		return
 	}
 	if r.holdsSpec(batch.Job) {
+		r.shard.refundSpec(batch.Spec)
 		batch.Spec, batch.SpecHeld = "", true
 	}
 	outcomes, err := r.call(batch)
@@ -411,6 +412,14 @@
 	}
 }
 
+// refundSpec tells the core that the spec of a batch is not sent. The core counts it with
+// each batch, as it does not know which entries hold it.
+func (sh *shard) refundSpec(spec string) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.core.RefundStarts(unit.Bytes(len(spec)))
+}
+
 // settledOrder is an order with its outcome.
 type settledOrder struct {
 	scheduler.Order
--- a/internal/job/scheduler/budget.go
+++ b/internal/job/scheduler/budget.go
@@ -121,3 +121,9 @@
 		batch++
 	}
 }
+
+// RefundStarts gives bytes of relayed starts back that were not sent, as the entry that
+// relays them holds their spec already.
+func (c *Core) RefundStarts(bytes unit.Bytes) {
+	c.startBudget.balance += bytes
+}
--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
 // TestStartBudget guards against a backlog of starts that fills the owner's link, so that
@@ -188,3 +189,42 @@
 		})
 	}
 }
+
+// TestRefundStarts guards against tasks that wait on a small link because specs count
+// against it that are not sent, as the entries that relay the starts hold them.
+func TestRefundStarts(t *testing.T) {
+	const perSecond, spec = 20_000, 2_000
+	tests := []struct {
+		name    string
+		refund  unit.Bytes // for each batch
+		atLeast int        // batches that start in a second
+		atMost  int
+	}{
+		{"spec sent", 0, 5, 10},
+		{"spec held", spec, 14, 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &Core{startBudget: startBudget{perSecond: perSecond, relays: StartRelays{Registered: 1, Reachable: 1}}}
+			batch := make([]Order, 8)
+			for i := range batch {
+				batch[i] = Order{Kind: OrderStart, Task: graph.Task{Job: "j"}, Spec: strings.Repeat("s", spec), Relayed: true}
+			}
+			now := time.Unix(0, 0)
+			batches := 0
+			c.startBudget.refill(now)
+			for end := now.Add(time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+				c.startBudget.refill(now)
+				if !c.startBudget.allows() {
+					continue
+				}
+				c.startBudget.charge(batch)
+				c.RefundStarts(tt.refund)
+				batches++
+			}
+			if batches < tt.atLeast || batches > tt.atMost {
+				t.Errorf("%d batches, want %d to %d", batches, tt.atLeast, tt.atMost)
+			}
+		})
+	}
+}
