--- a/internal/job/scheduler/budget_test.go
+++ b/internal/job/scheduler/budget_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
 // TestStartBudget guards against a backlog of starts that fills the owner's link, so that
@@ -168,13 +169,16 @@
 		accrued   unit.Bytes // in a second
 		relayed   bool
 	}{
-		{"no bound", 0, StartRelays{2, 1}, 0, 0, false},
-		{"small link, no entry", small, StartRelays{0, 0}, small * 3 / 10, small, false},
-		{"small link", small, StartRelays{2, 1}, small * 3 / 10, small, true},
-		{"small link, no entry answers", small, StartRelays{2, 0}, small * 3 / 10, small / 3, false},
-		{"wide link", wide, StartRelays{2, 1}, wide * 3 / 10, wide, false},
-		{"wide link, budget is short", wide, StartRelays{2, 1}, wide / 10, wide, true},
-		{"wide link, budget is short, no entry answers", wide, StartRelays{2, 0}, wide / 10, wide / 3, false},
+		{"no bound", 0, StartRelays{2, 1, false}, 0, 0, false},
+		{"small link, no entry", small, StartRelays{0, 0, false}, small * 3 / 10, small, false},
+		{"small link", small, StartRelays{2, 1, false}, small * 3 / 10, small, true},
+		{"small link, no entry answers", small, StartRelays{2, 0, false}, small * 3 / 10, small / 3, false},
+		{"wide link", wide, StartRelays{2, 1, false}, wide * 3 / 10, wide, false},
+		{"wide link, budget is short", wide, StartRelays{2, 1, false}, wide / 10, wide, true},
+		{"wide link, budget is short, no entry answers", wide, StartRelays{2, 0, false}, wide / 10, wide / 3, false},
+		{"processor is short", wide, StartRelays{2, 1, true}, wide * 3 / 10, wide, true},
+		{"processor is short, no bound", 0, StartRelays{2, 1, true}, 0, 0, true},
+		{"processor is short, no entry answers", wide, StartRelays{2, 0, true}, wide * 3 / 10, wide / 3, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -185,3 +189,42 @@
 		})
 	}
 }
+
+// TestRefundStarts guards against tasks that wait on a small link because specs count
+// against it that are not sent, as the entries that relay the starts hold them.
+func TestRefundStarts(t *testing.T) {
+	const perSecond, spec = 20_000, 2_000
+	tests := []struct {
+		name    string
+		refund  unit.Bytes // for each batch
+		atLeast int        // batches that start in a second
+		atMost  int
+	}{
+		{"spec sent", 0, 5, 10},
+		{"spec held", spec, 14, 30},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &Core{startBudget: startBudget{perSecond: perSecond, relays: StartRelays{Registered: 1, Reachable: 1}}}
+			batch := make([]Order, 8)
+			for i := range batch {
+				batch[i] = Order{Kind: OrderStart, Task: graph.Task{Job: "j"}, Spec: strings.Repeat("s", spec), Relayed: true}
+			}
+			now := time.Unix(0, 0)
+			batches := 0
+			c.startBudget.refill(now)
+			for end := now.Add(time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+				c.startBudget.refill(now)
+				if !c.startBudget.allows() {
+					continue
+				}
+				c.startBudget.charge(batch)
+				c.RefundStarts(tt.refund)
+				batches++
+			}
+			if batches < tt.atLeast || batches > tt.atMost {
+				t.Errorf("%d batches, want %d to %d", batches, tt.atLeast, tt.atMost)
+			}
+		})
+	}
+}
