--- a/internal/job/scheduler/fleet_bench_test.go
+++ b/internal/job/scheduler/fleet_bench_test.go
@@ -35,6 +35,7 @@
 	runs        []benchRun
 	ended       []End
 	lastEnd     EndNumber
+	sentAt      time.Time // when the heartbeat was sent that the next report answers
 }
 
 // benchFleet drives a core as its owner does: reports, outcomes of starts, placement
@@ -69,6 +70,7 @@
 	f.core.SetWorkers(list, f.now)
 	f.core.ConfirmSnapshot(f.core.Snapshot())
 	for _, w := range f.workers {
+		w.sentAt = f.now
 		f.core.HandleReport(w.id, Report{Incarnation: 1, RequestedAt: f.now}, f.now)
 	}
 	for i := range 2 * workers / 6 {
@@ -122,7 +124,8 @@
 		}
 		f.core.WantsLease(w.id)
 		f.core.RecordLease(w.id, f.now.Add(6*time.Second))
-		f.core.AwaitAnswer(w.id, f.now)
+		w.sentAt = f.now
+		f.core.AwaitAnswer(w.id, w.sentAt)
 	})
 	f.afterUpdate()
 	if f.now.Sub(f.tickedAt) >= fleetTickGap {
@@ -206,7 +209,7 @@
 			w.end(i, EndDone)
 		}
 	}
-	p := Report{Incarnation: w.incarnation, RequestedAt: f.now.Add(-10 * time.Millisecond), Ended: w.ended}
+	p := Report{Incarnation: w.incarnation, RequestedAt: w.sentAt, Ended: w.ended}
 	for _, r := range w.runs {
 		s := RunStatus{Task: r.task, Run: r.run, ProgressPercent: 100, Metric: 20 + f.random.IntN(22)}
 		if r.takes > 0 {
