job/scheduler: a placement pass checks once which workers are open

The ranking for each step checked every worker of the service anew: listing, zone, age of the last report, unknown runs and, by a map access, the durable progress. No pass changes any of that. It is now checked at most once in a pass; what depends on the task is checked as before, in the same order of workers. adoptEarlyRuns skips workers without unknown runs.

TestOpenWorkersOfPass fails if a pass keeps the workers of the one before.

--- a/internal/job/scheduler/candidate.go
+++ b/internal/job/scheduler/candidate.go
@@ -4,13 +4,15 @@
 	"cmp"
 	"container/heap"
 	"time"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
 // candidate is a worker that can take a task of a step.
 type candidate struct {
 	worker   *worker
 	score    float64
-	position int // in the list of the service's workers; the first of equals is chosen
+	position int // in the list of the service's open workers; the first of equals is chosen
 }
 
 // candidateHeap is a heap with the best candidate at index 0. It implements
@@ -80,8 +82,8 @@
 // rank scores all workers for a task.
 func (q *candidates) rank(t *task) {
 	q.heap = q.heap[:0]
-	for i, w := range q.core.workersByService[t.job().spec.Queue.Service] {
-		if score, ok := q.core.scoreIfFit(w, t, q.now); ok {
+	for i, w := range q.core.openWorkersOf(t.job().spec.Queue.Service, q.now) {
+		if score, ok := q.core.scoreOpen(w, t, q.now); ok {
 			q.heap = append(q.heap, candidate{w, score, i})
 		}
 	}
@@ -94,7 +96,7 @@
 	if len(q.heap) == 0 {
 		return
 	}
-	score, ok := q.core.scoreIfFit(q.heap[0].worker, t, q.now)
+	score, ok := q.core.scoreOpen(q.heap[0].worker, t, q.now)
 	if !ok {
 		heap.Pop(&q.heap)
 		return
@@ -106,7 +108,35 @@
 // scoreIfFit returns the score of a worker for a task, or false if the worker is not
 // eligible, lacks the capacity or is unfit by its score.
 func (c *Core) scoreIfFit(w *worker, t *task, now time.Time) (float64, bool) {
-	if !w.fits(t.step.spec) || !c.eligible(w, t, now) {
+	if !c.isOpen(w, now) {
+		return 0, false
+	}
+	return c.scoreOpen(w, t, now)
+}
+
+// openWorkersOf returns the workers of a service that are open during the current placement
+// pass.
+func (c *Core) openWorkersOf(service unit.ServiceID, now time.Time) []*worker {
+	open, ok := c.openWorkers[service]
+	if ok {
+		return open
+	}
+	open = make([]*worker, 0, len(c.workersByService[service]))
+	for _, w := range c.workersByService[service] {
+		if c.isOpen(w, now) {
+			open = append(open, w)
+		}
+	}
+	c.openWorkers[service] = open
+	return open
+}
+
+// scoreOpen is like scoreIfFit for a worker that is open.
+func (c *Core) scoreOpen(w *worker, t *task, now time.Time) (float64, bool) {
+	if !w.fits(t.step.spec) {
+		return 0, false
+	}
+	if _, ok := t.step.ticketFor(w, now); !ok || !w.suits(t, now) {
 		return 0, false
 	}
 	score := c.policy.score(w, t, now)
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -36,22 +36,25 @@
 // Core holds the jobs and workers of one shard and decides for its owner. It is
 // not safe for concurrent use.
 type Core struct {
-	limits                  Limits
-	epoch                   unit.Epoch
-	jobs                    map[unit.JobID]*job
-	openJobs                map[unit.JobID]*job // jobs without a durable final state
-	workers                 map[unit.InstanceID]*worker
-	workersByService        map[unit.ServiceID][]*worker // listed workers, sorted by id
-	evacuatedZones          map[unit.ZoneID]bool
-	readySteps              []*step                  // steps with waiting tasks and no incomplete dependency
-	inheritedProgress       map[unit.JobID]Progress  // from earlier owners, by LoadProgress and early ends
-	earlyEnds               map[unit.JobID]time.Time // unknown jobs with ends in inheritedProgress, and when the last one came
-	images                  map[string]*image        // by name
-	interference            *interference.Model
-	durations               *duration.Estimator
-	policy                  policy
-	startBudget             startBudget
-	candidateBuffer         candidateHeap // reused by newCandidates
+	limits            Limits
+	epoch             unit.Epoch
+	jobs              map[unit.JobID]*job
+	openJobs          map[unit.JobID]*job // jobs without a durable final state
+	workers           map[unit.InstanceID]*worker
+	workersByService  map[unit.ServiceID][]*worker // listed workers, sorted by id
+	evacuatedZones    map[unit.ZoneID]bool
+	readySteps        []*step                  // steps with waiting tasks and no incomplete dependency
+	inheritedProgress map[unit.JobID]Progress  // from earlier owners, by LoadProgress and early ends
+	earlyEnds         map[unit.JobID]time.Time // unknown jobs with ends in inheritedProgress, and when the last one came
+	images            map[string]*image        // by name
+	interference      *interference.Model
+	durations         *duration.Estimator
+	policy            policy
+	startBudget       startBudget
+	candidateBuffer   candidateHeap // reused by newCandidates
+	// openWorkers are, of the workers of each service that the last placement pass has
+	// ranked, those that were open, sorted by id.
+	openWorkers             map[unit.ServiceID][]*worker
 	unmetDemands            []unmetDemand // demands that no worker could meet in this pass
 	lastPlacement           time.Time     // when the last placement pass began
 	lastPreemption          time.Time     // when preemption was last tried
@@ -94,6 +97,7 @@
 		openJobs:                map[unit.JobID]*job{},
 		workers:                 map[unit.InstanceID]*worker{},
 		workersByService:        map[unit.ServiceID][]*worker{},
+		openWorkers:             map[unit.ServiceID][]*worker{},
 		evacuatedZones:          map[unit.ZoneID]bool{},
 		inheritedProgress:       map[unit.JobID]Progress{},
 		earlyEnds:               map[unit.JobID]time.Time{},
--- a/internal/job/scheduler/derived_test.go
+++ b/internal/job/scheduler/derived_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
@@ -52,3 +53,32 @@
 		w.runs[i].run++ // as a run that another owner has started
 	}
 }
+
+// TestOpenWorkersOfPass guards against a placement pass that takes the workers that were
+// open in an earlier pass: a task would start on one that is vacated or has an unknown run.
+func TestOpenWorkersOfPass(t *testing.T) {
+	f := newBenchFleet(12, 20)
+	starts := 0
+	for range 3000 {
+		f.step()
+		f.disturb()
+		if f.random.IntN(20) == 0 {
+			f.core.Vacate([]unit.InstanceID{f.workers[f.random.IntN(len(f.workers))].id}, f.now)
+		}
+		f.now = f.now.Add(placementInterval)
+		f.core.placementDue = true
+		f.core.Place(f.now)
+		for _, o := range f.core.orders {
+			if o.Kind != OrderStart {
+				continue
+			}
+			starts++
+			if w := f.core.workers[o.Worker]; !f.core.isOpen(w, f.now) {
+				t.Fatalf("start on worker %s, which is vacated since %v and has %d unknown runs", w.id, w.vacatingSince, len(w.unknownRuns))
+			}
+		}
+	}
+	if starts == 0 {
+		t.Error("no starts")
+	}
+}
--- a/internal/job/scheduler/early.go
+++ b/internal/job/scheduler/early.go
@@ -68,6 +68,9 @@
 // ended.
 func (c *Core) adoptEarlyRuns(j *job, k graph.Occurrence, now time.Time) {
 	for _, w := range c.workers {
+		if len(w.unknownRuns) == 0 {
+			continue
+		}
 		for _, id := range slices.Collect(maps.Keys(w.unknownRuns)) {
 			if id.task.Job != j.spec.ID || id.task.Occurrence != k {
 				continue
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -33,6 +33,7 @@
 		c.placementDue = true // a later pass handles best-effort tasks
 	}
 	c.unmetDemands = c.unmetDemands[:0]
+	clear(c.openWorkers)
 	c.startBudget.deferred = false
 	charged := len(c.orders)
 	defer func() { c.startBudget.charge(c.orders[charged:]) }()
@@ -236,12 +237,20 @@
 
 // eligibleWithoutTicket is like eligible but ignores the placement advice.
 func (c *Core) eligibleWithoutTicket(w *worker, t *task, now time.Time) bool {
+	return c.isOpen(w, now) && w.suits(t, now)
+}
+
+// isOpen reports whether tasks may start on a worker, apart from its health and whatever
+// the task. No placement pass changes that.
+func (c *Core) isOpen(w *worker, now time.Time) bool {
+	return c.acceptsOrders(w, now) && len(w.unknownRuns) == 0 && c.durableWorkers[w.id]
+}
+
+// suits reports whether a task may start on a worker that is open, apart from its capacity
+// and the placement advice.
+func (w *worker) suits(t *task, now time.Time) bool {
 	s := t.step.spec
 	switch {
-	case !c.acceptsOrders(w, now):
-		return false
-	case len(w.unknownRuns) > 0, !c.durableWorkers[w.id]:
-		return false
 	case !w.health.acceptsStarts(s, now):
 		return false
 	case s.Label != "" && !slices.Contains(w.listing.Labels, s.Label):
