job/scheduler: views of workers and samples reuse their buffers

Each report allocated a map of unknown runs, a map of shares, the inputs and the gain of the filter for each serving run, and a view of the worker with its slices; the view also each 100 ms in between. The buffers now belong to the worker, the core and the filter.

TestReusedView and TestSamplesAreSeparate fail if a buffer is not cleared.

--- a/internal/job/interference/model.go
+++ b/internal/job/interference/model.go
@@ -234,6 +234,8 @@
 	noiseVariance float64   // variance of the residuals
 	noiseReports  int       // number of reports behind noiseVariance
 	updated       time.Time
+
+	inputs, gain []float64 // reused by inputsAt and update
 }
 
 // covarianceAt returns the covariance of rows i and j.
@@ -248,11 +250,12 @@
 }
 
 // inputsAt advances the filter to a time, adds rows for new classes, and returns
-// the shares by row, with 0 for the baseline.
+// the shares by row, with 0 for the baseline. They are valid until the next call.
 func (f *filter) inputsAt(shares map[unit.ClassID]float64, now time.Time) []float64 {
 	f.addClasses(shares, now)
 	f.decay(now)
-	inputs := make([]float64, len(f.mean))
+	f.inputs = zeros(f.inputs, len(f.mean))
+	inputs := f.inputs
 	for c, share := range shares {
 		row, ok := f.rows[c]
 		if !ok {
@@ -270,7 +273,8 @@
 // returns the clipped residual and the predicted variance of the value.
 func (f *filter) update(inputs []float64, value, measurementVariance float64) (residual, totalVariance float64) {
 	n := len(f.mean)
-	gain := make([]float64, n)
+	f.gain = zeros(f.gain, n)
+	gain := f.gain
 	predicted, stateVariance := 0.0, 0.0
 	for i := range n {
 		for j, input := range inputs {
@@ -300,6 +304,14 @@
 	return residual, totalVariance
 }
 
+// zeros returns a slice of n zeros, which takes the place of an earlier one if that is
+// large enough.
+func zeros(earlier []float64, n int) []float64 {
+	s := slices.Grow(earlier[:0], n)[:n]
+	clear(s)
+	return s
+}
+
 // decay adds the uncertainty of the time since the last report, and moves pairs
 // that were not observed lately towards the prior.
 func (f *filter) decay(now time.Time) {
--- a/internal/job/interference/pressure_test.go
+++ b/internal/job/interference/pressure_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
@@ -128,3 +130,33 @@
 		})
 	}
 }
+
+// TestSamplesAreSeparate guards against a sample that takes up the shares of the one before
+// it, whose buffer it uses: the model would learn of classes that did not run.
+func TestSamplesAreSeparate(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	both := map[unit.ClassID]float64{"b1": 0.3, "b2": 0.4}
+	tests := []struct {
+		name   string
+		shares map[unit.ClassID]float64
+		want   []float64
+	}{
+		{"both", both, []float64{0, 0.3, 0.4}},
+		{"one", map[unit.ClassID]float64{"b2": 0.2}, []float64{0, 0, 0.2}},
+		{"none", nil, []float64{0, 0, 0}},
+		{"a new class", map[unit.ClassID]float64{"b3": 0.1}, []float64{0, 0, 0, 0.1}},
+		{"both again", both, []float64{0, 0.3, 0.4, 0}},
+	}
+	m := New()
+	var base BasePressure
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			now = now.Add(time.Second)
+			m.ObserveTail(&base, TailSample{Time: now, Class: "s", Pressure: -2, Shares: tt.shares})
+			f := m.filters["s"][tailBand]
+			if diff := cmp.Diff(tt.want, f.inputs); diff != "" {
+				t.Errorf("inputs of the sample (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,7 +51,8 @@
 	durations         *duration.Estimator
 	policy            policy
 	startBudget       startBudget
-	candidateBuffer   candidateHeap // reused by newCandidates
+	candidateBuffer   candidateHeap            // reused by newCandidates
+	classShares       map[unit.ClassID]float64 // reused by learnFromTails
 	// openWorkers are, of the workers of each service that the last placement pass has
 	// ranked, those that were open, sorted by id.
 	openWorkers             map[unit.ServiceID][]*worker
@@ -97,6 +98,7 @@
 		openJobs:                map[unit.JobID]*job{},
 		workers:                 map[unit.InstanceID]*worker{},
 		workersByService:        map[unit.ServiceID][]*worker{},
+		classShares:             map[unit.ClassID]float64{},
 		openWorkers:             map[unit.ServiceID][]*worker{},
 		evacuatedZones:          map[unit.ZoneID]bool{},
 		inheritedProgress:       map[unit.JobID]Progress{},
--- a/internal/job/scheduler/derived_test.go
+++ b/internal/job/scheduler/derived_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
@@ -82,3 +83,33 @@
 		t.Error("no starts")
 	}
 }
+
+// TestReusedView guards against a view of a worker that has kept parts of the one before,
+// whose buffers it uses: best-effort tasks would be placed beside serving ones by old shares.
+func TestReusedView(t *testing.T) {
+	f := newBenchFleet(12, 20)
+	for range 300 {
+		f.step()
+		f.disturb()
+		var steps []*step
+		for _, s := range f.core.readySteps {
+			if s.spec.BestEffort {
+				steps = append(steps, s)
+			}
+		}
+		for _, w := range f.core.workers {
+			w.bestEffort.invalidate()
+			fresh := *w
+			fresh.bestEffort = bestEffortView{}
+			for _, s := range steps {
+				if got, want := f.core.allowedShare(w, s, f.now), f.core.allowedShare(&fresh, s, f.now); got != want {
+					t.Fatalf("allowed share %v, want %v", got, want)
+				}
+			}
+			if diff := cmp.Diff(f.core.bestEffortViewOf(&fresh, f.now), f.core.bestEffortViewOf(w, f.now),
+				cmp.AllowUnexported(bestEffortView{}), cmp.Comparer(func(a, b servingHeadroom) bool { return a == b }), cmpopts.EquateNaNs(), cmpopts.EquateEmpty()); diff != "" {
+				t.Fatalf("view (-fresh +reused):\n%s", diff)
+			}
+		}
+	}
+}
--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -33,7 +33,7 @@
 // slows or restores best-effort runs by the tails that are expected once all earlier
 // orders have taken effect.
 func (c *Core) adjustPaces(w *worker, now time.Time) {
-	w.bestEffort = nil
+	w.bestEffort.invalidate()
 	c.learnFromTails(w, now)
 	var worstServing *run
 	highestPressure := interference.Pressure(math.Inf(-1))
@@ -145,7 +145,8 @@
 	}
 	r.accrueWork(now)
 	r.pacePercent, r.paceSetAt = percent, now
-	r.worker.paceChangedAt, r.worker.bestEffort = now, nil
+	r.worker.paceChangedAt = now
+	r.worker.bestEffort.invalidate()
 	r.progressedAt = now
 	r.repeatOrderAt = time.Time{}
 	c.orderPace(r, reason)
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -39,8 +39,10 @@
 		delete(c.unresolved, id)
 		c.placementDue = true
 	}
-	stopsUnderWay := w.unknownRuns
-	w.unknownRuns = map[runID]bool{}
+	var stopsUnderWay map[runID]bool
+	if len(w.unknownRuns) > 0 {
+		stopsUnderWay, w.unknownRuns = w.unknownRuns, map[runID]bool{}
+	}
 	for _, r := range w.runList {
 		r.listed = false
 	}
--- a/internal/job/scheduler/tail.go
+++ b/internal/job/scheduler/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -48,7 +49,11 @@
 // learnFromTails updates the interference model with the reported tails of a worker's
 // serving runs and the cores that best-effort images used beside them.
 func (c *Core) learnFromTails(w *worker, now time.Time) {
-	shares := map[unit.ClassID]float64{}
+	if !slices.ContainsFunc(w.runList, func(r *run) bool { return r.phase == phaseRunning && r.reportsTail() }) {
+		return
+	}
+	shares := c.classShares
+	clear(shares)
 	for _, r := range w.runList {
 		if s := r.task.step.spec; s.BestEffort && r.phase == phaseRunning {
 			shares[imageClass(s)] += w.shareOf(unit.Millicores(r.metric))
@@ -129,6 +134,9 @@
 	allowedShares imageShares // by best-effort image
 }
 
+// invalidate makes the next use of the view compute it anew.
+func (v *bestEffortView) invalidate() { v.validUntil = time.Time{} }
+
 // servingHeadroom is the pressure by which a serving run stays below the bound for
 // placement.
 type servingHeadroom struct {
@@ -141,10 +149,14 @@
 
 // bestEffortViewOf returns the view of a worker, from the cache if it is valid.
 func (c *Core) bestEffortViewOf(w *worker, now time.Time) *bestEffortView {
-	if w.bestEffort != nil && now.Before(w.bestEffort.validUntil) {
-		return w.bestEffort
+	view := &w.bestEffort
+	if now.Before(view.validUntil) {
+		return view
+	}
+	*view = bestEffortView{
+		validUntil: now.Add(bestEffortViewTTL), available: w.listing.Capacity.Cores,
+		headrooms: view.headrooms[:0], allowedShares: view.allowedShares[:0],
 	}
-	view := &bestEffortView{validUntil: now.Add(bestEffortViewTTL), available: w.listing.Capacity.Cores}
 	for _, r := range w.runList {
 		spec := r.task.step.spec
 		switch {
@@ -161,7 +173,6 @@
 			view.headrooms = append(view.headrooms, servingHeadroom{r.task.step, headroom})
 		}
 	}
-	w.bestEffort = view
 	return view
 }
 
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -70,12 +70,12 @@
 	ackCursor         EndNumber           // highest end that is durable and can be acknowledged
 	firstListedEnd    EndNumber           // lowest end in the last report; noEnd: none
 	health            health
-	vacatingSince     time.Time       // since when it is vacated for the upkeep of its machine; zero: it is not
-	paceChangedAt     time.Time       // when the pace of any of its runs was last changed
-	bestEffort        *bestEffortView // cached; nil after a change
-	overTargetSince   time.Time       // since when a serving run exceeds its target; zero: none does
-	tailsReadAt       time.Time       // when the last report with tails was handled
-	answersDue        []time.Time     // when the heartbeats without an answer so far were sent
+	vacatingSince     time.Time      // since when it is vacated for the upkeep of its machine; zero: it is not
+	paceChangedAt     time.Time      // when the pace of any of its runs was last changed
+	bestEffort        bestEffortView // cached; invalid after a change
+	overTargetSince   time.Time      // since when a serving run exceeds its target; zero: none does
+	tailsReadAt       time.Time      // when the last report with tails was handled
+	answersDue        []time.Time    // when the heartbeats without an answer so far were sent
 }
 
 // noEnd is above the numbers of all ends.
@@ -228,7 +228,7 @@
 	t.job().activeRuns++
 	w.runs[t.id()] = r
 	w.runList = append(w.runList, r)
-	w.bestEffort = nil
+	w.bestEffort.invalidate()
 	w.used = w.used.Add(reservedResources(t.step.spec))
 	return r
 }
@@ -252,7 +252,7 @@
 	t.job().activeRuns--
 	delete(r.worker.runs, t.id())
 	r.worker.runList = slices.DeleteFunc(r.worker.runList, func(o *run) bool { return o == r })
-	r.worker.bestEffort = nil
+	r.worker.bestEffort.invalidate()
 	r.worker.used = r.worker.used.Sub(reservedResources(t.step.spec))
 	c.placementDue = true
 }
