--- a/internal/report/metric/processor.go
+++ b/internal/report/metric/processor.go
@@ -12,8 +12,8 @@
 type Work string
 
 // Kinds of work. Those that are timed are pure processing: they neither wait nor call the
-// system. Their time is taken by the clock, so it holds what other processes and other
-// threads took meanwhile.
+// system. Their time is taken by the clock, so it holds the time in which the process is
+// kept from the processor, and in pieces of more than 10 ms that of other goroutines.
 const (
 	WorkCore    Work = "core"    // uses of the scheduler core, without the three kinds that follow
 	WorkPlace   Work = "place"   // placement passes
@@ -77,7 +77,7 @@
 const (
 	EventReport  Event = "reports" // reports of workers handled
 	EventUpdate  Event = "updates" // updates of the core
-	EventPass    Event = "passes"  // placement passes
+	EventPass    Event = "passes"  // placement passes, with attempts that found nothing due
 	EventLine    Event = "lines"   // log lines, with those left out
 	EventWakeup  Event = "wakeups" // voluntary context switches: a thread waited and was woken
 	EventPreempt Event = "preempted"
