report/metric: events below one a second are shown

In the trials each shard line shows 0 cycles of the collector, though collect is above 0: rates were cut to whole numbers, and a cycle takes more than a second. Rates of events are rounded to a tenth.

TestProcessorRates gets the case "rare event"; TestSummary reads the rates as fractions. go test -race of metric and owner: ok.

--- a/internal/job/owner/summary_test.go
+++ b/internal/job/owner/summary_test.go
@@ -46,7 +46,7 @@
 			var line struct {
 				CPU, System, LockWait *float64
 				Work                  map[string]float64
-				Events                map[string]int64
+				Events                map[string]float64
 				Late                  string
 			}
 			if err := json.Unmarshal(text.Bytes(), &line); err != nil {
--- a/internal/report/metric/processor.go
+++ b/internal/report/metric/processor.go
@@ -127,7 +127,7 @@
 	Total           Percent
 	System          Percent // in the kernel: system calls and the network
 	Work            map[Work]Percent
-	EventsPerSecond map[Event]int64
+	EventsPerSecond map[Event]float64
 	LockWait        Percent // of one goroutine that always waits for the core
 }
 
@@ -158,7 +158,7 @@
 	}
 	period := current.at.Sub(last.at)
 	share := func(d time.Duration) Percent {
-		return Percent(math.Round(1000*float64(max(d, 0))/float64(period)) / 10)
+		return Percent(toTenths(100 * float64(max(d, 0)) / float64(period)))
 	}
 	user, system := current.user-last.user, current.system-last.system
 	work := map[Work]time.Duration{}
@@ -176,7 +176,10 @@
 	}
 	rates := ProcessorRates{
 		Total: share(user + system), System: share(system), LockWait: share(current.lockWait - last.lockWait),
-		Work: map[Work]Percent{}, EventsPerSecond: perSecond(difference(current.events, last.events), period),
+		Work: map[Work]Percent{}, EventsPerSecond: map[Event]float64{},
+	}
+	for event, n := range difference(current.events, last.events) {
+		rates.EventsPerSecond[event] = toTenths(float64(n) / period.Seconds())
 	}
 	for kind, d := range work {
 		rates.Work[kind] = share(d)
@@ -184,6 +187,9 @@
 	return rates
 }
 
+// toTenths rounds to a tenth: cycles of the collector are less frequent than one a second.
+func toTenths(x float64) float64 { return math.Round(10*x) / 10 }
+
 func readProcessor(now time.Time) processorReading {
 	r := processorReading{at: now, lockWait: time.Duration(lockWait.Value()), work: map[Work]time.Duration{}, events: readCounters[Event](events)}
 	for kind, nanoseconds := range readCounters[Work](workTimes) {
--- a/internal/report/metric/processor_test.go
+++ b/internal/report/metric/processor_test.go
@@ -11,10 +11,13 @@
 // work, and against rates of a period that is not known.
 func TestProcessorRates(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
+	const cycles = 7
 	reading := func(at time.Time, user, system, lockWait time.Duration, work map[Work]time.Duration, reports int64) processorReading {
-		return processorReading{at: at, user: user, system: system, lockWait: lockWait, work: work, events: map[Event]int64{EventReport: reports}}
+		return processorReading{at: at, user: user, system: system, lockWait: lockWait, work: work, events: map[Event]int64{EventReport: reports, EventCycle: cycles}}
 	}
 	first := reading(start, 10*time.Second, 5*time.Second, time.Second, map[Work]time.Duration{WorkCore: 3 * time.Second, WorkPlace: time.Second}, 500)
+	collected := reading(start.Add(2*time.Second), 10*time.Second, 5*time.Second, time.Second, first.work, 500)
+	collected.events[EventCycle]++
 	idle := func(at time.Time) processorReading {
 		r := first
 		r.at = at
@@ -29,7 +32,10 @@
 		{"clock goes nowhere", first, idle(start), ProcessorRates{}},
 		{"clock goes back", first, idle(start.Add(-time.Second)), ProcessorRates{}},
 		{"idle", first, idle(start.Add(2 * time.Second)), ProcessorRates{
-			Work: map[Work]Percent{WorkCore: 0, WorkPlace: 0, WorkRest: 0}, EventsPerSecond: map[Event]int64{},
+			Work: map[Work]Percent{WorkCore: 0, WorkPlace: 0, WorkRest: 0}, EventsPerSecond: map[Event]float64{},
+		}},
+		{"rare event", first, collected, ProcessorRates{
+			Work: map[Work]Percent{WorkCore: 0, WorkPlace: 0, WorkRest: 0}, EventsPerSecond: map[Event]float64{EventCycle: 0.5},
 		}},
 		{
 			"core holds its parts", first,
@@ -39,14 +45,14 @@
 			ProcessorRates{
 				Total: 55, System: 15, LockWait: 2.5,
 				Work:            map[Work]Percent{WorkCore: 5, WorkPlace: 10, WorkListing: 5, WorkReply: 2, WorkRest: 18},
-				EventsPerSecond: map[Event]int64{EventReport: 200},
+				EventsPerSecond: map[Event]float64{EventReport: 200},
 			},
 		},
 		{
 			"timed work was interrupted by others", first,
 			reading(start.Add(time.Second), 10*time.Second+100*time.Millisecond, 5*time.Second, time.Second, map[Work]time.Duration{WorkCore: 3*time.Second + 300*time.Millisecond, WorkPlace: time.Second}, 500),
 			ProcessorRates{
-				Total: 10, Work: map[Work]Percent{WorkCore: 30, WorkPlace: 0, WorkRest: 0}, EventsPerSecond: map[Event]int64{},
+				Total: 10, Work: map[Work]Percent{WorkCore: 30, WorkPlace: 0, WorkRest: 0}, EventsPerSecond: map[Event]float64{},
 			},
 		},
 	}
