job/owner: a heartbeat is prepared under one lock of the core

The cursor, the lease and the awaited answer are now decided at one moment.

Tests of the package pass unchanged.

--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -107,15 +107,6 @@
 // the largest clock drift.
 func leaseExpiry(d time.Duration) time.Time { return time.Now().Add(withMaxDrift(d) + responseSlack) }
 
-// recordLease tells the core by when a lease of length d granted now has expired,
-// even with the largest clock drift.
-func (c *workerClient) recordLease(d time.Duration) {
-	expiresAt := leaseExpiry(d)
-	c.shard.mu.Lock()
-	defer c.shard.mu.Unlock()
-	c.shard.core.RecordLease(c.id, expiresAt)
-}
-
 // recordClock keeps the reading of the worker's clock that implies the latest time
 // there. A late answer carries an older reading. A new incarnation replaces the
 // reading, since its clock is another one; readings of earlier ones are ignored.
@@ -280,41 +271,45 @@
 	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
 		return heartbeat{}, errOwnershipStale
 	}
-	h := heartbeat{wait: idleHeartbeatWait}
+	h := c.prepareHeartbeat(probe, turn)
+	// Checked again after the deadline is computed: waiting for the lock of the core
+	// may have taken long, and the lease must end before the next owner assumes
+	// that it has expired.
+	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
+		c.settle(h)
+		return heartbeat{}, errOwnershipStale
+	}
+	return h, nil
+}
+
+// prepareHeartbeat decides what the next heartbeat says, and tells the core of it.
+func (c *workerClient) prepareHeartbeat(probe bool, turn time.Duration) heartbeat {
 	c.shard.mu.Lock()
-	incarnation, cursor := c.shard.core.AckCursor(c.id)
-	if c.shard.core.HasRuns(c.id) {
+	defer c.shard.mu.Unlock()
+	core := c.shard.core
+	h := heartbeat{wait: idleHeartbeatWait}
+	if core.HasRuns(c.id) {
 		h.wait = max(busyHeartbeatWait, c.shard.heartbeats.interval())
 	}
 	h.wait = max(0, h.wait-turn) // so that the report is no older than without a turn
-	extend := !probe && c.shard.core.WantsLease(c.id)
-	c.shard.mu.Unlock()
-	if incarnation == c.knownIncarnation() { // otherwise the cursor counts the ends of another one
+	// The cursor may count the ends of another incarnation than that of the known clock.
+	if incarnation, cursor := core.AckCursor(c.id); incarnation == c.knownIncarnation() {
 		h.cursor = cursor
 	}
 	until := c.workerDeadline(workerLeaseTTL)
 	if probe || until == 0 {
 		h.wait = 0
 	}
-	if extend && until != 0 {
+	if !probe && until != 0 && core.WantsLease(c.id) {
 		h.until = until
-		c.recordLease(workerLeaseTTL)
+		core.RecordLease(c.id, leaseExpiry(workerLeaseTTL))
 	}
 	h.sentAt = time.Now()
-	c.shard.mu.Lock()
-	c.shard.core.AwaitAnswer(c.id, h.sentAt)
+	core.AwaitAnswer(c.id, h.sentAt)
 	if c.mayRelay(probe, h.sentAt) {
 		h.via = c.shard.relays.heartbeatSession(c.id)
 	}
-	c.shard.mu.Unlock()
-	// Checked again after the deadline is computed: waiting for the lock of the core
-	// may have taken long, and the lease must end before the next owner assumes
-	// that it has expired.
-	if !c.shard.service.ownership.MayRenewLeases(time.Now()) {
-		c.settle(h)
-		return heartbeat{}, errOwnershipStale
-	}
-	return h, nil
+	return h
 }
 
 // mayRelay reports whether a heartbeat may go through another entry. A probe goes directly,
