--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/follower"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
@@ -106,6 +107,7 @@
 	outage    outageDetector
 	store     kv.Client
 	relay     startRelay
+	follower  listFollower // nil if the instance list is always read directly
 
 	heartbeatRelay heartbeatRelay
 
@@ -142,6 +144,9 @@
 	if s.heartbeatRelay, err = registry.Find[heartbeatRelay](k, relayServiceName); err != nil {
 		return errors.Errorf("find relay of heartbeats: %w", err)
 	}
+	if s.follower, err = registry.Find[listFollower](k, follower.ServiceName); err != nil {
+		return errors.Errorf("find follower of the instance list: %w", err)
+	}
 	s.Begin(ctx, s.runTerms)
 	return nil
 }
