job/owner: the list is read through entries that send no heartbeats, if there are any

The first of the entries that send starts and heartbeats for the owner also read the instance list, which is 76 KB/s of the 250 KB/s of its link on a small twin with 214 workers.

--- a/internal/job/owner/listsource.go
+++ b/internal/job/owner/listsource.go
@@ -106,7 +106,7 @@
 // one if the list is large.
 func (s *listSource) update(pace *readPace) {
 	sv := s.shard.service
-	entries := sv.ownership.StartRelays()
+	entries := listReaders(sv.ownership.StartRelays())
 	if via := s.entry(); via != "" && !slices.Contains(entries, via) {
 		s.fail(via, errEntryLeft, time.Now())
 	}
@@ -118,6 +118,13 @@
 	}
 }
 
+// listReaders returns the entries in the order in which they are tried: those that send no
+// starts or heartbeats for the owner come first, as the list takes as much of their links.
+func listReaders(entries []unit.EntryID) []unit.EntryID {
+	relays := min(len(entries), maxRelays)
+	return slices.Concat(entries[relays:], entries[:relays])
+}
+
 // entry returns the entry to read through, or "".
 func (s *listSource) entry() unit.EntryID {
 	if s == nil {
--- a/internal/job/owner/listsource_test.go
+++ b/internal/job/owner/listsource_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/follower"
@@ -161,3 +162,25 @@
 		})
 	}
 }
+
+// TestListReaders guards against an entry that reads the list beside sending heartbeats
+// while others do neither.
+func TestListReaders(t *testing.T) {
+	entries := []unit.EntryID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	tests := []struct {
+		name    string
+		entries []unit.EntryID
+		want    []unit.EntryID
+	}{
+		{"none", nil, nil},
+		{"few", entries[:3], entries[:3]},
+		{"more than relays", entries, []unit.EntryID{"i", "j", "a", "b", "c", "d", "e", "f", "g", "h"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, listReaders(tt.entries), cmpopts.EquateEmpty()); diff != "" {
+				t.Errorf("entries (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
