job/owner: heartbeats of other entries count with their own bytes on the owner's link

Callers of a small twin saw quick quotes late by 3 s although little waited to be placed: the owner heard each worker every 1.4 s, so that the next step of a job started late (reports: 150 a second from 214 workers). The pacer counted 400 bytes for a heartbeat, also where another entry sends it and the owner's link carries a part of a batch.

The rate follows from the share of heartbeats that go through other entries; whether they do is decided by the interval of direct ones.

TestHeartbeatInterval has the cases; they do not compile before.

--- a/internal/job/owner/heartbeatpacer_test.go
+++ b/internal/job/owner/heartbeatpacer_test.go
@@ -219,24 +219,30 @@
 }
 
 // TestHeartbeatInterval guards against an owner that takes the answers to its own heartbeats
-// for late, as the link carries those to all workers only in a longer time.
+// for late, as the link carries those to all workers only in a longer time, and against
+// heartbeats of other entries that are as rare as if the owner's link carried them.
 func TestHeartbeatInterval(t *testing.T) {
 	tests := []struct {
 		name    string
 		link    unit.BitRate
 		workers int
+		relayed float64
 		want    time.Duration
 	}{
-		{"no bound", 0, 100, 0},
-		{"2 Mbit/s, no workers", 2_000_000, 0, 0},
-		{"2 Mbit/s, 100 workers", 2_000_000, 100, 800 * time.Millisecond}, // of 125 heartbeats a second in all
-		{"2 Mbit/s, 600 workers", 2_000_000, 600, maxHeartbeatInterval},
-		{"200 Mbit/s, 100 workers", 200_000_000, 100, 8 * time.Millisecond},
+		{"no bound", 0, 100, 0, 0},
+		{"no bound, relayed", 0, 100, 1, 0},
+		{"2 Mbit/s, no workers", 2_000_000, 0, 0, 0},
+		{"2 Mbit/s, 100 workers", 2_000_000, 100, 0, 800 * time.Millisecond}, // of 125 heartbeats a second in all
+		{"2 Mbit/s, 100 workers, relayed", 2_000_000, 100, 1, 240 * time.Millisecond},
+		{"2 Mbit/s, 100 workers, half of them relayed", 2_000_000, 100, 0.5, 520 * time.Millisecond},
+		{"2 Mbit/s, 600 workers", 2_000_000, 600, 0, maxHeartbeatInterval},
+		{"200 Mbit/s, 100 workers", 200_000_000, 100, 0, 8 * time.Millisecond},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := newHeartbeatPacer(tt.link)
 			p.setWorkers(tt.workers, time.Now())
+			p.setRelayed(tt.relayed, time.Now())
 			if diff := cmp.Diff(tt.want, p.interval().Round(time.Microsecond)); diff != "" {
 				t.Errorf("interval (-want +got):\n%s", diff)
 			}
--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -127,7 +127,7 @@
 
 // startRelays returns through how many entries starts are sent.
 func (p *relayPool) startRelays() int {
-	if p.sharing > 0 && p.shard.heartbeats.interval() <= busyHeartbeatWait {
+	if p.sharing > 0 && p.shard.heartbeats.directInterval() <= busyHeartbeatWait {
 		return maxStartRelays
 	}
 	return maxRelays // the link is short
@@ -140,6 +140,7 @@
 		p.updatedAt = now
 		p.replace(p.shard.service.ownership.StartRelays())
 		p.shareHeartbeats()
+		p.shard.heartbeats.setRelayed(p.relayedShare(), now)
 	}
 	count := scheduler.StartRelays{Registered: len(p.relays), Preferred: p.sharing > 0}
 	for _, r := range p.relays {
@@ -173,7 +174,7 @@
 // shareHeartbeats decides through how many entries heartbeats are sent.
 func (p *relayPool) shareHeartbeats() {
 	options := p.shard.service.options
-	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.interval()
+	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.directInterval()
 	n := heartbeatRelays(workers, options.Processor, interval)
 	if n == 0 && p.sharing > 0 {
 		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval)
@@ -185,6 +186,20 @@
 	p.sharing = n
 }
 
+// relayedShare returns the share of the heartbeats that other entries send.
+func (p *relayPool) relayedShare() float64 {
+	if p.sharing == 0 {
+		return 0
+	}
+	live := 0
+	for _, r := range p.relays {
+		if r.rank < p.sharing && r.session.Load() != nil {
+			live++
+		}
+	}
+	return float64(live) / float64(p.sharing)
+}
+
 // heartbeatSession returns the session in which the heartbeats to a worker are sent, or nil
 // if they are sent directly.
 func (p *relayPool) heartbeatSession(id unit.InstanceID) *heartbeatSession {
