job/scheduler: a new occurrence searches only workers that report unknown runs

Each new occurrence went over all workers, nearly none of which has unknown runs. The core keeps the workers that may have some.

TestReportingUnknown fails if a worker is not recorded.

--- a/internal/job/scheduler/candidate.go
+++ b/internal/job/scheduler/candidate.go
@@ -55,7 +55,8 @@
 // newCandidates returns the candidates for the tasks of one step. They use a buffer of
 // the core, so one step is placed at a time.
 func (c *Core) newCandidates(now time.Time) *candidates {
-	return &candidates{core: c, now: now, heap: c.candidateBuffer[:0]}
+	c.candidates = candidates{core: c, now: now, heap: c.candidates.heap[:0]}
+	return &c.candidates
 }
 
 // best returns the worker with the best score for a task of the step, or nil if no
@@ -88,7 +89,7 @@
 		}
 	}
 	heap.Init(&q.heap)
-	q.core.candidateBuffer, q.ranked = q.heap, true
+	q.ranked = true
 }
 
 // rescoreFirst scores the first candidate again, on which the last task has started.
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,7 +51,7 @@
 	durations         *duration.Estimator
 	policy            policy
 	startBudget       startBudget
-	candidateBuffer   candidateHeap            // reused by newCandidates
+	candidates        candidates               // of the step that is being placed
 	classShares       map[unit.ClassID]float64 // reused by learnFromTails
 	// openWorkers are, of the workers of each service that the last placement pass has
 	// ranked, those that were open, sorted by id.
@@ -70,6 +70,8 @@
 	// unresolved are the workers that have not reported all of their runs and ends since
 	// the takeover and may still run tasks of an earlier owner.
 	unresolved map[unit.InstanceID]bool
+	// reportingUnknown are the workers that may have unknown runs.
+	reportingUnknown map[unit.InstanceID]*worker
 	// inheritedLeasesExpireAt is when every lease granted by earlier owners has
 	// expired, so that no unresolved worker still runs their tasks.
 	inheritedLeasesExpireAt time.Time
@@ -108,6 +110,7 @@
 		durations:               duration.New(),
 		durableWorkers:          map[unit.InstanceID]bool{},
 		unresolved:              map[unit.InstanceID]bool{},
+		reportingUnknown:        map[unit.InstanceID]*worker{},
 		inheritedLeasesExpireAt: inheritedLeasesExpireAt,
 	}
 	c.policy = adaptivePolicy{c}
--- a/internal/job/scheduler/derived_test.go
+++ b/internal/job/scheduler/derived_test.go
@@ -84,6 +84,31 @@
 	}
 }
 
+// TestReportingUnknown guards against a worker with unknown runs that is not among those
+// searched for the runs of a new occurrence, so that a task would start twice.
+func TestReportingUnknown(t *testing.T) {
+	f := newBenchFleet(12, 20)
+	seen := 0
+	for range 5000 {
+		f.step()
+		f.disturb()
+		for id, w := range f.core.workers {
+			seen += len(w.unknownRuns)
+			if len(w.unknownRuns) > 0 && f.core.reportingUnknown[id] != w {
+				t.Fatalf("worker %s with %d unknown runs is missing", id, len(w.unknownRuns))
+			}
+		}
+		for id, w := range f.core.reportingUnknown {
+			if f.core.workers[id] != w {
+				t.Fatalf("worker %s is not known any more", id)
+			}
+		}
+	}
+	if seen == 0 {
+		t.Error("no unknown runs")
+	}
+}
+
 // TestReusedView guards against a view of a worker that has kept parts of the one before,
 // whose buffers it uses: best-effort tasks would be placed beside serving ones by old shares.
 func TestReusedView(t *testing.T) {
--- a/internal/job/scheduler/early.go
+++ b/internal/job/scheduler/early.go
@@ -67,10 +67,7 @@
 // core knew it. Their stops are ordered already; no task starts again before its run has
 // ended.
 func (c *Core) adoptEarlyRuns(j *job, k graph.Occurrence, now time.Time) {
-	for _, w := range c.workers {
-		if len(w.unknownRuns) == 0 {
-			continue
-		}
+	for _, w := range c.reportingUnknown {
 		for _, id := range slices.Collect(maps.Keys(w.unknownRuns)) {
 			if id.task.Job != j.spec.ID || id.task.Occurrence != k {
 				continue
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -49,6 +49,9 @@
 	for _, s := range report.Running {
 		c.observeRun(w, s, report.RequestedAt, now)
 	}
+	if len(w.unknownRuns) == 0 {
+		delete(c.reportingUnknown, w.id)
+	}
 	for id := range w.unknownRuns {
 		c.stopUnknownRun(w, id, stopsUnderWay[id])
 	}
@@ -164,7 +167,7 @@
 func (c *Core) observeRun(w *worker, status RunStatus, requestedAt, now time.Time) {
 	t := c.lookupTask(status.Task)
 	if t == nil {
-		w.unknownRuns[runID{status.Task, status.Run}] = false
+		c.addUnknownRun(w, status)
 		return
 	}
 	t.lastRun = max(t.lastRun, status.Run)
@@ -209,7 +212,7 @@
 	}
 	wanted := !t.done && t.job().final == 0 && (len(t.runs) == 0 || t.step.spec.Speculative) && w.runs[status.Task] == nil
 	if !wanted {
-		w.unknownRuns[runID{status.Task, status.Run}] = false
+		c.addUnknownRun(w, status)
 		c.requeue(t)
 		return nil
 	}
@@ -228,6 +231,12 @@
 	return r
 }
 
+// addUnknownRun records a reported run that no task needs.
+func (c *Core) addUnknownRun(w *worker, status RunStatus) {
+	w.unknownRuns[runID{status.Task, status.Run}] = false
+	c.reportingUnknown[w.id] = w
+}
+
 // stopUnknownRun orders the stop of a run that no task needs, unless a stop is under
 // way. The capacity that the run takes is unknown, so nothing starts on the worker
 // while it is reported.
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -54,7 +54,10 @@
 // ConfirmSnapshot.
 func (c *Core) Snapshot() Snapshot {
 	c.progressChanged = false
-	s := Snapshot{Jobs: map[unit.JobID]Progress{}, endPositions: map[unit.InstanceID]endPosition{}}
+	s := Snapshot{
+		Jobs:         make(map[unit.JobID]Progress, len(c.openJobs)),
+		endPositions: make(map[unit.InstanceID]endPosition, len(c.workers)),
+	}
 	for id, j := range c.openJobs {
 		p := j.progress()
 		if len(j.occurrences) < j.spec.Occurrences() {
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -112,6 +112,7 @@
 	for id, w := range c.workers {
 		if !w.listed && len(w.runs) == 0 && now.After(w.leaseExpiry) && !c.unresolved[id] {
 			delete(c.workers, id)
+			delete(c.reportingUnknown, id)
 		}
 	}
 	c.rebuildWorkerPools()
