--- a/internal/job/owner/heartbeatsession.go
+++ b/internal/job/owner/heartbeatsession.go
@@ -213,7 +213,8 @@
 	}
 }
 
-// settle takes an answer to its heartbeat, which is not pending any more.
+// settle takes an answer to its heartbeat, which is not pending any more unless the answer
+// cannot be used.
 func (s *heartbeatSession) settle(a RelayedAnswer) (settledHeartbeat, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -221,9 +222,9 @@
 	if p == nil {
 		return settledHeartbeat{}, errors.Errorf("answer to heartbeat %d, which is not pending", a.Number)
 	}
-	delete(s.pending, a.Number)
 	h := settledHeartbeat{pendingHeartbeat: p, client: p.client, clock: a.Clock}
 	if a.Error != "" {
+		delete(s.pending, a.Number)
 		p.err = errors.Errorf("hold via %s: %s", s.entry, a.Error)
 		return h, nil
 	}
@@ -231,6 +232,7 @@
 	if h.report, err = p.worker.delta.Decode(a.Report); err != nil {
 		return settledHeartbeat{}, errors.Errorf("decode report: %w", err)
 	}
+	delete(s.pending, a.Number)
 	h.report.RequestedAt = p.sentAt
 	p.ends = len(h.report.Ended)
 	return h, nil
--- a/internal/job/owner/heartbeatsession_test.go
+++ b/internal/job/owner/heartbeatsession_test.go
@@ -318,6 +318,9 @@
 		{"answered twice", func(hs []RelayedHeartbeat) []RelayedAnswer {
 			return []RelayedAnswer{{Number: hs[0].Number}, {Number: hs[0].Number}}
 		}, errSessionEnded},
+		{"malformed report", func(hs []RelayedHeartbeat) []RelayedAnswer {
+			return []RelayedAnswer{{Number: hs[0].Number, Report: delta.Report{Running: []byte{0xff}}}}
+		}, errSessionEnded},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -332,7 +335,9 @@
 					_, err := session.run(t.Context())
 					ran <- err
 				}()
-				_, err := session.exchange(t.Context(), sh.workerClients["w000"], heartbeat{sentAt: time.Now()})
+				ctx, cancel := context.WithTimeout(t.Context(), lateAnswerLimit)
+				defer cancel()
+				_, err := session.exchange(ctx, sh.workerClients["w000"], heartbeat{sentAt: time.Now()})
 				if !errors.Is(err, tt.want) {
 					t.Errorf("got error %v, want %v", err, tt.want)
 				}
