job/owner: an old heartbeat that is sent again neither extends a lease nor acknowledges ends

When a session of heartbeats through another entry ends, the owner sends those under way again itself, up to lateAnswerLimit (7 s) after they were prepared. By then the worker may be another incarnation, which a probe has found and where tasks were started: the number of ends of the earlier one makes it forget ends that the owner has not read, so that done tasks run again, and the deadline of the earlier clock grants the longest lease. The entry itself sends nothing that is older than maxHeartbeatDelay for that reason.

Change: a heartbeat that is older than maxHeartbeatDelay is sent again as a request for a report only. The owner has counted its lease, so nothing is believed to end too early.

TestRepeatedHeartbeat, case "late": before, Until 7000 and Cursor 57 are sent again after 1 s; after, ok.

--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -65,7 +65,8 @@
 	// HeartbeatTimeout is how long after a relayed heartbeat its answer is still read.
 	HeartbeatTimeout = lateAnswerLimit
 	// maxHeartbeatDelay is how long after a heartbeat was passed on it may be sent to its
-	// worker. Later the number of the ends that it acknowledges may be outdated.
+	// worker, and how long after it was prepared it may be sent again directly. Later the
+	// number of the ends that it acknowledges may be outdated.
 	maxHeartbeatDelay = time.Second
 	// exchangeTimeout is the time in which an entry has to answer a call of a session. An
 	// entry that falls silent must not make all its workers count as not reached.
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -153,6 +153,18 @@
 	via    *heartbeatSession // through another entry; nil: directly
 }
 
+// repeated returns the heartbeat as it is sent again at a time. Soon after the first time it
+// has the same effect. Later the worker may be another incarnation, to which neither the
+// deadline nor the cursor apply, so the heartbeat only asks for a report.
+func (h heartbeat) repeated(now time.Time) heartbeat {
+	age := now.Sub(h.sentAt)
+	h.wait = max(0, h.wait-age)
+	if age > maxHeartbeatDelay {
+		h.until, h.cursor = 0, 0
+	}
+	return h
+}
+
 // answer is the outcome of a heartbeat.
 type answer struct {
 	number int
@@ -338,9 +350,7 @@
 	if h.via == nil {
 		ends, err = c.exchangeDirectly(ctx, h)
 	} else if ends, err = h.via.exchange(ctx, c, h); errors.Is(err, errSessionEnded) {
-		// Sent twice, a heartbeat has the same effect.
-		h.wait = max(0, h.wait-time.Since(h.sentAt))
-		ends, err = c.exchangeDirectly(ctx, h)
+		ends, err = c.exchangeDirectly(ctx, h.repeated(time.Now()))
 	}
 	if err != nil {
 		c.settle(h)
