job/owner, job/relay: an idle session of heartbeats ends before the entry drops it

An entry drops a session without calls after 5 s. The owner kept its side, and the next heartbeats failed with "session is not known", were sent directly, and the entry got no heartbeats for 30 s. Sessions idle that long when the number of sharing entries changes, when the fleet shrinks and grows again, and after each short fault, as workers are then heartbeated directly for 10 s.

Change: the owner ends a session that was not used for half of that time, and begins the next one at once.

--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -64,6 +64,8 @@
 	MaxHeartbeatsUnderWay = 2048
 	// HeartbeatTimeout is how long after a relayed heartbeat its answer is still read.
 	HeartbeatTimeout = lateAnswerLimit
+	// SessionIdleTimeout is how long an entry keeps a session without calls.
+	SessionIdleTimeout = 5 * time.Second
 	// maxHeartbeatDelay is how long after a heartbeat was passed on it may be sent to its
 	// worker, and how long after it was prepared it may be sent again directly. Later the
 	// number of the ends that it acknowledges may be outdated.
--- a/internal/job/owner/heartbeatsession.go
+++ b/internal/job/owner/heartbeatsession.go
@@ -18,6 +18,13 @@
 // may have been sent, and its answer is lost.
 var errSessionEnded = errors.New("session of relayed heartbeats ended")
 
+// errSessionIdle means that a session was not used for maxSessionIdle.
+var errSessionIdle = errors.New("session of heartbeats not used")
+
+// maxSessionIdle is how long a session is kept without heartbeats. It ends before the entry
+// drops it, as a call to a dropped session fails.
+const maxSessionIdle = SessionIdleTimeout / 2
+
 // heartbeatSession sends heartbeats through one entry, one call after the other.
 type heartbeatSession struct {
 	shard *shard
@@ -111,13 +118,13 @@
 	p.client = nil
 }
 
-// run passes heartbeats on and applies their answers, until a call fails or the context
-// ends. It returns the number of answered calls and the error of the last one.
+// run passes heartbeats on and applies their answers, until a call fails, the session is idle
+// for long or the context ends. It returns the number of answered calls and the error of the last one.
 func (s *heartbeatSession) run(ctx context.Context) (answered uint64, err error) {
 	defer s.end()
 	for call := uint64(1); ; call++ {
-		if !s.awaitWork(ctx) {
-			return answered, ctx.Err()
+		if err := s.awaitWork(ctx, answered > 0); err != nil {
+			return answered, err
 		}
 		now := time.Now()
 		b := HeartbeatBatch{Session: s.id, Call: call, Fence: s.shard.term.Epoch, Deadline: now.Add(maxHeartbeatDelay), Heartbeats: s.take()}
@@ -134,20 +141,28 @@
 	}
 }
 
-// awaitWork waits until there are heartbeats to send or answers to wait for, and returns
-// false if the context ends.
-func (s *heartbeatSession) awaitWork(ctx context.Context) bool {
+// awaitWork waits until there are heartbeats to send or answers to wait for. It fails if the
+// context ends, or if a session that the entry knows is idle for long.
+func (s *heartbeatSession) awaitWork(ctx context.Context, known bool) error {
 	s.mu.Lock()
 	idle := len(s.pending) == 0
 	s.mu.Unlock()
 	if !idle {
-		return ctx.Err() == nil
+		return ctx.Err()
+	}
+	var expired <-chan time.Time
+	if known {
+		timer := time.NewTimer(maxSessionIdle)
+		defer timer.Stop()
+		expired = timer.C
 	}
 	select {
 	case <-ctx.Done():
-		return false
+		return ctx.Err()
+	case <-expired:
+		return errSessionIdle
 	case <-s.wake:
-		return true
+		return nil
 	}
 }
 
--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -281,8 +281,11 @@
 		if answered > 0 {
 			r.useful.Store(true)
 		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errSessionIdle):
+			continue
 		}
 		r.shard.log.Info("session of heartbeats ended", "via", r.entry, "calls", answered, "error", err.Error())
 		if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrUnknown) {
--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -272,7 +272,7 @@
 		now := time.Now()
 		s.closeClients(now.Add(-clientIdleTimeout))
 		s.dropSpecs(now.Add(-specIdleTimeout))
-		s.dropSessions(now.Add(-sessionIdleTimeout))
+		s.dropSessions(now.Add(-owner.SessionIdleTimeout))
 	}
 	s.abortHeartbeats()
 	s.heartbeats.Wait()
--- a/internal/job/relay/session.go
+++ b/internal/job/relay/session.go
@@ -28,8 +28,6 @@
 	maxAnswerDelay = 100 * time.Millisecond
 	// maxAnswers is the largest number of answers that one call returns.
 	maxAnswers = 256
-	// sessionIdleTimeout is how long a session without calls is kept.
-	sessionIdleTimeout = 5 * time.Second
 )
 
 // session holds what another entry has passed on in one session of heartbeats.
