job/owner: sharing of heartbeats ends at three quarters of its size on small links too

Once heartbeats are shared with other entries they stay shared down to three quarters of that size. Only the number of workers was scaled for that, not the interval that the link asks for, so where the link is what is short, each worker that comes or goes moved all heartbeats.

Change: the interval is scaled as well; it is proportional to the number of workers.

TestShareHysteresis, case "link": before, "shared from 51 workers on and down to 51, want at most 39"; after, ok.

--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -176,7 +176,7 @@
 	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.interval()
 	n := heartbeatRelays(workers, options.Processor, interval)
 	if n == 0 && p.sharing > 0 {
-		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval)
+		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval*100/relayHysteresis)
 	}
 	if n != p.sharing {
 		p.shard.log.Info("entries that send heartbeats and starts for the owner", "entries", n, "before", p.sharing, "workers", workers,
