job/owner: a call of a session may take as long as a late worker on a small link

On a link that asks for an interval of up to 1 s a worker counts as not reached only after that time. A call of a session had 0.6 s on every link, so that a full one, such as when a large configuration comes, ends all sessions at once: all heartbeats under way are sent again directly on that link, and the entries are left out for 1 s to 30 s, for starts as well.

Change: a call may take the slack of a worker, which grows with the interval, and 0.1 s.

TestExchangeTimeout, case "full link": before, the session ended; after, ok. The other cases keep the bound.

--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -70,14 +70,21 @@
 	// worker, and how long after it was prepared it may be sent again directly. Later the
 	// number of the ends that it acknowledges may be outdated.
 	maxHeartbeatDelay = time.Second
-	// exchangeTimeout is the time in which an entry has to answer a call of a session. An
-	// entry that falls silent must not make all its workers count as not reached.
-	exchangeTimeout = responseSlack + 100*time.Millisecond
+	// exchangeSlack is how much longer than a worker an entry may take to answer a call of a
+	// session.
+	exchangeSlack = 100 * time.Millisecond
 	// directPeriod is how long heartbeats to a worker are sent directly after one had no
 	// answer in time, as the worker may be reached from here and not from another entry.
 	directPeriod = 10 * time.Second
 )
 
+// exchangeTimeout returns the time in which an entry has to answer a call of a session, for
+// an interval that the link asks for. An entry that falls silent must not make all its
+// workers count as not reached.
+func exchangeTimeout(interval time.Duration) time.Duration {
+	return max(responseSlack, interval) + exchangeSlack
+}
+
 // Cost of calls and sizes by which heartbeats are shared with other entries.
 const (
 	// callTime is about the processor time of one heartbeat or start: request, answer and
--- a/internal/job/owner/heartbeatsession.go
+++ b/internal/job/owner/heartbeatsession.go
@@ -128,7 +128,7 @@
 		}
 		now := time.Now()
 		b := HeartbeatBatch{Session: s.id, Call: call, Fence: s.shard.term.Epoch, Deadline: now.Add(maxHeartbeatDelay), Heartbeats: s.take()}
-		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout(s.shard.heartbeats.interval()))
 		answers, err := s.shard.service.heartbeatRelay.ExchangeHeartbeats(callCtx, s.entry, b)
 		cancel()
 		if err != nil {
