--- a/internal/job/owner/relay.go
+++ b/internal/job/owner/relay.go
@@ -177,7 +177,7 @@
 	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.directInterval()
 	n := heartbeatRelays(workers, options.Processor, interval)
 	if n == 0 && p.sharing > 0 {
-		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval)
+		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval*100/relayHysteresis)
 	}
 	if n != p.sharing {
 		p.shard.log.Info("entries that send heartbeats and starts for the owner", "entries", n, "before", p.sharing, "workers", workers,
@@ -296,8 +296,11 @@
 		if answered > 0 {
 			r.useful.Store(true)
 		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errSessionIdle):
+			continue
 		}
 		r.shard.log.Info("session of heartbeats ended", "via", r.entry, "calls", answered, "error", err.Error())
 		if errors.Is(err, mesh.ErrUnreachable) || errors.Is(err, mesh.ErrUnknown) {
