job/owner: a worker that another entry does not reach stays with direct heartbeats for longer

An entry that answers the owner but not a worker made that worker late once each 11 s for good: 10 s of direct heartbeats, then one failed heartbeat through the entry (found in review). The period doubles with each failure in a row, up to 5 minutes, and begins anew once a heartbeat through an entry is answered in time. The exchange of a heartbeat has a file of its own.

--- /dev/null
+++ b/internal/job/owner/heartbeatexchange.go
@@ -0,0 +1,83 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/report/metric"
+)
+
+// exchange sends one heartbeat, passes the report to the core and returns the number of
+// ends in it.
+func (c *workerClient) exchange(h heartbeat) (ends int, err error) {
+	ctx, cancel := context.WithDeadline(c.ctx, h.sentAt.Add(lateAnswerLimit))
+	defer cancel()
+	if h.via == nil {
+		ends, err = c.exchangeDirectly(ctx, h)
+	} else if ends, err = c.exchangeThrough(ctx, h); errors.Is(err, errSessionEnded) {
+		ends, err = c.exchangeDirectly(ctx, h.repeated(time.Now()))
+	}
+	if err != nil {
+		c.settle(h)
+		return 0, errors.Errorf("hold: %w", err)
+	}
+	return ends, nil
+}
+
+// exchangeThrough is exchange through another entry.
+func (c *workerClient) exchangeThrough(ctx context.Context, h heartbeat) (ends int, err error) {
+	ends, err = h.via.exchange(ctx, c, h)
+	late := time.Since(h.sentAt) > h.wait+max(responseSlack, c.shard.heartbeats.interval())
+	c.recordRelayed(err == nil && !late)
+	return ends, err
+}
+
+// exchangeDirectly is exchange without another entry.
+func (c *workerClient) exchangeDirectly(ctx context.Context, h heartbeat) (ends int, err error) {
+	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
+	if err != nil {
+		return 0, err
+	}
+	c.recordAnswer(h, report, clock)
+	c.shard.update(func(core *scheduler.Core, now time.Time) {
+		core.HandleReport(c.id, report, now)
+		core.AnswerSettled(c.id, h.sentAt)
+	})
+	return len(report.Ended), nil
+}
+
+// recordAnswer records what the answer to a heartbeat shows beside the state of the runs.
+func (c *workerClient) recordAnswer(h heartbeat, report scheduler.Report, clock unit.WorkerTime) {
+	if time.Since(h.sentAt) > h.wait+responseSlack {
+		metric.LateAnswers.Add(1)
+	}
+	metric.Reports.Add(1)
+	c.recordClock(clock, report.Incarnation)
+	for _, e := range report.Ended {
+		if e.Number > h.cursor {
+			metric.RunEnds.Add(e.Kind.String(), 1)
+		}
+	}
+}
+
+// mustSendDirectly reports whether a heartbeat may not go through another entry. A probe may
+// not, and neither may those that follow it for a while.
+func (c *workerClient) mustSendDirectly(probe bool, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if probe {
+		c.direct.begin(now)
+	}
+	return now.Before(c.direct.until)
+}
+
+// recordRelayed records whether a heartbeat that went through another entry was answered.
+func (c *workerClient) recordRelayed(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.direct.recordRelayed(answered)
+}
--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -73,9 +73,11 @@
 	// exchangeSlack is how much longer than a worker an entry may take to answer a call of a
 	// session.
 	exchangeSlack = 100 * time.Millisecond
-	// directPeriod is how long heartbeats to a worker are sent directly after one had no
-	// answer in time, as the worker may be reached from here and not from another entry.
-	directPeriod = 10 * time.Second
+	// minDirectPeriod and maxDirectPeriod bound how long heartbeats to a worker are sent
+	// directly after one had no answer in time, as the worker may be reached from here and
+	// not from another entry.
+	minDirectPeriod = 10 * time.Second
+	maxDirectPeriod = 5 * time.Minute
 )
 
 // exchangeTimeout returns the time in which an entry has to answer a call of a session, for
@@ -112,3 +114,27 @@
 	}
 	return min((workers+workersPerRelay-1)/workersPerRelay, maxRelays)
 }
+
+// directPeriod is a time in which heartbeats to a worker are sent directly.
+type directPeriod struct {
+	until    time.Time
+	failures int // heartbeats through other entries in a row that had no answer in time
+}
+
+// begin begins a period, which is twice as long with each further failure in a row.
+func (p *directPeriod) begin(now time.Time) {
+	length := minDirectPeriod
+	for range max(p.failures-1, 0) {
+		length = min(2*length, maxDirectPeriod)
+	}
+	p.until = now.Add(length)
+}
+
+// recordRelayed records whether a heartbeat through another entry was answered in time.
+func (p *directPeriod) recordRelayed(answered bool) {
+	if answered {
+		p.failures = 0
+	} else {
+		p.failures++
+	}
+}
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -12,7 +12,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
-	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
 // Timeouts and intervals of the requests to a worker.
@@ -70,7 +69,7 @@
 	clockReadAt time.Time       // when the answer with that reading arrived
 	incarnation scheduler.Incarnation
 	orderTime   time.Duration // that the last order took, with or without an answer
-	directUntil time.Time     // before it no heartbeat goes through another entry
+	direct      directPeriod  // in which no heartbeat goes through another entry
 }
 
 func newWorkerClient(sh *shard, listing scheduler.Listing) *workerClient {
@@ -318,71 +317,15 @@
 	}
 	h.sentAt = time.Now()
 	core.AwaitAnswer(c.id, h.sentAt)
-	if c.mayRelay(probe, h.sentAt) {
+	if !c.mustSendDirectly(probe, h.sentAt) {
 		h.via = c.shard.relays.heartbeatSession(c.id)
 	}
 	return h
 }
 
-// mayRelay reports whether a heartbeat may go through another entry. A probe goes directly,
-// and so do those that follow it for a while.
-func (c *workerClient) mayRelay(probe bool, now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if probe {
-		c.directUntil = now.Add(directPeriod)
-	}
-	return !now.Before(c.directUntil)
-}
-
 // settle tells the core that no answer to a heartbeat will come.
 func (c *workerClient) settle(h heartbeat) {
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	c.shard.core.AnswerSettled(c.id, h.sentAt)
 }
-
-// exchange sends one heartbeat, passes the report to the core and returns the number of
-// ends in it.
-func (c *workerClient) exchange(h heartbeat) (ends int, err error) {
-	ctx, cancel := context.WithDeadline(c.ctx, h.sentAt.Add(lateAnswerLimit))
-	defer cancel()
-	if h.via == nil {
-		ends, err = c.exchangeDirectly(ctx, h)
-	} else if ends, err = h.via.exchange(ctx, c, h); errors.Is(err, errSessionEnded) {
-		ends, err = c.exchangeDirectly(ctx, h.repeated(time.Now()))
-	}
-	if err != nil {
-		c.settle(h)
-		return 0, errors.Errorf("hold: %w", err)
-	}
-	return ends, nil
-}
-
-// exchangeDirectly is exchange without another entry.
-func (c *workerClient) exchangeDirectly(ctx context.Context, h heartbeat) (ends int, err error) {
-	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
-	if err != nil {
-		return 0, err
-	}
-	c.recordAnswer(h, report, clock)
-	c.shard.update(func(core *scheduler.Core, now time.Time) {
-		core.HandleReport(c.id, report, now)
-		core.AnswerSettled(c.id, h.sentAt)
-	})
-	return len(report.Ended), nil
-}
-
-// recordAnswer records what the answer to a heartbeat shows beside the state of the runs.
-func (c *workerClient) recordAnswer(h heartbeat, report scheduler.Report, clock unit.WorkerTime) {
-	if time.Since(h.sentAt) > h.wait+responseSlack {
-		metric.LateAnswers.Add(1)
-	}
-	metric.Reports.Add(1)
-	c.recordClock(clock, report.Incarnation)
-	for _, e := range report.Ended {
-		if e.Number > h.cursor {
-			metric.RunEnds.Add(e.Kind.String(), 1)
-		}
-	}
-}
