job/relay: one answer of a session carries a bounded number of runs and ends

Up to 256 reports were returned at once, whatever they list: with full pages of ends, as after a takeover, one answer takes a link of 2 Mbit/s for seconds, the session ends by its timeout, and the next one begins with the same reports (found in review, by reading). TestCountAnswers does not compile before.

--- a/internal/job/relay/session.go
+++ b/internal/job/relay/session.go
@@ -26,8 +26,11 @@
 	answerInterval = 30 * time.Millisecond
 	// maxAnswerDelay is how long a call waits for the first answer of a worker.
 	maxAnswerDelay = 100 * time.Millisecond
-	// maxAnswers is the largest number of answers that one call returns.
-	maxAnswers = 256
+	// maxAnswers and maxAnswerItems are the largest numbers of answers, and of runs and ends
+	// in them beside the first answer, that one call returns. The first reports after a
+	// takeover may list hundreds of ends each, and the owner's link may be small.
+	maxAnswers     = 256
+	maxAnswerItems = 1024
 )
 
 // session holds what another entry has passed on in one session of heartbeats.
@@ -206,12 +209,24 @@
 	}
 }
 
-// takeAnswers removes up to maxAnswers results and returns them in their compact form.
+// countAnswers returns how many of the results one call returns.
+func countAnswers(results []result) int {
+	items := 0
+	for n, r := range results {
+		items += len(r.report.Running) + len(r.report.Ended)
+		if n == maxAnswers || (n > 0 && items > maxAnswerItems) {
+			return n
+		}
+	}
+	return len(results)
+}
+
+// takeAnswers removes results and returns them in their compact form.
 func (s *session) takeAnswers(now time.Time) []owner.RelayedAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answeredAt = now
-	n := min(len(s.results), maxAnswers)
+	n := countAnswers(s.results)
 	answers := make([]owner.RelayedAnswer, n)
 	for i, r := range s.results[:n] {
 		answers[i] = owner.RelayedAnswer{Number: r.number, Clock: r.clock}
--- a/internal/job/relay/session_test.go
+++ b/internal/job/relay/session_test.go
@@ -215,6 +215,37 @@
 	})
 }
 
+// TestCountAnswers guards against an answer that takes a small link for seconds, so that the
+// session ends and the next one begins with the same reports.
+func TestCountAnswers(t *testing.T) {
+	results := func(n, runs, ends int) []result {
+		all := make([]result, n)
+		for i := range all {
+			all[i].report = scheduler.Report{Running: make([]scheduler.RunStatus, runs), Ended: make([]scheduler.End, ends)}
+		}
+		return all
+	}
+	tests := []struct {
+		name    string
+		results []result
+		want    int
+	}{
+		{"none", nil, 0},
+		{"some", results(10, 8, 1), 10},
+		{"idle workers", results(maxAnswers+10, 0, 0), maxAnswers},
+		{"many runs", results(200, 8, 0), maxAnswerItems / 8},
+		{"full pages of ends", results(20, 24, 500), 1},
+		{"one with more than fits", results(2, maxAnswerItems+1, 0), 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, countAnswers(tt.results)); diff != "" {
+				t.Errorf("answers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestDropSessions guards against sessions of entries that have left, which pile up.
 func TestDropSessions(t *testing.T) {
 	tests := []struct {
