job/relay: a call of heartbeats after its deadline ends the session

With clocks more than three seconds apart, as one has stepped, an entry answered each heartbeat with an error. Each of its workers counted as not reached, was probed, went directly for 10 s and failed again, for good.

Change: the call fails. The session ends, its heartbeats are sent directly at once without counting as failed, and the entry is tried again after 30 s.

--- a/internal/job/relay/session.go
+++ b/internal/job/relay/session.go
@@ -81,7 +81,8 @@
 }
 
 // handleHeartbeats sends the heartbeats of a call and returns the answers that have come
-// since the last one.
+// since the last one. It fails after the deadline of the call, which ends the session: while
+// the clocks are that far apart all calls of it would be late.
 func (s *Service) handleHeartbeats(ctx context.Context, from mesh.Fingerprint, request []byte) ([]byte, error) {
 	var b owner.HeartbeatBatch
 	if err := cbor.Unmarshal(request, &b); err != nil {
@@ -90,7 +91,11 @@
 	if len(b.Heartbeats) > owner.MaxHeartbeatBatch {
 		return nil, errors.Errorf("%d heartbeats in a call, want at most %d", len(b.Heartbeats), owner.MaxHeartbeatBatch)
 	}
-	session, err := s.sessionOf(from, b, time.Now())
+	now := time.Now()
+	if now.After(b.Deadline.Add(maxClockSkew)) {
+		return nil, errors.New("deadline passed")
+	}
+	session, err := s.sessionOf(from, b, now)
 	if err != nil {
 		return nil, err
 	}
@@ -164,10 +169,6 @@
 // sendHeartbeat sends a heartbeat to its worker.
 func (s *Service) sendHeartbeat(b *owner.HeartbeatBatch, w *sessionWorker, h owner.RelayedHeartbeat) result {
 	r := result{number: h.Number, worker: w}
-	if time.Now().After(b.Deadline.Add(maxClockSkew)) {
-		r.err = errors.New("deadline passed")
-		return r
-	}
 	c := s.acquire(w.key)
 	defer s.release(c)
 	ctx, cancel := context.WithTimeout(s.heartbeatCtx, owner.HeartbeatTimeout)
