job/owner: late answers of the whole fleet do not move its heartbeats back to the owner

Each probe of a worker, also one after a late direct heartbeat, began a period of direct heartbeats. After all answers had been late for a moment, the whole fleet was heartbeated directly, which is more than the processor of an owner that shares them can do, so that answers stayed late, workers were probed, and the periods went on for good.

Change: a period begins only if a heartbeat went through an entry and a probe from here, sent later, was answered before it. That shows that the entry is the reason. If the owner is late, answers are handled in order.

--- a/internal/job/owner/heartbeatexchange.go
+++ b/internal/job/owner/heartbeatexchange.go
@@ -64,15 +64,20 @@
 	}
 }
 
-// mustSendDirectly reports whether a heartbeat may not go through another entry. A probe may
-// not, and neither may those that follow it for a while.
+// mustSendDirectly reports whether a heartbeat may not go through another entry.
 func (c *workerClient) mustSendDirectly(probe bool, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if probe {
-		c.direct.begin(now)
-	}
-	return now.Before(c.direct.until)
+	return probe || now.Before(c.direct.until)
+}
+
+// avoidRelays makes heartbeats go directly for a while, as a probe was answered before the
+// heartbeat that another entry has sent earlier. Where all answers are late that one's comes
+// first, and direct heartbeats would only add to the load.
+func (c *workerClient) avoidRelays(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.direct.begin(now)
 }
 
 // recordRelayed records whether a heartbeat that went through another entry was answered.
--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -74,8 +74,8 @@
 	// session.
 	exchangeSlack = 100 * time.Millisecond
 	// minDirectPeriod and maxDirectPeriod bound how long heartbeats to a worker are sent
-	// directly after one had no answer in time, as the worker may be reached from here and
-	// not from another entry.
+	// directly after a probe was answered before one that another entry has sent earlier, as
+	// the worker may be reached from here and not from there.
 	minDirectPeriod = 10 * time.Second
 	maxDirectPeriod = 5 * time.Minute
 )
--- a/internal/job/owner/heartbeatsession_test.go
+++ b/internal/job/owner/heartbeatsession_test.go
@@ -56,7 +56,34 @@
 type sharedFleet struct {
 	mu      sync.Mutex
 	workers map[unit.InstanceID]*sharedWorker
-	direct  int // calls of the owner
+	direct  int           // calls of the owner
+	delay   time.Duration // until an answer is handled
+	handled time.Time     // when the last answer is
+}
+
+// setDelay sets the delay of the next answers. They are handled in order.
+func (f *sharedFleet) setDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = d
+}
+
+// calls returns the number of calls of the owner.
+func (f *sharedFleet) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.direct
+}
+
+// awaitHandling waits until an answer that has come now is handled.
+func (f *sharedFleet) awaitHandling(ctx context.Context) bool {
+	f.mu.Lock()
+	if at := time.Now().Add(f.delay); at.After(f.handled) {
+		f.handled = at
+	}
+	d := time.Until(f.handled)
+	f.mu.Unlock()
+	return wait.For(ctx, d)
 }
 
 // sharedWorker is a worker of a sharedFleet.
@@ -89,7 +116,7 @@
 	w.lapsed = w.lapsed || (w.run != nil && clock > w.leaseUntil)
 	w.leaseUntil = max(w.leaseUntil, until)
 	w.fleet.mu.Unlock()
-	if !wait.For(ctx, d) {
+	if !wait.For(ctx, d) || !w.fleet.awaitHandling(ctx) {
 		return scheduler.Report{}, 0, ctx.Err()
 	}
 	w.fleet.mu.Lock()
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -166,10 +166,10 @@
 
 // answer is the outcome of a heartbeat.
 type answer struct {
-	number int
-	after  time.Duration // since the heartbeat was sent
-	ends   int           // ends that the worker listed
-	err    error         // nil if the report was passed to the core
+	heartbeat
+	after time.Duration // since the heartbeat was sent
+	ends  int           // ends that the worker listed
+	err   error         // nil if the report was passed to the core
 }
 
 // errLateAnswer means that no answer came in time. It may still come.
@@ -186,6 +186,7 @@
 	defer close(requests)
 	answers := make(chan answer, maxHeartbeatsInFlight)
 	connections, inFlight, failures, number := 0, 0, 0, 0
+	var failed heartbeat // the first of the failures
 
 	// await returns the answer to the heartbeat with the given number, or an error
 	// after d. While the worker is not reached, the answer to another one will do.
@@ -212,6 +213,9 @@
 	reached := func(a answer) {
 		if failures > 0 {
 			c.log.Info("worker reached again", "failures", failures, "after", a.after.String())
+			if failed.via != nil && a.via == nil {
+				c.avoidRelays(time.Now())
+			}
 		}
 		failures = 0
 		if a.ends > 0 {
@@ -247,6 +251,7 @@
 		a, err := await(number, h.wait+max(responseSlack, interval))
 		for err != nil && c.ctx.Err() == nil {
 			if failures++; failures == 1 {
+				failed = h
 				c.log.Info("worker not reached", "error", err.Error())
 			}
 			a, err = await(0, probeDelay(failures, interval))
@@ -272,7 +277,7 @@
 func (c *workerClient) converse(requests <-chan heartbeat, answers chan<- answer) {
 	for h := range requests {
 		ends, err := guard.Value(func() (int, error) { return c.exchange(h) })
-		answers <- answer{number: h.number, after: time.Since(h.sentAt), ends: ends, err: err}
+		answers <- answer{heartbeat: h, after: time.Since(h.sentAt), ends: ends, err: err}
 	}
 }
 
