--- /dev/null
+++ b/internal/job/owner/relaypool.go
@@ -0,0 +1,133 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+)
+
+// relayPool sends batches of starts through other entries. The lock of the shard guards
+// its fields.
+type relayPool struct {
+	shard     *shard
+	relays    map[unit.EntryID]*relayClient
+	updatedAt time.Time
+	sharing   int // number of entries that send heartbeats; 0: the owner does
+}
+
+func newRelayPool(sh *shard) *relayPool {
+	return &relayPool{shard: sh, relays: map[unit.EntryID]*relayClient{}}
+}
+
+// offer queues orders of one batch and reports whether an entry takes it. The starts of
+// the same tasks go through the same entry while that answers, as it has the spec already.
+func (p *relayPool) offer(batch []scheduler.Order) bool {
+	task := batch[0].Task
+	job := xxhash.Sum64String(string(task.Job)) + uint64(task.Index)/scheduler.MaxStartBatch
+	var best *relayClient
+	for _, r := range p.relays {
+		if r.rank < p.startRelays() && r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^job < best.hash^job) {
+			best = r
+		}
+	}
+	if best == nil {
+		return false
+	}
+	best.queue <- batch // has room, as only this function sends
+	return true
+}
+
+// startRelays returns through how many entries starts are sent.
+func (p *relayPool) startRelays() int {
+	if p.sharing > 0 && p.shard.heartbeats.directInterval() <= busyHeartbeatWait {
+		return maxStartRelays
+	}
+	return maxRelays // the link is short
+}
+
+// update replaces the entries that batches are sent through by those that are registered
+// now, at most once in a relayUpdateInterval, and returns how many there are.
+func (p *relayPool) update(now time.Time) scheduler.StartRelays {
+	if now.Sub(p.updatedAt) >= relayUpdateInterval {
+		p.updatedAt = now
+		p.replace(p.shard.service.ownership.StartRelays())
+		p.shareHeartbeats()
+		p.shard.heartbeats.setRelayed(p.relayedShare(), now)
+	}
+	count := scheduler.StartRelays{Registered: len(p.relays), Preferred: p.sharing > 0}
+	for _, r := range p.relays {
+		if r.reachable.Load() {
+			count.Reachable++
+		}
+	}
+	return count
+}
+
+// replace replaces the entries that batches are sent through by the first maxRelays of a
+// list.
+func (p *relayPool) replace(entries []unit.EntryID) {
+	entries = entries[:min(len(entries), maxRelays)]
+	wanted := map[unit.EntryID]bool{}
+	for rank, id := range entries {
+		wanted[id] = true
+		if p.relays[id] == nil {
+			p.relays[id] = newRelayClient(p.shard, id)
+		}
+		p.relays[id].rank = rank
+	}
+	for id, r := range p.relays {
+		if !wanted[id] {
+			r.cancel()
+			delete(p.relays, id)
+		}
+	}
+}
+
+// shareHeartbeats decides through how many entries heartbeats are sent.
+func (p *relayPool) shareHeartbeats() {
+	options := p.shard.service.options
+	workers, interval := len(p.shard.workerClients), p.shard.heartbeats.directInterval()
+	n := heartbeatRelays(workers, options.Processor, interval)
+	if n == 0 && p.sharing > 0 {
+		n = heartbeatRelays(workers*100/relayHysteresis, options.Processor, interval*100/relayHysteresis)
+	}
+	if n != p.sharing {
+		p.shard.log.Info("entries that send heartbeats and starts for the owner", "entries", n, "before", p.sharing, "workers", workers,
+			"registered", len(p.relays), "interval", interval.String())
+	}
+	p.sharing = n
+}
+
+// relayedShare returns the share of the heartbeats that other entries send.
+func (p *relayPool) relayedShare() float64 {
+	if p.sharing == 0 {
+		return 0
+	}
+	live := 0
+	for _, r := range p.relays {
+		if r.rank < p.sharing && r.session.Load() != nil {
+			live++
+		}
+	}
+	return float64(live) / float64(p.sharing)
+}
+
+// heartbeatSession returns the session in which the heartbeats to a worker are sent, or nil
+// if they are sent directly.
+func (p *relayPool) heartbeatSession(id unit.InstanceID) *heartbeatSession {
+	if p.sharing == 0 {
+		return nil
+	}
+	worker := xxhash.Sum64String(string(id))
+	var best *heartbeatSession
+	var bestHash uint64
+	for _, r := range p.relays {
+		if s := r.session.Load(); s != nil && r.rank < p.sharing && (best == nil || r.hash^worker < bestHash) {
+			best, bestHash = s, r.hash^worker
+		}
+	}
+	return best
+}
