job/scheduler: test of a report that lists another run of a task

A revert of the line that keeps a run whose task a report lists with another run turned no test red. TestOtherRunListed fails without it ("runs -1 +0") and is ok on the code as it is.

--- a/internal/job/scheduler/report_test.go
+++ b/internal/job/scheduler/report_test.go
@@ -123,3 +123,20 @@
 		})
 	}
 }
+
+// TestOtherRunListed guards against a run that is taken as ended because a report lists its
+// task with another run only: the worker may list either until the unknown one is stopped.
+func TestOtherRunListed(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.listWorkers("w1")
+	f.addJob("j", smallStep, true)
+	o := f.takeStarts(OutcomeDone)[0]
+	f.now = f.now.Add(time.Second)
+	f.report("w1", []RunStatus{{Task: o.Task, Run: o.Run + 1}}, nil)
+	if diff := cmp.Diff(1, len(f.core.lookupTask(o.Task).runs)); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, len(f.takeStops())); diff != "" {
+		t.Errorf("stops (-want +got):\n%s", diff)
+	}
+}
