job/owner: test of the entries that starts go through

Two reverts turned no test red: that starts prefer other entries while heartbeats are shared, and that they go through three entries if it is the processor that is short. TestStartsThroughRelays fails with each and is ok on the code as it is.

--- a/internal/job/owner/sharing_test.go
+++ b/internal/job/owner/sharing_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 )
 
 // TestShareHysteresis guards against heartbeats that move between the owner and other entries
@@ -50,3 +53,54 @@
 		})
 	}
 }
+
+// TestStartsThroughRelays guards against starts that the owner sends itself, although its
+// processor is short, and against starts through so few entries that their links are short
+// as well.
+func TestStartsThroughRelays(t *testing.T) {
+	tests := []struct {
+		name      string
+		processor unit.Millicores
+		link      unit.BitRate
+		workers   int
+		want      scheduler.StartRelays
+		through   int
+	}{
+		{"small fleet", 800, 0, 10, scheduler.StartRelays{Registered: maxRelays, Reachable: maxRelays}, maxRelays},
+		{"processor short", 120, 0, 200, scheduler.StartRelays{Registered: maxRelays, Reachable: maxRelays, Preferred: true}, maxStartRelays},
+		{"link short", 0, 2_000_000, 200, scheduler.StartRelays{Registered: maxRelays, Reachable: maxRelays, Preferred: true}, maxRelays},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := New(logr.Discard(), nil, nil, Options{Processor: tt.processor, Link: tt.link})
+				entries := make([]unit.EntryID, maxRelays+1)
+				for i := range entries {
+					entries[i] = unit.EntryID(fmt.Sprint(i))
+				}
+				relay := &losingRelay{}
+				s.ownership, s.relay, s.heartbeatRelay = relayingOwnership{entries: entries}, relay, relay
+				sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+				for i := range tt.workers {
+					sh.workerClients[unit.InstanceID(fmt.Sprint(i))] = nil
+				}
+				sh.heartbeats.setWorkers(tt.workers, time.Now())
+				sh.mu.Lock()
+				sh.relays.update(time.Now())
+				sh.mu.Unlock()
+				synctest.Wait()
+				sh.mu.Lock()
+				got, through := sh.relays.update(time.Now()), sh.relays.startRelays()
+				sh.mu.Unlock()
+				if diff := cmp.Diff(tt.want, got); diff != "" {
+					t.Errorf("relays (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(tt.through, through); diff != "" {
+					t.Errorf("entries that starts go through (-want +got):\n%s", diff)
+				}
+				sh.cancel()
+				sh.goroutines.Wait()
+			})
+		})
+	}
+}
