job/owner: heartbeats and starts are spread evenly over other entries

Workers were assigned to the entry with the smallest exclusive or of two hashes, which cuts the keys like a tree of the entries' hashes: one entry may get half of them, and on a small twin half of 214 workers is more than its link of 2 Mbit/s carries. Starts have been assigned that way since relays exist. Found on reading the change.

The two hashes are mixed now.

--- a/internal/job/owner/relaypool.go
+++ b/internal/job/owner/relaypool.go
@@ -26,13 +26,10 @@
 // the same tasks go through the same entry while that answers, as it has the spec already.
 func (p *relayPool) offer(batch []scheduler.Order) bool {
 	task := batch[0].Task
-	job := xxhash.Sum64String(string(task.Job)) + uint64(task.Index)/scheduler.MaxStartBatch
-	var best *relayClient
-	for _, r := range p.relays {
-		if r.rank < p.startRelays() && r.reachable.Load() && len(r.queue) < cap(r.queue) && (best == nil || r.hash^job < best.hash^job) {
-			best = r
-		}
-	}
+	tasks := xxhash.Sum64String(string(task.Job)) + uint64(task.Index)/scheduler.MaxStartBatch
+	best := p.choose(tasks, func(r *relayClient) bool {
+		return r.rank < p.startRelays() && r.reachable.Load() && len(r.queue) < cap(r.queue)
+	})
 	if best == nil {
 		return false
 	}
@@ -121,13 +118,35 @@
 	if p.sharing == 0 {
 		return nil
 	}
-	worker := xxhash.Sum64String(string(id))
-	var best *heartbeatSession
-	var bestHash uint64
+	best := p.choose(xxhash.Sum64String(string(id)), func(r *relayClient) bool {
+		return r.rank < p.sharing && r.session.Load() != nil
+	})
+	if best == nil {
+		return nil
+	}
+	return best.session.Load()
+}
+
+// choose returns one of the usable relays for a key, or nil if there is none. Keys are
+// spread evenly, and a key moves only if its relay cannot be used any more or a new one
+// takes it.
+func (p *relayPool) choose(key uint64, usable func(*relayClient) bool) *relayClient {
+	var best *relayClient
+	var highest uint64
 	for _, r := range p.relays {
-		if s := r.session.Load(); s != nil && r.rank < p.sharing && (best == nil || r.hash^worker < bestHash) {
-			best, bestHash = s, r.hash^worker
+		if score := mixHashes(r.hash, key); usable(r) && (best == nil || score > highest) {
+			best, highest = r, score
 		}
 	}
 	return best
 }
+
+// mixHashes returns a hash of two hashes. Their exclusive or alone would not do: the relay
+// with the smallest one of several is the same for up to half of all keys.
+func mixHashes(a, b uint64) uint64 {
+	const mixer = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
+	h := (a ^ b) * mixer
+	h ^= h >> 32
+	h *= mixer
+	return h ^ h>>32
+}
