--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -234,8 +234,14 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	d.record.add("end of the traffic: %d jobs accepted", len(jobs))
+	const other = "00000000000000c0"
+	anywhere := &jobSpec{Spec: "(text)", Steps: []stepSpec{{Count: 2, CPU: 5700, MemMB: 11000, EstMS: 640, takes: 640 * time.Millisecond}}}
+	if !d.submit(e, quotes, other, anywhere) {
+		return "", fmt.Errorf("last job not accepted")
+	}
+	d.record.add("end of the traffic: %d jobs accepted that require kind b, and one that does not", len(jobs))
 	idle := d.idleJobs(e, quotes, jobs)
+	d.record.add("the job that does not require kind b is %s", d.state(e, quotes, other))
 	d.record.add("upkeep begun on %d of 2 machines; status/wave/1 is %q", c.begun(1), d.store.Value("status/wave/1"))
 	d.copyLogs("upkeep", "machines not listed", "job taken")
 	if len(idle) > 0 {
