--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -39,6 +39,7 @@
 	EstMS       int64         `json:"est-ms"`
 	Requires    string        `json:"requires,omitempty"`
 	LongRunning bool          `json:"long-running,omitempty"`
+	After       []int         `json:"after,omitempty"`
 	Gang        bool          `json:"gang,omitempty"`
 	SameRack    bool          `json:"same-rack,omitempty"`
 	takes       time.Duration // how long a task works
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,11 +25,12 @@
 type scriptCase func(d *deployment, trouble bool) (broken string, err error)
 
 var cases = map[string]scriptCase{
-	"advice": playAdvice,
-	"wave":   playWave,
-	"stale":  playStale,
-	"reborn": playReborn,
-	"gang":   playGang,
+	"advice":  playAdvice,
+	"wave":    playWave,
+	"stale":   playStale,
+	"reborn":  playReborn,
+	"gang":    playGang,
+	"failing": playFailing,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -83,10 +83,13 @@
 
 	mu      sync.Mutex
 	jobs    map[string]*jobSpec
-	tickets map[string]time.Time // "step worker ticket" to the end of its validity; nil: no queue has advice
-	started map[string]int       // starts by job
-	active  map[string]int       // present runs by job
-	gangs   map[string]*gang     // by step and run
+	tickets map[string]time.Time  // "step worker ticket" to the end of its validity; nil: no queue has advice
+	started map[string]int        // starts by job
+	active  map[string]int        // present runs by job
+	gangs   map[string]*gang      // by step and run
+	workers []*worker             // all lives
+	fails   func(job string) bool // whether the tasks of a job fail after startupTime; nil: none do
+	quiet   string                // job whose runs are not recorded, as there are too many
 	// onStart is called for each start that a worker has begun.
 	onStart func(w *worker, task string, job *jobSpec)
 }
@@ -114,6 +117,9 @@
 	mux.HandleFunc("POST /-/pace", w.handle(w.pace))
 	mux.HandleFunc("POST /-/hold", w.handle(w.hold))
 	w.server = &http.Server{Handler: mux}
+	f.mu.Lock()
+	f.workers = append(f.workers, w)
+	f.mu.Unlock()
 	go func() { _ = w.server.Serve(listener) }() // ends with an error when the life ends
 	go w.live()
 	f.record.add("worker %s begins, kind and rack %v, address %s, born %d", w.id, w.labels, w.address, w.born.UnixMilli())
@@ -270,7 +276,9 @@
 	w.runs[o.Task] = &taskRun{number: o.Run, cpu: step.CPU, began: time.Now(), takes: step.takes, gang: w.fleet.joinGang(o, step)}
 	w.extend(o.Deadline)
 	w.fleet.present(o.Task, 1)
-	w.fleet.record.add("start    %s run %d on %s (kind %s, born %d), fence %d", o.Task, o.Run, w.id, w.labels[0], w.born.UnixMilli(), o.Fence)
+	if jobOfTask(o.Task) != w.fleet.quiet {
+		w.fleet.record.add("start    %s run %d on %s (kind %s, born %d), fence %d", o.Task, o.Run, w.id, w.labels[0], w.born.UnixMilli(), o.Fence)
+	}
 	if w.fleet.onStart != nil {
 		w.fleet.onStart(w, o.Task, job)
 	}
@@ -345,6 +353,8 @@
 		case began.IsZero() && time.Since(r.began) >= gangTimeout:
 			w.finish(task, "alone")
 		case began.IsZero():
+		case w.fleet.fails != nil && time.Since(began) >= startupTime && w.fleet.fails(jobOfTask(task)):
+			w.finish(task, "failed")
 		case r.takes > 0 && time.Since(began) >= r.takes:
 			w.finish(task, "done")
 		}
@@ -361,7 +371,9 @@
 	w.changed = make(chan struct{})
 	w.fleet.leaveGang(r, how)
 	w.fleet.present(task, -1)
-	w.fleet.record.add("end      %s run %d on %s: %s", task, r.number, w.id, how)
+	if jobOfTask(task) != w.fleet.quiet {
+		w.fleet.record.add("end      %s run %d on %s: %s", task, r.number, w.id, how)
+	}
 }
 
 // joinGang returns the gang of a run that begins, or nil if its step is none.
@@ -404,7 +416,7 @@
 }
 
 func (f *fleet) present(task string, by int) {
-	job, _, _ := strings.Cut(task, ".")
+	job := jobOfTask(task)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.active[job] += by
@@ -413,6 +425,11 @@
 	}
 }
 
+func jobOfTask(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 // jobOf returns the job and the step of a task that a client has handed in.
 func (f *fleet) jobOf(task string) (*jobSpec, stepSpec) {
 	parts := strings.Split(task, ".")
