--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -41,10 +41,24 @@
 	LongRunning bool          `json:"long-running,omitempty"`
 	After       []int         `json:"after,omitempty"`
 	Gang        bool          `json:"gang,omitempty"`
+	PerWorker   int           `json:"anti-affinity,omitempty"`
+	MayMiss     int           `json:"may-miss,omitempty"`
+	Image       string        `json:"image,omitempty"`
+	TargetMS    int64         `json:"target-ms,omitempty"`
+	Fills       bool          `json:"fills,omitempty"`
+	Saves       bool          `json:"saves-progress,omitempty"`
 	SameRack    bool          `json:"same-rack,omitempty"`
 	takes       time.Duration // how long a task works
 }
 
+// reserved returns the cores that a task takes of its worker's capacity.
+func (s stepSpec) reserved() int64 {
+	if s.Fills {
+		return 0
+	}
+	return s.CPU
+}
+
 // deployment is the stand-ins of the platform and the entries, which are processes.
 type deployment struct {
 	record  *recorder
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"reborn":  playReborn,
 	"gang":    playGang,
 	"failing": playFailing,
+	"fills":   playFills,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -60,6 +60,7 @@
 	began  time.Time
 	takes  time.Duration // 0: until it is stopped
 	gang   *gang         // nil: it works alone
+	serves bool
 }
 
 // gang is one run of a gang. Its fields are guarded by the lock of the fleet.
@@ -89,6 +90,7 @@
 	gangs   map[string]*gang      // by step and run
 	workers []*worker             // all lives
 	fails   func(job string) bool // whether the tasks of a job fail after startupTime; nil: none do
+	tailMS  int64                 // of each task that serves
 	quiet   string                // job whose runs are not recorded, as there are too many
 	// onStart is called for each start that a worker has begun.
 	onStart func(w *worker, task string, job *jobSpec)
@@ -265,7 +267,7 @@
 	case o.Deadline <= w.clock():
 		w.refuse(rw, "late")
 		return
-	case w.used()+step.CPU > w.cpu:
+	case !step.Fills && w.used()+step.CPU > w.cpu:
 		w.extend(o.Deadline)
 		w.refuse(rw, "room")
 		return
@@ -273,7 +275,7 @@
 		w.refuse(rw, "ticket")
 		return
 	}
-	w.runs[o.Task] = &taskRun{number: o.Run, cpu: step.CPU, began: time.Now(), takes: step.takes, gang: w.fleet.joinGang(o, step)}
+	w.runs[o.Task] = &taskRun{number: o.Run, cpu: step.reserved(), began: time.Now(), takes: step.takes, gang: w.fleet.joinGang(o, step), serves: step.TargetMS > 0}
 	w.extend(o.Deadline)
 	w.fleet.present(o.Task, 1)
 	if jobOfTask(o.Task) != w.fleet.quiet {
@@ -325,7 +327,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, t := range w.runs {
-		running = append(running, []any{task, t.number, "", t.percent(), 1})
+		running = append(running, []any{task, t.number, "", t.percent(), w.fleet.metricOf(t)})
 	}
 	for _, e := range w.ends[:min(len(w.ends), 500)] {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
@@ -333,6 +335,15 @@
 	writeJSON(rw, http.StatusOK, map[string]any{"clock-ms": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended})
 }
 
+// metricOf returns the fifth entry of a row of the runs: the tail in milliseconds of a task
+// that serves, and the cpu in use of any other.
+func (f *fleet) metricOf(t *taskRun) int64 {
+	if t.serves {
+		return f.tailMS
+	}
+	return t.cpu
+}
+
 func (t *taskRun) percent() int {
 	if t.takes == 0 {
 		return 100
