--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"gang":    playGang,
 	"failing": playFailing,
 	"fills":   playFills,
+	"late":    playLate,
 }
 
 func main() {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -90,6 +91,7 @@
 	gangs   map[string]*gang      // by step and run
 	workers []*worker             // all lives
 	fails   func(job string) bool // whether the tasks of a job fail after startupTime; nil: none do
+	late    *lateOrder            // nil: no order is held up
 	tailMS  int64                 // of each task that serves
 	quiet   string                // job whose runs are not recorded, as there are too many
 	// onStart is called for each start that a worker has begun.
@@ -207,10 +209,14 @@
 func (w *worker) handle(f func(rw http.ResponseWriter, r *http.Request, o order)) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		var o order
-		if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil || json.Unmarshal(body, &o) != nil {
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if w.fleet.late != nil && w.fleet.late.holdUp(w, r, body) {
+			panic(http.ErrAbortHandler)
+		}
 		if r.Header.Get("X-Expect-Instance") != w.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
