--- a/review/standin/advice.go
+++ b/review/standin/advice.go
@@ -154,8 +154,9 @@
 	d.record.add("end of the traffic: %d jobs accepted", len(jobs))
 	idle := d.idleJobs(e, takeoffs, jobs)
 	d.copyLogs("placement advice", "job taken")
+	_, running := d.fleet.unacknowledged()
 	if len(idle) > 0 {
-		return fmt.Sprintf("LOST: %d of %d jobs had nothing running for 3 s, %s after the end of the traffic; 6 workers with 384 free cores were idle", len(idle), len(jobs), finishTime), nil
+		return fmt.Sprintf("LOST: %d of %d jobs had nothing running for 3 s, %s after the end of the traffic; 6 workers of 64 cores ran %d tasks of one core", len(idle), len(jobs), finishTime, running), nil
 	}
 	return "", nil
 }
