--- a/internal/fleet/unit/id.go
+++ b/internal/fleet/unit/id.go
@@ -28,6 +28,9 @@
 	MachineID string
 	// TeamID names a team with a quota.
 	TeamID string
+	// OrganisationID names an organisation, which owns API keys, a share and a quota. It is
+	// empty for callers and jobs without one.
+	OrganisationID string
 	// JobID names a job.
 	JobID string
 	// CheckpointID names a checkpoint written by one attempt.
--- a/internal/job/graph/graph.go
+++ b/internal/job/graph/graph.go
@@ -76,6 +76,8 @@
 	FirstDue time.Time     `cbor:"6,keyasint,omitempty"` // due time of occurrence 0
 	Interval time.Duration `cbor:"7,keyasint,omitempty"` // interval between due times
 	Accepted time.Time     `cbor:"8,keyasint,omitempty"` // time when the submission arrived
+	// Organisation is the owner of the job, or empty for a job of a public route.
+	Organisation unit.OrganisationID `cbor:"9,keyasint,omitempty"`
 }
 
 // Task identifies one task of one occurrence.
