job/scheduler: tasks wait for a draining worker only if they may run there

A killed owner leaves no record of what it has started, so after a takeover all waiting tasks of older jobs are held back until every worker has reported or its lease has expired.

The progress now names, for each draining worker, the tasks that may have a run there. Nothing starts on such a worker, whatever the instance list says, until a record without it is durable, so the list stays complete. The next owner holds back only these tasks if no other worker is unresolved. Records of earlier releases lack the field, and all tasks wait as before.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -148,7 +148,7 @@
 	progress := record.Progress{
 		Format: record.Format, Epoch: sh.term.Epoch,
 		Jobs: snapshot.Jobs, KnownWorkers: snapshot.KnownWorkers, HandedOver: handOver,
-		Leases: snapshot.Leases, EarlierRenewalsLeft: new(max(sh.takeover.earlierRenewalsEndAt.Sub(now), 0)),
+		Leases: snapshot.Leases, Closed: snapshot.Closed, EarlierRenewalsLeft: new(max(sh.takeover.earlierRenewalsEndAt.Sub(now), 0)),
 	}
 	if handOver {
 		progress.BusyWorkers = snapshot.BusyWorkers
--- a/internal/job/owner/restore.go
+++ b/internal/job/owner/restore.go
@@ -65,6 +65,7 @@
 	p.HandedOver = p.HandedOver && p.Epoch+1 == epoch
 	if p.Epoch+1 != epoch {
 		p.Leases, p.EarlierRenewalsLeft = nil, nil // an owner in between may have extended leases
+		p.Closed = nil                             // or started tasks
 	}
 	if !p.HandedOver {
 		p.DropPlacements()
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -233,6 +233,7 @@
 	core.SetUnrecordedLeasesEnd(renewalsEndAt.Add(withMaxDrift(workerLeaseTTL)))
 	core.LoadProgress(progress.Jobs, progress.KnownWorkers, unresolved)
 	core.LoadLeases(progress.Leases, claimedAt)
+	core.LoadClosed(progress.Closed)
 	earlierStartsEndAt := earlierStartsEnd(progress, claimedAt)
 	core.SetEarlierStartsEnd(earlierStartsEndAt)
 	sh.core, sh.progressRevision = core, progressRevision
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -50,6 +50,9 @@
 	// Leases are those of silent workers, and at a hand-over of all BusyWorkers, which the
 	// owner does not extend. Only the owner with the next epoch may rely on them.
 	Leases []scheduler.WorkerLease `cbor:"7,keyasint,omitempty"`
+	// Closed are the workers that take no more starts. Only the owner with the next epoch
+	// may rely on them.
+	Closed []scheduler.ClosedWorker `cbor:"10,keyasint,omitempty"`
 	// EarlierRenewalsLeft is the time until no owner before this one extends the lease of a
 	// worker any more. Entries of earlier releases do not set it.
 	EarlierRenewalsLeft *time.Duration `cbor:"9,keyasint,omitempty"`
--- a/internal/job/scheduler/calm_test.go
+++ b/internal/job/scheduler/calm_test.go
@@ -59,6 +59,7 @@
 	for _, id := range sim.workerIDs() {
 		s := sim.workers[id]
 		s.reconnect()
+		s.draining = false
 		s.listed = true
 		if s.dark {
 			sim.restart(s)
--- /dev/null
+++ b/internal/job/scheduler/closed.go
@@ -0,0 +1,128 @@
+package scheduler
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+)
+
+// ClosedWorker is what the durable progress holds of a worker that takes no more starts, as
+// it is draining. If it is gone when the next owner takes over, only the tasks named here
+// may have a run there, or an end that is not read.
+type ClosedWorker struct {
+	Worker unit.InstanceID            `cbor:"1,keyasint"`
+	Tasks  map[unit.JobID][]TaskRange `cbor:"2,keyasint,omitempty"`
+}
+
+// includes reports whether a task may have a run on the worker.
+func (w ClosedWorker) includes(t graph.Task) bool {
+	return slices.ContainsFunc(w.Tasks[t.Job], func(r TaskRange) bool { return r.includes(t) })
+}
+
+// LoadClosed applies the closed workers that the previous owner made durable. It must be
+// called after LoadProgress, and only if no other owner came between.
+func (c *Core) LoadClosed(closed []ClosedWorker) {
+	for _, w := range closed {
+		c.closedByEarlier[w.Worker] = w
+	}
+}
+
+// mayHaveHiddenRun reports whether an unresolved worker may have a run of a task that waits,
+// or an end of it that is not read.
+func (c *Core) mayHaveHiddenRun(t *task) bool {
+	if t.noHiddenRun || c.safeToStart(t.job()) {
+		return false
+	}
+	id := t.id()
+	for w := range c.unresolved {
+		closed, ok := c.closedByEarlier[w]
+		if !ok || closed.includes(id) {
+			return true
+		}
+	}
+	return false
+}
+
+// addClosed adds the closed workers to a snapshot. Until a snapshot without them is durable,
+// nothing starts there, whatever the instance list says.
+func (c *Core) addClosed(s *Snapshot) {
+	for id := range c.unresolved {
+		if closed, ok := c.closedByEarlier[id]; ok {
+			c.addClosedWorker(s, closed)
+		}
+	}
+	for id, w := range c.workers {
+		if w.listed && w.listing.Draining && !c.isUnresolved(id) {
+			c.addClosedWorker(s, ClosedWorker{Worker: id, Tasks: w.possibleTasks()})
+		}
+	}
+}
+
+func (c *Core) addClosedWorker(s *Snapshot, w ClosedWorker) {
+	s.Closed = append(s.Closed, w)
+	if !c.recordedClosed[w.Worker] {
+		c.recordedClosed[w.Worker] = true
+		s.newlyClosed = append(s.newlyClosed, w.Worker)
+	}
+}
+
+// possibleTasks returns the tasks that may have a run on a worker, or an end that the
+// progress lacks.
+func (w *worker) possibleTasks() map[unit.JobID][]TaskRange {
+	var tasks []graph.Task
+	for _, r := range w.runList {
+		if r.phase != phaseQueued {
+			tasks = append(tasks, r.task.id())
+		}
+	}
+	for id := range w.unknownRuns {
+		tasks = append(tasks, id.task)
+	}
+	for _, t := range w.heldEnds {
+		tasks = append(tasks, t.id())
+	}
+	return rangesByJob(tasks)
+}
+
+// rangesByJob joins neighbouring tasks to ranges.
+func rangesByJob(tasks []graph.Task) map[unit.JobID][]TaskRange {
+	slices.SortFunc(tasks, func(a, b graph.Task) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	ranges := map[unit.JobID][]TaskRange{}
+	for _, t := range slices.Compact(tasks) {
+		ranges[t.Job] = appendTask(ranges[t.Job], t)
+	}
+	return ranges
+}
+
+// appendTask adds a task to ranges, the last of which may end just before it.
+func appendTask(ranges []TaskRange, t graph.Task) []TaskRange {
+	if last := len(ranges) - 1; last >= 0 {
+		r := &ranges[last]
+		if r.Occurrence == t.Occurrence && r.Step == t.Step && r.First+r.Count == t.Index {
+			r.Count++
+			return ranges
+		}
+	}
+	return append(ranges, TaskRange{Occurrence: t.Occurrence, Step: t.Step, First: t.Index, Count: 1})
+}
+
+// confirmClosed replaces the closed workers that the durable progress holds.
+func (c *Core) confirmClosed(closed []ClosedWorker) {
+	if len(c.recordedClosed) > 0 {
+		c.placementDue = true
+	}
+	clear(c.recordedClosed)
+	for _, w := range closed {
+		c.recordedClosed[w.Worker] = true
+	}
+}
+
+// forgetClosed drops the closed workers of earlier owners that are resolved.
+func (c *Core) forgetClosed() {
+	maps.DeleteFunc(c.closedByEarlier, func(id unit.InstanceID, _ ClosedWorker) bool { return !c.isUnresolved(id) })
+}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -74,10 +74,15 @@
 	// recordedLeases are the workers whose lease the durable progress may hold. They get no
 	// longer one.
 	recordedLeases   map[unit.InstanceID]bool
-	leasesRecordedAt time.Time                // when a snapshot last got the leases of workers
-	knownToEarlier   map[unit.InstanceID]bool // workers that the progress of the previous owner names
-	lastTick         time.Time
-	tickingSince     time.Time // since when ticks have come without a gap of a second
+	leasesRecordedAt time.Time // when a snapshot last got the leases of workers
+	// recordedClosed are the workers that the durable progress may hold as closed. Nothing
+	// starts there.
+	recordedClosed map[unit.InstanceID]bool
+	// closedByEarlier are the unresolved workers that the previous owner recorded as closed.
+	closedByEarlier map[unit.InstanceID]ClosedWorker
+	knownToEarlier  map[unit.InstanceID]bool // workers that the progress of the previous owner names
+	lastTick        time.Time
+	tickingSince    time.Time // since when ticks have come without a gap of a second
 	// reportingUnknown are the workers that may have unknown runs.
 	reportingUnknown map[unit.InstanceID]*worker
 	// inheritedLeasesExpireAt is when every lease granted by earlier owners has
@@ -124,6 +129,8 @@
 		durableWorkers:           map[unit.InstanceID]bool{},
 		unresolved:               map[unit.InstanceID]inheritedLease{},
 		recordedLeases:           map[unit.InstanceID]bool{},
+		recordedClosed:           map[unit.InstanceID]bool{},
+		closedByEarlier:          map[unit.InstanceID]ClosedWorker{},
 		reportingUnknown:         map[unit.InstanceID]*worker{},
 		unrecordedLeasesExpireAt: inheritedLeasesExpireAt,
 		inheritedLeasesExpireAt:  inheritedLeasesExpireAt,
--- a/internal/job/scheduler/inherited.go
+++ b/internal/job/scheduler/inherited.go
@@ -180,6 +180,9 @@
 	for _, id := range s.newlyHeld {
 		delete(c.recordedLeases, id)
 	}
+	for _, id := range s.newlyClosed {
+		delete(c.recordedClosed, id)
+	}
 }
 
 // checkSilentWorkers makes a snapshot due while leases of earlier owners run, or if a silent
--- a/internal/job/scheduler/model_owner_test.go
+++ b/internal/job/scheduler/model_owner_test.go
@@ -169,6 +169,7 @@
 	}
 	sim.core.LoadProgress(progress.snapshot.Jobs, progress.snapshot.KnownWorkers, unresolved)
 	sim.core.LoadLeases(progress.snapshot.Leases, now)
+	sim.core.LoadClosed(progress.snapshot.Closed)
 	sim.core.SetEarlierStartsEnd(now.Add(simMaxOrderOverlap))
 	sim.readList()
 	if !progress.handedOver {
@@ -184,7 +185,7 @@
 	p.handedOver = p.handedOver && previous
 	p.snapshot.Jobs = maps.Clone(p.snapshot.Jobs)
 	if !previous || o.earlierRelease {
-		p.snapshot.Leases = nil
+		p.snapshot.Leases, p.snapshot.Closed = nil, nil
 	}
 	if !p.handedOver || o.earlierRelease {
 		for id, job := range p.snapshot.Jobs {
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -122,6 +122,7 @@
 		if s := sim.workers[id]; s.listed {
 			l := newListing(id)
 			l.Incarnation = s.listedIncarnation(sim.now)
+			l.Draining = s.draining
 			list = append(list, l)
 		}
 	}
@@ -210,7 +211,7 @@
 // its tasks have ended as done. Orders wait in the queue of their owner before they are
 // sent, and are delayed, reordered, repeated and lost; reports are delayed, reordered and
 // lost; writes are rejected, or executed without an answer, at once or late; workers are
-// partitioned, fall silent, lose power, restart and leave the instance list, which shows a
+// partitioned, drain, fall silent, lose power, restart and leave the instance list, which shows a
 // restart late; owners are replaced at any time, with and without a hand-over, and without one
 // they may give orders and renew leases for some time after the claim; their clocks differ,
 // and some are of an earlier release; the members of a gang end together; ended jobs are
@@ -266,6 +267,7 @@
 				s.listed = !s.listed || !sim.rarely()
 				sim.readList()
 			},
+			"drain":        func(*rapid.T) { sim.drain() },
 			"fall silent":  func(*rapid.T) { s := sim.pickWorker(); s.silent = !s.silent && sim.rarely() },
 			"lose power":   func(*rapid.T) { sim.cutPower() },
 			"restart":      func(*rapid.T) { sim.restartWorker() },
--- a/internal/job/scheduler/model_worker_test.go
+++ b/internal/job/scheduler/model_worker_test.go
@@ -25,6 +25,7 @@
 	cutFrom       unit.Epoch // of the first owner that does not reach it; 0: none
 	silent        bool       // what it is sent arrives, its answers do not
 	dark          bool       // without power, until it restarts
+	draining      bool       // the instance list says that it takes no more starts
 	listed        bool
 	runs          map[graph.Task]graph.RunNumber
 	highestEnded  map[graph.Task]graph.RunNumber // ended or stopped before their start
@@ -41,6 +42,14 @@
 // reconnect ends all that keeps the owners from a worker but a loss of power.
 func (s *simWorker) reconnect() { s.partitioned, s.silent, s.cutFrom = false, false, 0 }
 
+// drain lets a random worker drain, or ends that. It may leave at once.
+func (sim *simulation) drain() {
+	s := sim.pickWorker()
+	s.draining = !s.draining && sim.rarely()
+	s.partitioned = s.partitioned || s.draining && sim.rarely()
+	sim.readList()
+}
+
 // listedIncarnation returns the incarnation that the instance list shows.
 func (s *simWorker) listedIncarnation(now time.Time) Incarnation {
 	if now.Before(s.shownAt) {
@@ -292,6 +301,7 @@
 	s.formerly = s.listedIncarnation(sim.now)
 	s.shownAt = sim.now.Add(time.Duration(rapid.IntRange(0, int(simListDelay/time.Millisecond)).Draw(sim.t, "shown after ms")) * time.Millisecond)
 	s.incarnation = max(s.incarnation+1, Incarnation(sim.now.UnixMilli()))
+	s.draining = s.draining && rapid.Bool().Draw(sim.t, "still draining")
 	s.dark, s.highestEpoch, s.lastEnd, s.highestEnded = false, 0, 0, map[graph.Task]graph.RunNumber{}
 	s.dropRuns()
 }
--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -45,7 +45,7 @@
 // acceptsOrders reports whether a worker can be sent starts now, apart from its health and
 // whatever the task.
 func (c *Core) acceptsOrders(w *worker, now time.Time) bool {
-	if !w.listed || w.listing.Draining || c.evacuatedZones[w.listing.Zone] || !w.vacatingSince.IsZero() || c.recordedLeases[w.id] {
+	if !w.listed || w.listing.Draining || c.evacuatedZones[w.listing.Zone] || !w.vacatingSince.IsZero() || c.recordedLeases[w.id] || c.recordedClosed[w.id] {
 		return false
 	}
 	return w.reportRequestedAt.After(w.misdirectedAt) && now.Sub(w.reportRequestedAt) <= maxReportAge
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -120,10 +120,10 @@
 	}
 	var safe, unsafe []*task
 	for _, t := range s.waiting {
-		if t.noHiddenRun {
-			safe = append(safe, t)
-		} else {
+		if c.mayHaveHiddenRun(t) {
 			unsafe = append(unsafe, t)
+		} else {
+			safe = append(safe, t)
 		}
 	}
 	if len(safe) == 0 {
--- a/internal/job/scheduler/placements.go
+++ b/internal/job/scheduler/placements.go
@@ -16,21 +16,15 @@
 // not sent is not sent after the snapshot of a hand-over.
 func (c *Core) placedTasks(j *job) []TaskRange {
 	var placed []TaskRange
-	safe := c.safeToStart(j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for n := range s.tasks {
 				t := &s.tasks[n]
 				sent := slices.ContainsFunc(t.runs, func(r *run) bool { return r.phase != phaseQueued })
-				if t.done || !sent && (safe || t.noHiddenRun) {
+				if t.done || !sent && !c.mayHaveHiddenRun(t) {
 					continue
 				}
-				last := len(placed) - 1
-				if last >= 0 && placed[last].Occurrence == o.index && placed[last].Step == s.index && placed[last].First+placed[last].Count == t.index {
-					placed[last].Count++
-					continue
-				}
-				placed = append(placed, TaskRange{Occurrence: o.index, Step: s.index, First: t.index, Count: 1})
+				placed = appendTask(placed, t.id())
 			}
 		}
 	}
--- a/internal/job/scheduler/snapshot.go
+++ b/internal/job/scheduler/snapshot.go
@@ -42,9 +42,13 @@
 
 // placed reports whether a task of an opened occurrence may have a run.
 func (p Progress) placed(o graph.Occurrence, s graph.StepIndex, n unit.TaskIndex) bool {
-	return slices.ContainsFunc(p.Placed, func(r TaskRange) bool {
-		return r.Occurrence == o && r.Step == s && n >= r.First && n-r.First < r.Count
-	})
+	t := graph.Task{Occurrence: o, Step: s, Index: n}
+	return slices.ContainsFunc(p.Placed, func(r TaskRange) bool { return r.includes(t) })
+}
+
+// includes reports whether a task of the job is in the range.
+func (r TaskRange) includes(t graph.Task) bool {
+	return r.Occurrence == t.Occurrence && r.Step == t.Step && t.Index >= r.First && t.Index-r.First < r.Count
 }
 
 // Snapshot is the progress of all open jobs at one time, without the checkpoints that
@@ -55,7 +59,9 @@
 	KnownWorkers []unit.InstanceID // once the snapshot is durable, tasks may start on these
 	BusyWorkers  []unit.InstanceID // of the known workers, those that may have runs, or ends that the progress lacks
 	Leases       []WorkerLease     // of silent workers, and at a hand-over of all busy ones; see AddLeases
+	Closed       []ClosedWorker    // workers that take no more starts
 	endPositions map[unit.InstanceID]endPosition
+	newlyClosed  []unit.InstanceID // workers in Closed that no earlier snapshot holds
 	newlyHeld    []unit.InstanceID // workers in Leases that no earlier snapshot holds
 }
 
@@ -98,6 +104,8 @@
 			s.Jobs[id] = c.inheritedProgress[id]
 		}
 	}
+	c.forgetClosed()
+	c.addClosed(&s)
 	for id := range c.unresolved {
 		s.KnownWorkers, s.BusyWorkers = append(s.KnownWorkers, id), append(s.BusyWorkers, id)
 	}
@@ -139,6 +147,7 @@
 func (c *Core) ConfirmSnapshot(s Snapshot) {
 	c.setDurableWorkers(s.KnownWorkers)
 	c.confirmLeases(s.Leases)
+	c.confirmClosed(s.Closed)
 	for id, position := range s.endPositions {
 		if w := c.workers[id]; w != nil && w.incarnation == position.incarnation {
 			w.ackCursor = max(w.ackCursor, position.lastEnd)
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -62,7 +62,7 @@
 	}
 	n := 0
 	for _, t := range s.waiting {
-		if !t.noHiddenRun {
+		if c.mayHaveHiddenRun(t) {
 			n++
 		}
 	}
