job/scheduler: workers that have left the instance list are recorded as closed too

Nothing starts on a worker that is not listed, so its tasks can be recorded as well. At most 64 workers are recorded, as the whole list may expire during an outage of the store.

--- a/internal/job/scheduler/closed.go
+++ b/internal/job/scheduler/closed.go
@@ -9,8 +9,12 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
+// maxClosedWorkers bounds the closed workers that a snapshot holds, so that the record stays
+// small when the whole instance list has expired in the store.
+const maxClosedWorkers = 64
+
 // ClosedWorker is what the durable progress holds of a worker that takes no more starts, as
-// it is draining. If it is gone when the next owner takes over, only the tasks named here
+// it is draining or has left the instance list. If it is gone when the next owner takes over, only the tasks named here
 // may have a run there, or an end that is not read.
 type ClosedWorker struct {
 	Worker unit.InstanceID            `cbor:"1,keyasint"`
@@ -54,9 +58,25 @@
 			c.addClosedWorker(s, closed)
 		}
 	}
+	for _, recorded := range []bool{true, false} { // a change of the choice would only close more workers
+		for id, w := range c.workers {
+			if c.recordedClosed[id] == recorded && len(s.Closed) < maxClosedWorkers && w.isClosed() && !c.isUnresolved(id) {
+				c.addClosedWorker(s, ClosedWorker{Worker: id, Tasks: w.possibleTasks()})
+			}
+		}
+	}
+}
+
+// isClosed reports whether a worker takes no more starts by the instance list.
+func (w *worker) isClosed() bool { return !w.listed || w.listing.Draining }
+
+// checkClosed makes a snapshot due if a worker is to be recorded as closed, or no longer.
+func (c *Core) checkClosed() {
 	for id, w := range c.workers {
-		if w.listed && w.listing.Draining && !c.isUnresolved(id) {
-			c.addClosedWorker(s, ClosedWorker{Worker: id, Tasks: w.possibleTasks()})
+		closed := w.isClosed()
+		if c.recordedClosed[id] != closed && (!closed || len(c.recordedClosed) < maxClosedWorkers) {
+			c.progressChanged = true
+			return
 		}
 	}
 }
--- a/internal/job/scheduler/closed_test.go
+++ b/internal/job/scheduler/closed_test.go
@@ -41,6 +41,12 @@
 		want   []unit.JobID              // with a task that starts once w2 has reported
 	}{
 		{"draining", func(f *fixture) Snapshot { return f.drain() }, []unit.JobID{"k"}},
+		{"no longer listed", func(f *fixture) Snapshot {
+			f.core.SetWorkers([]Listing{newListing("w2")}, f.now)
+			s := f.core.Snapshot()
+			f.core.ConfirmSnapshot(s)
+			return s
+		}, []unit.JobID{"k"}},
 		{"draining, not recorded", func(f *fixture) Snapshot {
 			f.drain()
 			s := f.core.Snapshot()
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -103,9 +103,6 @@
 		if l.Draining {
 			w.recordExit(l, now)
 		}
-		if l.Draining != c.recordedClosed[l.ID] {
-			c.progressChanged = true // it is to be recorded as closed, or no longer
-		}
 		w.listing, w.listed = l, true
 		if w.incarnation != 0 && l.Incarnation > w.incarnation {
 			c.handleRestart(w, l.Incarnation, now)
@@ -120,6 +117,7 @@
 			delete(c.reportingUnknown, id)
 		}
 	}
+	c.checkClosed()
 	c.rebuildWorkerPools()
 	c.placementDue = true
 }
