job/scheduler: slowed best-effort runs are concentrated on few jobs

With 700 to 1,000 of 2,300 best-effort runs slowed, and steps of 20 tasks, nearly every job had a run that stood still and waited for it: the choice went by the disturbance alone. A run whose step is delayed by another slowed run already is now chosen before others.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -45,6 +45,7 @@
 	waiting        []*task // tasks to place; the last one is placed first
 	inReadySteps   bool    // listed in Core.readySteps
 	runsPerWorker  map[unit.InstanceID]int
+	delayedRuns    int // runs at a pace below delayingPace
 	image          *image
 	fastestTask    time.Duration                    // shortest task duration at full speed; 0: unknown
 	longestTask    time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -90,7 +90,7 @@
 				continue
 			}
 			added := c.addedPressure(serving.task.step, r.task.step, w.usedShare(r))
-			if weight := added * interference.Pressure(r.task.step.occurrence.slackWeight(now)); added > minHelpfulPressure && weight > highestWeight {
+			if weight := added * interference.Pressure(r.slowingWeight(now)); added > minHelpfulPressure && weight > highestWeight {
 				victim, victimAdded, highestWeight = r, added, weight
 			}
 		}
@@ -110,6 +110,41 @@
 	}
 }
 
+// delayingPace is the pace, in percent, below which a run delays its step notably.
+const delayingPace = 50
+
+// delayedStepWeight is how much more readily a run is slowed if another run of its step is slowed
+// already: the step waits for its last task, so that this delays no further job. Spread
+// evenly, a quarter of all runs slowed delays nearly every step of 20 tasks.
+const delayedStepWeight = 3.0
+
+// slowingWeight returns how readily a run is slowed, by what that costs its job.
+func (r *run) slowingWeight(now time.Time) float64 {
+	weight := r.task.step.occurrence.slackWeight(now)
+	others := r.task.step.delayedRuns
+	if r.pacePercent < delayingPace {
+		others--
+	}
+	if others > 0 {
+		weight *= delayedStepWeight
+	}
+	return weight
+}
+
+// recordPace sets the pace of a run.
+func (r *run) recordPace(percent int) {
+	r.task.step.delayedRuns += delays(percent) - delays(r.pacePercent)
+	r.pacePercent = percent
+}
+
+// delays returns 1 for a pace that delays the step of a run, and otherwise 0.
+func delays(percent int) int {
+	if percent < delayingPace {
+		return 1
+	}
+	return 0
+}
+
 // usedShare returns the share of the worker's cores that a best-effort run uses at
 // its current pace.
 func (w *worker) usedShare(r *run) float64 {
@@ -144,7 +179,8 @@
 		return
 	}
 	r.accrueWork(now)
-	r.pacePercent, r.paceSetAt = percent, now
+	r.recordPace(percent)
+	r.paceSetAt = now
 	r.worker.paceChangedAt = now
 	r.worker.bestEffort.invalidate()
 	r.progressedAt = now
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -233,7 +233,7 @@
 		// The earlier owner may have changed the pace, so it is derived from the cores
 		// that the run uses.
 		if usedPercent := status.Metric * 100 / int(need); usedPercent < minFullPaceUsage {
-			r.pacePercent = usedPercent
+			r.recordPace(usedPercent)
 		}
 	}
 	return r
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -266,6 +266,7 @@
 	t := r.task
 	t.ranBefore = t.ranBefore || r.reported || r.phase == phaseRunning
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	t.step.delayedRuns -= delays(r.pacePercent)
 	if t.step.runsPerWorker[r.worker.id]--; t.step.runsPerWorker[r.worker.id] == 0 {
 		delete(t.step.runsPerWorker, r.worker.id)
 	}
