storage/access: transactions are not sent to a store that does not answer

Cause: during an outage one call per 150 ms was tried, whichever came, and most are submissions: they hung for 0.8 s to 1.7 s and were answered 504, after which a caller may not repeat a request that is not idempotent.

While only this entry is turned away, transactions go through a peer and other calls probe the direct way.

--- a/internal/storage/access/access.go
+++ b/internal/storage/access/access.go
@@ -53,11 +53,13 @@
 
 // Service implements kv.Doer for the other services of an entry.
 type Service struct {
+	*registry.Tasks
 	log    logr.Logger
 	direct kv.Doer
 	peers  network
 	limit  answerLimit
-	done   chan struct{}
+	// outageBegan signals that the store answers no entry any more.
+	outageBegan chan struct{}
 
 	mu               sync.Mutex
 	directFailing    bool         // direct calls get no answer
@@ -73,33 +75,33 @@
 
 // New returns a service over a direct client of the store.
 func New(log logr.Logger, direct kv.Doer) *Service {
-	return &Service{log: log, direct: direct, done: make(chan struct{}), reports: peerReports{}}
+	return &Service{
+		Tasks: registry.NewTasks(), log: log, direct: direct,
+		outageBegan: make(chan struct{}, 1), reports: peerReports{},
+	}
 }
 
 // Name implements registry.Service.
 func (s *Service) Name() registry.Name { return ServiceName }
 
 // Start implements registry.Service.
-func (s *Service) Start(_ context.Context, k *registry.Kernel) error {
+func (s *Service) Start(ctx context.Context, k *registry.Kernel) error {
 	peers, err := registry.Find[network](k, mesh.ServiceName)
 	if err != nil {
 		return errors.Errorf("find mesh: %w", err)
 	}
 	s.peers = peers
 	peers.Handle(kindStore, s.handleRelay)
+	s.Begin(ctx, s.probeOutages)
 	return nil
 }
 
 // Stop implements registry.Service.
-func (s *Service) Stop(context.Context) error {
+func (s *Service) Stop(ctx context.Context) error {
 	s.log.Info("store calls of this process", "calls", metric.StoreCalls.String())
-	close(s.done)
-	return nil
+	return s.Tasks.Stop(ctx)
 }
 
-// Done implements registry.Service.
-func (s *Service) Done() <-chan struct{} { return s.done }
-
 // Outage reports whether the store answers neither this entry nor, according to their
 // recent reports, its peers. An entry that does not reach most of its peers cannot tell,
 // and reports false.
@@ -114,7 +116,7 @@
 // relayed call had an effect.
 func (s *Service) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
 	startedAt := time.Now()
-	tryDirect, tryPeers := s.planCall(startedAt)
+	tryDirect, tryPeers := s.planCall(r, startedAt)
 	last := errors.Errorf("store not reached lately: %w", kv.ErrUnavailable)
 	unknown := false
 	if tryDirect {
@@ -174,18 +176,21 @@
 }
 
 // planCall decides whether a call is tried directly and through peers. During an outage
-// one call per outageProbeInterval is tried, and the others fail at once.
-func (s *Service) planCall(now time.Time) (direct, peers bool) {
+// one call per outageProbeInterval is tried, and the others fail at once. A transaction is
+// not sent to a store that does not answer, as its caller could not be told whether it has
+// had an effect.
+func (s *Service) planCall(r kv.Request, now time.Time) (direct, peers bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	writes := r.Op == kv.OpCommit
 	if s.outage {
-		if now.Before(s.nextAttempt) {
+		if writes || now.Before(s.nextAttempt) {
 			return false, false
 		}
 		s.nextAttempt = now.Add(outageProbeInterval)
 		return true, true
 	}
-	if s.directFailing && now.Before(s.nextProbe) {
+	if s.directFailing && (writes || now.Before(s.nextProbe)) {
 		return false, true
 	}
 	if s.directFailing {
@@ -221,6 +226,9 @@
 			s.outageStarted = now
 		}
 		s.outage = failed && s.directFailing
+		if s.outage {
+			s.signalOutage()
+		}
 		s.nextAttempt = now.Add(outageProbeInterval)
 	}
 	if after := [2]bool{s.directFailing, s.outage}; after != old {
@@ -337,7 +345,7 @@
 // DoDirect calls the store for another entry, and so only directly. It returns
 // ErrUnavailable at once while the store does not answer this entry.
 func (s *Service) DoDirect(ctx context.Context, r kv.Request) (kv.Response, error) {
-	if direct, _ := s.planCall(time.Now()); !direct {
+	if direct, _ := s.planCall(r, time.Now()); !direct {
 		return kv.Response{}, errors.Join(errNotReached, kv.ErrUnavailable)
 	}
 	response, err := s.callDirect(ctx, r)
