target/organisation, platform: API keys of organisations authenticate requests

Cause: any caller could submit, see and cancel jobs on any route.

Change: the configuration's organisations and their keys become a table of hashes under a random key. Routes that are not public need a key once the configuration names organisations. A key is accepted under strict-revoke only while the view of the configuration is at most 95% of revoke-ms old by unit.Age, counted from when the read was sent that confirmed it; the check is repeated after the body was read. Beyond that, requests get 503 and the readiness check fails. An unknown key gets 401 only on a recent view. Jobs keep their organisation, also in final records; other organisations get 410.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -132,7 +132,7 @@
 	services := []registry.Service{
 		mesh.New(log, s.IP, s.PeerPorts),
 		access.New(log, platform.NewStoreClient(s.StoreAddress)),
-		directory.New(log, platform.OperatorDecoder{}, s.Bounds.ConfigDelay),
+		newDirectory(s.Bounds, log),
 		ownership.New(log, self, ownership.Capacity(s.Limits), s.Bounds.MinLeaseTTL),
 		newCollectorService(debug.SetGCPercent),
 		relay.New(log, platform.Fleet{}),
@@ -156,6 +156,15 @@
 	return e, nil
 }
 
+// newDirectory returns the service that follows the configuration.
+func newDirectory(b platform.Bounds, log logr.Logger) *directory.Service {
+	var options []directory.Option
+	if b.StrictRevocation {
+		options = append(options, directory.RevokeWithin(b.RevokeDelay))
+	}
+	return directory.New(log, platform.OperatorDecoder{}, b.ConfigDelay, options...)
+}
+
 func newJobHandler(k *registry.Kernel) (http.Handler, error) {
 	jobs, err := registry.Find[platform.Jobs](k, intake.ServiceName)
 	if err != nil {
@@ -168,15 +177,18 @@
 	return &platform.JobHandler{Jobs: jobs, Directory: documents}, nil
 }
 
+// readiness reports whether the configuration lets an entry serve requests.
+type readiness interface{ Ready() bool }
+
 // newReadinessHandler returns the handler of the readiness check. An entry is ready
 // while it has a configuration and is not draining. It stays ready during an outage
-// of the store, which affects all entries alike.
+// of the store, which affects all entries alike, unless keys are then rejected.
 func (e *entry) newReadinessHandler(k *registry.Kernel) (http.Handler, error) {
-	documents, err := registry.Find[platform.Directory](k, directory.ServiceName)
+	configuration, err := registry.Find[readiness](k, directory.ServiceName)
 	if err != nil {
 		return nil, errors.Errorf("find directory: %w", err)
 	}
 	return platform.ReadinessHandler(func() bool {
-		return !e.draining.Load() && documents.Current() != nil
+		return !e.draining.Load() && configuration.Ready()
 	}), nil
 }
--- a/internal/job/intake/call_test.go
+++ b/internal/job/intake/call_test.go
@@ -12,6 +12,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/bench/malformed"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/owner"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
 )
@@ -23,8 +24,8 @@
 	o.accepted = append(o.accepted, notices...)
 	return nil
 }
-func (*acceptingOwner) State(context.Context, unit.JobID) (graph.State, bool, error) {
-	return 0, false, nil
+func (*acceptingOwner) State(context.Context, unit.JobID) (owner.JobStatus, error) {
+	return owner.JobStatus{}, nil
 }
 func (*acceptingOwner) Pending(context.Context, graph.QueueID) (int, error) { return 0, nil }
 
--- a/internal/job/intake/intake.go
+++ b/internal/job/intake/intake.go
@@ -25,6 +25,9 @@
 	// ErrUnknown means that a change may or may not have taken effect. The caller
 	// can safely repeat the same request.
 	ErrUnknown = errors.New("outcome unknown")
+	// ErrOtherOrganisation means that a job was not accepted since its id belongs to a job of
+	// another organisation.
+	ErrOtherOrganisation = errors.New("job id of another organisation")
 	// ErrUnavailable means that a query cannot be answered at present.
 	ErrUnavailable = errors.New("not available now")
 )
@@ -50,6 +53,25 @@
 	return min(max(s.access.OutageDuration(), minRetryAfter), maxRetryAfter)
 }
 
+// Caller is who asks about a job: an organisation, or a caller without one that came over a
+// public route.
+type Caller struct {
+	Organisation unit.OrganisationID
+	Queue        graph.QueueID // of the route
+}
+
+// sees reports whether a job of an organisation and a queue is visible to the caller. A job
+// without an organisation is visible to all.
+func (c Caller) sees(organisation unit.OrganisationID, queue graph.QueueID) bool {
+	switch {
+	case organisation == "":
+		return true
+	case c.Organisation == "":
+		return c.Queue == queue
+	}
+	return c.Organisation == organisation
+}
+
 // Submit writes a job to the store and returns once it is durable. It is
 // idempotent: a repeated submission with the same id changes nothing.
 func (s *Service) Submit(ctx context.Context, job graph.Job) error {
@@ -61,7 +83,11 @@
 	defer cancel()
 	r := record.Job{Format: record.Format, Job: job}
 	result := s.writer.write(ctx, r)
-	s.log.Info("submission", "job", job.ID, "queue", job.Queue.ID, "steps", len(job.Steps), "revision", result.revision,
+	log := s.log
+	if job.Organisation != "" {
+		log = log.WithValues("organisation", job.Organisation)
+	}
+	log.Info("submission", "job", job.ID, "queue", job.Queue.ID, "steps", len(job.Steps), "revision", result.revision,
 		"existed", result.existed, "took", time.Since(job.Accepted).String(), "error", result.err)
 	metric.Submissions.Add(result.outcome(), 1)
 	metric.SubmitLatency.Record(time.Since(job.Accepted))
@@ -74,14 +100,17 @@
 	return nil
 }
 
-// State returns the state of a job as the owner of the shard has it, or else as the
-// store has it.
-func (s *Service) State(ctx context.Context, id unit.JobID) (graph.State, error) {
-	state, known, askErr := s.askState(ctx, id)
-	if askErr == nil && known {
-		return state, nil
-	}
-	i, r, err := s.readRecord(ctx, id)
+// State returns the state of a job that the caller sees, as the owner of the shard has it,
+// or else as the store has it.
+func (s *Service) State(ctx context.Context, c Caller, id unit.JobID) (graph.State, error) {
+	job, askErr := s.askState(ctx, id)
+	if askErr == nil && job.Known {
+		if !c.sees(job.Organisation, job.Queue) {
+			return 0, errors.Errorf("job %s: %w", id, ErrNoJob)
+		}
+		return job.State, nil
+	}
+	i, r, err := s.readRecord(ctx, c, id)
 	if err != nil {
 		return 0, err
 	}
@@ -94,12 +123,12 @@
 	return graph.Queued, nil
 }
 
-// Cancel cancels a job and returns once the cancellation is durable.
-func (s *Service) Cancel(ctx context.Context, id unit.JobID) error {
+// Cancel cancels a job that the caller sees and returns once the cancellation is durable.
+func (s *Service) Cancel(ctx context.Context, c Caller, id unit.JobID) error {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	for range maxCancelAttempts {
-		i, r, err := s.readRecord(ctx, id)
+		i, r, err := s.readRecord(ctx, c, id)
 		if err != nil {
 			return err
 		}
@@ -138,8 +167,8 @@
 	return true, nil
 }
 
-// readRecord reads the record of a job from the store.
-func (s *Service) readRecord(ctx context.Context, id unit.JobID) (kv.Item, record.Job, error) {
+// readRecord reads the record of a job that the caller sees from the store.
+func (s *Service) readRecord(ctx context.Context, c Caller, id unit.JobID) (kv.Item, record.Job, error) {
 	i, err := s.store.Get(ctx, record.JobKey(id))
 	if errors.Is(err, kv.ErrNotFound) {
 		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %w", id, ErrNoJob)
@@ -152,5 +181,8 @@
 		s.log.Error(err, "job record not readable", "job", id, "revision", i.Revision)
 		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %v: %w", id, err, ErrUnavailable)
 	}
+	if !c.sees(r.Job.Organisation, r.Job.Queue.ID) {
+		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %w", id, ErrNoJob)
+	}
 	return i, r, nil
 }
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -33,7 +33,7 @@
 // jobOwner accepts notices and answers queries while this entry owns the shard.
 type jobOwner interface {
 	Accept(ctx context.Context, jobs []owner.SubmittedJob) error
-	State(ctx context.Context, id unit.JobID) (graph.State, bool, error)
+	State(ctx context.Context, id unit.JobID) (owner.JobStatus, error)
 	Pending(ctx context.Context, q graph.QueueID) (int, error)
 }
 
@@ -107,20 +107,12 @@
 	return nil
 }
 
-// stateResponse is the response to kindState.
-type stateResponse struct {
-	State graph.State `cbor:"1,keyasint"`
-	Known bool        `cbor:"2,keyasint"`
-}
-
-// askState returns the state that the owner has for a job, and whether the owner
-// knows the job.
-func (s *Service) askState(ctx context.Context, id unit.JobID) (graph.State, bool, error) {
+// askState returns what the owner knows of a job.
+func (s *Service) askState(ctx context.Context, id unit.JobID) (owner.JobStatus, error) {
 	if s.ownership.Owner() == s.ownership.Self() {
 		return s.local.State(ctx, id)
 	}
-	response, err := askOwner[stateResponse](ctx, s, kindState, id)
-	return response.State, response.Known, err
+	return askOwner[owner.JobStatus](ctx, s, kindState, id)
 }
 
 // Pending returns the number of accepted jobs of a queue that have no started task.
@@ -171,17 +163,17 @@
 	return nil, s.local.Accept(ctx, notices)
 }
 
-// handleState handles kindState: it returns the state of a job.
+// handleState handles kindState: it returns what the owner knows of a job.
 func (s *Service) handleState(ctx context.Context, _ mesh.Fingerprint, request []byte) ([]byte, error) {
 	var id unit.JobID
 	if err := cbor.Unmarshal(request, &id); err != nil {
 		return nil, errors.Errorf("decode job id: %w", err)
 	}
-	state, known, err := s.local.State(ctx, id)
+	status, err := s.local.State(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(stateResponse{State: state, Known: known})
+	return cbor.Marshal(status)
 }
 
 // handlePending handles kindPending: it returns the number of pending jobs of a
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -150,7 +150,7 @@
 			sub.result <- writeResult{err: errors.Errorf("%v: %w", cause, ErrUnknown)}
 			continue
 		}
-		sub.result <- writeResult{revision: i.Revision}
+		sub.result <- sub.resultOf(i, false)
 	}
 }
 
@@ -180,11 +180,29 @@
 			remaining = append(remaining, sub)
 			continue
 		}
-		sub.result <- writeResult{revision: i.Revision, existed: true}
+		sub.result <- sub.resultOf(i, true)
 	}
 	return remaining
 }
 
+// resultOf returns the result of a submission of which the store has the record in an item.
+// That of another organisation is no earlier submission of the same job.
+func (s *submission) resultOf(i kv.Item, existed bool) writeResult {
+	organisation := s.record.Job.Organisation
+	if organisation == "" {
+		return writeResult{revision: i.Revision, existed: existed}
+	}
+	stored, err := record.DecodeJob(i.Value)
+	if err != nil {
+		return writeResult{err: errors.Errorf("%v: %w", err, ErrUnknown)}
+	}
+	caller := Caller{Organisation: organisation, Queue: s.record.Job.Queue.ID}
+	if !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID) {
+		return writeResult{revision: i.Revision, err: ErrOtherOrganisation}
+	}
+	return writeResult{revision: i.Revision, existed: existed}
+}
+
 // answerAll sends the same result to all submissions of a batch.
 func answerAll(batch []*submission, result writeResult) {
 	for _, sub := range batch {
--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -120,7 +120,9 @@
 	b.txn.Guards = []kv.Guard{{Key: ownership.EpochKey, Revision: sh.term.EpochRevision}}
 	for _, f := range b.finalStates {
 		key := record.JobKey(f.Job)
-		value, err := record.Encode(record.Final(&graph.Job{ID: f.Job}, f.State))
+		job := graph.Job{ID: f.Job}
+		job.Organisation, job.Queue.ID = sh.core.JobOrganisation(f.Job)
+		value, err := record.Encode(record.Final(&job, f.State))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/job/owner/commit_test.go
+++ b/internal/job/owner/commit_test.go
@@ -114,6 +114,46 @@
 	}
 }
 
+// TestFinalRecordKeepsOrganisation guards against a job that other organisations see once it
+// has ended, and against final records that grow where no job has an organisation.
+func TestFinalRecordKeepsOrganisation(t *testing.T) {
+	tests := []struct {
+		name         string
+		organisation unit.OrganisationID
+		want         graph.Job
+	}{
+		{"organisation", "a", graph.Job{ID: "j", Organisation: "a", Queue: graph.Queue{ID: "q"}}},
+		{"none", "", graph.Job{ID: "j"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &recordingStore{}
+			s := New(logr.Discard(), &scriptedFleet{}, nil, Options{})
+			s.ownership, s.store = confirmedOwnership{}, kv.Client{Doer: store}
+			sh := newShard(t.Context(), s, ownership.Term{Epoch: 1})
+			defer sh.cancel()
+			sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
+			sh.progress.sent(0, time.Now()) // no progress is due
+			job := graph.Job{ID: "j", Organisation: tt.organisation, Queue: graph.Queue{ID: "q", Service: "orders"}}
+			sh.applyJob(SubmittedJob{Record: record.Job{Job: job}, Revision: 5, Created: 5}, time.Now())
+			if diff := cmp.Diff(JobStatus{graph.Queued, true, tt.want.Organisation, tt.want.Queue.ID}, sh.state("j")); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+			sh.finalStates = []scheduler.FinalState{{Job: "j", State: graph.Completed}}
+			if _, err := sh.commitOnce(t.Context(), false); err != nil {
+				t.Fatal(err)
+			}
+			got, err := record.DecodeJob(store.txns[0].Puts[0].Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(record.Job{Format: record.Format, State: graph.Completed, Job: tt.want}, got); diff != "" {
+				t.Errorf("record (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestHandOverDuringOutage guards against a hand-over that is written while the store answers
 // nobody: from then on no lease is extended, and the tasks of all workers end with their leases.
 func TestHandOverDuringOutage(t *testing.T) {
--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -65,10 +65,13 @@
 	})
 }
 
-func (sh *shard) state(id unit.JobID) (graph.State, bool) {
+func (sh *shard) state(id unit.JobID) JobStatus {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.core.JobState(id)
+	status := JobStatus{}
+	status.State, status.Known = sh.core.JobState(id)
+	status.Organisation, status.Queue = sh.core.JobOrganisation(id)
+	return status
 }
 
 func (sh *shard) pending(q graph.QueueID) (int, error) {
--- a/internal/job/owner/restore_test.go
+++ b/internal/job/owner/restore_test.go
@@ -99,7 +99,7 @@
 					time.Sleep(time.Millisecond)
 				}
 				for _, id := range store.jobs {
-					if state, ok := sh.state(id); !ok || state != graph.Cancelled {
+					if job := sh.state(id); !job.Known || job.State != graph.Cancelled {
 						t.Errorf("job %s is not known", id)
 					}
 				}
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -225,14 +225,21 @@
 	Created  unit.Revision `cbor:"3,keyasint"`
 }
 
-// State returns the state of a job, and false if the owner does not know the job.
-func (s *Service) State(_ context.Context, id unit.JobID) (graph.State, bool, error) {
+// JobStatus is what the owner of the shard knows of a job.
+type JobStatus struct {
+	State        graph.State         `cbor:"1,keyasint"`
+	Known        bool                `cbor:"2,keyasint"` // false: the owner does not know the job
+	Organisation unit.OrganisationID `cbor:"3,keyasint,omitempty"`
+	Queue        graph.QueueID       `cbor:"4,keyasint,omitempty"` // set only with an organisation
+}
+
+// State returns what the owner knows of a job.
+func (s *Service) State(_ context.Context, id unit.JobID) (JobStatus, error) {
 	sh := s.currentShard()
 	if sh == nil {
-		return 0, false, ErrNotOwner
+		return JobStatus{}, ErrNotOwner
 	}
-	state, ok := sh.state(id)
-	return state, ok, nil
+	return sh.state(id), nil
 }
 
 // Pending returns the number of jobs of a queue of which no task has started. It fails
--- a/internal/job/owner/watch_test.go
+++ b/internal/job/owner/watch_test.go
@@ -224,7 +224,7 @@
 					synctest.Wait()
 					n := 0
 					for _, id := range store.jobs {
-						if state, ok := sh.state(id); ok && state == graph.Cancelled {
+						if job := sh.state(id); job.Known && job.State == graph.Cancelled {
 							n++
 						}
 					}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -193,6 +193,16 @@
 	return graph.Queued, true
 }
 
+// JobOrganisation returns the organisation of a job and the queue that the job came over.
+// Both are empty if the job is unknown or has no organisation.
+func (c *Core) JobOrganisation(id unit.JobID) (unit.OrganisationID, graph.QueueID) {
+	j := c.jobs[id]
+	if j == nil || j.spec.Organisation == "" {
+		return "", ""
+	}
+	return j.spec.Organisation, j.spec.Queue.ID
+}
+
 // PendingJobs returns how many open jobs of a queue have not started any task.
 func (c *Core) PendingJobs(queue graph.QueueID) int {
 	n := 0
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -29,8 +29,10 @@
 	RelayedBytes   = expvar.NewInt("relayedbytes")
 	// RelayedHeartbeats counts the answers to heartbeats that were sent through another entry.
 	RelayedHeartbeats = expvar.NewInt("relayedheartbeats")
-	StoreCalls        = expvar.NewMap("kv_calls") // direct store calls, by operation
-	SkippedItems      = expvar.NewMap("skipped")  // items of the store that cannot be used, by the first part of the key
+	StoreCalls        = expvar.NewMap("kv_calls")      // direct store calls, by operation
+	SkippedItems      = expvar.NewMap("skipped")       // items of the store that cannot be used, by the first part of the key
+	RejectedKeys      = expvar.NewMap("rejected_keys") // requests that were not authenticated, by cause
+	KeyOutages        = expvar.NewInt("key_outages")   // times that the configuration became too old to accept keys
 )
 
 // AddSkippedItem counts an item of the store that cannot be used, by its key.
--- a/internal/target/directory/directory.go
+++ b/internal/target/directory/directory.go
@@ -1,6 +1,6 @@
 // Package directory follows the operators' configuration in the store: the routes
-// from hosts and paths to queues, the limits of requests, and the zones that are
-// out of service.
+// from hosts and paths to queues, the limits of requests, the organisations with their API
+// keys, and the zones that are out of service.
 package directory
 
 import (
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/target/organisation"
 )
 
 // Route maps requests for a host and path prefix to a queue.
@@ -17,6 +18,7 @@
 	Prefix  string // starts and ends with a slash
 	Queue   graph.Queue
 	Timeout time.Duration // bounds the time until a request is answered
+	Public  bool          // requests need no key
 }
 
 // Document is one version of the configuration.
@@ -24,6 +26,10 @@
 	Version unit.Revision
 	Routes  []Route
 	MaxBody unit.Bytes // maximum size of a request body; 0 means no limit
+
+	Organisations []organisation.Organisation // in order of their ids
+	Keys          *organisation.Keys          // nil if the configuration names no organisations: no key is needed
+	Faults        []error                     // in the organisations; the rest of the configuration holds
 }
 
 // Match returns the route of the host with the longest prefix of the path, and the
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -25,6 +25,9 @@
 // than the time in which a version is to be in force.
 const watchTimeout = 900 * time.Millisecond
 
+// maxLoggedFaults bounds the log lines about the organisations of one version.
+const maxLoggedFaults = 8
+
 // Decoder decodes the operators' items.
 type Decoder interface {
 	// Prefix returns the key prefix of all operators' items.
@@ -49,18 +52,28 @@
 	store   kv.Client
 	current atomic.Pointer[Document]
 
+	strict    bool // keys are accepted only while the view is at most maxKeyAge old
+	maxKeyAge time.Duration
+
 	mu          sync.Mutex
 	evacuated   map[unit.ZoneID]bool
 	confirmedAt time.Time // when the last read was sent that has shown all items until then
 }
 
+// Option changes a service that New returns.
+type Option func(*Service)
+
 // New returns a service that decodes items with d. A version has to be in force within
 // delay; 0 for no limit.
-func New(log logr.Logger, d Decoder, delay time.Duration) *Service {
-	return &Service{
+func New(log logr.Logger, d Decoder, delay time.Duration, options ...Option) *Service {
+	s := &Service{
 		Tasks: registry.NewTasks(), log: log, decoder: d, delay: delay,
 		evacuated: map[unit.ZoneID]bool{},
 	}
+	for _, option := range options {
+		option(s)
+	}
+	return s
 }
 
 // Name implements registry.Service.
@@ -75,7 +88,11 @@
 	if s.store, err = kv.Find(k); err != nil {
 		return err
 	}
-	s.Begin(ctx, s.follow)
+	tasks := []func(context.Context){s.follow}
+	if s.strict {
+		tasks = append(tasks, s.reportKeyAge)
+	}
+	s.Begin(ctx, tasks...)
 	return nil
 }
 
@@ -96,10 +113,7 @@
 	if s.delay == 0 {
 		return true
 	}
-	s.mu.Lock()
-	age := unit.Age(s.confirmedAt, time.Now())
-	s.mu.Unlock()
-	return age <= s.delay || s.outage.Outage()
+	return s.viewAge(time.Now()) <= s.delay || s.outage.Outage()
 }
 
 // confirm records that the items as of sentAt have been applied.
@@ -112,7 +126,7 @@
 // follow lists and watches the items until the context ends.
 func (s *Service) follow(ctx context.Context) {
 	s.store.Follow(ctx, s.decoder.Prefix(), kv.WatchHandler{
-		MaxWait: func() time.Duration { return watchTimeout },
+		MaxWait: s.maxWatchWait,
 		OnList: func(items []kv.Item, sentAt time.Time) {
 			s.handleList(items)
 			s.confirm(sentAt)
@@ -126,6 +140,14 @@
 	})
 }
 
+// maxWatchWait returns how long the store may delay the answer of a watch.
+func (s *Service) maxWatchWait() time.Duration {
+	if !s.strict {
+		return watchTimeout
+	}
+	return min(watchTimeout, max(s.maxKeyAge/watchesPerMaxAge, minWatchTimeout))
+}
+
 // handleList replaces the evacuated zones by those of a complete list, and adopts
 // its newest configuration.
 func (s *Service) handleList(items []kv.Item) {
@@ -193,5 +215,12 @@
 		return
 	}
 	s.current.Store(d)
-	s.log.Info("configuration in force", "version", d.Version, "revision", i.Revision, "routes", len(d.Routes))
+	s.log.Info("configuration in force", "version", d.Version, "revision", i.Revision, "routes", len(d.Routes), "organisations", len(d.Organisations))
+	for n, fault := range d.Faults {
+		if n == maxLoggedFaults {
+			s.log.Info("more faults in the organisations of the configuration", "version", d.Version, "faults", len(d.Faults)-n)
+			break
+		}
+		s.log.Info("fault in the organisations of the configuration", "version", d.Version, "fault", fault.Error())
+	}
 }
