target/directory: the age of a view is read before its keys are looked up

Cause: a request whose check read the document before the age could find a removed key in the old table while the age was already that of the new one, or get 401 for a key that had just been added.

Change: Authenticate reads the age first. The log lines about a view that is too old begin only after the first confirmation. The hash of a key is reset instead of built anew. Watches are shorter only where keys are needed.

--- a/internal/target/directory/authenticate.go
+++ b/internal/target/directory/authenticate.go
@@ -47,14 +47,14 @@
 func (s *Service) Authenticate(key string) (organisation.Organisation, Access) {
 	// The age is read before the document: the document then holds every change that the
 	// read has shown from which the age counts.
-	expired := s.keysExpired(time.Now())
+	age := s.viewAge(time.Now())
 	d := s.Current()
 	switch {
 	case d == nil:
 		return organisation.Organisation{}, Undecided
 	case d.Keys == nil:
 		return organisation.Organisation{}, Granted
-	case expired:
+	case s.expiresKeys(age):
 		metric.RejectedKeys.Add("view too old for keys", 1)
 		return organisation.Organisation{}, Undecided
 	}
@@ -62,7 +62,7 @@
 		return o, Granted
 	}
 	switch {
-	case !s.Recent():
+	case !s.isRecent(age):
 		metric.RejectedKeys.Add("unknown on an old view", 1)
 		return organisation.Organisation{}, Undecided
 	case key == "":
@@ -76,15 +76,13 @@
 // Ready reports whether a configuration is known and, if it needs keys, whether the view is
 // recent enough to accept them.
 func (s *Service) Ready() bool {
-	expired := s.keysExpired(time.Now())
+	age := s.viewAge(time.Now())
 	d := s.Current()
-	return d != nil && (d.Keys == nil || !expired)
+	return d != nil && (d.Keys == nil || !s.expiresKeys(age))
 }
 
-// keysExpired reports whether the view is too old to accept keys.
-func (s *Service) keysExpired(now time.Time) bool {
-	return s.strict && s.viewAge(now) > s.maxKeyAge
-}
+// expiresKeys reports whether a view of an age is too old to accept keys.
+func (s *Service) expiresKeys(age time.Duration) bool { return s.strict && age > s.maxKeyAge }
 
 // viewAge returns the time since the last read was sent that has shown all items.
 func (s *Service) viewAge(now time.Time) time.Duration {
@@ -93,11 +91,20 @@
 	return unit.Age(s.confirmedAt, now)
 }
 
+// watchWait returns how long the store may delay the answer of a watch: less if a short age
+// bounds the acceptance of keys.
+func (s *Service) watchWait() time.Duration {
+	if d := s.Current(); !s.strict || d == nil || d.Keys == nil {
+		return watchTimeout
+	}
+	return min(watchTimeout, max(s.maxKeyAge/watchesPerMaxAge, minWatchTimeout))
+}
+
 // reportKeyAge logs and counts when the view becomes too old to accept keys, and logs when
 // it is recent again, until the context ends.
 func (s *Service) reportKeyAge(ctx context.Context) {
 	expired := false
-	for ctx.Err() == nil {
+	for next := s.maxKeyAge; wait.For(ctx, next); {
 		age := s.viewAge(time.Now())
 		d := s.Current()
 		now := d != nil && d.Keys != nil && age > s.maxKeyAge
@@ -109,6 +116,6 @@
 			s.log.Info("keys accepted again: configuration confirmed", "version", d.Version, "age", age.String())
 		}
 		expired = now
-		wait.For(ctx, max(s.maxKeyAge-age, confirmationCheckInterval))
+		next = max(s.maxKeyAge-age, confirmationCheckInterval)
 	}
 }
--- a/internal/target/directory/authenticate_test.go
+++ b/internal/target/directory/authenticate_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 	"unsafe"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
@@ -116,16 +118,24 @@
 		store  slowStore
 		cut    time.Duration // how long the store is not reached
 		served bool          // all the time
+		lines  []string      // of the log
 	}{
-		{"store answers", revokeDelay, slowStore{latency: 4 * time.Millisecond}, 0, true},
-		{"store slow, connection silent", revokeDelay, slowStore{latency: time.Second, silent: 3}, 0, true},
-		{"short delay", 2 * time.Second, slowStore{latency: 4 * time.Millisecond, silent: 5}, 0, true},
-		{"cut off", revokeDelay, slowStore{latency: 4 * time.Millisecond}, 20 * time.Second, false},
+		{"store answers", revokeDelay, slowStore{latency: 4 * time.Millisecond}, 0, true, nil},
+		{"store slow, connection silent", revokeDelay, slowStore{latency: time.Second, silent: 3}, 0, true, nil},
+		{"short delay", 2 * time.Second, slowStore{latency: 4 * time.Millisecond, silent: 5}, 0, true, nil},
+		{"cut off", revokeDelay, slowStore{latency: 4 * time.Millisecond}, 20 * time.Second, false,
+			[]string{"keys rejected: configuration not confirmed lately", "keys accepted again: configuration confirmed"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := New(logr.Discard(), decoder{}, 0, RevokeWithin(tt.delay))
+				var lines []string
+				log := funcr.NewJSON(func(line string) {
+					var fields struct{ Msg string }
+					_ = json.Unmarshal([]byte(line), &fields) // a line without a message differs
+					lines = append(lines, fields.Msg)
+				}, funcr.Options{})
+				s := New(log, decoder{}, 0, RevokeWithin(tt.delay))
 				s.current.Store(keyed("k"))
 				cutAt := time.Now().Add(30 * time.Second)
 				store := &cutStore{tt.store, cutAt, cutAt.Add(tt.cut)}
@@ -138,7 +148,8 @@
 					_, access := s.Authenticate("k")
 					served = served && access == Granted
 					if age := time.Since(cutAt); access == Granted && age > tt.delay && age < tt.cut {
-						t.Fatalf("key accepted %s after the store was lost", age)
+						t.Errorf("key accepted %s after the store was lost", age)
+						break
 					}
 				}
 				if diff := cmp.Diff(tt.served, served); diff != "" {
@@ -149,7 +160,45 @@
 				}
 				_ = s.Stop(t.Context()) // never fails
 				<-s.Done()
+				if diff := cmp.Diff(tt.lines, lines); diff != "" {
+					t.Errorf("log lines (-want +got):\n%s", diff)
+				}
 			})
 		})
 	}
 }
+
+// TestChangeWhileAuthenticating guards against a key that is looked up in the table of the old
+// version, while the age is already that of the read that showed the new one.
+func TestChangeWhileAuthenticating(t *testing.T) {
+	tests := []struct {
+		name          string
+		options       []Option
+		before, after *Document
+		never         Access
+	}{
+		{"key removed", []Option{RevokeWithin(revokeDelay)}, keyed("k"), keyed(), Granted},
+		{"key added", nil, keyed(), keyed("k"), Denied},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := New(logr.Discard(), decoder{}, 3*time.Second, tt.options...)
+			s.outage = fixedOutage(false)
+			for range 20_000 {
+				s.confirm(time.Time{})
+				s.current.Store(tt.before)
+				changed := make(chan struct{})
+				go func() {
+					defer close(changed)
+					s.current.Store(tt.after)
+					s.confirm(time.Now())
+				}()
+				_, access := s.Authenticate("k")
+				<-changed
+				if access == tt.never {
+					t.Fatalf("access %d", access)
+				}
+			}
+		})
+	}
+}
--- a/internal/target/directory/service.go
+++ b/internal/target/directory/service.go
@@ -109,11 +109,11 @@
 
 // Recent reports whether every version that has to be in force by now is known. While the
 // store answers no entry there are no new ones.
-func (s *Service) Recent() bool {
-	if s.delay == 0 {
-		return true
-	}
-	return s.viewAge(time.Now()) <= s.delay || s.outage.Outage()
+func (s *Service) Recent() bool { return s.isRecent(s.viewAge(time.Now())) }
+
+// isRecent is Recent for a view of an age.
+func (s *Service) isRecent(age time.Duration) bool {
+	return s.delay == 0 || age <= s.delay || s.outage.Outage()
 }
 
 // confirm records that the items as of sentAt have been applied.
@@ -126,7 +126,7 @@
 // follow lists and watches the items until the context ends.
 func (s *Service) follow(ctx context.Context) {
 	s.store.Follow(ctx, s.decoder.Prefix(), kv.WatchHandler{
-		MaxWait: s.maxWatchWait,
+		MaxWait: s.watchWait,
 		OnList: func(items []kv.Item, sentAt time.Time) {
 			s.handleList(items)
 			s.confirm(sentAt)
@@ -140,14 +140,6 @@
 	})
 }
 
-// maxWatchWait returns how long the store may delay the answer of a watch.
-func (s *Service) maxWatchWait() time.Duration {
-	if !s.strict {
-		return watchTimeout
-	}
-	return min(watchTimeout, max(s.maxKeyAge/watchesPerMaxAge, minWatchTimeout))
-}
-
 // handleList replaces the evacuated zones by those of a complete list, and adopts
 // its newest configuration.
 func (s *Service) handleList(items []kv.Item) {
--- a/internal/target/organisation/keys.go
+++ b/internal/target/organisation/keys.go
@@ -7,7 +7,9 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/binary"
+	"hash"
 	"slices"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -20,10 +22,10 @@
 
 // Keys is the table of the API keys of one version of the configuration. It holds hashes of
 // them under a random key of its own, so that neither a dump of the memory nor the time of a
-// lookup reveals a key. It never changes.
+// lookup reveals a key. Its content never changes.
 type Keys struct {
-	secret        [sha256.Size]byte
-	longest       int // length of the longest key; a longer one is not hashed
+	macs          sync.Pool // hash.Hash under the random key
+	longest       int       // length of the longest key; a longer one is not hashed
 	organisations []Organisation
 	entries       []keyEntry // in order of prefix
 }
@@ -53,7 +55,9 @@
 func (k *Keys) Len() int { return len(k.entries) }
 
 func (k *Keys) hash(key string) digest {
-	mac := hmac.New(sha256.New, k.secret[:])
+	mac := k.macs.Get().(hash.Hash)
+	defer k.macs.Put(mac)
+	mac.Reset()
 	_, _ = mac.Write([]byte(key)) // a hash returns no error
 	var d digest
 	mac.Sum(d[:0])
@@ -75,7 +79,9 @@
 		n += len(entries[i].Keys)
 	}
 	b := &keysBuilder{keys: &Keys{}, holders: make(map[digest]int, n)}
-	_, _ = rand.Read(b.keys.secret[:]) // ends the process instead of returning an error
+	secret := make([]byte, sha256.Size)
+	_, _ = rand.Read(secret) // ends the process instead of returning an error
+	b.keys.macs.New = func() any { return hmac.New(sha256.New, secret) }
 	return b
 }
 
