job/quota, job/share: caps and fair shares of organisations, used by the scheduler and the owner

An organisation could use all workers, and one with many times its usual load delayed all others. job/quota counts what each organisation has running, or may have, and decides by its cap; job/share decides by token buckets which jobs are within the rate, and by water-filling who runs more than its share. The core counts runs where it adds and removes them, reported runs that no task needs, and after a takeover the waiting tasks that an earlier owner may have started. Held steps block no others. The owner passes each new configuration on and holds starts of capped organisations while its view is older than config-apply-ms.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -127,6 +127,7 @@
 		Delays: owner.Delays{
 			Cancel: s.Bounds.CancelDelay, Drain: s.Bounds.DrainDelay,
 			Evacuation: s.Bounds.EvacuationDelay, Visibility: s.Bounds.VisibilityDelay,
+			Configuration: s.Bounds.ConfigDelay,
 		},
 	})
 	services := []registry.Service{
--- a/internal/job/owner/order.go
+++ b/internal/job/owner/order.go
@@ -69,7 +69,7 @@
 func (c *workerClient) admit(o scheduler.Order, now time.Time) (until unit.WorkerTime, verdict admission) {
 	// The deadline is computed before the ownership is checked, so that it is no
 	// later than maxStartWindow after the check however late the order is sent.
-	window := c.shard.startWindow(now)
+	window := c.shard.startWindowOf(o, now)
 	until = c.workerDeadline(window)
 	start := o.Kind == scheduler.OrderStart
 	switch {
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -104,6 +104,7 @@
 	adviser   Adviser // nil if no queue has placement advice
 	ownership shardOwnership
 	zones     zoneDirectory
+	documents documentDirectory // nil: no job has an organisation
 	outage    outageDetector
 	store     kv.Client
 	relay     startRelay
@@ -133,6 +134,9 @@
 	if s.zones, err = registry.Find[zoneDirectory](k, "directory"); err != nil {
 		return errors.Errorf("find directory: %w", err)
 	}
+	if s.documents, err = registry.Find[documentDirectory](k, "directory"); err != nil {
+		return errors.Errorf("find directory: %w", err)
+	}
 	if s.outage, err = registry.Find[outageDetector](k, kv.ServiceName); err != nil {
 		return errors.Errorf("find store: %w", err)
 	}
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -15,6 +15,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
+	"github.com/monsoonfold/monsoonfold/internal/target/directory"
 )
 
 // Intervals, timeouts and lease lengths of the shard.
@@ -67,9 +68,12 @@
 	relays             *relayPool
 	placement          placementPacer
 	progress           progressPacer
-	handingOver        bool // no new orders are queued
-	abandoned          bool // the state of the core cannot be trusted after a fault
-	startsHeld         bool // nothing is placed, as a view of the store is too old
+	handingOver        bool                // no new orders are queued
+	abandoned          bool                // the state of the core cannot be trusted after a fault
+	startsHeld         bool                // nothing is placed, as a view of the store is too old
+	cappedHeld         bool                // nothing is placed for organisations with a cap, as the configuration is too old
+	configuration      *directory.Document // whose organisations the core has
+	summary            organisationSummary // used only by run
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
 	lastEstimatesWrite time.Time
@@ -132,9 +136,11 @@
 	}
 	metric.OwnershipChanges.Add("taken over", 1)
 	sh.service.setShard(sh)
+	defer publishOrganisations(nil)
 	for sh.awaitTick() {
 		sh.update(func(c *scheduler.Core, now time.Time) {
 			sh.applyZones(c)
+			sh.applyOrganisations(c)
 			c.SetStartRelays(sh.relays.update(now))
 			if sh.takeover.endOverlap(now) {
 				c.MarkProgressChanged()
@@ -142,6 +148,7 @@
 			c.Tick(now)
 		})
 		sh.logSummary()
+		sh.summary.log(sh)
 	}
 }
 
@@ -184,6 +191,7 @@
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
 		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(), "relays", s.StartRelays, "relayed", metric.RelayedStarts.Value(), "sharing", sharing,
 		"batches", metric.RelayedBatches.Value(), "relayedbytes", metric.RelayedBytes.Value(), "startbytes", s.StartBytes, "waitingfill", s.Filling,
+		"quota", s.HeldByQuota, "beyondrate", s.BeyondRate,
 		"relayqueued", relayQueued.String(), "relayanswer", relayAnswer.String(),
 		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond,
@@ -240,6 +248,8 @@
 	now := time.Now()
 	core.RestoreInterference(model.Pairs, now)
 	sh.applyZones(core)
+	sh.configuration = nil // the core is new
+	sh.applyOrganisations(core)
 	for _, item := range stored.workers.items {
 		sh.applyListing(item)
 	}
@@ -303,6 +313,7 @@
 	}
 	if sh.placement.due(now) && sh.mayStart(now) {
 		began := time.Now()
+		sh.core.HoldCapped(!sh.mayStartCapped(now))
 		sh.core.Place(now)
 		sh.placement.ended(began, time.Now())
 		metric.PlaceTimer.Since(began)
--- a/internal/job/owner/views.go
+++ b/internal/job/owner/views.go
@@ -15,6 +15,9 @@
 	Cancel     time.Duration // of the job
 	Drain      time.Duration // of the worker
 	Evacuation time.Duration // of the worker's zone
+	// Configuration is the delay after a version of the configuration that lowers the cap of
+	// the job's organisation.
+	Configuration time.Duration
 	// Visibility is the longest time after which an accepted job counts as pending; 0 for
 	// no limit.
 	Visibility time.Duration
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -124,7 +124,7 @@
 // Final returns the record of a job that has ended. It keeps only what identifies
 // the job, since the spec and the steps are no longer needed.
 func Final(j *graph.Job, s graph.State) Job {
-	return Job{Format: Format, State: s, Job: graph.Job{ID: j.ID, Queue: graph.Queue{ID: j.Queue.ID}, Accepted: j.Accepted}}
+	return Job{Format: Format, State: s, Job: graph.Job{ID: j.ID, Queue: graph.Queue{ID: j.Queue.ID}, Accepted: j.Accepted, Organisation: j.Organisation}}
 }
 
 // encMode keeps the nanoseconds of times, since a new owner compares deadlines
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -41,7 +41,7 @@
 func (c *Core) NextAdviceRequest(now time.Time) (AdviceRequest, bool) {
 	var best *step
 	for _, s := range c.readySteps {
-		if s.occurrence.job.spec.Queue.Advice == nil || len(s.waiting) == 0 || c.canStartNow(s, now) {
+		if s.occurrence.job.spec.Queue.Advice == nil || len(s.waiting) == 0 || c.isHeldBack(s, now) || c.canStartNow(s, now) {
 			continue
 		}
 		if best == nil || c.policy.compare(s, best, now) < 0 {
@@ -75,7 +75,7 @@
 		lead := time.Duration(adviceLeadShare * float64(j.spec.Queue.Advice.TicketValidity))
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.incompleteDeps == 0 || len(s.waiting) == 0 || c.timeUntilReady(s) > lead || c.canStartNow(s, now) {
+				if s.incompleteDeps == 0 || len(s.waiting) == 0 || c.timeUntilReady(s) > lead || c.isHeldBack(s, now) || c.canStartNow(s, now) {
 					continue
 				}
 				if best == nil || cmp.Or(c.policy.compare(s, best, now), compareStepIDs(s, best)) < 0 {
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,7 +51,8 @@
 	durations         *duration.Estimator
 	policy            policy
 	startBudget       startBudget
-	candidates        candidates               // of the step that is being placed
+	candidates        candidates // of the step that is being placed
+	organisations     organisations
 	classShares       map[unit.ClassID]float64 // reused by learnFromTails
 	// openWorkers are, of the workers of each service that the last placement pass has
 	// ranked, those that were open, sorted by id.
@@ -218,6 +219,8 @@
 		c.openDueOccurrences(j, now)
 	}
 	c.updateSoftDeadlines(now)
+	c.updateShares(now)
+	c.releaseExpiredUnknownRuns(now)
 	for _, w := range c.workers {
 		c.expireLease(w, now)
 		c.checkRuns(w, now)
--- a/internal/job/scheduler/early.go
+++ b/internal/job/scheduler/early.go
@@ -86,5 +86,6 @@
 			}
 			c.recordInheritedLease(w, now)
 		}
+		c.chargeUnknownRuns(w)
 	}
 }
--- a/internal/job/scheduler/event.go
+++ b/internal/job/scheduler/event.go
@@ -144,6 +144,7 @@
 	Reason      Reason
 	FirstStart  bool      // OrderStart: no task of the job is known to have started before
 	JobDue      time.Time // OrderStart: when the job was allowed to start
+	Capped      bool      // OrderStart: the organisation of the job has a cap
 	Relayed     bool      // OrderStart: to be sent through another entry, as the owner's link is short
 }
 
--- a/internal/job/scheduler/gang.go
+++ b/internal/job/scheduler/gang.go
@@ -12,6 +12,9 @@
 	if len(s.waiting) != s.remaining {
 		return // members of an earlier run have not ended yet
 	}
+	if c.holdsBack(s, len(s.waiting), now) {
+		return
+	}
 	racks := []unit.RackID{""}
 	if s.spec.SameRack {
 		racks = c.racks(s.occurrence.job.spec.Queue.Service)
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/share"
 )
 
 // job holds a submitted job and its progress.
@@ -20,8 +21,10 @@
 	occurrences          []*occurrence
 	openedOccurrences    int // occurrences whose due time has passed
 	completedOccurrences int
-	activeRuns           int  // runs on workers
-	longRunning          bool // has tasks that run until the job is cancelled
+	activeRuns           int            // runs on workers
+	longRunning          bool           // has tasks that run until the job is cancelled
+	account              *account       // of its organisation; nil without one
+	arrival              *share.Arrival // at its organisation; nil without one
 }
 
 // occurrence is one execution of a job's graph of steps.
@@ -49,6 +52,9 @@
 	fastestTask    time.Duration                    // shortest task duration at full speed; 0: unknown
 	longestTask    time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
 	advice         map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
+	standing       standing                         // among the steps of other organisations
+	held           holdCause                        // why the last placement pass held it back
+	heldSince      time.Time                        // since when passes have held it back
 }
 
 // task is one task of a step.
@@ -110,6 +116,7 @@
 	}
 	j := &job{spec: spec, final: final, finalDurable: final != 0, finalSince: now, createdInTerm: createdInTerm}
 	c.jobs[spec.ID] = j
+	c.joinOrganisation(j)
 	if final != 0 {
 		delete(c.inheritedProgress, spec.ID)
 		return
@@ -163,6 +170,7 @@
 		if j.finalDurable && j.activeRuns == 0 && j.finalSince.Before(before) {
 			ids = append(ids, id)
 			delete(c.jobs, id)
+			c.leaveOrganisation(j)
 		}
 	}
 	return ids
@@ -348,6 +356,7 @@
 
 // stopJob stops all runs of a job and removes its waiting tasks.
 func (c *Core) stopJob(j *job, reason Reason) {
+	c.keepHidden(j)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			s.waiting = nil
--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -22,7 +22,8 @@
 		if r == nil || r.phase != phaseQueued {
 			return false
 		}
-		if !c.acceptsOrders(r.worker, now) || r.worker.health.quarantinedSince(r.orderedAt, now) {
+		c.refreshHidden()
+		if !c.acceptsOrders(r.worker, now) || r.worker.health.quarantinedSince(r.orderedAt, now) || r.exceedsQuota() {
 			c.withdraw(r)
 			return false
 		}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -25,6 +25,7 @@
 		s.inReadySteps = len(s.waiting) > 0 && s.occurrence.job.final == 0
 		return !s.inReadySteps
 	})
+	c.beginPass()
 	slices.SortStableFunc(c.readySteps, func(a, b *step) int { return c.policy.compare(a, b, now) })
 	includeBestEffort := now.Sub(c.lastBestEffortPlacement) >= bestEffortInterval
 	if includeBestEffort {
@@ -43,7 +44,7 @@
 			c.placementDue = true
 			break
 		}
-		if s.spec.BestEffort && !includeBestEffort {
+		if s.awaitsFullPass() && !includeBestEffort {
 			continue
 		}
 		c.placeSafely(s, now)
@@ -58,11 +59,12 @@
 // tasks, which cost more to place than others and tolerate longer waits.
 const bestEffortInterval = 40 * time.Millisecond
 
-// compareUrgency orders steps by priority, then by rank, then by soft deadline, the
+// compareUrgency orders steps by standing, by priority, then by rank, then by soft deadline, the
 // earliest first.
 func compareUrgency(a, b *step, now time.Time) int {
 	ja, jb := a.occurrence.job, b.occurrence.job
 	return cmp.Or(
+		compareStanding(a, b),
 		cmp.Compare(ja.spec.Queue.Priority, jb.spec.Queue.Priority),
 		cmp.Compare(a.rank(now), b.rank(now)),
 		a.occurrence.softDeadline.Compare(b.occurrence.softDeadline),
@@ -155,7 +157,7 @@
 			deferred = append(deferred, t)
 			continue
 		}
-		if c.isUnplaceable(s) {
+		if c.holdsBack(s, 1, now) || c.isUnplaceable(s) {
 			break
 		}
 		w := candidates.best(t)
@@ -222,7 +224,7 @@
 	w.health.recordStart(now)
 	c.issueOrder(Order{
 		Ticket: ticket, FirstStart: first, JobDue: j.spec.Due(0),
-		Kind: OrderStart, Worker: w.id, Incarnation: w.incarnation, Task: t.id(), Run: number,
+		Kind: OrderStart, Worker: w.id, Incarnation: w.incarnation, Task: t.id(), Run: number, Capped: c.isCapped(j),
 		Spec: t.job().spec.Spec, Checkpoint: t.checkpoint, Reason: ReasonReady, Relayed: c.startBudget.prefersRelay(),
 	})
 }
--- a/internal/job/scheduler/preempt.go
+++ b/internal/job/scheduler/preempt.go
@@ -16,7 +16,7 @@
 // resume from a checkpoint. It picks the worker where the fewest must stop, and
 // there the latest started first. One worker is preempted at a time.
 func (c *Core) preempt(t *task, now time.Time) {
-	if !c.policy.mayStopRuns() || t.step.spec.BestEffort || now.Sub(c.lastPreemption) < preemptInterval {
+	if !c.policy.mayStopRuns() || t.step.spec.BestEffort || t.step.beyondRate() || now.Sub(c.lastPreemption) < preemptInterval {
 		return
 	}
 	c.lastPreemption = now
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -108,7 +108,7 @@
 func (r *run) mayRelocate(now time.Time) bool {
 	s := r.task.step.spec
 	return s.BestEffort && s.Checkpoints && r.phase == phaseRunning &&
-		r.pacePercent <= maxSlowedPace && now.Sub(r.paceSetAt) >= minSlowedTime && r.progressPercent <= 90
+		r.pacePercent <= maxSlowedPace && now.Sub(r.paceSetAt) >= minSlowedTime && r.progressPercent <= 90 && !r.exceedsQuota()
 }
 
 // canRunFaster reports whether another worker can run the task of a run at a good speed
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -61,6 +61,8 @@
 	if len(w.unknownRuns) == 0 {
 		delete(c.reportingUnknown, w.id)
 	}
+	c.chargeUnknownRuns(w)
+	c.organisations.hiddenStale = true
 	for id := range w.unknownRuns {
 		c.stopUnknownRun(w, id, stopsUnderWay[id])
 	}
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -28,6 +28,8 @@
 	Deferred    bool          // tasks wait for the bytes that starts may take on the link
 	StartBytes  unit.Bytes    // of start orders that were counted against the link in this term
 	Filling     int           // waiting best-effort tasks
+	HeldByQuota int           // waiting tasks that the cap of their organisation holds back
+	BeyondRate  int           // waiting tasks of jobs beyond the rate of their organisation
 }
 
 // Stats returns a summary of the current state.
@@ -42,6 +44,12 @@
 		if ready.spec.BestEffort {
 			s.Filling += len(ready.waiting)
 		}
+		if ready.held != holdNone {
+			s.HeldByQuota += len(ready.waiting)
+		}
+		if ready.beyondRate() {
+			s.BeyondRate += len(ready.waiting)
+		}
 	}
 	for _, lease := range c.unresolved {
 		s.ResolvedIn = max(s.ResolvedIn, lease.expiresAt.Sub(now))
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -78,6 +78,7 @@
 	overTargetSince   time.Time      // since when a serving run exceeds its target; zero: none does
 	tailsReadAt       time.Time      // when the last report with tails was handled
 	answersDue        []time.Time    // when the heartbeats without an answer so far were sent
+	unknownCharges    []charge       // of the unknown runs, to their organisations
 }
 
 // noEnd is above the numbers of all ends.
@@ -114,6 +115,7 @@
 	for id, w := range c.workers {
 		if !w.listed && len(w.runs) == 0 && now.After(w.leaseExpiry) && !c.isUnresolved(id) {
 			delete(c.workers, id)
+			c.releaseUnknownRuns(w)
 			delete(c.reportingUnknown, id)
 		}
 	}
@@ -213,6 +215,7 @@
 	w.incarnation, w.lastEndSeen, w.ackCursor, w.firstListedEnd = incarnation, 0, 0, noEnd
 	w.health = health{}
 	clear(w.unknownRuns)
+	c.releaseUnknownRuns(w)
 	clear(w.heldEnds)
 	for _, r := range w.runs {
 		if r.phase == phaseQueued || r.reported {
@@ -245,6 +248,7 @@
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	t.step.runsPerWorker[w.id]++
 	t.job().activeRuns++
+	t.chargeRun(true)
 	w.runs[t.id()] = r
 	w.runList = append(w.runList, r)
 	w.bestEffort.invalidate()
@@ -269,6 +273,7 @@
 		delete(t.step.runsPerWorker, r.worker.id)
 	}
 	t.job().activeRuns--
+	t.chargeRun(false)
 	delete(r.worker.runs, t.id())
 	r.worker.runList = slices.DeleteFunc(r.worker.runList, func(o *run) bool { return o == r })
 	r.worker.bestEffort.invalidate()
--- a/internal/target/directory/directory.go
+++ b/internal/target/directory/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/target/organisation"
 )
 
 // Route maps requests for a host and path prefix to a queue.
@@ -24,6 +25,8 @@
 	Version unit.Revision
 	Routes  []Route
 	MaxBody unit.Bytes // maximum size of a request body; 0 means no limit
+	// Organisations are those that the configuration names.
+	Organisations []organisation.Organisation
 }
 
 // Match returns the route of the host with the longest prefix of the path, and the
