job/scheduler: model of the quota rule over owners, lost workers and changing caps

TestQuotaModel draws organisations, caps that go up and down, hand-overs, takeovers, silent and lost workers, late ends and late starts, and checks each start that a worker executes.

--- a/internal/job/scheduler/model_owner_test.go
+++ b/internal/job/scheduler/model_owner_test.go
@@ -169,6 +169,7 @@
 	}
 	sim.core.LoadProgress(progress.snapshot.Jobs, progress.snapshot.KnownWorkers, unresolved)
 	sim.core.LoadLeases(progress.snapshot.Leases, now)
+	sim.applyCaps(sim.simOwner)
 	sim.core.SetEarlierStartsEnd(now.Add(simMaxOrderOverlap))
 	sim.readList()
 	if !progress.handedOver {
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -43,6 +43,7 @@
 	endedDone       map[graph.Task]bool      // tasks that ended as done on some worker, reported or not
 	starts          map[graph.Task]int       // executed starts
 	jobCount        int
+	quota           *simQuota // nil: no job has an organisation
 }
 
 // inFlightOrder is an order that has not reached its worker yet.
@@ -54,6 +55,7 @@
 	clockOf    Incarnation // whose clock the deadline is read from; others refuse nothing
 	answerLost bool        // the core gets no outcome
 	executed   bool        // a copy was executed
+	version    int         // of the configuration when it was sent
 }
 
 const (
@@ -112,7 +114,11 @@
 		if sim.removed[id] {
 			continue
 		}
-		sim.core.AddJob(sim.jobs[id], sim.durableFinal[id], false, sim.clock())
+		job := sim.jobs[id]
+		if sim.quota != nil && sim.durableFinal[id] != 0 { // as the record of an ended job does
+			job = &graph.Job{ID: id, Accepted: job.Accepted, Organisation: job.Organisation}
+		}
+		sim.core.AddJob(job, sim.durableFinal[id], false, sim.clock())
 	}
 }
 
@@ -160,7 +166,7 @@
 
 func (sim *simulation) sendFrom(from *simOwner, o Order) {
 	incarnation, _ := from.core.AckCursor(o.Worker)
-	f := inFlightOrder{order: o, epoch: from.epoch, sentAt: sim.now, deadline: sim.now.Add(simStartWindow), clockOf: incarnation}
+	f := inFlightOrder{order: o, epoch: from.epoch, sentAt: sim.now, deadline: sim.now.Add(simStartWindow), clockOf: incarnation, version: sim.quota.version()}
 	now := from.clockAt(sim.now)
 	if from.core.BeginOrder(o, now.Add(simStartWindow*1025/1000+simResponseSlack), now) {
 		sim.inFlight = append(sim.inFlight, f)
@@ -304,6 +310,7 @@
 		later.After = []graph.StepIndex{0}
 		job.Steps = append(job.Steps, later)
 	}
+	sim.organise(job)
 	sim.jobs[job.ID] = job
 	sim.core.AddJob(job, 0, true, sim.clock())
 }
--- a/internal/job/scheduler/model_worker_test.go
+++ b/internal/job/scheduler/model_worker_test.go
@@ -169,6 +169,7 @@
 			return OutcomeDeadlineExceeded
 		}
 		sim.checkStart(s, f)
+		sim.checkQuota(f)
 		s.runs[o.Task] = o.Run
 		sim.starts[o.Task]++
 		s.extendLease(sim.now, lease)
