--- a/internal/job/scheduler/organisation_test.go
+++ b/internal/job/scheduler/organisation_test.go
@@ -477,3 +477,106 @@
 		t.Errorf("orders for a job beyond the rate (-want +got):\n%s", diff)
 	}
 }
+
+// TestHeldBackAdvice guards against a step that quota holds back and that takes the requests
+// for placement advice from the steps of others, and from its own earlier steps.
+func TestHeldBackAdvice(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit unit.Millicores
+		asked unit.JobID
+	}{
+		{"within the cap", 8000, "a"},
+		{"held back", 1000, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": tt.limit})
+			for priority, org := range []unit.OrganisationID{"a", "b"} {
+				j := newJob(unit.JobID(org), smallStep)
+				j.Organisation, j.Queue.Priority = org, graph.Priority(priority)
+				j.Queue.Advice = &graph.Advice{TicketValidity: 3 * time.Second}
+				f.core.AddJob(j, 0, true, f.now)
+			}
+			f.takeStarts(OutcomeDone)
+			request, _ := f.core.NextAdviceRequest(f.now)
+			if diff := cmp.Diff(tt.asked, request.Step.Job); diff != "" {
+				t.Errorf("advice is asked for (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestSharesBesideOthers guards against shares of capacity that jobs without an organisation
+// use, and against an organisation that counts as above its share while nobody else asks.
+func TestSharesBesideOthers(t *testing.T) {
+	tests := []struct {
+		name   string
+		others int // tasks without an organisation, of 4 cores of 64
+		waits  int // tasks of organisation b
+		share  float64
+		above  bool // organisation a, which runs 6 tasks
+	}{
+		{"capacity is not filled", 0, 2, 0, false},
+		{"filled", 0, 40, 0.625, false},
+		{"filled beside others", 10, 40, 0.1875, true},
+		{"others fill the rest, nothing waits", 10, 0, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": 0, "b": 0})
+			four := graph.Step{Count: 6, Needs: unit.Resources{Cores: 4000}}
+			f.addJobOf("a", "a", four, true)
+			if four.Count = tt.others; tt.others > 0 {
+				f.addJobOf("", "others", four, true)
+			}
+			f.takeStarts(OutcomeDone)
+			if four.Count = tt.waits; tt.waits > 0 {
+				f.addJobOf("b", "b", four, true)
+			}
+			f.core.organisations.sharesUpdated = time.Time{}
+			f.core.updateShares(f.now)
+			stats := f.core.OrganisationStats(f.now)[0]
+			if diff := cmp.Diff(tt.share, stats.Share); diff != "" {
+				t.Errorf("share (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.above, stats.AboveShare); diff != "" {
+				t.Errorf("above its share (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRelocationAboveCap guards against a slowed run that is stopped to continue elsewhere
+// while the cap of its organisation, which was lowered, would not let it start again.
+func TestRelocationAboveCap(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit unit.Millicores
+		moves bool
+	}{
+		{"at the cap", 4000, true},
+		{"above the cap", 3000, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": 4000})
+			step := smallStep
+			step.BestEffort, step.Checkpoints = true, true
+			f.addJobOf("a", "j", step, true)
+			f.takeStarts(OutcomeDone)
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": tt.limit})
+			r := f.core.workers["w1"].runList[0]
+			r.pacePercent = maxSlowedPace
+			if diff := cmp.Diff(tt.moves, r.mayRelocate(f.now.Add(minSlowedTime))); diff != "" {
+				t.Errorf("may move (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
