--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -22,8 +22,7 @@
 		if r == nil || r.phase != phaseQueued {
 			return false
 		}
-		c.refreshHidden()
-		if !c.acceptsOrders(r.worker, now) || r.worker.health.quarantinedSince(r.orderedAt, now) || r.exceedsQuota() {
+		if !c.acceptsOrders(r.worker, now) || r.worker.health.quarantinedSince(r.orderedAt, now) || c.mayNotBeSent(r) {
 			c.withdraw(r)
 			return false
 		}
--- a/internal/job/scheduler/organisation.go
+++ b/internal/job/scheduler/organisation.go
@@ -20,6 +20,8 @@
 	hidden        bool // some account may have hidden use
 	hiddenStale   bool // a report or a job has come since it was counted
 	sharesUpdated time.Time
+	meterPruned   time.Time
+	others        unit.Resources      // reserved by runs of jobs without an organisation
 	claims        []share.Claim       // reused by updateShares
 	heldByCause   [len(holdNames)]int // tasks that began to wait since the last TakeHoldCounts
 }
@@ -127,14 +129,21 @@
 	c.dropUnused(j.account)
 }
 
-// chargeRun counts a run of a task, or with a false start its end.
-func (t *task) chargeRun(start bool) {
-	switch a := t.job().account; {
-	case a == nil:
-	case start:
+// chargeStart counts a run of a task.
+func (c *Core) chargeStart(t *task) {
+	if a := t.job().account; a != nil {
 		a.Start(t.step.spec.Needs)
-	default:
+	} else {
+		c.organisations.others = c.organisations.others.Add(reservedResources(t.step.spec))
+	}
+}
+
+// chargeEnd counts a run of a task no more.
+func (c *Core) chargeEnd(t *task) {
+	if a := t.job().account; a != nil {
 		a.End(t.step.spec.Needs)
+	} else {
+		c.organisations.others = c.organisations.others.Sub(reservedResources(t.step.spec))
 	}
 }
 
@@ -208,11 +217,17 @@
 	return use
 }
 
-// refreshHidden is updateHidden if anything has changed since.
-func (c *Core) refreshHidden() {
+// mayNotBeSent reports whether the cap of its organisation forbids to send the start of a run:
+// the cap was lowered since it was placed, or more is known to run.
+func (c *Core) mayNotBeSent(r *run) bool {
+	a := r.task.job().account
+	if a == nil || !a.Capped() {
+		return false
+	}
 	if c.organisations.hiddenStale {
 		c.updateHidden()
 	}
+	return r.exceedsQuota()
 }
 
 // updateHidden counts what earlier owners may have started on workers that have not reported.
--- a/internal/job/scheduler/organisation_test.go
+++ b/internal/job/scheduler/organisation_test.go
@@ -131,7 +131,14 @@
 		{"another run of the task was reported by a worker that has restarted", OutcomeDone, func(f *fixture, o Order) {
 			ended(EndDone)(f, o)
 			f.report("w2", running(o.Run), nil)
-			f.core.HandleReport("w2", Report{Incarnation: 2, RequestedAt: f.now.Add(time.Millisecond)}, f.now)
+			restarted := newListing("w2")
+			restarted.Incarnation = 2
+			f.core.SetWorkers([]Listing{newListing("w1"), restarted}, f.now)
+		}, []unit.JobID{"j2"}},
+		{"another run of the task was reported by a worker that has left", OutcomeDone, func(f *fixture, o Order) {
+			ended(EndDone)(f, o)
+			f.report("w2", running(o.Run), nil)
+			f.core.SetWorkers([]Listing{newListing("w1")}, f.now)
 		}, []unit.JobID{"j2"}},
 		{"another run of the task was reported by a worker whose lease has expired", OutcomeDone, func(f *fixture, o Order) {
 			ended(EndDone)(f, o)
@@ -400,6 +407,7 @@
 		{"interrupted service beyond the rate", 0, []entry{{"a1", "a", 1, false}, {"a2", "a", 1, false}, {"a3", "a", 1, true}},
 			[]unit.JobID{"a3", "a1", "a2"}},
 		{"above the share", 48000, []entry{{"a1", "a", 1, false}, {"b1", "b", 1, false}, {"b2", "b", 2, false}}, []unit.JobID{"b1", "a1", "b2"}},
+		{"interrupted service above the share", 48000, []entry{{"b1", "b", 1, false}, {"a1", "a", 1, true}}, []unit.JobID{"a1", "b1"}},
 		{"at the share", 28000, []entry{{"a1", "a", 1, false}, {"b1", "b", 1, false}}, []unit.JobID{"a1", "b1"}},
 	}
 	for _, tt := range tests {
@@ -580,3 +588,56 @@
 		})
 	}
 }
+
+// TestLateKnowledge guards against a start that is sent although the owner has learned since
+// it was placed that more of the organisation runs, or may run.
+func TestLateKnowledge(t *testing.T) {
+	tests := []struct {
+		name   string
+		learn  func(f *fixture)
+		wanted bool
+	}{
+		{"nothing", func(*fixture) {}, true},
+		{"a worker reports nothing", func(f *fixture) { f.report("w3", nil, nil) }, true},
+		{"the record of a job that may run", func(f *fixture) { f.addJobOf("a", "old", smallStep, false) }, false},
+		{"the record of a job of another organisation", func(f *fixture) { f.addJobOf("b", "old", smallStep, false) }, true},
+		{"a run that no task needs", func(f *fixture) {
+			f.core.AddJob(&graph.Job{ID: "old", Organisation: "a"}, graph.Completed, false, f.now)
+			f.report("w3", []RunStatus{{Task: firstTask("old"), Run: 1}}, nil)
+		}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 9*time.Second)
+			f.core.LoadProgress(nil, nil, []unit.InstanceID{"w2", "w3"})
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": 4000})
+			f.core.SetWorkers([]Listing{newListing("w1"), newListing("w2"), newListing("w3")}, f.now)
+			f.core.ConfirmSnapshot(f.core.Snapshot())
+			f.report("w1", nil, nil)
+			f.addJobOf("a", "new", smallStep, true)
+			f.advance(bestEffortInterval)
+			placed := f.core.TakeOrders()
+			if len(placed) != 1 {
+				t.Fatalf("%d orders, want 1", len(placed))
+			}
+			tt.learn(f)
+			if diff := cmp.Diff(tt.wanted, f.core.BeginOrder(placed[0], f.now.Add(time.Second), f.now)); diff != "" {
+				t.Errorf("wanted (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEarlyRunCountsOnce guards against a run that counts twice, as a worker has reported it
+// before the record of its job was read.
+func TestEarlyRunCountsOnce(t *testing.T) {
+	f := newFixture(t, 2, 0)
+	f.listWorkers("w1")
+	f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": 8000})
+	f.now = f.now.Add(time.Millisecond)
+	f.report("w1", []RunStatus{{Task: firstTask("j"), Run: 1}}, nil)
+	f.addJobOf("a", "j", smallStep, false)
+	if diff := cmp.Diff(smallStep.Needs, f.core.organisations.accounts["a"].Running); diff != "" {
+		t.Errorf("running (-want +got):\n%s", diff)
+	}
+}
--- a/internal/job/scheduler/organisationpass.go
+++ b/internal/job/scheduler/organisationpass.go
@@ -53,7 +53,7 @@
 		}
 		previous := s.standing
 		s.standing = 0
-		if a.aboveShare {
+		if a.aboveShare && !s.resumesService() {
 			s.standing = standingAbove
 		}
 		if !s.occurrence.job.arrival.Within() && !s.resumesService() {
@@ -76,7 +76,7 @@
 }
 
 // resumesService reports whether the next task to place is a long-running one that has run
-// before. It goes on with what has started, whenever its job was accepted.
+// before. It goes on with what has started, so that it goes behind no other organisation.
 func (s *step) resumesService() bool {
 	n := len(s.waiting)
 	return s.spec.LongRunning && n > 0 && s.waiting[n-1].ranBefore
@@ -190,8 +190,7 @@
 	return 1
 }
 
-// exceedsQuota reports whether the organisation of a run has more running than its cap: the cap
-// was lowered, or more was found to be running than was known.
+// exceedsQuota reports whether the organisation of a run has more running than its cap.
 func (r *run) exceedsQuota() bool {
 	a := r.task.job().account
 	return a != nil && a.Exceeded(r.task.step.spec.Needs)
@@ -205,6 +204,8 @@
 const (
 	// shareInterval is the time between two updates of the shares.
 	shareInterval = 250 * time.Millisecond
+	// meterPruneInterval is the time between two removals of old jobs from the meter.
+	meterPruneInterval = time.Minute
 	// shareTolerance is how many times its share an organisation may run before it goes
 	// behind the others.
 	shareTolerance = 1.25
@@ -218,15 +219,19 @@
 		return
 	}
 	o.sharesUpdated = now
+	if now.Sub(o.meterPruned) >= meterPruneInterval {
+		o.meterPruned = now
+		o.meter.Forget(now)
+	}
 	c.sumWaiting()
-	capacity, others := c.capacityForShares()
+	capacity := c.capacityForShares()
 	o.claims = o.claims[:0]
 	for _, a := range o.accounts {
 		if a.hasWork = a.Running != (unit.Resources{}) || a.waiting != (unit.Resources{}); a.hasWork {
 			o.claims = append(o.claims, share.Claim{Weight: a.weight, Demand: share.Dominant(a.Running.Add(a.waiting), capacity)})
 		}
 	}
-	level := share.Level(o.claims, 1-share.Dominant(others, capacity))
+	level := share.Level(o.claims, 1-share.Dominant(o.others, capacity))
 	for _, a := range o.accounts {
 		a.share, a.aboveShare = 0, false
 		if a.hasWork && !math.IsInf(level, 1) {
@@ -254,18 +259,13 @@
 	}
 }
 
-// capacityForShares returns the capacity of the listed workers, and what jobs without an
-// organisation use of it.
-func (c *Core) capacityForShares() (capacity, others unit.Resources) {
+// capacityForShares returns the capacity of the workers that stay.
+func (c *Core) capacityForShares() unit.Resources {
+	var capacity unit.Resources
 	for _, w := range c.workers {
 		if w.listed && !w.listing.Draining {
 			capacity = capacity.Add(w.listing.Capacity)
 		}
-		for _, r := range w.runList {
-			if r.task.job().account == nil {
-				others = others.Add(reservedResources(r.task.step.spec))
-			}
-		}
 	}
-	return capacity, others
+	return capacity
 }
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -248,7 +248,7 @@
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
 	t.step.runsPerWorker[w.id]++
 	t.job().activeRuns++
-	t.chargeRun(true)
+	c.chargeStart(t)
 	w.runs[t.id()] = r
 	w.runList = append(w.runList, r)
 	w.bestEffort.invalidate()
@@ -273,7 +273,7 @@
 		delete(t.step.runsPerWorker, r.worker.id)
 	}
 	t.job().activeRuns--
-	t.chargeRun(false)
+	c.chargeEnd(t)
 	delete(r.worker.runs, t.id())
 	r.worker.runList = slices.DeleteFunc(r.worker.runList, func(o *run) bool { return o == r })
 	r.worker.bestEffort.invalidate()
--- a/internal/job/share/meter.go
+++ b/internal/job/share/meter.go
@@ -18,7 +18,7 @@
 // records that it reads.
 const period = time.Minute
 
-// keptPeriods is the number of periods before the latest one whose jobs are kept, as the
+// keptPeriods is the number of periods before the current one whose jobs are kept, as the
 // record of a job may be read after those of later ones.
 const keptPeriods = 2
 
@@ -136,6 +136,22 @@
 	m.dirty = m.dirty[:0]
 }
 
+// Forget drops the jobs of periods so long ago that no other record of them is expected. What
+// was decided about them stays.
+func (m *Meter) Forget(now time.Time) {
+	m.Settle()
+	oldest := periodOf(now.UnixNano()) - keptPeriods
+	for id, l := range m.lanes {
+		kept := slices.IndexFunc(l.arrivals, func(a *Arrival) bool { return periodOf(a.at) >= oldest })
+		if kept < 0 {
+			delete(m.lanes, id)
+			continue
+		}
+		l.arrivals = slices.Delete(l.arrivals, 0, kept)
+		l.settled = len(l.arrivals)
+	}
+}
+
 // Delay returns the time until the next job of an organisation would be within its rate.
 func (m *Meter) Delay(id unit.OrganisationID, now time.Time) time.Duration {
 	m.Settle()
@@ -153,7 +169,7 @@
 	return min(wait, time.Duration(periodOf(at)+1)*period-time.Duration(at))
 }
 
-// settle decides about the arrivals that are not settled, and drops those of old periods.
+// settle decides about the arrivals that are not settled.
 func (l *lane) settle() {
 	for i := l.settled; i < len(l.arrivals); i++ {
 		a := l.arrivals[i]
@@ -167,11 +183,6 @@
 		}
 		a.tokens = tokens
 	}
-	if n := len(l.arrivals); n > 0 {
-		oldest := periodOf(l.arrivals[n-1].at) - keptPeriods
-		kept := slices.IndexFunc(l.arrivals, func(a *Arrival) bool { return periodOf(a.at) >= oldest })
-		l.arrivals = slices.Delete(l.arrivals, 0, kept)
-	}
 	l.settled, l.dirty = len(l.arrivals), false
 }
 
--- a/internal/job/share/share_test.go
+++ b/internal/job/share/share_test.go
@@ -112,7 +112,7 @@
 				id := unit.JobID(rune('0' + i))
 				arrivals[id] = m.Record("a", id, periodStart.Add(time.Duration(offsets[i])*time.Millisecond))
 				if n%chunk == 0 {
-					m.Settle()
+					m.Forget(periodStart.Add(90 * time.Second))
 				}
 			}
 			m.Settle()
@@ -173,3 +173,33 @@
 		})
 	}
 }
+
+// TestForget guards against memory of jobs that have come long ago, and against the loss of
+// those that the rate of the current period depends on.
+func TestForget(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration // the last job
+		kept  int
+	}{
+		{"in the same period", 10 * time.Second, 3},
+		{"two periods later", 2 * period, 3},
+		{"three periods later", 3 * period, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var m Meter
+			for range 3 {
+				m.Admit("a", periodStart)
+			}
+			m.Forget(periodStart.Add(tt.after))
+			kept := 0
+			for _, l := range m.lanes {
+				kept += len(l.arrivals)
+			}
+			if diff := cmp.Diff(tt.kept, kept); diff != "" {
+				t.Errorf("jobs kept (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/report/day/day.go
+++ b/internal/report/day/day.go
@@ -15,6 +15,7 @@
 	Takeovers     []Takeover
 	ExpiredLeases int // workers whose lease expired while they had runs
 	DroppedLines  int // log lines that entries dropped
+	Organisations map[string]*Organisation
 }
 
 // Second summarizes one second.
@@ -65,7 +66,7 @@
 
 // Summarize computes the summary of lines, which must be in order of time.
 func Summarize(lines []Line) *Day {
-	d := &Day{Queues: map[string]*Queue{}, Orders: map[string]int{}, Reasons: map[string]int{}}
+	d := &Day{Queues: map[string]*Queue{}, Organisations: map[string]*Organisation{}, Orders: map[string]int{}, Reasons: map[string]int{}}
 	if len(lines) == 0 {
 		return d
 	}
@@ -117,6 +118,8 @@
 		}
 	case textLeaseExpired:
 		d.ExpiredLeases++
+	case textOrganisation:
+		b.addOrganisation(l)
 	case textDropped:
 		d.DroppedLines += int(l.numberField("count"))
 	}
--- a/internal/report/day/text.go
+++ b/internal/report/day/text.go
@@ -18,6 +18,7 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "from %s for %s\n\n", d.From.Format(time.DateTime), d.To.Sub(d.From).Round(time.Second))
 	d.writeQueues(w)
+	d.writeOrganisations(w)
 	d.writeTakeovers(w)
 	writeCounts(w, "orders", d.Orders)
 	writeCounts(w, "reasons of stops and paces", d.Reasons)
