--- a/internal/job/scheduler/model_quota_test.go
+++ b/internal/job/scheduler/model_quota_test.go
@@ -169,10 +169,20 @@
 				s := sim.pickWorker()
 				s.partitioned = !s.partitioned && sim.rarely()
 			},
-			"cancel":    func(*rapid.T) { sim.cancelJob() },
-			"take over": func(*rapid.T) { sim.takeOver() },
-			"hand over": func(*rapid.T) { sim.tryHandOver() },
-			"":          func(*rapid.T) { sim.queueOrders() },
+			"restart":    func(*rapid.T) { sim.restartWorker() },
+			"lose power": func(*rapid.T) { sim.cutPower() },
+			"list": func(*rapid.T) {
+				s := sim.pickWorker()
+				s.listed = !s.listed || !sim.rarely()
+				sim.readList()
+			},
+			"repeat":           func(*rapid.T) { sim.deliverCopy() },
+			"store catches up": func(*rapid.T) { sim.executeLateWrite() },
+			"write late":       func(*rapid.T) { sim.writeProgress(writeDelayed) },
+			"cancel":           func(*rapid.T) { sim.cancelJob() },
+			"take over":        func(*rapid.T) { sim.takeOver() },
+			"hand over":        func(*rapid.T) { sim.tryHandOver() },
+			"":                 func(*rapid.T) { sim.queueOrders() },
 		})
 		sim.checkUse()
 	})
