job/intake: submissions of one id by two organisations are written apart

Cause: two submissions of one id in one transaction both got 200, and the record of the second replaced that of the first. With organisations, the first caller was then told that its job does not exist.

Change: the writer splits such a batch. The second submission meets the record of the first and gets 400. The key table no longer checks for an empty key twice.

Result: TestRivals fails without the split and passes with -race. The bound on the length of a key in Lookup only saves time and has no test.

--- a/internal/job/intake/caller_test.go
+++ b/internal/job/intake/caller_test.go
@@ -100,3 +100,39 @@
 		t.Errorf("final record of organisation %q, want a", got)
 	}
 }
+
+// creatingStore creates each record once, as a store does.
+type creatingStore struct{ items map[kv.Key]kv.Item }
+
+func (s creatingStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	for _, p := range r.Txn.Puts {
+		if old, ok := s.items[p.Key]; ok {
+			return kv.Response{}, &kv.ConflictError{Items: []kv.Item{old}}
+		}
+	}
+	for _, p := range r.Txn.Puts {
+		s.items[p.Key] = kv.Item{Key: p.Key, Value: p.Value, Revision: 5}
+	}
+	return kv.Response{Revision: 5}, nil
+}
+
+// TestRivals guards against two organisations that submit one id at the same time and are both
+// told that their job was accepted, while the store has only one of them.
+func TestRivals(t *testing.T) {
+	w := newWriter(kv.Client{Doer: creatingStore{map[kv.Key]kv.Item{}}})
+	organisations := []unit.OrganisationID{"a", "b", "a"}
+	var subs []*submission
+	for _, o := range organisations {
+		job := graph.Job{ID: "j", Organisation: o, Steps: []graph.Step{{Count: 1}}}
+		subs = append(subs, &submission{record: record.Job{Format: record.Format, Job: job}, result: make(chan writeResult, 1)})
+		w.pending <- subs[len(subs)-1]
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go w.run(ctx)
+	for i, want := range []error{nil, ErrOtherOrganisation, nil} {
+		if err := (<-subs[i].result).err; !errors.Is(err, want) {
+			t.Errorf("submission %d of organisation %q: %v, want %v", i, organisations[i], err, want)
+		}
+	}
+}
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -87,7 +88,12 @@
 		case <-ctx.Done():
 			return
 		case sub := <-w.pending:
-			w.commit(ctx, w.fillBatch(sub))
+			for batch := w.fillBatch(sub); len(batch) > 0; {
+				var rivals []*submission
+				batch, rivals = splitRivals(batch)
+				w.commit(ctx, batch)
+				batch = rivals
+			}
 		}
 	}
 }
@@ -107,6 +113,25 @@
 	return batch
 }
 
+// splitRivals splits off the submissions whose ids another organisation submits in the same
+// batch. In one transaction each record would replace the other.
+func splitRivals(batch []*submission) (first, rivals []*submission) {
+	for _, sub := range batch {
+		if slices.ContainsFunc(first, sub.rivals) {
+			rivals = append(rivals, sub)
+		} else {
+			first = append(first, sub)
+		}
+	}
+	return first, rivals
+}
+
+// rivals reports whether two submissions of different organisations have the same id.
+func (s *submission) rivals(other *submission) bool {
+	a, b := &s.record.Job, &other.record.Job
+	return a.ID == b.ID && a.Organisation != b.Organisation
+}
+
 // commit writes a batch in one transaction. If some of its records already exist,
 // it answers those submissions and retries with the rest.
 func (w *writer) commit(ctx context.Context, batch []*submission) {
--- a/internal/target/organisation/keys.go
+++ b/internal/target/organisation/keys.go
@@ -38,7 +38,7 @@
 
 // Lookup returns the organisation that a key belongs to, and false for an unknown key.
 func (k *Keys) Lookup(key string) (Organisation, bool) {
-	if key == "" || len(key) > k.longest {
+	if len(key) > k.longest {
 		return Organisation{}, false
 	}
 	wanted := k.hash(key)
@@ -92,7 +92,7 @@
 	var sharers []int
 	for _, key := range keys {
 		if key == "" {
-			continue // a request without a key must not match
+			continue // a request without a key has the empty one
 		}
 		d := b.keys.hash(key)
 		holder, taken := b.holders[d]
