--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -90,6 +90,10 @@
 	// latest; zero: unknown.
 	earlierStartsEndAt time.Time
 
+	lastLoad  time.Time            // when the load was last computed
+	shortages map[poolKey]shortage // of the pools in which tasks find no place
+	rates     rateMeter            // nil without organisations
+
 	// Results that the caller has not taken yet.
 	orders        []Order
 	finalStates   []FinalState
@@ -125,6 +129,7 @@
 		unresolved:               map[unit.InstanceID]inheritedLease{},
 		recordedLeases:           map[unit.InstanceID]bool{},
 		reportingUnknown:         map[unit.InstanceID]*worker{},
+		shortages:                map[poolKey]shortage{},
 		unrecordedLeasesExpireAt: inheritedLeasesExpireAt,
 		inheritedLeasesExpireAt:  inheritedLeasesExpireAt,
 	}
