job/intake: jobs are rejected for want of capacity by the load of the owner

A load older than 2 s, of an earlier owner, lost or not readable rejects nothing; neither does an owner in the first second after its takeover. The record of a job is looked up before a rejection.

--- /dev/null
+++ b/internal/job/intake/admit_test.go
@@ -0,0 +1,221 @@
+package intake
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/overload"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
+	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// recordStore holds the records of some jobs, and fails all reads if it is not reached. A
+// transaction conflicts with the records that exist.
+type recordStore struct {
+	jobs       map[unit.JobID]bool
+	notReached bool
+	reads      int
+}
+
+// Do implements kv.Doer.
+func (s *recordStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	if r.Op == kv.OpCommit {
+		for _, p := range r.Txn.Puts {
+			if id := unit.JobID(p.Key[len(record.JobPrefix):]); s.jobs[id] {
+				return kv.Response{}, &kv.ConflictError{Items: []kv.Item{{Key: p.Key, Revision: 5}}}
+			}
+		}
+		return kv.Response{Revision: 7}, nil
+	}
+	s.reads++
+	id := unit.JobID(r.Key[len(record.JobPrefix):])
+	if s.notReached {
+		return kv.Response{}, kv.ErrUnavailable
+	}
+	if !s.jobs[id] {
+		return kv.Response{}, kv.ErrNotFound
+	}
+	value, err := record.Encode(record.Job{Format: record.Format, Job: graph.Job{ID: id, Steps: []graph.Step{{Count: 1}}}})
+	return kv.Response{Items: []kv.Item{{Key: r.Key, Revision: 5, Value: value}}}, err
+}
+
+// namedOwner is an ownership with an owner that can change.
+type namedOwner struct{ self, owner unit.EntryID }
+
+func (o *namedOwner) Self() unit.EntryID         { return o.self }
+func (o *namedOwner) Owner() unit.EntryID        { return o.owner }
+func (*namedOwner) ClaimRevision() unit.Revision { return 0 }
+
+// fixedLoad is the load of an owner, computed some time before it is asked, or none.
+type fixedLoad struct {
+	load overload.Load
+	age  time.Duration
+	none bool
+}
+
+func (l fixedLoad) Load(now time.Time) (overload.Load, time.Time, bool) {
+	return l.load, now.Add(-l.age), !l.none
+}
+
+// fixedAnswers answers each call with the same bytes, or fails, after a delay.
+type fixedAnswers struct {
+	answer []byte
+	err    error
+	delay  time.Duration
+}
+
+func (fixedAnswers) Handle(mesh.Kind, mesh.Handler) {}
+func (a fixedAnswers) Call(context.Context, unit.EntryID, mesh.Kind, []byte) ([]byte, error) {
+	time.Sleep(a.delay)
+	return a.answer, a.err
+}
+
+// shortLoad is a load by which jobs of organisation o are rejected for 4 s.
+var shortLoad = overload.Load{
+	Short: true, Pools: []overload.PoolLoad{{Service: "s", Short: true}, {Service: "t"}},
+	BeyondRate: []overload.OrganisationLoad{{Organisation: "o", Delay: 4 * time.Second}},
+}
+
+// newEntry returns the intake of entry a with running writers.
+func newEntry(ctx context.Context, store kv.Doer, o shardOwnership, log logr.Logger) *Service {
+	s := New(log)
+	s.store, s.ownership = kv.Client{Doer: store}, o
+	s.writer, s.notifier = newWriter(s.store), newNotifier(s)
+	go s.writer.run(ctx)
+	return s
+}
+
+var rejectedJob = graph.Job{ID: "j", Organisation: "o", Queue: graph.Queue{Service: "s"}, Steps: []graph.Step{{Count: 1}}}
+
+// TestAdmission guards against rejections by a load that was lost, is old, came from an
+// earlier owner, or is of another release, and of jobs that were accepted before. The entry
+// sends one notice, and then a job of an organisation beyond its rate arrives.
+func TestAdmission(t *testing.T) {
+	encoded := func(l fixedLoad) []byte {
+		s := New(logr.Discard())
+		s.ownLoad = l
+		return s.loadResponse(time.Now())
+	}
+	tests := []struct {
+		name     string
+		owner    fixedLoad
+		answer   func([]byte) fixedAnswers // of the owner to the notice
+		wait     time.Duration             // until the job arrives
+		newOwner unit.EntryID
+		store    recordStore
+		rejected bool
+		reads    int // of the job's record
+	}{
+		{name: "load of the owner", owner: fixedLoad{load: shortLoad}, rejected: true, reads: 1},
+		{name: "load of 1.5 s before", owner: fixedLoad{load: shortLoad}, wait: 1500 * time.Millisecond, rejected: true, reads: 1},
+		{name: "old load", owner: fixedLoad{load: shortLoad}, wait: 2100 * time.Millisecond},
+		{name: "load that was old at the owner", owner: fixedLoad{load: shortLoad, age: time.Second}, wait: 1100 * time.Millisecond},
+		{name: "answer that took long", owner: fixedLoad{load: shortLoad}, wait: 200 * time.Millisecond,
+			answer: func(a []byte) fixedAnswers { return fixedAnswers{answer: a, delay: 1900 * time.Millisecond} }},
+		{name: "answer lost", owner: fixedLoad{load: shortLoad},
+			answer: func([]byte) fixedAnswers { return fixedAnswers{err: mesh.ErrUnknown} }},
+		{name: "owner of an earlier release", owner: fixedLoad{load: shortLoad},
+			answer: func([]byte) fixedAnswers { return fixedAnswers{} }},
+		{name: "answer not readable", owner: fixedLoad{load: shortLoad},
+			answer: func(a []byte) fixedAnswers { return fixedAnswers{answer: a[:len(a)/2]} }},
+		{name: "owner without a load yet", owner: fixedLoad{load: shortLoad, none: true}},
+		{name: "capacity not short", owner: fixedLoad{}},
+		{name: "next owner", owner: fixedLoad{load: shortLoad}, newOwner: "c"},
+		{name: "no owner", owner: fixedLoad{load: shortLoad}, newOwner: "none"},
+		{name: "this entry is the next owner, without a load yet", owner: fixedLoad{load: shortLoad, none: true}, newOwner: "a"},
+		{name: "this entry is the next owner", owner: fixedLoad{load: shortLoad}, newOwner: "a", rejected: true, reads: 1},
+		{name: "accepted before", owner: fixedLoad{load: shortLoad}, store: recordStore{jobs: map[unit.JobID]bool{"j": true}}, reads: 1},
+		{name: "store not reached", owner: fixedLoad{load: shortLoad}, store: recordStore{notReached: true}, reads: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				view := &namedOwner{self: "a", owner: "b"}
+				s := newEntry(ctx, &tt.store, view, logr.Discard())
+				s.ownLoad = tt.owner
+				answers := fixedAnswers{answer: encoded(tt.owner)}
+				if tt.answer != nil {
+					answers = tt.answer(answers.answer)
+				}
+				s.peers = answers
+				err := s.notifier.send(ctx, []queuedNotice{{}}, time.Minute)
+				if diff := cmp.Diff(answers.err != nil, err != nil); diff != "" {
+					t.Errorf("notice failed (-want +got):\n%s", diff)
+				}
+				time.Sleep(tt.wait)
+				if tt.newOwner != "" {
+					view.owner = tt.newOwner
+				}
+				if tt.newOwner == "none" {
+					view.owner = ""
+				}
+				err = s.Submit(ctx, rejectedJob)
+				if diff := cmp.Diff([]any{tt.rejected, tt.reads}, []any{err != nil, tt.store.reads}); diff != "" {
+					t.Fatalf("rejected, and reads of the record (-want +got):\n%s", diff)
+				}
+				var rejected *RejectedError
+				if tt.rejected && (!errors.As(err, &rejected) || !errors.Is(err, ErrRefused)) {
+					t.Errorf("error %v, want a RejectedError that matches ErrRefused", err)
+				}
+			})
+		})
+	}
+}
+
+// TestRejectionLines guards against a flood of rejections that fills the log, and against a
+// log from which their number cannot be told.
+func TestRejectionLines(t *testing.T) {
+	tests := []struct {
+		name            string
+		rejections      int // in the first second; one more follows after 10 s
+		lines, maxLines int
+	}{
+		{"few", 10, 11, 11},
+		{"flood", 1000, 101, rejectionLineBurst + rejectionLinesPerSecond + 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var text bytes.Buffer
+				s := newEntry(ctx, &recordStore{}, &namedOwner{self: "a", owner: "a"}, logr.FromSlogHandler(slog.NewTextHandler(&text, nil)))
+				s.ownLoad = fixedLoad{load: shortLoad}
+				for range tt.rejections {
+					_ = s.Submit(ctx, rejectedJob)
+					time.Sleep(time.Second / time.Duration(tt.rejections))
+				}
+				time.Sleep(10 * time.Second)
+				_ = s.Submit(ctx, rejectedJob)
+				logged := 0
+				for line := range bytes.Lines(text.Bytes()) {
+					var omitted int
+					_, after, _ := bytes.Cut(line, []byte("omitted="))
+					for _, c := range bytes.TrimSpace(after) {
+						omitted = 10*omitted + int(c-'0')
+					}
+					logged += 1 + omitted
+				}
+				if lines := bytes.Count(text.Bytes(), []byte("\n")); lines < tt.lines || lines > tt.maxLines {
+					t.Errorf("%d lines, want %d to %d", lines, tt.lines, tt.maxLines)
+				}
+				if diff := cmp.Diff(tt.rejections+1, logged); diff != "" {
+					t.Errorf("rejections told by the log (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/internal/job/intake/intake.go
+++ b/internal/job/intake/intake.go
@@ -51,7 +51,8 @@
 }
 
 // Submit writes a job to the store and returns once it is durable. It is
-// idempotent: a repeated submission with the same id changes nothing.
+// idempotent: a repeated submission with the same id changes nothing. A job that is
+// rejected for want of capacity has a RejectedError.
 func (s *Service) Submit(ctx context.Context, job graph.Job) error {
 	if err := job.Validate(); err != nil {
 		return errors.Errorf("job %s: %w", job.ID, errors.Join(err, ErrRefused))
@@ -59,6 +60,9 @@
 	job.Accepted = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
+	if err := s.admit(ctx, &job); err != nil {
+		return err
+	}
 	r := record.Job{Format: record.Format, Job: job}
 	result := s.writer.write(ctx, r)
 	s.log.Info("submission", "job", job.ID, "queue", job.Queue.ID, "steps", len(job.Steps), "revision", result.revision,
@@ -69,6 +73,7 @@
 		return errors.Errorf("job %s: %w", job.ID, result.err)
 	}
 	if !result.existed {
+		s.admission.countAccepted(job.Organisation, job.Accepted)
 		s.notifier.notify(Notice{Record: r, Revision: result.revision, Created: result.revision})
 	}
 	return nil
--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -159,6 +159,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err = s.peers.Call(ctx, to, kindNotices, body)
-	return err
+	sentAt := time.Now()
+	response, err := s.peers.Call(ctx, to, kindNotices, body)
+	if err != nil {
+		return err
+	}
+	s.receiveLoad(response, to, sentAt)
+	return nil
 }
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/overload"
 	"github.com/monsoonfold/monsoonfold/internal/job/owner"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/peer/mesh"
@@ -59,6 +60,12 @@
 	ClaimRevision() unit.Revision
 }
 
+// loadSource returns the load of the shard and when it was computed, or false while this
+// entry does not own the shard or has none yet.
+type loadSource interface {
+	Load(now time.Time) (overload.Load, time.Time, bool)
+}
+
 // Service accepts jobs and answers queries about them on one entry.
 type Service struct {
 	*registry.Tasks
@@ -70,6 +77,8 @@
 	ownership shardOwnership
 	writer    *writer
 	notifier  *notifier
+	ownLoad   loadSource
+	admission admissionState
 }
 
 // New returns a service that has not been started.
@@ -90,6 +99,9 @@
 	if s.local, err = registry.Find[jobOwner](k, owner.ServiceName); err != nil {
 		return errors.Errorf("find owner: %w", err)
 	}
+	if s.ownLoad, err = registry.Find[loadSource](k, owner.ServiceName); err != nil {
+		return errors.Errorf("find load of the owner: %w", err)
+	}
 	if s.peers, err = registry.Find[network](k, mesh.ServiceName); err != nil {
 		return errors.Errorf("find mesh: %w", err)
 	}
@@ -162,13 +174,17 @@
 	return response, nil
 }
 
-// handleNotices handles kindNotices: it passes the notices to this entry's shard.
+// handleNotices handles kindNotices: it passes the notices to this entry's shard, and
+// answers with the load of the shard.
 func (s *Service) handleNotices(ctx context.Context, _ mesh.Fingerprint, request []byte) ([]byte, error) {
 	var notices []Notice
 	if err := cbor.Unmarshal(request, &notices); err != nil {
 		return nil, errors.Errorf("decode notices: %w", err)
 	}
-	return nil, s.local.Accept(ctx, notices)
+	if err := s.local.Accept(ctx, notices); err != nil {
+		return nil, err
+	}
+	return s.loadResponse(time.Now()), nil
 }
 
 // handleState handles kindState: it returns the state of a job.
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -73,7 +73,8 @@
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
 	lastEstimatesWrite time.Time
-	lastSummary        time.Time             // used only by run
+	lastSummary        time.Time // used only by run
+	load               loadCache
 	traffic            metric.TrafficMeter   // used only by run
 	processor          metric.ProcessorMeter // used only by run
 	maxTickDelay       time.Duration         // since the last summary; used only by run
@@ -131,6 +132,7 @@
 		sh.goroutines.Go(sh.advisePlacement)
 	}
 	metric.OwnershipChanges.Add("taken over", 1)
+	sh.beginLoads(time.Now())
 	sh.service.setShard(sh)
 	for sh.awaitTick() {
 		sh.update(func(c *scheduler.Core, now time.Time) {
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -16,6 +16,7 @@
 // Counters; the maps count by the stated keys.
 var (
 	Submissions      = expvar.NewMap("submissions")  // submissions of jobs, by outcome
+	Rejections       = expvar.NewMap("rejections")   // jobs rejected for want of capacity, by cause
 	Orders           = expvar.NewMap("orders")       // orders to workers, by kind and outcome
 	RunEnds          = expvar.NewMap("ends")         // ended runs, by kind of end
 	FinalStates      = expvar.NewMap("finals")       // jobs that reached a final state, by state
