--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -141,9 +141,7 @@
 		intake.New(log),
 		newServer("front", s.FrontAddress, metric.CallerTraffic, log, newJobHandler),
 		newServer("ready", s.ReadyAddress, metric.OtherTraffic, log, e.newReadinessHandler),
-		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), metric.OtherTraffic, log, func(*registry.Kernel) (http.Handler, error) {
-			return metric.Handler(), nil
-		}),
+		newServer("metrics", net.JoinHostPort(s.IP, s.MetricsPort), metric.OtherTraffic, log, newMetricsHandler),
 	}
 	if s.ProviderAddress != "" {
 		services = append(services, upkeep.New(log, platform.NewMachineClient(s.ProviderAddress), platform.WaveFormat{}, s.Bounds.HolderInterval))
--- a/internal/report/day/day.go
+++ b/internal/report/day/day.go
@@ -13,8 +13,9 @@
 	Orders        map[string]int // by kind and outcome
 	Reasons       map[string]int // reasons of orders other than starts
 	Takeovers     []Takeover
-	ExpiredLeases int // workers whose lease expired while they had runs
-	DroppedLines  int // log lines that entries dropped
+	Rejections    map[string]int // jobs rejected for want of capacity, by cause
+	ExpiredLeases int            // workers whose lease expired while they had runs
+	DroppedLines  int            // log lines that entries dropped
 }
 
 // Second summarizes one second.
@@ -60,12 +61,13 @@
 	textShard        = "shard"
 	textLeaseExpired = "lease of worker expired; its runs are given up"
 	textSubmit       = "submission"
+	textRejected     = "submission rejected"
 	textDropped      = "log lines left out"
 )
 
 // Summarize computes the summary of lines, which must be in order of time.
 func Summarize(lines []Line) *Day {
-	d := &Day{Queues: map[string]*Queue{}, Orders: map[string]int{}, Reasons: map[string]int{}}
+	d := &Day{Queues: map[string]*Queue{}, Orders: map[string]int{}, Reasons: map[string]int{}, Rejections: map[string]int{}}
 	if len(lines) == 0 {
 		return d
 	}
@@ -115,6 +117,8 @@
 		if l.Fields["error"] != nil {
 			s.Refusals++
 		}
+	case textRejected:
+		d.Rejections[l.stringField("cause")] += 1 + int(l.numberField("omitted"))
 	case textLeaseExpired:
 		d.ExpiredLeases++
 	case textDropped:
--- a/internal/report/day/day_test.go
+++ b/internal/report/day/day_test.go
@@ -67,3 +67,31 @@
 	}
 	return lines
 }
+
+// TestRejections guards against a report that leaves out rejections whose lines an entry has
+// omitted, or mixes their causes.
+func TestRejections(t *testing.T) {
+	rejected := func(cause string, omitted int) string {
+		return line(1, fmt.Sprintf(`"msg":"submission rejected","cause":%q,"omitted":%d`, cause, omitted))
+	}
+	tests := []struct {
+		name  string
+		lines []string
+		want  map[string]int
+	}{
+		{"none", starts(1, 1, 1), map[string]int{}},
+		{"two causes", []string{rejected("beyond rate", 0), rejected("beyond rate", 0), rejected("too late", 0)}, map[string]int{"beyond rate": 2, "too late": 1}},
+		{"omitted lines", []string{rejected("beyond rate", 0), rejected("beyond rate", 40)}, map[string]int{"beyond rate": 42}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lines, err := Read(strings.NewReader(strings.Join(tt.lines, "\n")), "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.want, Summarize(lines).Rejections); diff != "" {
+				t.Errorf("rejections (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/report/day/text.go
+++ b/internal/report/day/text.go
@@ -21,6 +21,9 @@
 	d.writeTakeovers(w)
 	writeCounts(w, "orders", d.Orders)
 	writeCounts(w, "reasons of stops and paces", d.Reasons)
+	if len(d.Rejections) > 0 {
+		writeCounts(w, "jobs rejected for want of capacity", d.Rejections)
+	}
 	d.writeWaits(w)
 	fmt.Fprintf(w, "leases of workers that expired\t%d\n", d.ExpiredLeases)
 	if d.DroppedLines > 0 {
