job/owner: the load is computed in a tick, while it is asked for

A submission at the owner's own entry, or a notice, would have waited for the core. A shortage is interrupted only by places over 0.5 s or samples more than 2 s apart (TestShortage). A ratio that is not a number counts as unknown (FuzzLoad).

--- a/internal/job/admission/admission.go
+++ b/internal/job/admission/admission.go
@@ -138,7 +138,7 @@
 	if job.Times > 0 || job.HasLongRunning() || (q.Stretch <= 0 && q.Target <= 0) {
 		return 0, false
 	}
-	if maxRatio < 1 || maxRatio > duration.MaxDeclaredError {
+	if known := maxRatio >= 1 && maxRatio <= duration.MaxDeclaredError; !known {
 		maxRatio = duration.MaxDeclaredError
 	}
 	chain, ok := longestChain(job)
--- a/internal/job/intake/admit_test.go
+++ b/internal/job/intake/admit_test.go
@@ -4,15 +4,19 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/monsoonfold/monsoonfold/internal/bench/malformed"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/admission"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/overload"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
@@ -81,6 +85,15 @@
 	return a.answer, a.err
 }
 
+// faultyAnswer returns an answer with a load and an age that is not a number.
+func faultyAnswer(t *testing.T) []byte {
+	body, err := cbor.Marshal(map[int]any{1: shortLoad, 2: "soon"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
 // shortLoad is a load by which jobs of organisation o are rejected for 4 s.
 var shortLoad = overload.Load{
 	Short: true, Pools: []overload.PoolLoad{{Service: "s", Short: true}, {Service: "t"}},
@@ -128,7 +141,7 @@
 		{name: "owner of an earlier release", owner: fixedLoad{load: shortLoad},
 			answer: func([]byte) fixedAnswers { return fixedAnswers{} }},
 		{name: "answer not readable", owner: fixedLoad{load: shortLoad},
-			answer: func(a []byte) fixedAnswers { return fixedAnswers{answer: a[:len(a)/2]} }},
+			answer: func([]byte) fixedAnswers { return fixedAnswers{answer: faultyAnswer(t)} }},
 		{name: "owner without a load yet", owner: fixedLoad{load: shortLoad, none: true}},
 		{name: "capacity not short", owner: fixedLoad{}},
 		{name: "next owner", owner: fixedLoad{load: shortLoad}, newOwner: "c"},
@@ -147,6 +160,9 @@
 				s := newEntry(ctx, &tt.store, view, logr.Discard())
 				s.ownLoad = tt.owner
 				answers := fixedAnswers{answer: encoded(tt.owner)}
+				if diff := cmp.Diff(tt.owner.load.Short && !tt.owner.none, len(answers.answer) > 0); diff != "" {
+					t.Errorf("the owner answers with a load (-want +got):\n%s", diff)
+				}
 				if tt.answer != nil {
 					answers = tt.answer(answers.answer)
 				}
@@ -175,6 +191,40 @@
 	}
 }
 
+// FuzzLoad guards against a load of another entry that ends the process, or that sends
+// callers away for longer than an hour.
+func FuzzLoad(f *testing.F) {
+	for _, text := range malformed.CBOR() {
+		f.Add([]byte(text))
+	}
+	for _, ratio := range []float64{-1, math.NaN(), math.Inf(1)} {
+		load := shortLoad
+		load.Queues = []overload.QueueLoad{{MaxRatio: ratio}}
+		load.BeyondRate = []overload.OrganisationLoad{{Organisation: "o", Delay: math.MaxInt64}}
+		load.Pools = []overload.PoolLoad{{Service: "s", Short: true, MaxUsable: 1, Waiting: []overload.WaitingWork{{Priority: -1, MinWork: math.MaxInt64}}}}
+		body, err := cbor.Marshal(noticesResponse{Load: load, Age: math.MinInt64})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, response []byte) {
+		s, now := New(logr.Discard()), time.Now()
+		s.ownership = &namedOwner{self: "a", owner: "b"}
+		s.receiveLoad(response, "b", now)
+		snapshot := s.snapshot(now)
+		for _, organisation := range []unit.OrganisationID{"", "o"} {
+			job := rejectedJob
+			job.Organisation, job.Queue.Target, job.Steps = organisation, time.Second, []graph.Step{{Count: 1, Estimate: time.Second}}
+			if r, rejected := admission.Decide(&job, &snapshot, now); rejected {
+				if d := r.ReturnAt(job.ID, 0, now).Sub(now); d < time.Second || d > 75*time.Minute {
+					t.Errorf("return after %v", d)
+				}
+			}
+		}
+	})
+}
+
 // TestRejectionLines guards against a flood of rejections that fills the log, and against a
 // log from which their number cannot be told.
 func TestRejectionLines(t *testing.T) {
--- a/internal/job/overload/load.go
+++ b/internal/job/overload/load.go
@@ -110,12 +110,12 @@
 func (w WaitingWork) expected() time.Duration { return w.Work }
 func (w WaitingWork) least() time.Duration    { return w.MinWork }
 
-// work sums the work of the priorities that are included. Negative work counts as none.
+// work sums the work of the priorities that are included, in core-seconds.
 func (p *PoolLoad) work(include func(WaitingWork) bool, of func(WaitingWork) time.Duration) float64 {
 	sum := 0.0
 	for _, w := range p.Waiting {
 		if include(w) {
-			sum += max(of(w).Seconds(), 0)
+			sum += of(w).Seconds()
 		}
 	}
 	return sum
--- a/internal/job/owner/load_test.go
+++ b/internal/job/owner/load_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,20 +14,22 @@
 )
 
 // TestLoadOfTerm guards against a new owner that tells a load before its workers have
-// reported, against a load that is computed with each notice, and against one that is told
-// after the term.
+// reported, against a load that is computed at each tick or while nobody asks for it, and
+// against one that is told after the term.
 func TestLoadOfTerm(t *testing.T) {
 	tests := []struct {
-		name  string
-		after time.Duration // since the takeover is complete, or negative before
-		end   func(*shard)
-		want  []time.Duration // ages of the loads that are told then and 100 and 250 ms later
+		name     string
+		takeover bool          // is complete
+		handOver bool          // after 2 s
+		askFrom  time.Duration // loads are asked for every 50 ms from then until askUntil
+		askUntil time.Duration
+		want     []int64 // milliseconds after the takeover at which loads were computed
 	}{
-		{"takeover not complete", -1, nil, nil},
-		{"just taken over", 500 * time.Millisecond, nil, nil},
-		{"later", 2 * time.Second, nil, []time.Duration{0, 100 * time.Millisecond, 0}},
-		{"handing over", 2 * time.Second, func(sh *shard) { sh.handingOver = true }, nil},
-		{"abandoned", 2 * time.Second, func(sh *shard) { sh.abandoned = true }, nil},
+		{"takeover not complete", false, false, 0, 3 * time.Second, nil},
+		{"just taken over", true, false, 0, 950 * time.Millisecond, nil},
+		{"later", true, false, 0, 1500 * time.Millisecond, []int64{1000, 1200, 1400}},
+		{"nobody asks", true, false, 4 * time.Second, 4500 * time.Millisecond, []int64{4050, 4250, 4450}},
+		{"handing over", true, true, 1800 * time.Millisecond, 3 * time.Second, []int64{1850}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -36,22 +39,27 @@
 				defer sh.cancel()
 				sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
 				s.setShard(sh)
-				if tt.after >= 0 {
-					sh.beginLoads(time.Now())
-					time.Sleep(tt.after)
+				began := time.Now()
+				if tt.takeover {
+					sh.load.drop(began)
 				}
-				if tt.end != nil {
-					tt.end(sh)
-				}
-				var got []time.Duration
-				for _, wait := range []time.Duration{0, 100 * time.Millisecond, 150 * time.Millisecond} {
-					time.Sleep(wait)
-					if _, at, ok := s.Load(time.Now()); ok {
-						got = append(got, time.Since(at))
+				var got []int64
+				for time.Since(began) <= tt.askUntil {
+					sh.handingOver = tt.handOver && time.Since(began) >= 2*time.Second
+					sh.refreshLoad(time.Now())
+					if time.Since(began) >= tt.askFrom {
+						_, at, ok := s.Load(time.Now())
+						if ms := at.Sub(began).Milliseconds(); ok && !slices.Contains(got, ms) {
+							got = append(got, ms)
+						}
 					}
+					time.Sleep(tickInterval)
 				}
 				if diff := cmp.Diff(tt.want, got); diff != "" {
-					t.Errorf("ages of the loads (-want +got):\n%s", diff)
+					t.Errorf("milliseconds at which loads were computed (-want +got):\n%s", diff)
+				}
+				if _, _, ok := s.Load(time.Now()); ok && tt.handOver {
+					t.Error("a load is told after the hand-over")
 				}
 			})
 		})
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -132,7 +132,7 @@
 		sh.goroutines.Go(sh.advisePlacement)
 	}
 	metric.OwnershipChanges.Add("taken over", 1)
-	sh.beginLoads(time.Now())
+	sh.load.drop(time.Now())
 	sh.service.setShard(sh)
 	for sh.awaitTick() {
 		sh.update(func(c *scheduler.Core, now time.Time) {
@@ -142,6 +142,7 @@
 				c.MarkProgressChanged()
 			}
 			c.Tick(now)
+			sh.refreshLoad(now)
 		})
 		sh.logSummary()
 	}
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -90,7 +90,6 @@
 	// latest; zero: unknown.
 	earlierStartsEndAt time.Time
 
-	lastLoad  time.Time            // when the load was last computed
 	shortages map[poolKey]shortage // of the pools in which tasks find no place
 	rates     rateMeter            // nil without organisations
 
--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -49,10 +49,6 @@
 
 // Load summarizes how full the shard is at a time.
 func (c *Core) Load(now time.Time) overload.Load {
-	if now.Sub(c.lastLoad) > maxLoadGap {
-		clear(c.shortages)
-	}
-	c.lastLoad = now
 	var load overload.Load
 	for service := range c.workersByService {
 		for _, bestEffort := range []bool{false, true} {
@@ -220,7 +216,7 @@
 func (c *Core) updateShortage(key poolKey, unmet bool, now time.Time) bool {
 	s, known := c.shortages[key]
 	switch {
-	case unmet && !known:
+	case unmet && (!known || now.Sub(s.seenAt) > maxLoadGap):
 		s = shortage{since: now, seenAt: now}
 	case unmet:
 		s.seenAt = now
--- a/internal/job/scheduler/load_test.go
+++ b/internal/job/scheduler/load_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/admission"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/overload"
 )
@@ -57,7 +58,6 @@
 		{"long-running tasks wait", []graph.Step{halfStep, halfStep, halfStep, halfStep, with(halfStep, func(s *graph.Step) { s.LongRunning = true })}, false, 3 * time.Second, true},
 		{"fits no worker", []graph.Step{with(halfStep, func(s *graph.Step) { s.Needs.Cores = 100_000 })}, false, 3 * time.Second, false},
 		{"label that no worker has", []graph.Step{with(halfStep, func(s *graph.Step) { s.Label = "ssd" })}, false, 3 * time.Second, false},
-		{"gang", []graph.Step{with(halfStep, func(s *graph.Step) { s.Gang, s.Count = true, 9 })}, false, 3 * time.Second, false},
 		{"workers not reached", []graph.Step{halfStep, halfStep, halfStep, halfStep, halfStep}, true, 5 * time.Second, false},
 		{"best-effort tasks wait", []graph.Step{with(halfStep, func(s *graph.Step) { s.BestEffort, s.Count = true, 9 })}, false, 3 * time.Second, true},
 	}
@@ -80,6 +80,38 @@
 	}
 }
 
+// TestShortage guards against a shortage that ends with each free place until the next task
+// starts there, and against one that is made of samples long apart.
+func TestShortage(t *testing.T) {
+	tests := []struct {
+		name    string
+		samples string // each 200 ms: tasks find no place (x) or one (.), or no sample ( )
+		want    bool
+	}{
+		{"lasts", "xxxxxx", true},
+		{"begins", "..xxx", false},
+		{"place for a moment", "xxx.xx", true},
+		{"places for longer", "xxxx...xx", false},
+		{"ends", "xxxxxx...", false},
+		{"samples long apart", "x           x", false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 0)
+			short := false
+			for _, sample := range tt.samples {
+				f.now = f.now.Add(200 * time.Millisecond)
+				if sample != ' ' {
+					short = f.core.updateShortage(poolKey{service: "orders"}, sample == 'x', f.now)
+				}
+			}
+			if diff := cmp.Diff(tt.want, short); diff != "" {
+				t.Errorf("short of capacity (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestLoadWork guards against jobs that are rejected because of work that does not go before
 // them, or that may be far less than declared.
 func TestLoadWork(t *testing.T) {
@@ -95,6 +127,7 @@
 		{"may run already", halfStep, false, false, nil},
 		{"long-running", with(halfStep, func(s *graph.Step) { s.LongRunning = true }), false, true, nil},
 		{"for some of the workers", with(halfStep, func(s *graph.Step) { s.Rack = "r2" }), false, true, nil},
+		{"gang", with(halfStep, func(s *graph.Step) { s.Gang = true }), false, true, nil},
 		{"needs accelerators", with(halfStep, func(s *graph.Step) { s.Needs.Accelerators = 1 }), false, true, nil},
 	}
 	for _, tt := range tests {
@@ -161,6 +194,36 @@
 	}
 }
 
+// TestDecisionByLoad guards against a load that does not lead to the rejection of a job that
+// starts too late in any case, or that leads to one of a job that may start in time. The new
+// job is of use for 3 * (1.5 * 13 * 1 s + 1 s) = 61.5 s at most.
+func TestDecisionByLoad(t *testing.T) {
+	tests := []struct {
+		name     string
+		waiting  int // tasks of a more urgent queue, two of which run at a time for 10/13 s at least
+		priority graph.Priority
+		want     admission.Cause
+	}{
+		{"little work ahead", 100, 1, ""},
+		{"much work ahead", 200, 1, admission.TooLate},
+		{"much work of the same priority", 200, 0, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 0)
+			f.listWorkers("w1")
+			f.addJob("urgent", with(halfStep, func(s *graph.Step) { s.Count = tt.waiting }), true)
+			load := f.sampleLoad(3*time.Second, "w1")
+			job := newJob("j", smallStep)
+			job.Queue.Priority = tt.priority
+			r, _ := admission.Decide(job, &admission.Snapshot{Load: load, At: f.now}, f.now)
+			if diff := cmp.Diff(tt.want, r.Cause); diff != "" {
+				t.Errorf("cause of a rejection (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestExplain guards against an operator who is told a wrong reason why a job waits.
 func TestExplain(t *testing.T) {
 	job := func(s graph.Step) *graph.Job { return newJob("j", s) }
@@ -187,6 +250,9 @@
 				f.addJob(unit.JobID(fmt.Sprint(i)), halfStep, true)
 			}
 			f.takeStarts(OutcomeDone)
+			later := newJob("later", halfStep)
+			later.Queue.Priority = 3
+			f.core.AddJob(later, 0, true, f.now)
 			if tt.held {
 				f.core.unresolved["w3"] = inheritedLease{expiresAt: f.now.Add(time.Hour)}
 			}
