job/admission: the time to come back counts from the load's time

The work ahead shrinks since the load was computed, not since the job arrived: with a load of 1 s before, the same job was rejected again at the time it was told.

--- a/internal/job/admission/admission.go
+++ b/internal/job/admission/admission.go
@@ -124,8 +124,8 @@
 	}
 	// What is ahead of the job shrinks as time passes. The part that has to go shrinks in
 	// proportion to the whole, of which the load names the expected time.
-	drain := startsAt.Sub(usefulUntil).Seconds() * max(float64(expected)/float64(least), 1)
-	servedAt := now.Add(time.Duration(math.Min(drain, maxReturn.Seconds()) * float64(time.Second)))
+	drain := (least - useful).Seconds() * max(float64(expected)/float64(least), 1)
+	servedAt := s.At.Add(time.Duration(math.Min(drain, maxReturn.Seconds()) * float64(time.Second)))
 	return Rejection{Cause: TooLate, ServedAt: servedAt, StartsAt: startsAt, UsefulUntil: usefulUntil}, true
 }
 
