--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -77,7 +77,8 @@
 	listings           map[unit.InstanceID]scheduler.Listing
 	progressRevision   unit.Revision // of the progress record in the store
 	lastEstimatesWrite time.Time
-	lastSummary        time.Time             // used only by run
+	lastSummary        time.Time // used only by run
+	load               loadCache
 	traffic            metric.TrafficMeter   // used only by run
 	processor          metric.ProcessorMeter // used only by run
 	maxTickDelay       time.Duration         // since the last summary; used only by run
@@ -135,6 +136,7 @@
 		sh.goroutines.Go(sh.advisePlacement)
 	}
 	metric.OwnershipChanges.Add("taken over", 1)
+	sh.load.drop(time.Now())
 	sh.service.setShard(sh)
 	defer publishOrganisations(nil)
 	for sh.awaitTick() {
@@ -146,6 +148,7 @@
 				c.MarkProgressChanged()
 			}
 			c.Tick(now)
+			sh.refreshLoad(now)
 		})
 		sh.logSummary()
 		sh.summary.log(sh)
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -96,6 +96,9 @@
 	// latest; zero: unknown.
 	earlierStartsEndAt time.Time
 
+	shortages map[poolKey]shortage // of the pools in which tasks find no place
+	rates     rateMeter            // of the organisations
+
 	// Results that the caller has not taken yet.
 	orders        []Order
 	finalStates   []FinalState
@@ -133,9 +136,11 @@
 		recordedClosed:           map[unit.InstanceID]bool{},
 		closedByEarlier:          map[unit.InstanceID]ClosedWorker{},
 		reportingUnknown:         map[unit.InstanceID]*worker{},
+		shortages:                map[poolKey]shortage{},
 		unrecordedLeasesExpireAt: inheritedLeasesExpireAt,
 		inheritedLeasesExpireAt:  inheritedLeasesExpireAt,
 	}
+	c.rates = c.ShareMeter()
 	c.policy = adaptivePolicy{c}
 	if limits.Baseline {
 		c.policy = firstFitPolicy{}
