--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -39,7 +39,7 @@
 
 // Run runs the subcommand of the arguments and returns the exit code.
 func Run(args []string) int {
-	commands := []*command{newPlatformCommand(), newWorkerCommand(), newCallerCommand(), newReplayCommand(), newCapacityCommand()}
+	commands := []*command{newPlatformCommand(), newWorkerCommand(), newCallerCommand(), newReplayCommand(), newCapacityCommand(), newBacklogCommand()}
 	parser := newParser(commands)
 	if fault := checkCommand(commands, args); fault != nil {
 		return report(fault, exitUsage)
