job/overload, bench/backlog: an order by expected value for the remaining work

Cause: classes of late and timely work alone move the limit at which jobs become late. The order ExpectedValue weighs what a job can be expected to earn, by the certainty of its learned duration (duration.Expect), against the work that remains. The model also moves slowed runs, as the scheduler does, and can move those of the work that goes first before others.

--- a/internal/bench/backlog/command.go
+++ b/internal/bench/backlog/command.go
@@ -21,8 +21,16 @@
 	Span     time.Duration // of the arrivals
 }
 
-// Policies returns the policies to compare.
+// Best is the policy that the scheduler follows.
+const Best = "expected+move"
+
+// Policies returns the policies to compare: the orders, and further changes to the best one.
 func Policies() []Policy {
+	changed := func(name string, change func(*Policy)) Policy {
+		p := Policy{Name: Best + "+" + name, order: overload.ExpectedValue, moveByPlace: true}
+		change(&p)
+		return p
+	}
 	return []Policy{
 		{Name: "deadline", order: overload.EarliestDeadline},
 		{Name: "late-behind", order: overload.LateBehind},
@@ -30,9 +38,20 @@
 		{Name: "value", order: overload.ValueByWork},
 		{Name: "least-slack", order: overload.LeastSlack},
 		{Name: "admission", order: overload.AdmitBySlack},
+		{Name: "expected", order: overload.ExpectedValue},
+		{Name: Best, order: overload.ExpectedValue, moveByPlace: true},
+		changed("half", func(p *Policy) { p.uncounted = 0.5 }),
+		changed("begun", func(p *Policy) { p.uncounted = 1 }),
+		changed("release", func(p *Policy) { p.releaseAfter = pausedTooLong }),
+		changed("stop", func(p *Policy) { p.stopUseless = true }),
+		changed("oldest", func(p *Policy) { p.serveOldest = true }),
+		changed("hold", func(p *Policy) { p.holdServing = true }),
 	}
 }
 
+// pausedTooLong is after which time without progress runs are released.
+const pausedTooLong = 2 * time.Second
+
 // Command is the subcommand that runs the replay. Attach it to a parser, and
 // call Run if Subcommand.Used is set.
 type Command struct {
--- a/internal/bench/backlog/day.go
+++ b/internal/bench/backlog/day.go
@@ -11,8 +11,14 @@
 
 // Policy is what is compared.
 type Policy struct {
-	Name  string
-	order overload.Order
+	Name         string
+	order        overload.Order
+	uncounted    float64       // share of the work of runs that does not count as remaining
+	moveByPlace  bool          // slowed runs of the work that goes first are moved first
+	releaseAfter time.Duration // paused runs are stopped after this time; 0: never
+	stopUseless  bool          // runs of work of no use are stopped for others
+	serveOldest  bool          // the job of no use that has waited longest goes first
+	holdServing  bool          // cores are kept free for urgent tasks
 }
 
 // day plays the jobs of a load under a policy.
@@ -30,6 +36,7 @@
 	means     map[Kind]overload.CoreSeconds
 	rates     map[Kind]float64 // cores that work on each kind
 	paused    time.Duration    // time of runs without progress
+	stops     int              // runs that were stopped
 	available []float64        // core-seconds of batch capacity, by second
 }
 
@@ -38,6 +45,7 @@
 	passInterval   = 40 * time.Millisecond
 	assessInterval = 200 * time.Millisecond
 	servePeriod    = 2 * time.Second
+	moveInterval   = 400 * time.Millisecond
 )
 
 // dayStart is the time of day at which a day starts; only differences count.
@@ -80,6 +88,10 @@
 		if d.now%assessInterval == 0 {
 			d.assess()
 		}
+		if d.now%moveInterval == 0 {
+			d.move()
+			d.stopRuns()
+		}
 		if d.now%passInterval == 0 {
 			d.place()
 		}
--- a/internal/bench/backlog/fleet.go
+++ b/internal/bench/backlog/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -29,6 +30,7 @@
 	left   time.Duration // work left, at full speed
 	began  time.Duration
 	paused time.Duration // since when it has made no progress; 0: it does
+	slowed time.Duration // since when it is slowed to maxSlowedSpeed or less; 0: it is not
 }
 
 // worker is a worker of the model.
@@ -103,17 +105,24 @@
 			w.batch -= r.batch()
 			continue
 		}
-		if speed > 0 {
-			r.paused = 0
-		} else if r.paused == 0 {
-			r.paused = now
-		}
+		since(&r.paused, speed == 0, now)
+		since(&r.slowed, speed <= maxSlowedSpeed, now)
 		kept = append(kept, r)
 	}
 	clear(w.runs[len(kept):])
 	w.runs = kept
 }
 
+// since sets the time since when a condition holds, or 0 if it does not.
+func since(t *time.Duration, holds bool, now time.Duration) {
+	switch {
+	case !holds:
+		*t = 0
+	case *t == 0:
+		*t = now
+	}
+}
+
 // batch returns the cores that a best-effort run would use at full speed, or 0.
 func (r *run) batch() float64 {
 	if s := r.task.step.job.shape; s.bestEffort {
@@ -133,6 +142,12 @@
 	}
 }
 
+// remove removes a run from the worker.
+func (w *worker) remove(r *run) {
+	w.runs = slices.DeleteFunc(w.runs, func(o *run) bool { return o == r })
+	w.batch -= r.batch()
+}
+
 // release gives back what was reserved for a run.
 func (w *worker) release(r *run) {
 	s := r.task.step.job.shape
--- a/internal/bench/backlog/job.go
+++ b/internal/bench/backlog/job.go
@@ -92,14 +92,11 @@
 	if s.measured {
 		return longest(s), measuredSpread
 	}
-	return e.learned.Estimate(graph.QueueID(s.job.Kind), s.declared), learnedSpread
+	return e.learned.Expect(graph.QueueID(s.job.Kind), s.declared)
 }
 
-// Deviations of the logarithm of actual over expected durations.
-const (
-	measuredSpread = 0.05
-	learnedSpread  = 0.45
-)
+// measuredSpread is the deviation of the logarithm of actual over measured durations.
+const measuredSpread = 0.05
 
 func longest(s *step) time.Duration {
 	var most time.Duration
@@ -109,10 +106,11 @@
 	return most
 }
 
-// describe returns the work of a job as its owner knows it.
-func (e estimates) describe(j *job, mean overload.CoreSeconds, start time.Time) overload.Work {
+// describe returns the work of a job as its owner knows it. The given share of the work of
+// its runs does not count as remaining.
+func (e estimates) describe(j *job, mean overload.CoreSeconds, uncounted float64) overload.Work {
 	var chain, whole time.Duration
-	var remaining, done float64 // task time
+	var remaining, done, all float64 // task time
 	var spread float64
 	begun := false
 	for _, s := range j.steps {
@@ -124,18 +122,22 @@
 		if begun {
 			chain += took
 			remaining += took.Seconds() * float64(s.remaining)
+			if s == j.current {
+				remaining -= took.Seconds() * float64(j.runs) * uncounted
+			}
 			spread = max(spread, deviation)
 		}
+		all += took.Seconds() * float64(len(s.tasks))
 		done += took.Seconds() * float64(len(s.tasks)-s.remaining)
 	}
 	cores := float64(j.shape.needs.Cores) / 1000
 	allowed := j.allowed(whole)
 	w := overload.Work{
-		Priority: j.shape.priority, Due: start.Add(j.Due), Objective: start.Add(j.Due + allowed),
-		Useful: start.Add(j.Due + overload.UsefulFactor*allowed), Chain: chain, Spread: spread,
+		Priority: j.shape.priority, Due: dayStart.Add(j.Due), Objective: dayStart.Add(j.Due + allowed),
+		Useful: dayStart.Add(j.Due + overload.UsefulFactor*allowed), Chain: chain, Spread: spread,
 		Remaining: overload.CoreSeconds(remaining * cores), Done: overload.CoreSeconds(done * cores),
 		LongRunning: j.Kind == Serving, Class: j.class,
 	}
-	w.Value = overload.Value(w.Remaining+w.Done, mean)
+	w.Value = overload.Value(overload.CoreSeconds(all*cores), mean)
 	return w
 }
--- a/internal/bench/backlog/place.go
+++ b/internal/bench/backlog/place.go
@@ -36,7 +36,7 @@
 func (d *day) assessAll(jobs []*job) {
 	works := make([]overload.Work, len(jobs))
 	for i, j := range jobs {
-		works[i] = d.estimates.describe(j, d.means[j.Kind], dayStart)
+		works[i] = d.estimates.describe(j, d.means[j.Kind], d.policy.uncounted)
 	}
 	for i, p := range d.policy.order(dayStart.Add(d.now), d.rates[jobs[0].Kind], works) {
 		jobs[i].place, jobs[i].class = p, p.Class
@@ -73,10 +73,16 @@
 		}
 	}
 	slices.SortStableFunc(ready, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.shape.priority, b.shape.priority), cmp.Compare(a.rank(), b.rank()), a.place.Compare(b.place))
+		return cmp.Or(cmp.Compare(a.shape.priority, b.shape.priority), cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.place.Key, b.place.Key))
 	})
+	if d.policy.serveOldest {
+		ready = oldestFirst(ready)
+	}
 	full := map[Kind]bool{}
 	for _, j := range ready {
+		if d.policy.holdServing && j.rank() == rankLongRunning && d.freeCores() < heldCores {
+			continue
+		}
 		for len(j.current.waiting) > 0 && !full[j.Kind] {
 			full[j.Kind] = !d.start(j)
 		}
@@ -118,3 +124,33 @@
 	speed := w.bestEffortCores() / need
 	return speed, speed >= minSpeed
 }
+
+// heldCores are kept free for urgent tasks.
+const heldCores = 3000 * 1000
+
+// freeCores returns the cores that are not reserved.
+func (d *day) freeCores() float64 {
+	var free float64
+	for _, w := range d.workers {
+		if !w.lost {
+			free += float64(capacity.Cores - w.used.Cores)
+		}
+	}
+	return free
+}
+
+// oldestFirst moves the batch job of no use that has waited longest before the other ones.
+func oldestFirst(ready []*job) []*job {
+	first := slices.IndexFunc(ready, func(j *job) bool { return j.Kind == Batch })
+	oldest := -1
+	for i, j := range ready {
+		if j.Kind == Batch && j.class == overload.Useless && (oldest < 0 || j.Due < ready[oldest].Due) {
+			oldest = i
+		}
+	}
+	if oldest < 0 {
+		return ready
+	}
+	j := ready[oldest]
+	return slices.Insert(slices.Delete(ready, oldest, oldest+1), first, j)
+}
--- a/internal/bench/backlog/report.go
+++ b/internal/bench/backlog/report.go
@@ -52,10 +52,11 @@
 	serving float64           // share of the periods in which serving tasks should run and did
 	bound   float64           // on the share of batch jobs
 	paused  time.Duration
+	stops   int
 }
 
 func summarize(d *day) summary {
-	s := summary{kinds: map[Kind]*outcome{Urgent: {}, Batch: {}}, largest: map[Kind]*outcome{Urgent: {}, Batch: {}}, paused: d.paused}
+	s := summary{kinds: map[Kind]*outcome{Urgent: {}, Batch: {}}, largest: map[Kind]*outcome{Urgent: {}, Batch: {}}, paused: d.paused, stops: d.stops}
 	served, owed := 0, 0
 	byKind := map[Kind][]*job{}
 	for _, j := range d.jobs {
@@ -84,7 +85,7 @@
 // Run plays all loads under all policies and prints the table.
 func Run(ctx context.Context, out io.Writer, o Options) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "load\tpolicy\tclass\tin time\tlate\tno use\tvalue\tlargest tenth\tbound\tpaused\t")
+	fmt.Fprintln(table, "load\tpolicy\tclass\tin time\tlate\tno use\tvalue\tlargest tenth\tbound\tpaused\tstops\t")
 	for _, l := range Loads() {
 		for _, p := range Policies() {
 			if !selected(o.Loads, l.Name) || !selected(o.Policies, p.Name) {
@@ -132,10 +133,12 @@
 func printRows(out io.Writer, load, policy string, all []summary) {
 	var limit, serving float64
 	var paused time.Duration
+	stops := 0
 	for _, s := range all {
 		limit += s.bound / float64(len(all))
 		serving += s.serving / float64(len(all))
 		paused += s.paused / time.Duration(len(all))
+		stops += s.stops
 	}
 	for _, k := range []Kind{Urgent, Batch} {
 		var sum, largest outcome
@@ -145,12 +148,12 @@
 		}
 		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%d\t%d\t%.3f\t%.3f\t", load, policy, k, sum.inTime, sum.late, sum.useless, sum.share(), largest.share())
 		if k == Batch {
-			fmt.Fprintf(out, "%.3f\t%.0fs\t\n", limit, paused.Seconds())
+			fmt.Fprintf(out, "%.3f\t%.0fs\t%d\t\n", limit, paused.Seconds(), stops)
 		} else {
-			fmt.Fprintln(out, "\t\t")
+			fmt.Fprintln(out, "\t\t\t")
 		}
 	}
-	fmt.Fprintf(out, "%s\t%s\t%s\t\t\t\t%.3f\t\t\t\t\n", load, policy, Serving, serving)
+	fmt.Fprintf(out, "%s\t%s\t%s\t\t\t\t%.3f\t\t\t\t\t\n", load, policy, Serving, serving)
 }
 
 func (o *outcome) merge(other *outcome) {
--- a/internal/job/duration/duration.go
+++ b/internal/job/duration/duration.go
@@ -57,13 +57,19 @@
 	}
 }
 
-// Estimate returns the expected duration of a task at full speed. It combines the
-// declared duration and the queue's actual durations, each weighted by the inverse
-// of its variance.
+// Estimate returns the expected duration of a task at full speed.
 func (e *Estimator) Estimate(q graph.QueueID, declared time.Duration) time.Duration {
+	expected, _ := e.Expect(q, declared)
+	return expected
+}
+
+// Expect returns the expected duration of a task at full speed, and the standard deviation
+// of the logarithm of the actual over the expected duration. It combines the declared
+// duration and the queue's actual durations, each weighted by the inverse of its variance.
+func (e *Estimator) Expect(q graph.QueueID, declared time.Duration) (expected time.Duration, deviation float64) {
 	h := e.queues[q]
 	if h == nil || h.actual.count == 0 {
-		return declared
+		return declared, declaredDeviation
 	}
 	weightedSum, weight := 0.0, 0.0
 	variance := h.actual.variance(queueDeviation, queueWeight) * (1 + 1/h.actual.count)
@@ -74,7 +80,7 @@
 		weightedSum += (math.Log(declared.Seconds()) + h.ratio.shrunkMean(declaredWeight)) / variance
 		weight += 1 / variance
 	}
-	return time.Duration(math.Exp(weightedSum/weight) * float64(time.Second))
+	return time.Duration(math.Exp(weightedSum/weight) * float64(time.Second)), math.Sqrt(1 / weight)
 }
 
 // moments holds the number, the mean and the sum of squared deviations of observed
--- a/internal/job/overload/admission.go
+++ b/internal/job/overload/admission.go
@@ -30,16 +30,12 @@
 		for float64(load)/cores > works[i].Objective.Sub(now).Seconds() && admitted.Len() > 0 {
 			left := heap.Pop(admitted).(int)
 			load -= works[left].Remaining
-			// It goes behind all admitted work, and before the late work.
-			places[left].Key += behindAdmitted
+			places[left].Key += behind / 2 // before the late work
 		}
 	}
 	return places
 }
 
-// behindAdmitted is above the keys of all admitted work, which are seconds to an objective.
-const behindAdmitted = 1e6
-
 // leastDense is a heap of indices of work, with the least value for its remaining work
 // first. It implements heap.Interface.
 type leastDense struct {
--- a/internal/job/overload/order.go
+++ b/internal/job/overload/order.go
@@ -1,7 +1,6 @@
 package overload
 
 import (
-	"cmp"
 	"math"
 	"time"
 )
@@ -9,13 +8,15 @@
 // Place is the position of work among others of the same priority.
 type Place struct {
 	Class Class
-	Key   float64 // within the class; lower keys come first
+	Key   float64 // lower keys come first
 }
 
-// Compare orders places, the one that is served first before the others.
-func (p Place) Compare(other Place) int {
-	return cmp.Or(cmp.Compare(p.Class, other.Class), cmp.Compare(p.Key, other.Key))
-}
+// behind is added to the key for each class that is placed behind the one before. It is
+// above all other keys.
+const behind = 1e12
+
+// behindBetter returns the key of work of a class that is placed behind all better ones.
+func (c Class) behindBetter(key float64) float64 { return behind*float64(c) + key }
 
 // Order computes the places of the work of one priority. Cores is the rate at which the
 // fleet works on it.
@@ -27,7 +28,7 @@
 		places := make([]Place, len(works))
 		for i := range works {
 			c := Classify(&works[i], now)
-			places[i] = Place{c, key(&works[i], c, now)}
+			places[i] = Place{c, c.behindBetter(key(&works[i], c, now))}
 		}
 		return places
 	}
@@ -50,10 +51,11 @@
 func earliestDeadline(now time.Time, _ float64, works []Work) []Place {
 	places := make([]Place, len(works))
 	for i := range works {
-		if w := &works[i]; now.After(w.Useful) && !w.LongRunning {
+		w := &works[i]
+		if now.After(w.Useful) && !w.LongRunning {
 			places[i].Class = Useless
 		}
-		places[i].Key = seconds(works[i].Objective.Sub(now))
+		places[i].Key = places[i].Class.behindBetter(seconds(w.Objective.Sub(now)))
 	}
 	return places
 }
