job/scheduler: slowed runs of the jobs that go first are moved first while capacity is short

A step is as late as its last task, so on a full fleet the moves went to jobs that are late all the same.

Slowed runs are now moved by expected value while capacity is short. TestRelocationOrder fails without it.

--- a/internal/job/scheduler/backlog.go
+++ b/internal/job/scheduler/backlog.go
@@ -16,12 +16,15 @@
 // meet its objective changes little in that time.
 const assessInterval = 200 * time.Millisecond
 
+// isShort reports whether tasks wait for capacity.
+func (c *Core) isShort(now time.Time) bool { return now.Before(c.shortUntil) }
+
 // arrangeBacklog returns sorted steps in the order that applies while capacity is short:
 // within each group, those of queues with an objective trade places so that they go by the
 // value that can be expected of them for their remaining work. The given steps stay sorted,
 // so that sorting them again takes little time.
 func (c *Core) arrangeBacklog(steps []*step, now time.Time) []*step {
-	if !now.Before(c.shortUntil) {
+	if !c.isShort(now) {
 		return steps
 	}
 	c.assess(steps, now)
@@ -59,6 +62,21 @@
 	}
 }
 
+// comparePlaces orders steps of any group, those of queues without an objective last.
+func comparePlaces(a, b *step) int {
+	qa, qb := &a.occurrence.job.spec.Queue, &b.occurrence.job.spec.Queue
+	switch {
+	case a.hasObjective() != b.hasObjective() && a.hasObjective():
+		return -1
+	case a.hasObjective() != b.hasObjective():
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(qa.Priority, qb.Priority),
+		cmp.Compare(a.occurrence.place.Key, b.occurrence.place.Key),
+	)
+}
+
 // hasObjective reports whether the queue of a step has an objective.
 func (s *step) hasObjective() bool {
 	q := &s.occurrence.job.spec.Queue
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
@@ -86,21 +87,40 @@
 func (c *Core) relocateSlowedRuns(now time.Time) {
 	moves := 0
 	noWorker := map[*step]bool{} // steps for which no worker is fast enough
+	for _, r := range c.slowedRuns(now) {
+		if noWorker[r.task.step] {
+			continue
+		}
+		if !c.canRunFaster(r, now) {
+			noWorker[r.task.step] = true
+			continue
+		}
+		c.stopRun(r, ReasonSlowed)
+		if moves++; moves == maxRelocationsPerPass {
+			return
+		}
+	}
+}
+
+// slowedRuns returns the runs that may be relocated. While capacity is short, those of
+// occurrences that go first come first: a step is as late as its last task.
+func (c *Core) slowedRuns(now time.Time) []*run {
+	var slowed []*run
+	var steps []*step
 	for _, w := range c.workers {
 		for _, r := range w.runList {
-			if !r.mayRelocate(now) || noWorker[r.task.step] {
-				continue
-			}
-			if !c.canRunFaster(r, now) {
-				noWorker[r.task.step] = true
-				continue
-			}
-			c.stopRun(r, ReasonSlowed)
-			if moves++; moves == maxRelocationsPerPass {
-				return
+			if r.mayRelocate(now) {
+				slowed = append(slowed, r)
+				steps = append(steps, r.task.step)
 			}
 		}
 	}
+	if !c.isShort(now) {
+		return slowed
+	}
+	c.assess(steps, now)
+	slices.SortStableFunc(slowed, func(a, b *run) int { return comparePlaces(a.task.step, b.task.step) })
+	return slowed
 }
 
 // mayRelocate reports whether a run is a best-effort run that has been slowed for some
--- a/internal/job/scheduler/relocate_test.go
+++ b/internal/job/scheduler/relocate_test.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 )
 
 // TestStalledRun guards against stopping a run as stalled because the owner reads the
@@ -52,3 +55,42 @@
 		})
 	}
 }
+
+// TestRelocationOrder guards against moves of slowed runs of late jobs before those of jobs
+// that are nearly in time, on a full shard on which few runs can move at a time.
+func TestRelocationOrder(t *testing.T) {
+	for _, short := range []bool{false, true} {
+		f := newFixture(t, 1, 0)
+		f.listWorkers("w1")
+		s := bestEffortStep(0, 1)
+		late := newJob("late", s)
+		late.Accepted = f.now.Add(-12 * time.Second)
+		f.core.AddJob(late, 0, true, f.now)
+		f.takeStarts(OutcomeDone)
+		for n := range maxRelocationsPerPass {
+			f.addJob(unit.JobID(fmt.Sprintf("new%d", n)), s, true)
+		}
+		f.takeStarts(OutcomeDone)
+		f.core.SetWorkers([]Listing{newListing("w1"), newListing("w2")}, f.now)
+		f.core.ConfirmSnapshot(f.core.Snapshot())
+		f.report("w2", nil, nil)
+		runs := f.core.workers["w1"].runList
+		if len(runs) != maxRelocationsPerPass+1 {
+			t.Fatalf("%d runs on w1, want %d", len(runs), maxRelocationsPerPass+1)
+		}
+		for _, r := range runs {
+			r.pacePercent = 0
+		}
+		if f.now = f.now.Add(minSlowedTime); short {
+			f.core.shortUntil = f.now.Add(shortHold)
+		}
+		f.core.relocateSlowedRuns(f.now)
+		stopped := map[unit.JobID]bool{}
+		for _, o := range f.core.TakeOrders() {
+			stopped[o.Task.Job] = o.Kind == OrderStop && o.Reason == ReasonSlowed
+		}
+		if len(stopped) != maxRelocationsPerPass || stopped["late"] == short {
+			t.Errorf("short %v: runs of %v stopped, want %d, that of the late job only if capacity is not short", short, stopped, maxRelocationsPerPass)
+		}
+	}
+}
