--- a/internal/bench/backlog/backlog_test.go
+++ b/internal/bench/backlog/backlog_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 func playOne(t *testing.T, load, policy string, span time.Duration) summary {
@@ -77,3 +80,27 @@
 		})
 	}
 }
+
+// TestReadArrivals guards against recorded days with submissions that were not accepted, that
+// repeat an earlier one, or of other queues.
+func TestReadArrivals(t *testing.T) {
+	const log = `
+{"level":"info","time":"2026-12-06T08:00:00.500Z","msg":"submission","job":"a","queue":"quotes","existed":false,"error":null}
+{"level":"info","time":"2026-12-06T08:00:00.700Z","msg":"submission","job":"a","queue":"quotes","existed":true,"error":null}
+{"level":"info","time":"2026-12-06T08:00:00.800Z","msg":"submission","job":"b","queue":"reports","existed":false,"error":"store"}
+{"level":"info","time":"2026-12-06T08:00:00.900Z","msg":"submission","job":"c","queue":"other","existed":false,"error":null}
+{"level":"info","time":"2026-12-06T08:00:02.500Z","msg":"submission","job":"d","queue":"reports","existed":false,"error":null}
+`
+	queues, err := parseQueues("quotes=urgent,reports=batch")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := readArrivals(strings.NewReader(log), queues)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &arrivals{kinds: []Kind{Urgent, Batch}, due: []time.Duration{0, 2 * time.Second}}
+	if diff := cmp.Diff(want, got, cmp.AllowUnexported(arrivals{})); diff != "" {
+		t.Errorf("arrivals (-want +got):\n%s", diff)
+	}
+}
--- a/internal/bench/backlog/command.go
+++ b/internal/bench/backlog/command.go
@@ -19,6 +19,7 @@
 	Policies []string // empty: all
 	Seeds    []uint64
 	Span     time.Duration // of the arrivals
+	recorded *arrivals     // nil: generated ones
 }
 
 // Best is the policy that the scheduler follows.
@@ -40,6 +41,7 @@
 		{Name: "admission", order: overload.AdmitBySlack},
 		{Name: "expected", order: overload.ExpectedValue},
 		{Name: Best, order: overload.ExpectedValue, moveByPlace: true},
+		changed("pace", func(p *Policy) { p.paceByPlace = true }),
 		changed("half", func(p *Policy) { p.uncounted = 0.5 }),
 		changed("begun", func(p *Policy) { p.uncounted = 1 }),
 		changed("release", func(p *Policy) { p.releaseAfter = pausedTooLong }),
@@ -58,6 +60,7 @@
 	Subcommand             *flaggy.Subcommand
 	options                Options
 	seeds, loads, policies string
+	log, queues            string
 }
 
 // NewCommand returns the subcommand backlog.
@@ -68,6 +71,8 @@
 	s.String(&c.seeds, "", "seeds", "seeds, separated by commas")
 	s.String(&c.loads, "", "loads", "loads, separated by commas; all if empty")
 	s.String(&c.policies, "", "policies", "policies, separated by commas; all if empty")
+	s.String(&c.log, "", "log", "file with the logs of entries, whose submissions are replayed; generated ones if empty")
+	s.String(&c.queues, "", "queues", "kinds of the recorded queues, such as quotes=urgent,reports=batch")
 	s.Duration(&c.options.Span, "", "span", "time in which jobs arrive")
 	return c
 }
@@ -82,6 +87,15 @@
 		}
 		c.options.Seeds = append(c.options.Seeds, seed)
 	}
+	if c.log != "" {
+		queues, err := parseQueues(c.queues)
+		if err != nil {
+			return err
+		}
+		if c.options.recorded, err = readFile(c.log, queues); err != nil {
+			return errors.Errorf("log %s: %w", c.log, err)
+		}
+	}
 	return Run(ctx, out, c.options)
 }
 
--- a/internal/bench/backlog/day.go
+++ b/internal/bench/backlog/day.go
@@ -15,6 +15,7 @@
 	order        overload.Order
 	uncounted    float64       // share of the work of runs that does not count as remaining
 	moveByPlace  bool          // slowed runs of the work that goes first are moved first
+	paceByPlace  bool          // of the runs on a worker, those of the work that goes first are slowed last
 	releaseAfter time.Duration // paused runs are stopped after this time; 0: never
 	stopUseless  bool          // runs of work of no use are stopped for others
 	serveOldest  bool          // the job of no use that has waited longest goes first
@@ -75,7 +76,7 @@
 		d.lose()
 		for _, w := range d.workers {
 			if !w.lost {
-				w.advance(d.now)
+				w.advance(d.now, d.policy.paceByPlace)
 			}
 		}
 		d.count()
--- a/internal/bench/backlog/fleet.go
+++ b/internal/bench/backlog/fleet.go
@@ -1,6 +1,7 @@
 package backlog
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +31,7 @@
 	left   time.Duration // work left, at full speed
 	began  time.Duration
 	paused time.Duration // since when it has made no progress; 0: it does
+	speed  float64
 	slowed time.Duration // since when it is slowed to maxSlowedSpeed or less; 0: it is not
 }
 
@@ -88,17 +90,15 @@
 }
 
 // advance lets the runs of a worker work for a tick.
-func (w *worker) advance(now time.Duration) {
+func (w *worker) advance(now time.Duration, byPlace bool) {
 	w.speed, w.load = 1, w.servingLoad(now)
 	if w.batch > 0 {
 		w.speed = min(1, w.bestEffortCores()/w.batch)
 	}
+	w.setSpeeds(byPlace)
 	kept := w.runs[:0]
 	for _, r := range w.runs {
-		speed := 1.0
-		if r.task.step.job.shape.bestEffort {
-			speed = w.speed
-		}
+		speed := r.speed
 		r.left -= time.Duration(speed * float64(tick))
 		if r.left <= 0 {
 			w.ended = append(w.ended, r)
@@ -113,6 +113,30 @@
 	w.runs = kept
 }
 
+// setSpeeds shares the cores for best-effort runs evenly, or gives them to the runs of the
+// work that goes first before others.
+func (w *worker) setSpeeds(byPlace bool) {
+	var shared []*run
+	for _, r := range w.runs {
+		r.speed = 1
+		if r.batch() > 0 {
+			r.speed = w.speed
+			shared = append(shared, r)
+		}
+	}
+	if !byPlace || w.speed == 0 || w.speed == 1 {
+		return
+	}
+	slices.SortStableFunc(shared, func(a, b *run) int {
+		return cmp.Compare(a.task.step.job.place.Key, b.task.step.job.place.Key)
+	})
+	cores := w.bestEffortCores()
+	for _, r := range shared {
+		r.speed = min(1, cores/r.batch())
+		cores = max(0, cores-r.batch())
+	}
+}
+
 // since sets the time since when a condition holds, or 0 if it does not.
 func since(t *time.Duration, holds bool, now time.Duration) {
 	switch {
--- a/internal/bench/backlog/report.go
+++ b/internal/bench/backlog/report.go
@@ -116,7 +116,7 @@
 	for i, seed := range o.Seeds {
 		turns <- struct{}{}
 		played.Go(func() {
-			d := newDay(l, p, generate(l, seed, o.Span), seed, o.Span)
+			d := newDay(l, p, o.jobs(l, seed), seed, o.Span)
 			d.play(o.Span + tail)
 			all[i] = summarize(d)
 			<-turns
@@ -126,6 +126,14 @@
 	return all
 }
 
+// jobs returns the jobs of a day.
+func (o *Options) jobs(l Load, seed uint64) []Job {
+	if o.recorded != nil {
+		return o.recorded.jobs(seed, o.Span)
+	}
+	return generate(l, seed, o.Span)
+}
+
 // maxParallel is the number of days that are played side by side.
 const maxParallel = 3
 
