--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/overload"
 	"github.com/monsoonfold/monsoonfold/internal/job/share"
 )
 
@@ -34,7 +35,11 @@
 	steps           []*step
 	incompleteSteps int
 
-	softDeadline time.Time // when it should be complete; see updateSoftDeadline
+	softDeadline   time.Time     // when it should be complete; see updateSoftDeadline
+	usefulUntil    time.Time     // when it stops being of any use
+	remainingChain time.Duration // expected duration of the longest chain of incomplete steps at full speed
+	place          overload.Place
+	assessedAt     time.Time // when place was last computed
 }
 
 // step is one step of one occurrence.
@@ -50,12 +55,16 @@
 	runsPerWorker  map[unit.InstanceID]int
 	delayedRuns    int // runs at a pace below delayingPace
 	image          *image
-	fastestTask    time.Duration                    // shortest task duration at full speed; 0: unknown
-	longestTask    time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
-	advice         map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
-	standing       standing                         // among the steps of other organisations
-	held           holdCause                        // why the last placement pass held it back
-	heldSince      time.Time                        // since when passes have held it back
+	// expected is the expected duration of a task at full speed, as of the last update of the
+	// soft deadline, and expectedDeviation that of the logarithm of the actual one over it.
+	expected          time.Duration
+	expectedDeviation float64
+	fastestTask       time.Duration                    // shortest task duration at full speed; 0: unknown
+	longestTask       time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
+	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
+	standing          standing                         // among the steps of other organisations
+	held              holdCause                        // why the last placement pass held it back
+	heldSince         time.Time                        // since when passes have held it back
 }
 
 // task is one task of a step.
@@ -203,6 +212,7 @@
 		j.started = true
 	}
 	c.updateSoftDeadline(o)
+	c.meanWork.Add(j.spec.Queue.ID, o.work())
 	for _, s := range o.steps {
 		if s.remaining == 0 {
 			c.completeStep(s)
