job/scheduler: runs of jobs that miss their objective anyway are slowed first

Cause: the less time a job had left, the less it was slowed, and one past its objective least of all, so that late jobs kept their pace beside those that could still be in time. They now have weight 3, between those with much time (2) and those of no use (4).

--- a/internal/job/scheduler/deadline.go
+++ b/internal/job/scheduler/deadline.go
@@ -136,12 +136,16 @@
 	maxSlack       = 8 * time.Second
 	maxSlackWeight = 2.0
 	tooLateWeight  = 4.0
+	lateWeight     = 3.0 // late, but still of use
 )
 
 // slackWeight returns how readily the tasks of an occurrence are slowed.
 func (o *occurrence) slackWeight(now time.Time) float64 {
-	if o.tooLate(now) {
+	switch {
+	case o.tooLate(now):
 		return tooLateWeight
+	case now.Add(o.remainingChain).After(o.softDeadline):
+		return lateWeight
 	}
 	slack := min(max(o.softDeadline.Sub(now), 0), maxSlack)
 	return 1 + (maxSlackWeight-1)*float64(slack)/float64(maxSlack)
--- a/internal/job/scheduler/pace_test.go
+++ b/internal/job/scheduler/pace_test.go
@@ -59,3 +59,30 @@
 		})
 	}
 }
+
+// TestSlowedRunsOfLateJobs guards against a full fleet on which a job that can still meet its
+// objective is slowed beside one that is late all the same.
+func TestSlowedRunsOfLateJobs(t *testing.T) {
+	const chain = 4 * time.Second
+	tests := []struct {
+		name string
+		age  time.Duration // of the occurrence, due at 0 with an objective of 10 s and useful until 30 s
+		want float64
+	}{
+		{"has time", 2 * time.Second, maxSlackWeight},
+		{"in time without a delay", 6 * time.Second, 1.5},
+		{"late", 7 * time.Second, lateWeight},
+		{"of no use", 31 * time.Second, tooLateWeight},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			o := &occurrence{
+				job: &job{spec: newJob("j", smallStep)}, softDeadline: startTime.Add(10 * time.Second),
+				usefulUntil: startTime.Add(30 * time.Second), remainingChain: chain,
+			}
+			if diff := cmp.Diff(tt.want, o.slackWeight(startTime.Add(tt.age))); diff != "" {
+				t.Errorf("weight (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
