--- a/internal/job/record/record_test.go
+++ b/internal/job/record/record_test.go
@@ -110,3 +110,12 @@
 		})
 	}
 }
+
+// TestFinalOrganisation guards against the record of an ended job that is shown to other
+// organisations, or whose runs do not count for its own.
+func TestFinalOrganisation(t *testing.T) {
+	r := Final(&graph.Job{ID: "j", Organisation: "a", Spec: "s"}, graph.Cancelled)
+	if diff := cmp.Diff(unit.OrganisationID("a"), r.Job.Organisation); diff != "" {
+		t.Errorf("organisation (-want +got):\n%s", diff)
+	}
+}
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -268,6 +268,7 @@
 // enqueue adds a step to the ready steps if it has waiting tasks and no incomplete
 // dependency.
 func (c *Core) enqueue(s *step) {
+	c.updateStanding(s)
 	if s.inReadySteps || s.incompleteDeps > 0 || len(s.waiting) == 0 || s.occurrence.job.final != 0 {
 		return
 	}
--- a/internal/job/scheduler/organisation.go
+++ b/internal/job/scheduler/organisation.go
@@ -19,6 +19,7 @@
 	cappedHeld    bool // nothing starts for organisations with a cap
 	hidden        bool // some account may have hidden use
 	hiddenStale   bool // a report or a job has come since it was counted
+	standingsDue  bool // the standings of steps may have changed
 	sharesUpdated time.Time
 	meterPruned   time.Time
 	others        unit.Resources      // reserved by runs of jobs without an organisation
@@ -56,7 +57,7 @@
 // SetOrganisations replaces the organisations of the configuration. The jobs of one that is
 // not named go on without a cap and with weight 1.
 func (c *Core) SetOrganisations(list []organisation.Organisation) {
-	c.organisations.known = true
+	c.organisations.known, c.organisations.standingsDue = true, true
 	c.placementDue = true
 	for _, a := range c.organisations.accounts {
 		a.configured, a.Cap = false, unit.Resources{}
@@ -133,6 +134,7 @@
 func (c *Core) chargeStart(t *task) {
 	if a := t.job().account; a != nil {
 		a.Start(t.step.spec.Needs)
+		c.organisations.standingsDue = c.organisations.standingsDue || t.step.spec.LongRunning // see resumesService
 	} else {
 		c.organisations.others = c.organisations.others.Add(reservedResources(t.step.spec))
 	}
--- a/internal/job/scheduler/organisation_test.go
+++ b/internal/job/scheduler/organisation_test.go
@@ -79,9 +79,15 @@
 			}
 			f.core.HoldCapped(tt.held)
 			f.addJobOf("a", "j", tt.step, true)
-			if diff := cmp.Diff(tt.starts, len(f.takeStarts(OutcomeDone))); diff != "" {
+			starts := f.takeStarts(OutcomeDone)
+			if diff := cmp.Diff(tt.starts, len(starts)); diff != "" {
 				t.Errorf("starts (-want +got):\n%s", diff)
 			}
+			for _, o := range starts {
+				if capped := tt.limit != (unit.Resources{}); o.Capped != capped {
+					t.Errorf("start is marked as capped: %v, want %v", o.Capped, capped)
+				}
+			}
 		})
 	}
 }
@@ -641,3 +647,54 @@
 		t.Errorf("running (-want +got):\n%s", diff)
 	}
 }
+
+// TestHeldBackPreemption guards against a step that stops the runs of others although quota
+// holds it back.
+func TestHeldBackPreemption(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit unit.Millicores
+		stops []unit.JobID
+	}{
+		{"within the cap", 8000, []unit.JobID{"low"}},
+		{"held back", 1000, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": tt.limit})
+			low := newJob("low", graph.Step{Count: 16, Needs: unit.Resources{Cores: 4000}, Checkpoints: true})
+			low.Queue.Priority = 3
+			f.core.AddJob(low, 0, true, f.now)
+			f.takeStarts(OutcomeDone)
+			f.addJobOf("a", "urgent", smallStep, true)
+			f.advance(preemptInterval)
+			if diff := cmp.Diff(tt.stops, jobsOf(f.core.TakeOrders())); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestStandingAfterRestart guards against a job beyond its rate that goes before others, as one
+// of its long-running tasks was interrupted and has started again.
+func TestStandingAfterRestart(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.listWorkers("w1")
+	f.core.SetOrganisations([]organisation.Organisation{{ID: "a", Weight: 1}})
+	for _, id := range []unit.JobID{"a1", "a2"} {
+		f.addJobOf("a", id, graph.Step{Count: 1}, true)
+	}
+	f.addJobOf("a", "a3", graph.Step{Count: 2, Needs: unit.Resources{Cores: 40000}, LongRunning: true}, true)
+	s := f.core.jobs["a3"].occurrences[0].steps[0]
+	s.waiting[1].ranBefore = true
+	f.core.organisations.standingsDue = true
+	for i, want := range []bool{false, true} {
+		f.core.sortReady(f.now)
+		if diff := cmp.Diff(want, s.beyondRate()); diff != "" {
+			t.Errorf("beyond the rate before start %d (-want +got):\n%s", i, diff)
+		}
+		f.takeStarts(OutcomeDone)
+	}
+}
--- a/internal/job/scheduler/organisationpass.go
+++ b/internal/job/scheduler/organisationpass.go
@@ -44,33 +44,44 @@
 	if len(c.organisations.accounts) == 0 {
 		return
 	}
-	c.organisations.meter.Settle()
 	c.updateHidden()
-	for _, s := range c.readySteps {
-		a := s.occurrence.job.account
-		if a == nil {
-			continue
-		}
-		previous := s.standing
-		s.standing = 0
-		if a.aboveShare && !s.resumesService() {
-			s.standing = standingAbove
-		}
-		if !s.occurrence.job.arrival.Within() && !s.resumesService() {
-			s.standing |= standingBeyond
-		}
-		if s.standing != previous {
-			c.countStanding(s, previous)
+	if c.organisations.meter.Settle() || c.organisations.standingsDue {
+		c.organisations.standingsDue = false
+		for _, s := range c.readySteps {
+			c.updateStanding(s)
 		}
 	}
 }
 
-// countStanding counts the tasks of a step that now go behind others.
-func (c *Core) countStanding(s *step, previous standing) {
-	if s.standing&^previous&standingBeyond != 0 {
+// updateStanding finds the standing of a step by what is known now.
+func (c *Core) updateStanding(s *step) {
+	a := s.occurrence.job.account
+	if a == nil {
+		return
+	}
+	var now standing
+	if a.aboveShare {
+		now = standingAbove
+	}
+	if !s.occurrence.job.arrival.Within() {
+		now |= standingBeyond
+	}
+	if now != 0 && s.resumesService() {
+		now = 0
+	}
+	if now != s.standing {
+		c.changeStanding(s, now)
+	}
+}
+
+// changeStanding sets the standing of a step and counts its tasks if they now go behind others.
+func (c *Core) changeStanding(s *step, now standing) {
+	added := now &^ s.standing
+	s.standing = now
+	if added&standingBeyond != 0 {
 		c.organisations.heldByCause[holdRate] += len(s.waiting)
 	}
-	if s.standing&^previous&standingAbove != 0 {
+	if added&standingAbove != 0 {
 		c.organisations.heldByCause[holdShare] += len(s.waiting)
 	}
 }
@@ -88,6 +99,12 @@
 	if a.standing == b.standing {
 		return 0
 	}
+	return compareUnequalStanding(a, b)
+}
+
+// compareUnequalStanding is compareStanding for steps whose standing differs. It is apart, so
+// that the usual case is inlined into the sort.
+func compareUnequalStanding(a, b *step) int {
 	if beyond := cmp.Compare(a.standing&standingBeyond, b.standing&standingBeyond); beyond != 0 {
 		return beyond
 	}
@@ -113,7 +130,9 @@
 	}
 	cause := c.holdCauseOf(s, tasks, now)
 	if cause == holdNone {
-		s.held, s.heldSince = holdNone, time.Time{}
+		if s.held != holdNone {
+			s.held, s.heldSince = holdNone, time.Time{}
+		}
 		return false
 	}
 	if s.held != cause {
@@ -218,7 +237,7 @@
 	if len(o.accounts) == 0 || now.Sub(o.sharesUpdated) < shareInterval {
 		return
 	}
-	o.sharesUpdated = now
+	o.sharesUpdated, o.standingsDue = now, true
 	if now.Sub(o.meterPruned) >= meterPruneInterval {
 		o.meterPruned = now
 		o.meter.Forget(now)
--- a/internal/job/scheduler/organisationstats.go
+++ b/internal/job/scheduler/organisationstats.go
@@ -33,7 +33,7 @@
 	}
 	for _, s := range c.readySteps {
 		if o := byAccount[s.occurrence.job.account]; o != nil {
-			o.addStep(s, now)
+			o.addStep(s, c.isHeldBack(s, now), now)
 		}
 	}
 	var list []OrganisationStats
@@ -46,14 +46,16 @@
 	return list
 }
 
-func (o *OrganisationStats) addStep(s *step, now time.Time) {
+func (o *OrganisationStats) addStep(s *step, held bool, now time.Time) {
 	n := len(s.waiting)
 	o.Waiting += n
 	if s.beyondRate() {
 		o.Beyond += n
 	}
-	if n > 0 && s.held != holdNone {
+	if n > 0 && held {
 		o.Held += n
+	}
+	if n > 0 && s.held != holdNone {
 		o.HeldFor = max(o.HeldFor, now.Sub(s.heldSince))
 	}
 }
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -157,7 +157,7 @@
 			deferred = append(deferred, t)
 			continue
 		}
-		if c.holdsBack(s, 1, now) || c.isUnplaceable(s) {
+		if c.isUnplaceable(s) || c.holdsBack(s, 1, now) {
 			break
 		}
 		w := candidates.best(t)
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -44,7 +44,7 @@
 		if ready.spec.BestEffort {
 			s.Filling += len(ready.waiting)
 		}
-		if ready.held != holdNone {
+		if len(ready.waiting) > 0 && c.isHeldBack(ready, now) {
 			s.HeldByQuota += len(ready.waiting)
 		}
 		if ready.beyondRate() {
--- a/internal/job/share/meter.go
+++ b/internal/job/share/meter.go
@@ -82,8 +82,8 @@
 	return a.Within()
 }
 
-// Record counts a job, whose arrival is valid after the next call of Settle. Jobs may be
-// recorded in any order.
+// Record counts a job. Jobs may be recorded in any order; the arrival of one that is not the
+// latest is valid after the next call of Settle, and those after it may change then.
 func (m *Meter) Record(id unit.OrganisationID, job unit.JobID, accepted time.Time) *Arrival {
 	if id == "" {
 		return nil
@@ -99,6 +99,10 @@
 	a := &Arrival{at: accepted.UnixNano(), job: job}
 	i := l.positionOf(a)
 	l.arrivals = slices.Insert(l.arrivals, i, a)
+	if l.settled == i && i == len(l.arrivals)-1 {
+		l.settle()
+		return a
+	}
 	m.unsettle(l, i)
 	return a
 }
@@ -128,12 +132,15 @@
 	}
 }
 
-// Settle decides about the jobs that were recorded since the last call.
-func (m *Meter) Settle() {
+// Settle decides about the jobs that were recorded since the last call, and reports whether
+// any may have changed.
+func (m *Meter) Settle() (changed bool) {
+	changed = len(m.dirty) > 0
 	for _, l := range m.dirty {
 		l.settle()
 	}
 	m.dirty = m.dirty[:0]
+	return changed
 }
 
 // Forget drops the jobs of periods so long ago that no other record of them is expected. What
