--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -42,6 +42,8 @@
 	occurrence     *occurrence
 	index          graph.StepIndex
 	spec           *graph.Step
+	standing       standing  // among the steps of other organisations
+	held           holdCause // why the last placement pass held it back
 	tasks          []task
 	remaining      int     // tasks that are not done
 	incompleteDeps int     // steps named in spec.After that are not complete
@@ -52,8 +54,6 @@
 	fastestTask    time.Duration                    // shortest task duration at full speed; 0: unknown
 	longestTask    time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
 	advice         map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
-	standing       standing                         // among the steps of other organisations
-	held           holdCause                        // why the last placement pass held it back
 	heldSince      time.Time                        // since when passes have held it back
 }
 
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -62,9 +62,11 @@
 // compareUrgency orders steps by standing, by priority, then by rank, then by soft deadline, the
 // earliest first.
 func compareUrgency(a, b *step, now time.Time) int {
+	if c := compareStanding(a, b); c != 0 {
+		return c
+	}
 	ja, jb := a.occurrence.job, b.occurrence.job
 	return cmp.Or(
-		compareStanding(a, b),
 		cmp.Compare(ja.spec.Queue.Priority, jb.spec.Queue.Priority),
 		cmp.Compare(a.rank(now), b.rank(now)),
 		a.occurrence.softDeadline.Compare(b.occurrence.softDeadline),
