--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -91,10 +91,19 @@
 	}
 }
 
-// organisationReasons are the reasons for which a step was held back in the last pass by what
-// its organisation runs or has submitted.
-var organisationReasons = map[holdCause]WaitReason{
-	holdQuota: WaitQuota, holdConfiguration: WaitConfig, holdRate: WaitRate, holdShare: WaitShare,
+// organisationReasons are the reasons for which a step was held back in the last pass because
+// of its organisation.
+var organisationReasons = map[holdCause]WaitReason{holdQuota: WaitQuota, holdConfiguration: WaitConfig}
+
+// capacityReason returns why a step does not get the capacity that there is.
+func (s *step) capacityReason() WaitReason {
+	switch {
+	case s.beyondRate():
+		return WaitRate
+	case s.standing&standingAbove != 0:
+		return WaitShare
+	}
+	return WaitCapacity
 }
 
 // waitReason returns the first reason that keeps the tasks of a step from starting.
@@ -113,7 +122,11 @@
 	if reason, ok := organisationReasons[s.held]; ok {
 		return reason
 	}
-	if reason := c.workerReason(next, now); reason != "" {
+	switch reason := c.workerReason(next, now); reason {
+	case "":
+	case WaitCapacity:
+		return s.capacityReason()
+	default:
 		return reason
 	}
 	switch {
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -47,6 +47,8 @@
 	occurrence     *occurrence
 	index          graph.StepIndex
 	spec           *graph.Step
+	standing       standing  // among the steps of other organisations
+	held           holdCause // why the last placement pass held it back
 	tasks          []task
 	remaining      int     // tasks that are not done
 	incompleteDeps int     // steps named in spec.After that are not complete
@@ -62,8 +64,6 @@
 	fastestTask       time.Duration                    // shortest task duration at full speed; 0: unknown
 	longestTask       time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
 	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
-	standing          standing                         // among the steps of other organisations
-	held              holdCause                        // why the last placement pass held it back
 	heldSince         time.Time                        // since when passes have held it back
 }
 
@@ -279,6 +279,7 @@
 // enqueue adds a step to the ready steps if it has waiting tasks and no incomplete
 // dependency.
 func (c *Core) enqueue(s *step) {
+	c.updateStanding(s)
 	if s.inReadySteps || s.incompleteDeps > 0 || len(s.waiting) == 0 || s.occurrence.job.final != 0 {
 		return
 	}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -68,12 +68,14 @@
 }
 
 // compareGroup orders steps by the standing of their organisation, by priority, then by rank.
-// Steps of which neither goes first
-// are a group, in which the order changes while capacity is short.
+// Steps of which neither goes first are a group, in which the order changes while capacity is
+// short.
 func compareGroup(a, b *step, now time.Time) int {
+	if c := compareStanding(a, b); c != 0 {
+		return c
+	}
 	ja, jb := a.occurrence.job, b.occurrence.job
 	return cmp.Or(
-		compareStanding(a, b),
 		cmp.Compare(ja.spec.Queue.Priority, jb.spec.Queue.Priority),
 		cmp.Compare(a.rank(now), b.rank(now)),
 	)
@@ -165,7 +167,7 @@
 			deferred = append(deferred, t)
 			continue
 		}
-		if c.holdsBack(s, 1, now) || c.isUnplaceable(s) {
+		if c.isUnplaceable(s) || c.holdsBack(s, 1, now) {
 			break
 		}
 		w := candidates.best(t)
