entry/limiter: one budget for the connections, headers and bodies of all clients

Cause: each request body was read whole, with no bound over all requests, and nothing bounded connections. 500 clients took 108 to 123 MB of 64 and 525 of 600 descriptors.

entry/budget is the pure account: what each connection holds, by source and organisation, and which one loses while the budget is short. entry/limiter, a service of the kernel, puts the connections of an HTTP server under it: a connection takes 24 KiB, a header 32 bytes for each byte while it is received, a body its declared length before it is read, or what its buffer grows by. The budget is a sixth of the memory limit, and half of the descriptors without the 200 for files. When it is short, the connections that hold most for longest lose first, within the organisation or source that holds most: they are answered 503 and closed. A body that stays below 4 KiB a second after 10 s is answered 503, a response of which nothing is taken for 30 s ends its connection. A connection that is the only one with a request always gets its body.

platform.JobHandler reads bodies through BodyReader. A body that is too large is still 413. The servers for callers, readiness and metrics share the limiter of the process.

--- a/internal/entry/site/server.go
+++ b/internal/entry/site/server.go
@@ -9,11 +9,12 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 )
 
-// Limits of the HTTP servers.
+// Limits of the HTTP servers, beside those of the limiter.
 const (
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 30 * time.Second
@@ -48,15 +49,20 @@
 	if err != nil {
 		return errors.Errorf("listen: %w", err)
 	}
+	limits, err := limiter.Find(k)
+	if err != nil {
+		return errors.Errorf("find limiter: %w", err)
+	}
 	s.http = &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	listener = limits.Limit(s.http, s.traffic.Listener(listener))
 	go func() {
 		defer close(s.done)
-		if err := s.http.Serve(s.traffic.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Error(err, "HTTP server ended", "server", s.name)
 		}
 	}()
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/upkeep"
@@ -130,6 +131,7 @@
 		},
 	})
 	services := []registry.Service{
+		limiter.New(log, limiter.Limits(s.Limits.Memory)),
 		mesh.New(log, s.IP, s.PeerPorts),
 		access.New(log, platform.NewStoreClient(s.StoreAddress)),
 		directory.New(log, platform.OperatorDecoder{}, s.Bounds.ConfigDelay),
@@ -165,7 +167,11 @@
 	if err != nil {
 		return nil, errors.Errorf("find directory: %w", err)
 	}
-	return &platform.JobHandler{Jobs: jobs, Directory: documents}, nil
+	bodies, err := limiter.Find(k)
+	if err != nil {
+		return nil, errors.Errorf("find limiter: %w", err)
+	}
+	return &platform.JobHandler{Jobs: jobs, Directory: documents, Bodies: bodies}, nil
 }
 
 // newReadinessHandler returns the handler of the readiness check. An entry is ready
--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -29,8 +29,12 @@
 	RelayedBytes   = expvar.NewInt("relayedbytes")
 	// RelayedHeartbeats counts the answers to heartbeats that were sent through another entry.
 	RelayedHeartbeats = expvar.NewInt("relayedheartbeats")
-	StoreCalls        = expvar.NewMap("kv_calls") // direct store calls, by operation
-	SkippedItems      = expvar.NewMap("skipped")  // items of the store that cannot be used, by the first part of the key
+	StoreCalls        = expvar.NewMap("kv_calls")         // direct store calls, by operation
+	SkippedItems      = expvar.NewMap("skipped")          // items of the store that cannot be used, by the first part of the key
+	RejectedClients   = expvar.NewMap("rejected_clients") // clients rejected or disconnected by the limits, by cause
+	// ClientBytes and ClientConnections are what clients of the HTTP listeners hold now.
+	ClientBytes       = expvar.NewInt("client_bytes")
+	ClientConnections = expvar.NewInt("client_conns")
 )
 
 // AddSkippedItem counts an item of the store that cannot be used, by its key.
