gateway, api, health: the listeners of the product's own front end are under the limiter

Cause: the gateway read bodies of up to 1 MiB whole for up to 1,024 callers, 1 GiB in all, and the operators' API 960 KiB each. Idle connections kept further callers and operators waiting.

All three servers share the limiter of the process, found by name in the kernel; without one, as in tests, each has one of its own. Bodies are read by ReadBody: too large is 413 as before, no memory 503 (outcome not-run at the gateway), too slow 408. The default limits of 1,024 and 256 connections, at which further ones waited for up to a minute, are replaced by one of 1,024 for both, at which a new connection displaces the one that is idle for longest; an explicit MaxConnections works as before. The tests of gateway, api and policy pass unchanged with -race.

--- a/internal/desk/api/fault.go
+++ b/internal/desk/api/fault.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/monsoonfold/monsoonfold/internal/desk/answer"
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/storage/store"
 	"github.com/monsoonfold/monsoonfold/internal/target/change"
 	"github.com/monsoonfold/monsoonfold/internal/target/document"
@@ -39,19 +40,26 @@
 		"read the target, edit that revision and send its number")
 	faultSize = newFault(http.StatusRequestEntityTooLarge, "size",
 		"body too large", "send a smaller body")
+	faultPace = newFault(http.StatusRequestTimeout, "pace",
+		"body too slow", "send it faster, or from nearer")
+	faultMemory = newFault(http.StatusServiceUnavailable, "memory",
+		"no memory for the body", "the call had no effect; repeat it later")
 )
 
 // faultFromError returns the response to an error of a service.
 func faultFromError(err error) fault {
-	if _, tooLarge := errors.Into[*http.MaxBytesError](err); tooLarge {
-		return faultSize
-	}
 	if faults, ok := errors.Into[*document.Faults](err); ok {
 		f := newFault(http.StatusUnprocessableEntity, "document", err.Error(), "correct all faults and repeat the call")
 		f.Faults = faults.Faults
 		return f
 	}
 	switch {
+	case errors.Is(err, limiter.ErrTooLarge):
+		return faultSize
+	case errors.Is(err, limiter.ErrSlow):
+		return faultPace
+	case errors.Is(err, limiter.ErrShort):
+		return faultMemory
 	case errors.Is(err, change.ErrUnknownZone), errors.Is(err, store.ErrNotFound):
 		return newFault(http.StatusNotFound, "missing", err.Error(), "list what there is")
 	case errors.Is(err, store.ErrUnknown):
--- a/internal/desk/api/jobs.go
+++ b/internal/desk/api/jobs.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/json"
 	"net/http"
@@ -15,8 +16,14 @@
 )
 
 func (s *Service) handleSubmit(w http.ResponseWriter, r *http.Request) {
+	body, release, err := s.limiter.ReadBody(w, r, maxBodyBytes)
+	if err != nil {
+		respondFault(w, faultFromError(err))
+		return
+	}
+	defer release()
 	var j queue.Job
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&j); err != nil {
 		respondFault(w, faultFromError(err))
@@ -29,7 +36,7 @@
 	if j.Time == 0 {
 		j.Time = time.Now().UnixMilli()
 	}
-	err := s.jobs.Submit(r.Context(), j)
+	err = s.jobs.Submit(r.Context(), j)
 	s.log.Info("operator job submission", "operator", j.Author, "job", j.ID, "class", j.Class, "tasks", j.Tasks, "error", err)
 	if err != nil {
 		respondFault(w, faultFromError(err))
--- a/internal/desk/api/service.go
+++ b/internal/desk/api/service.go
@@ -4,7 +4,6 @@
 package api
 
 import (
-	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -18,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/net/netutil"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/ledger"
@@ -45,10 +45,6 @@
 	maxHeaderBytes     = 16 << 10
 	maxBodyBytes       = 64 << 10 // limit for every request but a new target document
 	maxConcurrentCalls = 64
-	// maxConnections bounds the open connections of all operators and of callers
-	// that are not authenticated, idle ones included. Further connections wait in
-	// the backlog of the socket.
-	maxConnections = 256
 )
 
 // config reads and changes the target document.
@@ -102,11 +98,14 @@
 
 // Options are the settings of a Service.
 type Options struct {
-	Address        string // IP and TCP port to listen on
-	Credentials    *credential.Source
-	OperatorsFile  string     // JSON file with the operators, reloaded when it changes
-	Operators      []Operator // used if OperatorsFile is empty
-	MaxConnections int        // maximum of open connections; 0 selects the default
+	Address       string // IP and TCP port to listen on
+	Credentials   *credential.Source
+	OperatorsFile string     // JSON file with the operators, reloaded when it changes
+	Operators     []Operator // used if OperatorsFile is empty
+	// MaxConnections limits the open connections, beside the limiter of the process, with
+	// which further ones displace others; 0: no such limit. Further connections wait in the
+	// backlog of the socket.
+	MaxConnections int
 }
 
 // Service serves the API.
@@ -125,6 +124,7 @@
 	recorder recorder
 	members  members
 	peers    peers
+	limiter  *limiter.Limiter
 }
 
 // New returns a service that is not yet started.
@@ -150,7 +150,9 @@
 		return errors.Errorf("listen for operators: %w", err)
 	}
 	s.address = l.Addr().String()
-	l = netutil.LimitListener(l, cmp.Or(s.options.MaxConnections, maxConnections))
+	if s.options.MaxConnections > 0 {
+		l = netutil.LimitListener(l, s.options.MaxConnections)
+	}
 	s.peers.Handle(message.KindExplainRequest, s.handleExplainRequest)
 	s.peers.Handle(message.KindBurnRequest, s.handleBurnRequest)
 	s.http = &http.Server{
@@ -161,6 +163,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	l = s.limiter.Limit(s.http, l)
 	ctx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	var wg sync.WaitGroup
 	wg.Go(func() {
@@ -195,13 +198,14 @@
 
 // findServices looks up the services that the API calls.
 func (s *Service) findServices(k *registry.Kernel) error {
-	var errs [6]error
+	var errs [7]error
 	s.config, errs[0] = registry.Find[config](k, "config")
 	s.jobs, errs[1] = registry.Find[jobs](k, "dispatch")
 	s.budgets, errs[2] = registry.Find[budgets](k, "burn")
 	s.recorder, errs[3] = registry.Find[recorder](k, journal.ServiceName)
 	s.members, errs[4] = registry.Find[members](k, "membership")
 	s.peers, errs[5] = registry.Find[peers](k, "peers")
+	s.limiter, errs[6] = limiter.Find(k)
 	return errors.Join(errs[:]...)
 }
 
--- a/internal/desk/api/target.go
+++ b/internal/desk/api/target.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/rand"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,11 +31,12 @@
 		respondFault(w, faultBase)
 		return
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, spec.MaxSize))
+	text, release, err := s.limiter.ReadBody(w, r, spec.MaxSize)
 	if err != nil {
 		respondFault(w, faultFromError(err))
 		return
 	}
+	defer release()
 	document, err := spec.Parse("body", text)
 	if err != nil {
 		respondFault(w, faultFromError(err))
--- a/internal/desk/health/health.go
+++ b/internal/desk/health/health.go
@@ -12,6 +12,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 )
 
@@ -51,7 +52,12 @@
 	if err != nil {
 		return errors.Errorf("listen for health checks: %w", err)
 	}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	limits, err := limiter.Find(k)
+	if err != nil {
+		return errors.Errorf("find limiter: %w", err)
+	}
+	l = limits.Limit(s.http, l)
 	go func() {
 		defer close(s.done)
 		_ = s.http.Serve(l) // returns ErrServerClosed after Stop
--- a/internal/entry/assembly/assembly.go
+++ b/internal/entry/assembly/assembly.go
@@ -15,6 +15,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/desk/api"
 	"github.com/monsoonfold/monsoonfold/internal/desk/health"
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/entry/settings"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/listing"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/membership"
@@ -45,6 +46,9 @@
 	stopTimeout = 40 * time.Second
 )
 
+// maxClients bounds the connections of callers and operators together.
+const maxClients = 1024
+
 // Entry holds the services of one entry and the kernel that runs them.
 type Entry struct {
 	settings settings.Settings
@@ -98,7 +102,10 @@
 	self := roster.Entry{ID: id, Zone: s.Zone, Address: s.Listen.Peers}
 	// The kernel stops services in reverse order, so a service comes after those that
 	// it calls.
+	limits := limiter.Limits(0)
+	limits.Connections = min(limits.Connections, maxClients)
 	services := []registry.Service{
+		limiter.New(log.WithName("limiter"), limits),
 		e.store,
 		membership.New(log.WithName("membership"), self),
 		e.peers,
--- a/internal/order/gateway/gateway.go
+++ b/internal/order/gateway/gateway.go
@@ -27,7 +27,6 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -42,6 +41,7 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/net/netutil"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/inventory"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -91,18 +91,14 @@
 	}
 )
 
-// maxConnections limits the open connections of callers, including idle ones, which
-// take about 20 KB each. Further connections wait in the listen backlog until one is
-// closed.
-const maxConnections = 1024
-
 // Settings configures a gateway.
 type Settings struct {
 	Address    string        // IP and port that callers connect to
 	DrainDelay time.Duration // time for the load balancer to notice that the entry is not ready
 	SlotTiming slot.Timing
-	// MaxConnections limits the open connections of callers; 0 selects the default
-	// of maxConnections.
+	// MaxConnections limits the open connections of callers, beside the limiter of the
+	// process, with which further ones displace others; 0: no such limit. Further
+	// connections wait in the listen backlog until one is closed.
 	MaxConnections int
 }
 
@@ -123,6 +119,7 @@
 	errorBudget  errorBudget
 	signalSender signalSender
 	windows      *signalWindows
+	limiter      *limiter.Limiter
 
 	routes          atomic.Pointer[routes]
 	dispatcher      *dispatcher
@@ -169,7 +166,10 @@
 		return errors.Errorf("listen for callers: %w", err)
 	}
 	g.address = l.Addr().String()
-	l = netutil.LimitListener(l, cmp.Or(g.settings.MaxConnections, maxConnections))
+	if g.settings.MaxConnections > 0 {
+		l = netutil.LimitListener(l, g.settings.MaxConnections)
+	}
+	l = g.limiter.Limit(g.http, l)
 	ctx, g.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	var parts sync.WaitGroup
 	parts.Go(func() { g.runRefresh(ctx) })
@@ -223,7 +223,7 @@
 }
 
 func (g *Gateway) findServices(k *registry.Kernel) error {
-	var faults [8]error
+	var faults [9]error
 	g.fleet, faults[0] = registry.Find[fleet](k, "fleet")
 	g.config, faults[1] = registry.Find[configuration](k, "config")
 	g.membership, faults[2] = registry.Find[membership](k, "membership")
@@ -231,6 +231,7 @@
 	g.journal, faults[4] = registry.Find[eventRecorder](k, journal.ServiceName)
 	g.errorBudget, faults[5] = registry.Find[errorBudget](k, "burn")
 	g.signalSender, faults[7] = registry.Find[signalSender](k, "policy")
+	g.limiter, faults[8] = limiter.Find(k)
 	g.peers, faults[6] = registry.Find[peers](k, "peers")
 	if err := errors.Join(faults[:]...); err != nil {
 		return errors.Errorf("find partners: %w", err)
--- a/internal/order/gateway/request.go
+++ b/internal/order/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/monsoonfold/monsoonfold/internal/entry/limiter"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/order/claim"
 	"github.com/monsoonfold/monsoonfold/internal/order/route"
@@ -50,6 +50,7 @@
 	receivedAt    time.Time
 	deadline      time.Time // afterwards the response is useless to the caller, or others need the slot
 	body          []byte
+	releaseBody   func() // ends the use of body
 	claim         claim.Result
 	lastWorker    *endpoint // of the latest attempt; may be nil
 	sentAt        time.Time
@@ -94,7 +95,8 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	cr := &callerRequest{gateway: g, writer: w, request: r, id: g.newID(), receivedAt: time.Now()}
+	cr := &callerRequest{gateway: g, writer: w, request: r, id: g.newID(), receivedAt: time.Now(), releaseBody: func() {}}
+	defer func() { cr.releaseBody() }()
 	f := cr.prepare()
 	if f == nil {
 		f = cr.forward()
@@ -127,11 +129,14 @@
 		return f
 	}
 	var err error
-	cr.body, err = io.ReadAll(http.MaxBytesReader(cr.writer, r.Body, maxRequestBody))
-	var tooLarge *http.MaxBytesError
+	cr.body, cr.releaseBody, err = g.limiter.ReadBody(cr.writer, r, maxRequestBody)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, limiter.ErrTooLarge):
 		return badRequest(http.StatusRequestEntityTooLarge, "request body exceeds 1 MB")
+	case errors.Is(err, limiter.ErrShort):
+		return notRun(http.StatusServiceUnavailable, "no memory for the request body")
+	case errors.Is(err, limiter.ErrSlow):
+		return badRequest(http.StatusRequestTimeout, "request body too slow")
 	case err != nil:
 		return badRequest(http.StatusBadRequest, "request body incomplete")
 	}
