peer/listener: handshakes and connections of peers are bounded

Cause: the QUIC listeners of mesh and link began a handshake with anyone, without a bound, and an entry received up to 64 requests of 4 MiB at a time from each peer.

--- a/internal/peer/link/service.go
+++ b/internal/peer/link/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
 	"github.com/monsoonfold/monsoonfold/internal/peer/credential"
+	"github.com/monsoonfold/monsoonfold/internal/peer/listener"
 	"github.com/monsoonfold/monsoonfold/internal/peer/message"
 )
 
@@ -78,7 +80,7 @@
 type Service struct {
 	log      logr.Logger
 	options  Options
-	listener *quic.Listener
+	listener *listener.Listener
 	members  members
 	self     unit.EntryID
 	cancel   context.CancelFunc
@@ -111,7 +113,11 @@
 	if s.listener != nil {
 		return nil
 	}
-	l, err := quic.ListenAddr(s.options.Address, s.options.Credentials.EntryServer(protocol), quicConfig())
+	address, err := net.ResolveUDPAddr("udp", s.options.Address)
+	if err != nil {
+		return errors.Errorf("address for peers: %w", err)
+	}
+	l, err := listener.Listen(address, s.options.Credentials.EntryServer(protocol), quicConfig(), listener.DefaultLimits)
 	if err != nil {
 		return errors.Errorf("listen for peers: %w", err)
 	}
@@ -142,6 +148,7 @@
 	go func() {
 		defer close(s.done)
 		s.tasks.Wait()
+		_ = s.listener.CloseAll() // its connections have ended
 	}()
 	return nil
 }
--- a/internal/peer/mesh/mesh.go
+++ b/internal/peer/mesh/mesh.go
@@ -14,10 +14,12 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/registry"
+	"github.com/monsoonfold/monsoonfold/internal/peer/listener"
 )
 
 // ServiceName is the name of the service in a kernel.
@@ -49,6 +51,10 @@
 	// MaxMessage is the largest request or answer in bytes, with its kind or status.
 	MaxMessage = 4 << 20
 	maxStreams = 64
+	// maxLargeRequests is the number of requests above smallRequest bytes that are received
+	// or handled at a time, 32 MiB in all.
+	maxLargeRequests = 8
+	smallRequest     = 64 << 10
 	// dialTimeout leaves time for two retransmissions of a handshake. Before the first round
 	// trip has been measured, QUIC repeats after 200 and 600 ms.
 	dialTimeout = time.Second
@@ -83,11 +89,12 @@
 	ports           [2]int
 	own             tls.Certificate
 	selfFingerprint Fingerprint
-	listener        *quic.Listener
+	listener        *listener.Listener
 	cancel          context.CancelFunc
 	ctx             context.Context
 	tasks           sync.WaitGroup
 	done            chan struct{}
+	largeRequests   *semaphore.Weighted
 
 	mu       sync.Mutex
 	peers    map[unit.EntryID]*peer
@@ -100,10 +107,11 @@
 func New(log logr.Logger, ip string, ports [2]int) *Service {
 	return &Service{
 		log: log, ip: ip, ports: ports,
-		done:     make(chan struct{}),
-		peers:    map[unit.EntryID]*peer{},
-		handlers: map[Kind]Handler{},
-		conns:    map[*quic.Conn]traffic{},
+		done:          make(chan struct{}),
+		largeRequests: semaphore.NewWeighted(maxLargeRequests),
+		peers:         map[unit.EntryID]*peer{},
+		handlers:      map[Kind]Handler{},
+		conns:         map[*quic.Conn]traffic{},
 	}
 }
 
@@ -126,16 +134,17 @@
 		defer close(s.done)
 		<-s.ctx.Done()
 		s.tasks.Wait()
+		_ = s.listener.CloseAll() // its connections have ended
 	}()
 	return nil
 }
 
 // listen opens the first free port of the range.
-func (s *Service) listen() (*quic.Listener, error) {
+func (s *Service) listen() (*listener.Listener, error) {
 	var lastErr error
 	for port := s.ports[0]; port <= s.ports[1]; port++ {
 		address := &net.UDPAddr{IP: net.ParseIP(s.ip), Port: port}
-		l, err := quic.ListenAddr(address.String(), tlsConfig(s.own, s.trusted), quicConfig())
+		l, err := listener.Listen(address, tlsConfig(s.own, s.trusted), quicConfig(), listener.DefaultLimits)
 		if err == nil {
 			return l, nil
 		}
@@ -270,7 +279,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, handleTimeout)
 	defer cancel()
 	_ = stream.SetDeadline(time.Now().Add(handleTimeout)) // fails only on a closed stream
-	message, err := io.ReadAll(io.LimitReader(stream, MaxMessage+1))
+	message, release, err := s.readRequest(ctx, stream)
+	defer release()
 	if err != nil || len(message) == 0 || len(message) > MaxMessage {
 		stream.CancelRead(0)
 		return
@@ -295,6 +305,21 @@
 	_, _ = stream.Write(append([]byte{status}, body...))
 }
 
+// readRequest reads a request. A large one waits until fewer others are being handled; the
+// peer then waits too, as its stream is not read. The caller calls release after its use.
+func (s *Service) readRequest(ctx context.Context, r io.Reader) (message []byte, release func(), err error) {
+	release = func() {}
+	message, err = io.ReadAll(io.LimitReader(r, smallRequest))
+	if err != nil || len(message) < smallRequest {
+		return message, release, err
+	}
+	if err := s.largeRequests.Acquire(ctx, 1); err != nil {
+		return nil, release, errors.Errorf("wait for other requests: %w", err)
+	}
+	rest, err := io.ReadAll(io.LimitReader(r, MaxMessage+1-smallRequest))
+	return append(message, rest...), func() { s.largeRequests.Release(1) }, err
+}
+
 // exchange does one call on a new stream.
 func exchange(ctx context.Context, conn *quic.Conn, k Kind, request []byte) ([]byte, error) {
 	stream, err := conn.OpenStreamSync(ctx)
