--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -59,7 +59,7 @@
 	organisation *group              // nil until it is known
 	bytes        unit.Bytes
 	phase        Phase
-	since        time.Time // when the phase began
+	since        time.Time // when the phase began, or the connection was revoked
 	revoked      bool      // its bytes count as free
 }
 
@@ -86,19 +86,20 @@
 }
 
 // Open adds an idle connection that holds a number of bytes. It fails if there is no room.
-// The caller has to close the connections that were revoked, before it opens another.
+// The caller has to close the connections that were revoked, before it opens another. A
+// connection that was revoked before makes way first, as it only sends a response.
 func (b *Budget) Open(id ConnectionID, s Source, cost unit.Bytes, now time.Time) (revoked []ConnectionID, ok bool) {
 	h := &holder{id: id, sourceID: s, source: join(b.sources, s), since: now}
 	if len(b.holders) >= b.limits.Connections {
-		victim := b.worst(h, now)
+		victim := b.firstRevoked()
 		if victim == nil {
-			victim = b.anyRevoked()
+			victim = b.worst(h, now)
 		}
 		if victim == nil {
 			leave(b.sources, s)
 			return nil, false
 		}
-		b.revoke(victim)
+		b.revoke(victim, now)
 		revoked = append(revoked, victim.id)
 	}
 	h.index = len(b.holders)
@@ -117,7 +118,7 @@
 	if h == nil {
 		return
 	}
-	b.revoke(h)
+	b.revoke(h, h.since)
 	leave(b.sources, h.sourceID)
 	if h.organisation != nil {
 		leave(b.organisations, h.owner)
@@ -147,7 +148,7 @@
 				return revoked, false
 			}
 			shortage -= victim.bytes
-			b.revoke(victim)
+			b.revoke(victim, now)
 			revoked = append(revoked, victim.id)
 		}
 	case h.phase == Idle || !b.alone(h):
@@ -173,7 +174,7 @@
 
 // SetPhase records that a phase of a connection begins.
 func (b *Budget) SetPhase(id ConnectionID, p Phase, now time.Time) {
-	if h := b.byID[id]; h != nil && h.phase != p {
+	if h := b.byID[id]; h != nil && !h.revoked && h.phase != p {
 		h.phase, h.since = p, now
 	}
 }
@@ -226,11 +227,11 @@
 }
 
 // revoke counts what a connection holds as free. It stays open until Close.
-func (b *Budget) revoke(h *holder) {
+func (b *Budget) revoke(h *holder, now time.Time) {
 	if h.revoked {
 		return
 	}
 	held := h.bytes
 	b.charge(h, -held)
-	h.bytes, h.revoked = held, true
+	h.bytes, h.revoked, h.since = held, true, now
 }
--- a/internal/entry/budget/budget_test.go
+++ b/internal/entry/budget/budget_test.go
@@ -87,6 +87,38 @@
 	}
 }
 
+// TestRevoked guards against live connections that make way for a new one while others, which
+// were revoked and only send a response, still hold a descriptor.
+func TestRevoked(t *testing.T) {
+	b := New(Limits{Bytes: 100, Connections: 3})
+	open(t, b, []connection{{sourceA, "", 60, Receiving, 0}, {sourceA, "", 30, Receiving, 0}, {sourceA, "", 1, Receiving, 0}})
+	steps := []struct {
+		name    string
+		open    ConnectionID // 0: connection 3 reserves
+		bytes   unit.Bytes
+		revoked []ConnectionID
+	}{
+		{"the largest loses its bytes", 0, 60, []ConnectionID{1}},
+		{"it makes way", 4, 1, []ConnectionID{1}},
+		{"then the largest of the others", 5, 1, []ConnectionID{3}},
+	}
+	for i, step := range steps {
+		now := start.Add(time.Duration(i+1) * time.Second)
+		var revoked []ConnectionID
+		if step.open == 0 {
+			revoked, _ = b.Reserve(3, step.bytes, now)
+		} else {
+			revoked, _ = b.Open(step.open, sourceA, step.bytes, now)
+			for _, id := range revoked {
+				b.Close(id)
+			}
+		}
+		if diff := cmp.Diff(step.revoked, revoked); diff != "" {
+			t.Errorf("%s: revoked (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
 // TestOpen guards against more connections than the limit, and against ordinary clients
 // that are kept out by connections without a request.
 func TestOpen(t *testing.T) {
--- a/internal/entry/budget/rank.go
+++ b/internal/entry/budget/rank.go
@@ -64,14 +64,16 @@
 	return victim
 }
 
-// anyRevoked returns a connection that was revoked and is not closed yet, or nil.
-func (b *Budget) anyRevoked() *holder {
+// firstRevoked returns the connection that was revoked first of those that are not closed
+// yet, or nil.
+func (b *Budget) firstRevoked() *holder {
+	var first *holder
 	for _, h := range b.holders {
-		if h.revoked {
-			return h
+		if h.revoked && (first == nil || h.since.Before(first.since)) {
+			first = h
 		}
 	}
-	return nil
+	return first
 }
 
 // alone reports whether no other connection has a request.
