entry/limiter: a displaced connection counts until its goroutine has ended; buffers are kept

The bytes of a connection that made way were released before its goroutine let go of its buffer, and buffers of rejected bodies became garbage faster than it was collected.

Disconnect frees the descriptor alone; the bytes stay reserved until the server closes the connection. Buffers are powers of two, and those of rejected bodies and those that a growing body leaves are kept in pools, which the collector empties. A buffer that a handler has seen is not kept. A body of unknown length no longer takes one byte above the limit.

--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -38,6 +38,7 @@
 	limits        Limits
 	used          unit.Bytes // by connections that are not revoked
 	lingering     unit.Bytes // held by revoked connections, which have not let go of it yet
+	open          int        // connections that are not disconnected
 	holders       []*holder
 	byID          map[ConnectionID]*holder
 	sources       map[Source]*group
@@ -62,6 +63,7 @@
 	phase        Phase
 	since        time.Time // when the phase began, or the connection was revoked
 	revoked      bool      // its bytes count as free
+	disconnected bool      // its descriptor is closed, and what it holds is not released yet
 }
 
 // New returns a budget without connections.
@@ -76,7 +78,7 @@
 func (b *Budget) Used() unit.Bytes { return b.used }
 
 // Connections returns the number of open connections.
-func (b *Budget) Connections() int { return len(b.holders) }
+func (b *Budget) Connections() int { return b.open }
 
 // Held returns what a connection holds.
 func (b *Budget) Held(id ConnectionID) unit.Bytes {
@@ -87,12 +89,12 @@
 }
 
 // Open adds an idle connection that holds a number of bytes. It fails if there is no room.
-// The caller has to close the connections that were revoked, before it opens another. A
+// The caller has to disconnect those that were revoked before it opens another. A
 // connection that was revoked before makes way first, as it only sends a response.
 func (b *Budget) Open(id ConnectionID, s Source, cost unit.Bytes, now time.Time) (revoked []ConnectionID, ok bool) {
 	h := &holder{id: id, sourceID: s, source: join(b.sources, s), since: now}
 	// More than one makes way if others, whose requests became complete, are still open.
-	for len(b.holders)-len(revoked) >= b.limits.Connections {
+	for b.open-len(revoked) >= b.limits.Connections {
 		victim := b.firstRevoked(revoked)
 		if victim == nil {
 			victim = b.worst(h, now)
@@ -104,6 +106,7 @@
 		b.revoke(victim, now)
 		revoked = append(revoked, victim.id)
 	}
+	b.open++
 	h.index = len(b.holders)
 	b.holders = append(b.holders, h)
 	b.byID[id] = h
@@ -114,12 +117,22 @@
 	return append(revoked, more...), ok
 }
 
+// Disconnect records that the descriptor of a connection, which was revoked, is closed. What
+// it holds is released as its goroutine lets go of it, or by Close.
+func (b *Budget) Disconnect(id ConnectionID) {
+	if h := b.byID[id]; h != nil && !h.disconnected {
+		h.disconnected = true
+		b.open--
+	}
+}
+
 // Close removes a connection with all that it holds.
 func (b *Budget) Close(id ConnectionID) {
 	h := b.byID[id]
 	if h == nil {
 		return
 	}
+	b.Disconnect(id)
 	b.revoke(h, h.since)
 	b.lingering -= h.bytes
 	leave(b.sources, h.sourceID)
--- a/internal/entry/budget/rank.go
+++ b/internal/entry/budget/rank.go
@@ -70,7 +70,7 @@
 func (b *Budget) firstRevoked(besides []ConnectionID) *holder {
 	var first *holder
 	for _, h := range b.holders {
-		if h.revoked && h.phase != Deciding && !slices.Contains(besides, h.id) && (first == nil || h.since.Before(first.since)) {
+		if h.revoked && !h.disconnected && h.phase != Deciding && !slices.Contains(besides, h.id) && (first == nil || h.since.Before(first.since)) {
 			first = h
 		}
 	}
--- a/internal/entry/limiter/body.go
+++ b/internal/entry/limiter/body.go
@@ -74,6 +74,8 @@
 		err = ErrShort
 	}
 	if err != nil {
+		returnBuffer(reader.text)
+		reader.text = nil
 		reader.release()
 		reader.reject(w, err)
 		return nil, func() {}, err
@@ -94,68 +96,79 @@
 
 // read reads a body with a declared length, or until its end if that is negative.
 func (b *bodyReader) read(declared int64) error {
+	if declared > b.limit {
+		return ErrTooLarge
+	}
 	size := declared
 	if declared < 0 {
-		size = min(firstBuffer, b.limit+1)
-	}
-	if size > b.limit && declared >= 0 {
-		return ErrTooLarge
+		size = min(firstBuffer, b.limit)
 	}
 	if err := b.grow(size); err != nil {
 		return err
 	}
-	for int64(len(b.text)) != declared {
+	for ended := false; !ended && int64(len(b.text)) != declared; {
+		if int64(len(b.text)) == b.limit {
+			return b.expectEnd()
+		}
 		if len(b.text) == cap(b.text) {
-			if err := b.grow(min(2*int64(cap(b.text)), b.limit+1)); err != nil {
+			if err := b.grow(min(2*int64(cap(b.text)), b.limit)); err != nil {
 				return err
 			}
 		}
-		ended, err := b.readSome()
-		if err != nil {
+		free := b.text[len(b.text):min(int64(cap(b.text)), b.limit)]
+		n, err := b.readSome(free)
+		b.text = b.text[:len(b.text)+n]
+		if ended = errors.Is(err, io.EOF); !ended && err != nil {
 			return err
 		}
-		if int64(len(b.text)) > b.limit {
+	}
+	return nil
+}
+
+// expectEnd reads the end of a body that has reached the limit.
+func (b *bodyReader) expectEnd() error {
+	for {
+		n, err := b.readSome(make([]byte, 1))
+		switch {
+		case n > 0:
 			return ErrTooLarge
-		}
-		if ended {
+		case errors.Is(err, io.EOF):
 			return nil
+		case err != nil:
+			return err
 		}
 	}
-	return nil
 }
 
-// grow reserves and makes a larger buffer.
+// grow reserves and takes a larger buffer.
 func (b *bodyReader) grow(size int64) error {
-	more := unit.Bytes(size) - b.reserved
+	more := unit.Bytes(bufferSize(size)) - b.reserved
 	if b.conn != nil && !b.limiter.reserve(b.conn, more) {
 		return ErrShort
 	}
 	b.reserved += more
-	grown := make([]byte, len(b.text), size)
-	copy(grown, b.text)
+	grown := append(takeBuffer(size), b.text...)
+	returnBuffer(b.text)
 	b.text = grown
 	return nil
 }
 
-// readSome reads what has arrived, and reports whether the body has ended.
-func (b *bodyReader) readSome() (ended bool, err error) {
+// readSome reads what has arrived. The error is io.EOF at the end of the body.
+func (b *bodyReader) readSome(free []byte) (int, error) {
 	if b.conn != nil {
 		pace := time.Duration(len(b.text)) * time.Second / minBodyBytesPerSecond
 		b.conn.setBodyDeadline(b.startedAt.Add(bodyGrace + pace))
 	}
-	n, err := b.source.Read(b.text[len(b.text):cap(b.text)])
-	b.text = b.text[:len(b.text)+n]
+	n, err := b.source.Read(free)
 	switch {
-	case err == nil:
-		return false, nil
-	case errors.Is(err, io.EOF):
-		return true, nil
+	case err == nil || errors.Is(err, io.EOF):
+		return n, err
 	case b.conn != nil && b.conn.isInterrupted():
-		return false, ErrShort
+		return n, ErrShort
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return false, ErrSlow
+		return n, ErrSlow
 	}
-	return false, errors.Errorf("read body: %w", err)
+	return n, errors.Errorf("read body: %w", err)
 }
 
 func (b *bodyReader) release() {
--- a/internal/entry/limiter/conn.go
+++ b/internal/entry/limiter/conn.go
@@ -150,11 +150,16 @@
 	return true
 }
 
-// closeNow closes the connection before the server does.
+// closeNow closes the connection before the server does. What it holds stays reserved until
+// the server has let go of it.
 func (c *conn) closeNow() {
-	if c.interrupt() {
-		_ = c.Close() // the server closes it again and ignores the error
+	if !c.interrupt() {
+		return
 	}
+	_ = c.Conn.Close() // the server closes it again and ignores the error
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.budget.Disconnect(c.id)
 }
 
 // SetReadDeadline implements net.Conn. An interrupted connection keeps its deadline.
--- a/internal/entry/limiter/limiter_test.go
+++ b/internal/entry/limiter/limiter_test.go
@@ -136,6 +136,7 @@
 		{"very small chunks", chunked(1, maxBody, "0\r\n\r\n"), 4 << 10, 0, 200, "65536", false},
 		{"slow within the pace", post(maxBody, full), 4 << 10, time.Second, 200, "65536", false},
 		{"slow start within the grace", post(1, "x"), 60, 9 * time.Second, 200, "1", false},
+		{"limit reached without an end", chunked(1<<10, 64, "") + "1\r\nx\r\n", 128 << 10, 0, 413, "", true},
 		{"declared too large", post(maxBody+1, ""), maxBody, 0, 413, "", true},
 		{"chunks too large", chunked(1<<10, 65, ""), 4 << 10, 0, 413, "", true},
 		{"stops short of its end", post(maxBody, full[1:]), maxBody * 2, 0, 408, "", true},
