--- a/internal/report/metric/metric.go
+++ b/internal/report/metric/metric.go
@@ -30,10 +30,14 @@
 	RelayedBytes   = expvar.NewInt("relayedbytes")
 	// RelayedHeartbeats counts the answers to heartbeats that were sent through another entry.
 	RelayedHeartbeats = expvar.NewInt("relayedheartbeats")
-	StoreCalls        = expvar.NewMap("kv_calls")      // direct store calls, by operation
-	SkippedItems      = expvar.NewMap("skipped")       // items of the store that cannot be used, by the first part of the key
-	RejectedKeys      = expvar.NewMap("rejected_keys") // requests that were not authenticated, by cause
-	KeyOutages        = expvar.NewInt("key_outages")   // times that the configuration became too old to accept keys
+	StoreCalls        = expvar.NewMap("kv_calls")         // direct store calls, by operation
+	SkippedItems      = expvar.NewMap("skipped")          // items of the store that cannot be used, by the first part of the key
+	RejectedKeys      = expvar.NewMap("rejected_keys")    // requests that were not authenticated, by cause
+	KeyOutages        = expvar.NewInt("key_outages")      // times that the configuration became too old to accept keys
+	RejectedClients   = expvar.NewMap("rejected_clients") // clients rejected or disconnected by the limits, by cause
+	// ClientBytes and ClientConnections are what clients of the HTTP listeners hold now.
+	ClientBytes       = expvar.NewInt("client_bytes")
+	ClientConnections = expvar.NewInt("client_conns")
 )
 
 // AddSkippedItem counts an item of the store that cannot be used, by its key.
