entry/limiter: the test of a short budget sees who is disconnected; no data race in the tests

Cause: with interrupt made a no-operation on a scratch copy, all tests of the package passed.

TestShortBudget also checks that a stalled client is disconnected within a second: with the same change two of its cases fail.

--- a/internal/entry/limiter/limiter_test.go
+++ b/internal/entry/limiter/limiter_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,8 @@
 	close(s.listener.conns)
 	_ = s.http.Close()      // the connections are in memory
 	time.Sleep(time.Minute) // of the bubble: all goroutines end
+	s.limiter.mu.Lock()
+	defer s.limiter.mu.Unlock()
 	return s.limiter.budget.Used(), s.limiter.budget.Connections()
 }
 
@@ -173,22 +176,27 @@
 		stalled []string // requests of clients that stay connected
 		request string
 		status  int
+		closed  bool // a stalled client is disconnected at once
 	}{
-		{"stalled bodies", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{post(maxBody, "x"), post(maxBody, "x"), post(maxBody, "x")}, post(5, "hello"), 200},
-		{"stalled chunks", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{chunked(1<<10, 63, ""), chunked(1<<10, 63, "")}, post(5, "hello"), 200},
-		{"stalled headers", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 3000)}, post(5, "hello"), 200},
-		{"connections without a request", budget.Limits{Bytes: 16 << 20, Connections: 2}, []string{"", "", ""}, post(5, "hello"), 200},
-		{"body larger than the budget", budget.Limits{Bytes: 32 << 10, Connections: 10}, nil, post(maxBody, strings.Repeat("x", maxBody)), 200},
+		{"stalled bodies", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{post(maxBody, "x"), post(maxBody, "x"), post(maxBody, "x")}, post(5, "hello"), 200, true},
+		{"stalled chunks", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{chunked(1<<10, 63, ""), chunked(1<<10, 63, "")}, post(5, "hello"), 200, true},
+		{"stalled headers", budget.Limits{Bytes: 200 << 10, Connections: 10}, []string{"GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 3000), "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", 3000)}, post(5, "hello"), 200, true},
+		{"connections without a request", budget.Limits{Bytes: 16 << 20, Connections: 2}, []string{"", "", ""}, post(5, "hello"), 200, true},
+		{"body larger than the budget", budget.Limits{Bytes: 32 << 10, Connections: 10}, nil, post(maxBody, strings.Repeat("x", maxBody)), 200, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := startServer(tt.limits, maxBody)
+				var closed atomic.Int64
 				for _, request := range tt.stalled {
 					c := s.connect()
 					defer c.Close()
 					go func() { _, _ = io.WriteString(c, request) }() // the server may close it
-					go func() { _, _ = io.Copy(io.Discard, c) }()
+					go func() {
+						_, _ = io.Copy(io.Discard, c) // until it is closed
+						closed.Add(1)
+					}()
 					time.Sleep(100 * time.Millisecond)
 				}
 				c := s.connect()
@@ -196,6 +204,10 @@
 				if diff := cmp.Diff(tt.status, status); diff != "" {
 					t.Errorf("status of the ordinary request (-want +got):\n%s", diff)
 				}
+				time.Sleep(time.Second) // less than any deadline has left
+				if diff := cmp.Diff(tt.closed, closed.Load() > 0); diff != "" {
+					t.Errorf("stalled clients disconnected (-want +got):\n%s", diff)
+				}
 				c.Close()
 				s.close()
 			})
