job/scheduler: more moves of slowed runs on a large fleet while capacity is short

While capacity is short, one run for each 16 workers moves in a pass, at least 8, and after 0.9 s instead of 1.2 s.

TestRelocationBound has the bounds.

--- a/internal/bench/backlog/command.go
+++ b/internal/bench/backlog/command.go
@@ -23,12 +23,12 @@
 }
 
 // Best is the policy that the scheduler follows.
-const Best = "expected+move"
+const Best = "expected+moves"
 
 // Policies returns the policies to compare: the orders, and further changes to the best one.
 func Policies() []Policy {
 	changed := func(name string, change func(*Policy)) Policy {
-		p := Policy{Name: Best + "+" + name, order: overload.ExpectedValue, moveByPlace: true}
+		p := Policy{Name: Best + "+" + name, order: overload.ExpectedValue, moveByPlace: true, moveMore: true}
 		change(&p)
 		return p
 	}
@@ -40,7 +40,8 @@
 		{Name: "least-slack", order: overload.LeastSlack},
 		{Name: "admission", order: overload.AdmitBySlack},
 		{Name: "expected", order: overload.ExpectedValue},
-		{Name: Best, order: overload.ExpectedValue, moveByPlace: true},
+		{Name: "expected+move", order: overload.ExpectedValue, moveByPlace: true},
+		{Name: Best, order: overload.ExpectedValue, moveByPlace: true, moveMore: true},
 		changed("pace", func(p *Policy) { p.paceByPlace = true }),
 		changed("half", func(p *Policy) { p.uncounted = 0.5 }),
 		changed("begun", func(p *Policy) { p.uncounted = 1 }),
--- a/internal/bench/backlog/day.go
+++ b/internal/bench/backlog/day.go
@@ -15,6 +15,7 @@
 	order        overload.Order
 	uncounted    float64       // share of the work of runs that does not count as remaining
 	moveByPlace  bool          // slowed runs of the work that goes first are moved first
+	moveMore     bool          // slowed runs are moved sooner, and more of them at a time
 	paceByPlace  bool          // of the runs on a worker, those of the work that goes first are slowed last
 	releaseAfter time.Duration // paused runs are stopped after this time; 0: never
 	stopUseless  bool          // runs of work of no use are stopped for others
@@ -33,6 +34,7 @@
 	open      []*job
 	workers   []*worker
 	lost      []*run // of lost workers, whose lease has not expired
+	stopping  []stopped
 	estimates estimates
 	means     map[Kind]overload.CoreSeconds
 	rates     map[Kind]float64 // cores that work on each kind
@@ -89,6 +91,7 @@
 		if d.now%assessInterval == 0 {
 			d.assess()
 		}
+		d.endStops()
 		if d.now%moveInterval == 0 {
 			d.move()
 			d.stopRuns()
--- a/internal/bench/backlog/move.go
+++ b/internal/bench/backlog/move.go
@@ -14,6 +14,8 @@
 	minSlowedTime  = 1200 * time.Millisecond
 	minMoveSpeed   = 0.7
 	maxMoves       = 8
+	moreMoves      = workers / 16
+	lessSlowedTime = 900 * time.Millisecond
 	maxMovedShare  = 0.9 // of a task's work that is done
 )
 
@@ -41,8 +43,12 @@
 
 // move stops slowed runs that can work faster elsewhere.
 func (d *day) move() {
+	most, least := maxMoves, minSlowedTime
+	if d.policy.moveMore {
+		most, least = moreMoves, lessSlowedTime
+	}
 	slowed := d.filter(func(r *run) bool {
-		return r.slowed > 0 && d.now-r.slowed >= minSlowedTime && float64(r.left) >= (1-maxMovedShare)*float64(r.task.took)
+		return r.slowed > 0 && d.now-r.slowed >= least && float64(r.left) >= (1-maxMovedShare)*float64(r.task.took)
 	})
 	if d.policy.moveByPlace {
 		slices.SortStableFunc(slowed, func(a, b placed) int {
@@ -50,7 +56,7 @@
 		})
 	}
 	for i, p := range slowed {
-		if i == maxMoves || !d.hasRoom(p) {
+		if i == most || !d.hasRoom(p) {
 			return
 		}
 		d.stop(p)
@@ -89,10 +95,27 @@
 	})
 }
 
-// stop stops a run. Its task waits again, with its checkpoint.
+// stopTime is the time from the decision to stop a run until its task can start elsewhere.
+const stopTime = 300 * time.Millisecond
+
+// stopped is a run whose stop is under way.
+type stopped struct {
+	run *run
+	at  time.Duration // when its task can start elsewhere
+}
+
+// stop stops a run. Its task waits again, with its checkpoint, once the worker has ended it.
 func (d *day) stop(p placed) {
 	p.worker.remove(p.run)
 	p.worker.release(p.run)
-	d.requeue(p.run)
+	d.stopping = append(d.stopping, stopped{p.run, d.now + stopTime})
 	d.stops++
 }
+
+// endStops requeues the tasks of the runs whose stops have ended.
+func (d *day) endStops() {
+	for len(d.stopping) > 0 && d.stopping[0].at <= d.now {
+		d.requeue(d.stopping[0].run)
+		d.stopping = d.stopping[1:]
+	}
+}
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -73,6 +73,7 @@
 const (
 	maxSlowedPace      = 40                      // percent; runs at a higher pace stay
 	minSlowedTime      = 1200 * time.Millisecond // time since the pace was set
+	minSlowedTimeShort = 900 * time.Millisecond  // while capacity is short; later than paceEffectDelay
 	minRelocationSpeed = 0.7                     // expected speed on the other worker that is worth the move
 )
 
@@ -83,9 +84,29 @@
 // speed that the next can expect on other workers.
 const maxRelocationsPerPass = 8
 
+// workersPerRelocation bounds the relocations of one pass on a large fleet while capacity is
+// short: of 490 workers, hundreds have slowed runs at any time.
+const workersPerRelocation = 16
+
+// maxRelocations returns the largest number of relocations of a pass.
+func (c *Core) maxRelocations(now time.Time) int {
+	if !c.isShort(now) {
+		return maxRelocationsPerPass
+	}
+	return max(maxRelocationsPerPass, len(c.workers)/workersPerRelocation)
+}
+
+// minSlowed returns the time since the pace of a run was set after which it may be relocated.
+func (c *Core) minSlowed(now time.Time) time.Duration {
+	if c.isShort(now) {
+		return minSlowedTimeShort
+	}
+	return minSlowedTime
+}
+
 // relocateSlowedRuns stops slowed best-effort runs that can work faster elsewhere.
 func (c *Core) relocateSlowedRuns(now time.Time) {
-	moves := 0
+	moves, most := 0, c.maxRelocations(now)
 	noWorker := map[*step]bool{} // steps for which no worker is fast enough
 	for _, r := range c.slowedRuns(now) {
 		if noWorker[r.task.step] {
@@ -96,7 +117,7 @@
 			continue
 		}
 		c.stopRun(r, ReasonSlowed)
-		if moves++; moves == maxRelocationsPerPass {
+		if moves++; moves == most {
 			return
 		}
 	}
@@ -107,9 +128,10 @@
 func (c *Core) slowedRuns(now time.Time) []*run {
 	var slowed []*run
 	var steps []*step
+	minSlowed := c.minSlowed(now)
 	for _, w := range c.workers {
 		for _, r := range w.runList {
-			if r.mayRelocate(now) {
+			if r.mayRelocate(minSlowed, now) {
 				slowed = append(slowed, r)
 				steps = append(steps, r.task.step)
 			}
@@ -123,12 +145,12 @@
 	return slowed
 }
 
-// mayRelocate reports whether a run is a best-effort run that has been slowed for some
-// time and can continue from a checkpoint.
-func (r *run) mayRelocate(now time.Time) bool {
+// mayRelocate reports whether a run is a best-effort run that has been slowed for at least
+// minSlowed and can continue from a checkpoint.
+func (r *run) mayRelocate(minSlowed time.Duration, now time.Time) bool {
 	s := r.task.step.spec
 	return s.BestEffort && s.Checkpoints && r.phase == phaseRunning &&
-		r.pacePercent <= maxSlowedPace && now.Sub(r.paceSetAt) >= minSlowedTime && r.progressPercent <= 90
+		r.pacePercent <= maxSlowedPace && now.Sub(r.paceSetAt) >= minSlowed && r.progressPercent <= 90
 }
 
 // canRunFaster reports whether another worker can run the task of a run at a good speed
--- a/internal/job/scheduler/relocate_test.go
+++ b/internal/job/scheduler/relocate_test.go
@@ -94,3 +94,40 @@
 		}
 	}
 }
+
+// TestRelocationBound guards against a large fleet on which hundreds of runs stay slowed, as
+// few move at a time, and against more or earlier moves while there is capacity for all.
+func TestRelocationBound(t *testing.T) {
+	tests := []struct {
+		name    string
+		short   bool
+		workers int
+		slowed  time.Duration
+		want    int
+	}{
+		{"short, large fleet", true, 12 * workersPerRelocation, minSlowedTimeShort, 12},
+		{"short, small fleet", true, 20, minSlowedTimeShort, maxRelocationsPerPass},
+		{"not short", false, 12 * workersPerRelocation, minSlowedTime, maxRelocationsPerPass},
+		{"not short, slowed recently", false, 12 * workersPerRelocation, minSlowedTimeShort, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listMany(manyListings(tt.workers))
+			f.addJob("j", bestEffortStep(0, 15), true)
+			f.takeStarts(OutcomeDone)
+			for _, w := range f.core.workers {
+				for _, r := range w.runList {
+					r.pacePercent, r.paceSetAt = 0, f.now
+				}
+			}
+			if f.now = f.now.Add(tt.slowed); tt.short {
+				f.core.shortUntil = f.now.Add(shortHold)
+			}
+			f.core.relocateSlowedRuns(f.now)
+			if got := len(f.core.TakeOrders()); got != tt.want {
+				t.Errorf("%d runs stopped, want %d", got, tt.want)
+			}
+		})
+	}
+}
