job/scheduler: half of the work of running tasks counts as remaining

Cause: the order counted a job as not begun until the first of its tasks had ended, so that other jobs were begun before it was finished.

--- a/internal/bench/backlog/command.go
+++ b/internal/bench/backlog/command.go
@@ -23,12 +23,15 @@
 }
 
 // Best is the policy that the scheduler follows.
-const Best = "expected+moves"
+const Best = base + "+half"
 
-// Policies returns the policies to compare: the orders, and further changes to the best one.
+// base is the policy to which further changes are tried.
+const base = "expected+moves"
+
+// Policies returns the policies to compare: the orders, and further changes to base.
 func Policies() []Policy {
 	changed := func(name string, change func(*Policy)) Policy {
-		p := Policy{Name: Best + "+" + name, order: overload.ExpectedValue, moveByPlace: true, moveMore: true}
+		p := Policy{Name: base + "+" + name, order: overload.ExpectedValue, moveByPlace: true, moveMore: true}
 		change(&p)
 		return p
 	}
@@ -41,7 +44,7 @@
 		{Name: "admission", order: overload.AdmitBySlack},
 		{Name: "expected", order: overload.ExpectedValue},
 		{Name: "expected+move", order: overload.ExpectedValue, moveByPlace: true},
-		{Name: Best, order: overload.ExpectedValue, moveByPlace: true, moveMore: true},
+		{Name: base, order: overload.ExpectedValue, moveByPlace: true, moveMore: true},
 		changed("pace", func(p *Policy) { p.paceByPlace = true }),
 		changed("half", func(p *Policy) { p.uncounted = 0.5 }),
 		changed("begun", func(p *Policy) { p.uncounted = 1 }),
--- a/internal/job/scheduler/backlog.go
+++ b/internal/job/scheduler/backlog.go
@@ -131,11 +131,15 @@
 	return sum
 }
 
+// runningShare is the share of the work of a running task that counts as remaining.
+const runningShare = 0.5
+
 // remainingWork returns the expected work of the tasks that are not done.
 func (o *occurrence) remainingWork() overload.CoreSeconds {
 	var sum overload.CoreSeconds
 	for _, s := range o.steps {
-		sum += s.workOf(s.remaining)
+		waiting := len(s.waiting)
+		sum += s.workOf(waiting) + runningShare*s.workOf(s.remaining-waiting)
 	}
 	return sum
 }
--- a/internal/job/scheduler/backlog_test.go
+++ b/internal/job/scheduler/backlog_test.go
@@ -137,3 +137,32 @@
 		})
 	}
 }
+
+// TestRemainingWork guards against begun jobs that count as if nothing was done, so that on
+// a full shard others are begun before they are finished.
+func TestRemainingWork(t *testing.T) {
+	tests := []struct {
+		name          string
+		running, done int // of 3 tasks of 60 core-seconds
+		want          float64
+	}{
+		{"nothing begun", 0, 0, 180},
+		{"one running", 1, 0, 150},
+		{"one done, one running", 1, 1, 90},
+		{"all done", 0, 3, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			s := wholeWorker
+			s.Count = 3
+			f.addJob("j", s, true)
+			o := f.core.jobs["j"].occurrences[0]
+			o.steps[0].remaining -= tt.done
+			o.steps[0].waiting = o.steps[0].waiting[:3-tt.done-tt.running]
+			if got := float64(o.remainingWork()); got != tt.want {
+				t.Errorf("remaining work %v core-seconds, want %v", got, tt.want)
+			}
+		})
+	}
+}
