--- a/internal/job/scheduler/quotahold_test.go
+++ b/internal/job/scheduler/quotahold_test.go
@@ -148,7 +148,7 @@
 			f.setCaps(map[unit.OrganisationID]unit.Millicores{"a": tt.limit})
 			r := f.core.workers["w1"].runList[0]
 			r.pacePercent = maxSlowedPace
-			if diff := cmp.Diff(tt.moves, r.mayRelocate(f.now.Add(minSlowedTime))); diff != "" {
+			if diff := cmp.Diff(tt.moves, r.mayRelocate(minSlowedTime, f.now.Add(minSlowedTime))); diff != "" {
 				t.Errorf("may move (-want +got):\n%s", diff)
 			}
 		})
