job/intake: check the stored record of a submission over a public route

A submission without an organisation whose id belonged to a job of an organisation in another queue was answered as accepted, although its own job was not stored. The result is now decided by the stored record for these submissions as well; only a record that cannot be decoded still counts as an earlier submission when the caller has no organisation, as before. TestVisibility left these callers out; it now includes them and failed in 2 checks of 'public route of another queue' before the change. Submissions with conflicting ids are named so.

--- a/internal/job/intake/caller_test.go
+++ b/internal/job/intake/caller_test.go
@@ -83,9 +83,6 @@
 				check(fmt.Sprintf("state, known by the owner %v", status.Known), err, ErrNoJob)
 			}
 			check("cancellation", s.Cancel(t.Context(), tt.caller, "j"), ErrNoJob)
-			if tt.caller.Organisation == "" {
-				return
-			}
 			for _, store.lost = range []bool{false, true} {
 				s.writer = newWriter(kv.Client{Doer: store})
 				ctx, cancel := context.WithCancel(t.Context())
@@ -116,9 +113,9 @@
 	return kv.Response{Revision: 5}, nil
 }
 
-// TestRivals guards against two organisations that submit one id at the same time and are both
+// TestConflictingIDs guards against two organisations that submit one id at the same time and are both
 // told that their job was accepted, while the store has only one of them.
-func TestRivals(t *testing.T) {
+func TestConflictingIDs(t *testing.T) {
 	w := newWriter(kv.Client{Doer: creatingStore{map[kv.Key]kv.Item{}}})
 	organisations := []unit.OrganisationID{"a", "b", "a"}
 	var subs []*submission
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -89,10 +89,10 @@
 			return
 		case sub := <-w.pending:
 			for batch := w.fillBatch(sub); len(batch) > 0; {
-				var rivals []*submission
-				batch, rivals = splitRivals(batch)
+				var conflicting []*submission
+				batch, conflicting = splitConflicting(batch)
 				w.commit(ctx, batch)
-				batch = rivals
+				batch = conflicting
 			}
 		}
 	}
@@ -113,21 +113,21 @@
 	return batch
 }
 
-// splitRivals splits off the submissions whose ids another organisation submits in the same
+// splitConflicting splits off the submissions whose ids another organisation submits in the same
 // batch. In one transaction each record would replace the other.
-func splitRivals(batch []*submission) (first, rivals []*submission) {
+func splitConflicting(batch []*submission) (first, conflicting []*submission) {
 	for _, sub := range batch {
-		if slices.ContainsFunc(first, sub.rivals) {
-			rivals = append(rivals, sub)
+		if slices.ContainsFunc(first, sub.conflictsWith) {
+			conflicting = append(conflicting, sub)
 		} else {
 			first = append(first, sub)
 		}
 	}
-	return first, rivals
+	return first, conflicting
 }
 
-// rivals reports whether two submissions of different organisations have the same id.
-func (s *submission) rivals(other *submission) bool {
+// conflictsWith reports whether two submissions of different organisations have the same id.
+func (s *submission) conflictsWith(other *submission) bool {
 	a, b := &s.record.Job, &other.record.Job
 	return a.ID == b.ID && a.Organisation != b.Organisation
 }
@@ -211,18 +211,15 @@
 }
 
 // resultOf returns the result of a submission of which the store has the record in an item.
-// That of another organisation is no earlier submission of the same job.
+// A record that the caller does not see is no earlier submission of the same job.
 func (s *submission) resultOf(i kv.Item, existed bool) writeResult {
-	organisation := s.record.Job.Organisation
-	if organisation == "" {
-		return writeResult{revision: i.Revision, existed: existed}
-	}
+	job := &s.record.Job
+	caller := Caller{Organisation: job.Organisation, Queue: job.Queue.ID}
 	stored, err := record.DecodeJob(i.Value)
-	if err != nil {
+	switch {
+	case err != nil && job.Organisation != "":
 		return writeResult{err: errors.Errorf("%v: %w", err, ErrUnknown)}
-	}
-	caller := Caller{Organisation: organisation, Queue: s.record.Job.Queue.ID}
-	if !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID) {
+	case err == nil && !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID):
 		return writeResult{revision: i.Revision, err: ErrOtherOrganisation}
 	}
 	return writeResult{revision: i.Revision, existed: existed}
