report/metric: close one direction of counted connections

The HTTP server ends the sending direction before it closes a connection whose request was not read whole. The limiter passes that on, but the counted connections below it had no CloseWrite, so that nothing was sent until the connection was closed. TestCloseWrite failed before the change.

--- a/internal/report/metric/traffic.go
+++ b/internal/report/metric/traffic.go
@@ -104,6 +104,14 @@
 	return n, err
 }
 
+// CloseWrite closes the sending direction, if the connection has one of its own.
+func (c *countedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // countedListener is a listener whose connections are counted.
 type countedListener struct {
 	net.Listener
--- a/internal/report/metric/traffic_test.go
+++ b/internal/report/metric/traffic_test.go
@@ -77,3 +77,33 @@
 		t.Fatal(err)
 	}
 }
+
+// TestCloseWrite guards against a response whose end the client sees only when the whole
+// connection is closed, which discards what the client has not read by then.
+func TestCloseWrite(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	client, err := net.Dial("tcp", inner.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	server, err := newTraffic("test end").Listener(inner).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	half, ok := server.(interface{ CloseWrite() error })
+	if !ok {
+		t.Fatal("a counted connection cannot close one direction")
+	}
+	if err := half.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := client.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("client reads %d bytes and error %v, want the end", n, err)
+	}
+}
