entry/limiter: count an interrupted header once

A connection that was interrupted while it read a header was counted as revoked and a second time as without memory for its header. Comments on budget and limiter use plain terms.

--- a/internal/entry/budget/budget.go
+++ b/internal/entry/budget/budget.go
@@ -37,7 +37,7 @@
 type Budget struct {
 	limits        Limits
 	used          unit.Bytes // by connections that are not revoked
-	lingering     unit.Bytes // held by revoked connections, which have not let go of it yet
+	lingering     unit.Bytes // held by revoked connections, which have not released it yet
 	open          int        // connections that are not disconnected
 	holders       []*holder
 	byID          map[ConnectionID]*holder
@@ -90,10 +90,10 @@
 
 // Open adds an idle connection that holds a number of bytes. It fails if there is no room.
 // The caller has to disconnect those that were revoked before it opens another. A
-// connection that was revoked before makes way first, as it only sends a response.
+// connection that was revoked before is disconnected first, as it only sends a response.
 func (b *Budget) Open(id ConnectionID, s Source, cost unit.Bytes, now time.Time) (revoked []ConnectionID, ok bool) {
 	h := &holder{id: id, sourceID: s, source: join(b.sources, s), since: now}
-	// More than one makes way if others, whose requests became complete, are still open.
+	// More than one is disconnected if others, whose requests became complete, are still open.
 	for b.open-len(revoked) >= b.limits.Connections {
 		victim := b.firstRevoked(revoked)
 		if victim == nil {
@@ -118,7 +118,7 @@
 }
 
 // Disconnect records that the descriptor of a connection, which was revoked, is closed. What
-// it holds is released as its goroutine lets go of it, or by Close.
+// it holds is released by its goroutine, or by Close.
 func (b *Budget) Disconnect(id ConnectionID) {
 	if h := b.byID[id]; h != nil && !h.disconnected {
 		h.disconnected = true
--- a/internal/entry/limiter/conn.go
+++ b/internal/entry/limiter/conn.go
@@ -39,10 +39,9 @@
 		return 0, os.ErrDeadlineExceeded // the server closes the connection without a response
 	}
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.reserveHeader(n) {
+	if n > 0 && !c.reserveHeader(n) && !c.isInterrupted() { // else it was counted as it was interrupted
 		c.limiter.rejections.add(causeHeader, c)
 		c.interrupt()
-		return 0, os.ErrDeadlineExceeded
 	}
 	if c.isInterrupted() {
 		return 0, os.ErrDeadlineExceeded
@@ -151,7 +150,7 @@
 }
 
 // closeNow closes the connection before the server does. What it holds stays reserved until
-// the server has let go of it.
+// the server has released it.
 func (c *conn) closeNow() {
 	if !c.interrupt() {
 		return
@@ -229,7 +228,8 @@
 	return c.Conn.Close()
 }
 
-// CloseWrite lets the server wait until the client has read its response.
+// CloseWrite tells the client that its response is complete. The server calls it some time
+// before it closes the connection, which may discard a response that was not read.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
--- a/internal/entry/limiter/rejection.go
+++ b/internal/entry/limiter/rejection.go
@@ -17,7 +17,7 @@
 
 // Causes, which logs and metrics show.
 const (
-	causeConnections cause = "connections"    // no room for another connection, or it made way for one
+	causeConnections cause = "connections"    // no room for another connection, or it was disconnected for one
 	causeHeader      cause = "header"         // no memory for its header
 	causeNoRoom      cause = "no memory"      // no memory for its body
 	causeRevoked     cause = "revoked"        // its memory was taken for another client
