--- a/internal/bench/backlog/fleet.go
+++ b/internal/bench/backlog/fleet.go
@@ -29,7 +29,6 @@
 type run struct {
 	task   *task
 	left   time.Duration // work left, at full speed
-	began  time.Duration
 	paused time.Duration // since when it has made no progress; 0: it does
 	speed  float64
 	slowed time.Duration // since when it is slowed to maxSlowedSpeed or less; 0: it is not
--- a/internal/bench/backlog/place.go
+++ b/internal/bench/backlog/place.go
@@ -109,7 +109,7 @@
 	s := j.current
 	t := s.waiting[len(s.waiting)-1]
 	s.waiting = s.waiting[:len(s.waiting)-1]
-	best.add(&run{task: t, left: t.took - t.saved, began: d.now})
+	best.add(&run{task: t, left: t.took - t.saved})
 	j.runs++
 	return true
 }
--- a/internal/job/admission/admission.go
+++ b/internal/job/admission/admission.go
@@ -18,9 +18,6 @@
 // MaxLoadAge is the age of a load above which no job is rejected by it.
 const MaxLoadAge = 2 * time.Second
 
-// usefulLifeFactor is how many times its allowed time a job may take and still be of use.
-const usefulLifeFactor = 3
-
 // Cause says why a job is rejected.
 type Cause string
 
@@ -146,7 +143,7 @@
 		return 0, false
 	}
 	allowed := chain.Seconds()*maxRatio*max(q.Stretch, 1) + q.Target.Seconds()
-	return time.Duration(math.Min(usefulLifeFactor*allowed, maxUsefulLife.Seconds()) * float64(time.Second)), true
+	return time.Duration(math.Min(overload.UsefulFactor*allowed, maxUsefulLife.Seconds()) * float64(time.Second)), true
 }
 
 // maxUsefulLife bounds the time for which a job is of use, so that no sum overflows. It is
