--- a/internal/desk/api/fault.go
+++ b/internal/desk/api/fault.go
@@ -41,7 +41,7 @@
 	faultSize = newFault(http.StatusRequestEntityTooLarge, "size",
 		"body too large", "send a smaller body")
 	faultPace = newFault(http.StatusRequestTimeout, "pace",
-		"body too slow", "send it faster, or from nearer")
+		"body too slow", "send it faster")
 	faultMemory = newFault(http.StatusServiceUnavailable, "memory",
 		"no memory for the body", "the call had no effect; repeat it later")
 )
