--- a/internal/bench/backlog/generate.go
+++ b/internal/bench/backlog/generate.go
@@ -37,9 +37,7 @@
 	for i := range shapes {
 		s := &shapes[i]
 		random := rand.New(rand.NewPCG(seed, uint64(i)))
-		for range s.atStart {
-			jobs = append(jobs, s.job(random, 0))
-		}
+		jobs = append(jobs, s.initialJobs(random)...)
 		for at := time.Duration(0); s.rate > 0; {
 			rate := s.rate
 			if s.kind == Batch && l.burst.includes(at) {
@@ -56,6 +54,15 @@
 	return jobs
 }
 
+// initialJobs returns the jobs of the shape that are there at the start.
+func (s *shape) initialJobs(random *rand.Rand) []Job {
+	var jobs []Job
+	for range s.atStart {
+		jobs = append(jobs, s.job(random, 0))
+	}
+	return jobs
+}
+
 // job returns a job of the shape.
 func (s *shape) job(random *rand.Rand, due time.Duration) Job {
 	j := Job{Kind: s.kind, Due: due, Checkpoints: random.Float64() < s.checkpoints}
--- a/internal/bench/backlog/recorded.go
+++ b/internal/bench/backlog/recorded.go
@@ -66,9 +66,7 @@
 	for i := range shapes {
 		s := &shapes[i]
 		randoms[s.kind] = rand.New(rand.NewPCG(seed, uint64(i)))
-		for range s.atStart {
-			jobs = append(jobs, s.job(randoms[s.kind], 0))
-		}
+		jobs = append(jobs, s.initialJobs(randoms[s.kind])...)
 	}
 	for i, k := range a.kinds {
 		if a.due[i] < span {
