job/share: Settle reports changes that Delay or Forget decided

Cause: Delay and Forget settle the meter too and dropped the result, so that the next placement pass kept the standings of steps for up to 250 ms. An arrival that was not settled counted as beyond the rate: after a takeover nearly all tasks were counted as held by the rate when their job was read. Change: the meter keeps the result until Settle returns it; an arrival counts as within the rate until it is settled. Admit, which only tests used, moves to the test. Result: TestSettleReportsOnce fails before and passes now.

--- a/internal/job/share/meter.go
+++ b/internal/job/share/meter.go
@@ -31,8 +31,8 @@
 }
 
 // Within reports whether the job is within the rate of its organisation. A job without an
-// organisation, which has no arrival, always is. The result may change while the records of
-// earlier jobs are still read.
+// organisation, which has no arrival, always is, and one that is not settled counts as within.
+// The result may change while the records of earlier jobs are still read.
 func (a *Arrival) Within() bool { return a == nil || a.within }
 
 // Meter decides by token buckets which jobs are within the rate of their organisation: its
@@ -42,6 +42,7 @@
 	weights map[unit.OrganisationID]float64
 	lanes   map[unit.OrganisationID]*lane
 	dirty   []*lane // with arrivals that are not settled
+	changed bool    // arrivals were settled since the last call of Settle
 }
 
 // lane holds the latest arrivals of one organisation, in order of time.
@@ -74,14 +75,6 @@
 	return 1
 }
 
-// Admit counts a job that was accepted at a time and reports whether it is within the rate of
-// its organisation, by the jobs that are known.
-func (m *Meter) Admit(id unit.OrganisationID, accepted time.Time) (within bool) {
-	a := m.Record(id, "", accepted)
-	m.Settle()
-	return a.Within()
-}
-
 // Record counts a job. Jobs may be recorded in any order; the arrival of one that is not the
 // latest is valid after the next call of Settle, and those after it may change then.
 func (m *Meter) Record(id unit.OrganisationID, job unit.JobID, accepted time.Time) *Arrival {
@@ -96,7 +89,7 @@
 		l = &lane{rate: m.Weight(id)}
 		m.lanes[id] = l
 	}
-	a := &Arrival{at: accepted.UnixNano(), job: job}
+	a := &Arrival{at: accepted.UnixNano(), job: job, within: true}
 	i := l.positionOf(a)
 	l.arrivals = slices.Insert(l.arrivals, i, a)
 	if l.settled == i && i == len(l.arrivals)-1 {
@@ -135,18 +128,24 @@
 // Settle decides about the jobs that were recorded since the last call, and reports whether
 // any may have changed.
 func (m *Meter) Settle() (changed bool) {
-	changed = len(m.dirty) > 0
+	m.settle()
+	changed, m.changed = m.changed, false
+	return changed
+}
+
+// settle decides about the jobs that are not settled.
+func (m *Meter) settle() {
+	m.changed = m.changed || len(m.dirty) > 0
 	for _, l := range m.dirty {
 		l.settle()
 	}
 	m.dirty = m.dirty[:0]
-	return changed
 }
 
 // Forget drops the jobs of periods so long ago that no other record of them is expected. What
 // was decided about them stays.
 func (m *Meter) Forget(now time.Time) {
-	m.Settle()
+	m.settle()
 	oldest := periodOf(now.UnixNano()) - keptPeriods
 	for id, l := range m.lanes {
 		kept := slices.IndexFunc(l.arrivals, func(a *Arrival) bool { return periodOf(a.at) >= oldest })
@@ -161,7 +160,7 @@
 
 // Delay returns the time until the next job of an organisation would be within its rate.
 func (m *Meter) Delay(id unit.OrganisationID, now time.Time) time.Duration {
-	m.Settle()
+	m.settle()
 	l := m.lanes[id]
 	if l == nil || len(l.arrivals) == 0 {
 		return 0
--- a/internal/job/share/share_test.go
+++ b/internal/job/share/share_test.go
@@ -27,6 +27,13 @@
 	return times
 }
 
+// admit records a job and reports whether it is within the rate of its organisation.
+func admit(m *Meter, id unit.OrganisationID, accepted time.Time) bool {
+	a := m.Record(id, "", accepted)
+	m.Settle()
+	return a.Within()
+}
+
 // TestAdmit guards against jobs beyond the rate that count as within it, and against an
 // organisation that is denied its rate or its burst.
 func TestAdmit(t *testing.T) {
@@ -52,8 +59,8 @@
 			m.SetOrganisations([]organisation.Organisation{{ID: "a", Weight: tt.weight}})
 			var got []bool
 			for _, accepted := range tt.accepted {
-				m.Admit("b", accepted) // has a rate of its own
-				got = append(got, m.Admit("a", accepted))
+				admit(&m, "b", accepted) // has a rate of its own
+				got = append(got, admit(&m, "a", accepted))
 			}
 			if diff := cmp.Diff(tt.want, got); diff != "" {
 				t.Errorf("within the rate (-want +got):\n%s", diff)
@@ -84,7 +91,7 @@
 			var m Meter
 			m.SetOrganisations([]organisation.Organisation{{ID: "a", Weight: tt.weight}})
 			for _, accepted := range tt.accepted {
-				m.Admit("a", accepted)
+				admit(&m, "a", accepted)
 			}
 			if diff := cmp.Diff(tt.want, m.Delay("a", tt.now)); diff != "" {
 				t.Errorf("delay (-want +got):\n%s", diff)
@@ -148,6 +155,23 @@
 	})
 }
 
+// TestSettleReportsOnce guards against a change that the scheduler does not learn of, as a
+// question for the delay has decided about the job, and against jobs that count as beyond the
+// rate until it is decided.
+func TestSettleReportsOnce(t *testing.T) {
+	var m Meter
+	m.Record("a", "late", at(500)[0])
+	early := m.Record("a", "early", at(0)[0])
+	if !early.Within() {
+		t.Error("beyond the rate before it is decided")
+	}
+	m.Delay("a", periodStart)
+	got := []bool{m.Settle(), m.Settle()}
+	if diff := cmp.Diff([]bool{true, false}, got); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
 // TestLevel guards against shares that leave capacity unused while an organisation asks for
 // more, or that take from one which uses less than its weight gives.
 func TestLevel(t *testing.T) {
@@ -190,7 +214,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var m Meter
 			for range 3 {
-				m.Admit("a", periodStart)
+				admit(&m, "a", periodStart)
 			}
 			m.Forget(periodStart.Add(tt.after))
 			kept := 0
