job/owner: final records of organisations keep the time of acceptance

Cause: the owner wrote final records without the time of acceptance, so that a new owner did not count jobs that had ended in the same period, and ranked the other jobs of the organisation differently from the owner before. Change: JobOrganisation returns the time too, and the final record of a job with an organisation has it. Records of jobs without one stay as they are. ShareMeter, used only inside the package, is gone. Result: TestFinalRecordKeepsOrganisation, extended by the time, fails before and passes now.

--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -121,7 +121,7 @@
 	for _, f := range b.finalStates {
 		key := record.JobKey(f.Job)
 		job := graph.Job{ID: f.Job}
-		job.Organisation, job.Queue.ID = sh.core.JobOrganisation(f.Job)
+		job.Organisation, job.Queue.ID, job.Accepted = sh.core.JobOrganisation(f.Job)
 		value, err := record.Encode(record.Final(&job, f.State))
 		if err != nil {
 			return nil, err
--- a/internal/job/owner/commit_test.go
+++ b/internal/job/owner/commit_test.go
@@ -115,9 +115,11 @@
 }
 
 // TestFinalRecordKeepsOrganisation guards against a job that other organisations see once it
-// has ended, and against final records that grow where no job has an organisation.
+// has ended, against a new owner that does not count the job against the rate of its
+// organisation, and against final records that grow where no job has an organisation.
 func TestFinalRecordKeepsOrganisation(t *testing.T) {
-	for _, want := range []graph.Job{{ID: "j", Organisation: "a", Queue: graph.Queue{ID: "q"}}, {ID: "j"}} {
+	accepted := time.Unix(1_000_000, 5).UTC()
+	for _, want := range []graph.Job{{ID: "j", Organisation: "a", Queue: graph.Queue{ID: "q"}, Accepted: accepted}, {ID: "j"}} {
 		t.Run("organisation "+string(want.Organisation), func(t *testing.T) {
 			store := &recordingStore{}
 			s := New(logr.Discard(), &scriptedFleet{}, nil, Options{})
@@ -126,7 +128,7 @@
 			defer sh.cancel()
 			sh.core = scheduler.New(scheduler.Limits{}, 1, time.Now())
 			sh.progress.sent(0, time.Now()) // no progress is due
-			job := graph.Job{ID: "j", Organisation: want.Organisation, Queue: graph.Queue{ID: "q", Service: "orders"}}
+			job := graph.Job{ID: "j", Organisation: want.Organisation, Queue: graph.Queue{ID: "q", Service: "orders"}, Accepted: accepted}
 			sh.applyJob(SubmittedJob{Record: record.Job{Job: job}, Revision: 5, Created: 5}, time.Now())
 			if diff := cmp.Diff(JobStatus{graph.Queued, true, want.Organisation, want.Queue.ID}, sh.state("j")); diff != "" {
 				t.Errorf("status (-want +got):\n%s", diff)
--- a/internal/job/owner/jobs.go
+++ b/internal/job/owner/jobs.go
@@ -70,7 +70,7 @@
 	defer sh.mu.Unlock()
 	status := JobStatus{}
 	status.State, status.Known = sh.core.JobState(id)
-	status.Organisation, status.Queue = sh.core.JobOrganisation(id)
+	status.Organisation, status.Queue, _ = sh.core.JobOrganisation(id)
 	return status
 }
 
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -148,7 +148,7 @@
 		unrecordedLeasesExpireAt: inheritedLeasesExpireAt,
 		inheritedLeasesExpireAt:  inheritedLeasesExpireAt,
 	}
-	c.rates = c.ShareMeter()
+	c.rates = &c.organisations.meter
 	c.policy = adaptivePolicy{c}
 	if limits.Baseline {
 		c.policy = firstFitPolicy{}
@@ -214,14 +214,14 @@
 	return graph.Queued, true
 }
 
-// JobOrganisation returns the organisation of a job and the queue that the job came over.
-// Both are empty if the job is unknown or has no organisation.
-func (c *Core) JobOrganisation(id unit.JobID) (unit.OrganisationID, graph.QueueID) {
+// JobOrganisation returns the organisation of a job, the queue that the job came over, and
+// when it was accepted. All are zero if the job is unknown or has no organisation.
+func (c *Core) JobOrganisation(id unit.JobID) (org unit.OrganisationID, queue graph.QueueID, accepted time.Time) {
 	j := c.jobs[id]
 	if j == nil || j.spec.Organisation == "" {
-		return "", ""
+		return "", "", time.Time{}
 	}
-	return j.spec.Organisation, j.spec.Queue.ID
+	return j.spec.Organisation, j.spec.Queue.ID, j.spec.Accepted
 }
 
 // PendingJobs returns how many open jobs of a queue have not started any task.
--- a/internal/job/scheduler/organisation.go
+++ b/internal/job/scheduler/organisation.go
@@ -75,9 +75,6 @@
 	}
 }
 
-// ShareMeter returns the meter of the rates of the organisations.
-func (c *Core) ShareMeter() *share.Meter { return &c.organisations.meter }
-
 // HoldCapped sets whether nothing starts for organisations with a cap, as the caller does not
 // know the newest one.
 func (c *Core) HoldCapped(held bool) { c.organisations.cappedHeld = held }
