job/scheduler: the load leaves out work that waits for a cap or a rate

Cause: the least work that is ahead of a new job contained tasks that wait for the cap of their organisation or are beyond its rate. They leave cores to other jobs, so an entry could reject a job as too late that would have started. A pool also counted as short while its smallest task waited for a cap alone. Change: tasks beyond the rate are left out; work of an organisation whose cap is below the capacity of the fleet is in the expected work, and not in the least one; a step that its organisation holds back does not make a pool short.

--- a/internal/job/scheduler/load.go
+++ b/internal/job/scheduler/load.go
@@ -9,6 +9,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/overload"
+	"github.com/monsoonfold/monsoonfold/internal/job/quota"
 )
 
 // Bounds of a load, which the owner sends to every entry with each answer to its notices.
@@ -98,20 +99,21 @@
 
 // addWaitingWork adds the waiting work of a pool and returns the smallest task that could
 // start, or nil if none waits. It leaves out what need not keep a new task from starting:
-// tasks that only some of the workers can take, that may run already, or that are too late
-// to be of use.
+// tasks that only some of the workers can take, that may run already, that are too late to be
+// of use, or that are beyond the rate of their organisation.
 func (c *Core) addWaitingWork(p *overload.PoolLoad, now time.Time) (smallest *task) {
+	capacity := c.capacityForShares()
 	for _, s := range c.readySteps {
 		if poolOf(s) != (poolKey{p.Service, p.BestEffort}) || !c.countsAsWaiting(s) {
 			continue
 		}
-		if t := s.nextTask(now); t != nil && (smallest == nil || s.spec.Needs.Cores < smallest.step.spec.Needs.Cores) {
+		if t := s.nextTask(now); t != nil && !c.isHeldBack(s, now) && (smallest == nil || s.spec.Needs.Cores < smallest.step.spec.Needs.Cores) {
 			smallest = t
 		}
-		if s.spec.LongRunning || s.occurrence.tooLate(now) {
+		if s.spec.LongRunning || s.occurrence.tooLate(now) || s.beyondRate() {
 			continue
 		}
-		c.addWork(p, s)
+		c.addWork(p, s, capacity)
 	}
 	slices.SortFunc(p.Waiting, func(a, b overload.WaitingWork) int { return cmp.Compare(a.Priority, b.Priority) })
 	return smallest
@@ -135,8 +137,10 @@
 	return nil
 }
 
-// addWork adds the work of the waiting tasks of a step to that of its priority.
-func (c *Core) addWork(p *overload.PoolLoad, s *step) {
+// addWork adds the work of the waiting tasks of a step to that of its priority. Work of an
+// organisation whose cap is below the capacity may leave cores to others, so that nothing of
+// it is ahead of a new task for certain.
+func (c *Core) addWork(p *overload.PoolLoad, s *step, capacity unit.Resources) {
 	queue := &s.occurrence.job.spec.Queue
 	i := slices.IndexFunc(p.Waiting, func(w overload.WaitingWork) bool { return w.Priority == queue.Priority })
 	if i < 0 {
@@ -150,7 +154,9 @@
 	}
 	w := &p.Waiting[i]
 	w.Work = addCoreTime(w.Work, s, c.expectedDuration(s))
-	w.MinWork = addCoreTime(w.MinWork, s, least)
+	if a := s.occurrence.job.account; a == nil || quota.Fits(a.Cap, capacity, 1) {
+		w.MinWork = addCoreTime(w.MinWork, s, least)
+	}
 }
 
 // addCoreTime adds the time that one core takes for the waiting tasks of a step.
--- a/internal/job/scheduler/load_test.go
+++ b/internal/job/scheduler/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/admission"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/overload"
+	"github.com/monsoonfold/monsoonfold/internal/target/organisation"
 )
 
 // halfStep is a step of one task of 10 s that takes half of a worker.
@@ -155,6 +156,50 @@
 	}
 }
 
+// TestLoadOfOrganisations guards against jobs that are rejected because of work that waits for
+// the cap or the rate of its own organisation, which need not go before them.
+func TestLoadOfOrganisations(t *testing.T) {
+	type result struct {
+		Waiting []overload.WaitingWork
+		Short   bool // no place is found at present
+	}
+	work, least := 320*time.Second, 24615*time.Millisecond
+	tests := []struct {
+		name   string
+		weight float64
+		cap    unit.Millicores
+		want   result
+	}{
+		{"no cap", 10, 0, result{[]overload.WaitingWork{{Work: work, MinWork: least}}, true}},
+		{"cap of the whole capacity", 10, 128_000, result{[]overload.WaitingWork{{Work: work, MinWork: least}}, true}},
+		{"cap of half the capacity", 10, 64_000, result{[]overload.WaitingWork{{Work: work}}, true}},
+		{"held by the cap", 10, 1000, result{[]overload.WaitingWork{{Work: work}}, false}},
+		{"beyond the rate", 0.01, 0, result{nil, true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 0)
+			f.listWorkers("w1", "w2")
+			f.core.SetOrganisations([]organisation.Organisation{{ID: "a", Weight: tt.weight, Cap: unit.Resources{Cores: tt.cap}}})
+			f.core.AddJob(newJob("full", with(halfStep, func(s *graph.Step) { s.Count = 4 })), 0, true, f.now)
+			f.takeStarts(OutcomeDone)
+			for _, id := range []unit.JobID{"done", "j"} {
+				job := newJob(id, halfStep)
+				job.Organisation = "a"
+				f.core.AddJob(job, map[unit.JobID]graph.State{"done": graph.Completed}[id], true, f.now)
+			}
+			f.core.beginPass()
+			pool, unmet := f.core.poolLoad(poolKey{"orders", false}, f.now)
+			for i := range pool.Waiting {
+				pool.Waiting[i].MinWork = pool.Waiting[i].MinWork.Round(time.Millisecond)
+			}
+			if diff := cmp.Diff(tt.want, result{pool.Waiting, unmet}); diff != "" {
+				t.Errorf("load (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // fixedRates tells a fixed delay of each organisation.
 type fixedRates map[unit.OrganisationID]time.Duration
 
