job/owner: the lock is released after a panic in the summary of organisations

Cause: the summary took the lock of the core without a deferred unlock. A panic there left it locked, so that the shard waited for its goroutines without an end and the entry hung instead of going on without the shard. Change: take holds the lock and releases it in any case. Result: TestSummaryPanic fails before and passes now.

--- a/internal/job/owner/organisations.go
+++ b/internal/job/owner/organisations.go
@@ -84,17 +84,7 @@
 // log takes the summaries of the organisations once per organisationInterval and logs some of
 // them. It also counts what began to wait because of an organisation.
 func (s *organisationSummary) log(sh *shard) {
-	now := time.Now()
-	sh.mu.Lock()
-	for cause, n := range sh.core.TakeHoldCounts() {
-		metric.Holds.Add(cause, int64(n))
-	}
-	due := now.Sub(s.last) >= organisationInterval
-	if due {
-		s.last, s.pending = now, sh.core.OrganisationStats(now)
-	}
-	sh.mu.Unlock()
-	if due {
+	if s.take(sh, time.Now()) {
 		s.perTick = 1 + len(s.pending)/int(organisationLogTime/tickInterval)
 		publishOrganisations(s.pending)
 	}
@@ -105,6 +95,21 @@
 	s.pending = s.pending[n:]
 }
 
+// take counts what began to wait, and takes the summaries if they are due. The lock is also
+// released after a panic, so that the shard can end.
+func (s *organisationSummary) take(sh *shard, now time.Time) (due bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for cause, n := range sh.core.TakeHoldCounts() {
+		metric.Holds.Add(cause, int64(n))
+	}
+	if now.Sub(s.last) < organisationInterval {
+		return false
+	}
+	s.last, s.pending = now, sh.core.OrganisationStats(now)
+	return true
+}
+
 // publishOrganisations sets the metrics of the organisations.
 func publishOrganisations(list []scheduler.OrganisationStats) {
 	published := make(map[string]metric.Organisation, len(list))
--- a/internal/job/owner/organisations_test.go
+++ b/internal/job/owner/organisations_test.go
@@ -11,6 +11,7 @@
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
+	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
 	"github.com/monsoonfold/monsoonfold/internal/target/directory"
 	"github.com/monsoonfold/monsoonfold/internal/target/organisation"
 )
@@ -130,3 +131,21 @@
 		t.Errorf("%d lines wait after the first tick, none after %d ticks", first, ticks)
 	}
 }
+
+// TestSummaryPanic guards against a shard that never ends after a fault of the core, as the
+// lock is still held.
+func TestSummaryPanic(t *testing.T) {
+	sh := newOrganisationShard(t, &directory.Document{}, time.Time{}, false)
+	sh.core = nil // so that any use of it panics
+	err := guard.Call(func() error {
+		(&organisationSummary{}).log(sh)
+		return nil
+	})
+	if err == nil {
+		t.Fatal("no panic")
+	}
+	if !sh.mu.mu.TryLock() {
+		t.Fatal("the lock is held after the panic")
+	}
+	sh.mu.mu.Unlock()
+}
