--- a/internal/job/share/meter.go
+++ b/internal/job/share/meter.go
@@ -40,13 +40,13 @@
 // use.
 type Meter struct {
 	weights map[unit.OrganisationID]float64
-	lanes   map[unit.OrganisationID]*lane
-	dirty   []*lane // with arrivals that are not settled
-	changed bool    // arrivals were settled since the last call of Settle
+	buckets map[unit.OrganisationID]*bucket
+	dirty   []*bucket // with arrivals that are not settled
+	changed bool      // arrivals were settled since the last call of Settle
 }
 
-// lane holds the latest arrivals of one organisation, in order of time.
-type lane struct {
+// bucket holds the latest arrivals of one organisation, in order of time.
+type bucket struct {
 	rate     float64 // jobs a second
 	arrivals []*Arrival
 	settled  int  // arrivals before this index are settled
@@ -59,10 +59,10 @@
 	for _, o := range organisations {
 		m.weights[o.ID] = validWeight(o.Weight)
 	}
-	for id, l := range m.lanes {
-		if rate := m.Weight(id); rate != l.rate {
-			l.rate = rate
-			m.unsettle(l, 0)
+	for id, b := range m.buckets {
+		if rate := m.Weight(id); rate != b.rate {
+			b.rate = rate
+			m.unsettle(b, 0)
 		}
 	}
 }
@@ -81,22 +81,22 @@
 	if id == "" {
 		return nil
 	}
-	l := m.lanes[id]
-	if l == nil {
-		if m.lanes == nil {
-			m.lanes = map[unit.OrganisationID]*lane{}
+	b := m.buckets[id]
+	if b == nil {
+		if m.buckets == nil {
+			m.buckets = map[unit.OrganisationID]*bucket{}
 		}
-		l = &lane{rate: m.Weight(id)}
-		m.lanes[id] = l
+		b = &bucket{rate: m.Weight(id)}
+		m.buckets[id] = b
 	}
 	a := &Arrival{at: accepted.UnixNano(), job: job, within: true}
-	i := l.positionOf(a)
-	l.arrivals = slices.Insert(l.arrivals, i, a)
-	if l.settled == i && i == len(l.arrivals)-1 {
-		l.settle()
+	i := b.positionOf(a)
+	b.arrivals = slices.Insert(b.arrivals, i, a)
+	if b.settled == i && i == len(b.arrivals)-1 {
+		b.settle()
 		return a
 	}
-	m.unsettle(l, i)
+	m.unsettle(b, i)
 	return a
 }
 
@@ -106,8 +106,8 @@
 }
 
 // positionOf returns the index before which an arrival belongs: after all equal ones.
-func (l *lane) positionOf(a *Arrival) int {
-	i, _ := slices.BinarySearchFunc(l.arrivals, a, func(other, a *Arrival) int {
+func (b *bucket) positionOf(a *Arrival) int {
+	i, _ := slices.BinarySearchFunc(b.arrivals, a, func(other, a *Arrival) int {
 		if compareArrivals(other, a) <= 0 {
 			return -1
 		}
@@ -116,12 +116,12 @@
 	return i
 }
 
-// unsettle records that the arrivals of a lane from an index on have to be decided.
-func (m *Meter) unsettle(l *lane, from int) {
-	l.settled = min(l.settled, from)
-	if !l.dirty {
-		l.dirty = true
-		m.dirty = append(m.dirty, l)
+// unsettle records that the arrivals of a bucket from an index on have to be decided.
+func (m *Meter) unsettle(b *bucket, from int) {
+	b.settled = min(b.settled, from)
+	if !b.dirty {
+		b.dirty = true
+		m.dirty = append(m.dirty, b)
 	}
 }
 
@@ -136,8 +136,8 @@
 // settle decides about the jobs that are not settled.
 func (m *Meter) settle() {
 	m.changed = m.changed || len(m.dirty) > 0
-	for _, l := range m.dirty {
-		l.settle()
+	for _, b := range m.dirty {
+		b.settle()
 	}
 	m.dirty = m.dirty[:0]
 }
@@ -147,41 +147,41 @@
 func (m *Meter) Forget(now time.Time) {
 	m.settle()
 	oldest := periodOf(now.UnixNano()) - keptPeriods
-	for id, l := range m.lanes {
-		kept := slices.IndexFunc(l.arrivals, func(a *Arrival) bool { return periodOf(a.at) >= oldest })
+	for id, b := range m.buckets {
+		kept := slices.IndexFunc(b.arrivals, func(a *Arrival) bool { return periodOf(a.at) >= oldest })
 		if kept < 0 {
-			delete(m.lanes, id)
+			delete(m.buckets, id)
 			continue
 		}
-		l.arrivals = slices.Delete(l.arrivals, 0, kept)
-		l.settled = len(l.arrivals)
+		b.arrivals = slices.Delete(b.arrivals, 0, kept)
+		b.settled = len(b.arrivals)
 	}
 }
 
 // Delay returns the time until the next job of an organisation would be within its rate.
 func (m *Meter) Delay(id unit.OrganisationID, now time.Time) time.Duration {
 	m.settle()
-	l := m.lanes[id]
-	if l == nil || len(l.arrivals) == 0 {
+	b := m.buckets[id]
+	if b == nil || len(b.arrivals) == 0 {
 		return 0
 	}
-	last := l.arrivals[len(l.arrivals)-1]
+	last := b.arrivals[len(b.arrivals)-1]
 	at := max(now.UnixNano(), last.at)
-	missing := 1 - l.tokensAt(last, at)
+	missing := 1 - b.tokensAt(last, at)
 	if missing <= 0 {
 		return 0
 	}
-	wait := time.Duration(missing / l.rate * float64(time.Second))
+	wait := time.Duration(missing / b.rate * float64(time.Second))
 	return min(wait, time.Duration(periodOf(at)+1)*period-time.Duration(at))
 }
 
 // settle decides about the arrivals that are not settled.
-func (l *lane) settle() {
-	for i := l.settled; i < len(l.arrivals); i++ {
-		a := l.arrivals[i]
-		tokens := l.capacity()
+func (b *bucket) settle() {
+	for i := b.settled; i < len(b.arrivals); i++ {
+		a := b.arrivals[i]
+		tokens := b.capacity()
 		if i > 0 {
-			tokens = l.tokensAt(l.arrivals[i-1], a.at)
+			tokens = b.tokensAt(b.arrivals[i-1], a.at)
 		}
 		a.within = tokens >= 1
 		if a.within {
@@ -189,18 +189,18 @@
 		}
 		a.tokens = tokens
 	}
-	l.settled, l.dirty = len(l.arrivals), false
+	b.settled, b.dirty = len(b.arrivals), false
 }
 
 // capacity returns the number of jobs that may come at once.
-func (l *lane) capacity() float64 { return max(l.rate*Burst.Seconds(), 1) }
+func (b *bucket) capacity() float64 { return max(b.rate*Burst.Seconds(), 1) }
 
 // tokensAt returns what is in the bucket at a time after an arrival, the last one before.
-func (l *lane) tokensAt(last *Arrival, at int64) float64 {
+func (b *bucket) tokensAt(last *Arrival, at int64) float64 {
 	if periodOf(at) != periodOf(last.at) {
-		return l.capacity()
+		return b.capacity()
 	}
-	return min(last.tokens+time.Duration(at-last.at).Seconds()*l.rate, l.capacity())
+	return min(last.tokens+time.Duration(at-last.at).Seconds()*b.rate, b.capacity())
 }
 
 // periodOf returns the number of the period of a time in Unix nanoseconds.
--- a/internal/job/share/share_test.go
+++ b/internal/job/share/share_test.go
@@ -218,7 +218,7 @@
 			}
 			m.Forget(periodStart.Add(tt.after))
 			kept := 0
-			for _, l := range m.lanes {
+			for _, l := range m.buckets {
 				kept += len(l.arrivals)
 			}
 			if diff := cmp.Diff(tt.kept, kept); diff != "" {
