job/scheduler: the explanation of a job names the hold that applies now

Cause: it used the cause of the last pass that reached the step. Passes skip a step for which no worker has the capacity, so that a cap was still named after it no longer held the step back. Change: the cause is found anew, as for the statistics of organisations. Result: the new case of TestExplainOrganisation fails before and passes now.

--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// organisationReasons are the reasons for which a step was held back in the last pass because
-// of its organisation.
+// organisationReasons are the reasons for which a step is held back because of its
+// organisation.
 var organisationReasons = map[holdCause]WaitReason{holdQuota: WaitQuota, holdConfiguration: WaitConfig}
 
 // capacityReason returns why a step does not get the capacity that there is.
@@ -119,7 +119,7 @@
 	case next == nil:
 		return WaitRetry
 	}
-	if reason, ok := organisationReasons[s.held]; ok {
+	if reason, ok := organisationReasons[c.holdCauseOf(s, s.startsTogether(), now)]; ok {
 		return reason
 	}
 	switch reason := c.workerReason(next, now); reason {
