job/scheduler: plainer names and comments

Cause: quotaPatience is a figurative name; a comment told what was seen on a fleet of 490 workers; two were too wide. Change: the constant is reserveDelay, the comment says why the bound grows with the fleet. Behaviour stays.

--- a/internal/job/scheduler/closed.go
+++ b/internal/job/scheduler/closed.go
@@ -14,8 +14,8 @@
 const maxClosedWorkers = 64
 
 // ClosedWorker is what the durable progress holds of a worker that takes no more starts, as
-// it is draining or has left the instance list. If it is gone when the next owner takes over, only the tasks named here
-// may have a run there, or an end that is not read.
+// it is draining or has left the instance list. If it is gone when the next owner takes over,
+// only the tasks named here may have a run there, or an end that is not read.
 type ClosedWorker struct {
 	Worker unit.InstanceID            `cbor:"1,keyasint"`
 	Tasks  map[unit.JobID][]TaskRange `cbor:"2,keyasint,omitempty"`
--- a/internal/job/scheduler/organisationpass.go
+++ b/internal/job/scheduler/organisationpass.go
@@ -34,10 +34,10 @@
 	standingBeyond                      // its job is beyond the rate of its organisation
 )
 
-// quotaPatience is how long a step waits for quota until others of the same organisation wait
+// reserveDelay is how long a step waits for quota until others of the same organisation wait
 // for it as well. Otherwise small tasks would take the quota that a large one or a gang waits
 // for.
-const quotaPatience = 2 * time.Second
+const reserveDelay = 2 * time.Second
 
 // beginPass prepares what a placement pass needs to know of organisations.
 func (c *Core) beginPass() {
@@ -149,16 +149,16 @@
 }
 
 // reserve lets other steps of the organisation wait for one that quota holds back for long, in
-// turns with a time in which they go on. The turns begin after quotaPatience and double, so
+// turns with a time in which they go on. The turns begin after reserveDelay and double, so
 // that one of them outlasts the runs that have to end. Without turns the others might wait
 // for quota that long-running tasks never give back.
 func (a *account) reserve(s *step, now time.Time) {
 	if a.reservedFor != nil && a.reservedFor != s && a.isReserved(now) {
 		return
 	}
-	turn := bits.Len64(uint64(now.Sub(s.heldSince) / quotaPatience)) // 1 from quotaPatience on, 2 from twice that on
+	turn := bits.Len64(uint64(now.Sub(s.heldSince) / reserveDelay)) // 1 from reserveDelay on, 2 from twice that on
 	if turn%2 == 1 {
-		a.reservedFor, a.reservedTill = s, s.heldSince.Add(quotaPatience<<turn)
+		a.reservedFor, a.reservedTill = s, s.heldSince.Add(reserveDelay<<turn)
 	}
 }
 
--- a/internal/job/scheduler/pace.go
+++ b/internal/job/scheduler/pace.go
@@ -113,8 +113,8 @@
 // delayingPace is the pace, in percent, below which a run delays its step notably.
 const delayingPace = 50
 
-// delayedStepWeight is how much more readily a run is slowed if another run of its step is slowed
-// already: the step waits for its last task, so that this delays no further job. Spread
+// delayedStepWeight is how much more readily a run is slowed if another run of its step is
+// slowed already: the step waits for its last task, so that this delays no further job. Spread
 // evenly, a quarter of all runs slowed delays nearly every step of 20 tasks.
 const delayedStepWeight = 3.0
 
--- a/internal/job/scheduler/quotahold_test.go
+++ b/internal/job/scheduler/quotahold_test.go
@@ -66,11 +66,11 @@
 		starts []unit.JobID
 	}{
 		{"large task, just come", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, 0, []unit.JobID{"small"}},
-		{"large task has waited", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, quotaPatience + time.Second, nil},
-		{"gang has waited", graph.Step{Count: 2, Needs: unit.Resources{Cores: 4000}, Gang: true}, quotaPatience + time.Second, nil},
-		{"large task has waited, others have their turn", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, 2*quotaPatience + time.Second, []unit.JobID{"small"}},
-		{"large task waits again", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, 4*quotaPatience + time.Second, nil},
-		{"task that never fits has waited", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8001}}, quotaPatience + time.Second, []unit.JobID{"small"}},
+		{"large task has waited", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, reserveDelay + time.Second, nil},
+		{"gang has waited", graph.Step{Count: 2, Needs: unit.Resources{Cores: 4000}, Gang: true}, reserveDelay + time.Second, nil},
+		{"large task has waited, others have their turn", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, 2*reserveDelay + time.Second, []unit.JobID{"small"}},
+		{"large task waits again", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8000}}, 4*reserveDelay + time.Second, nil},
+		{"task that never fits has waited", graph.Step{Count: 1, Needs: unit.Resources{Cores: 8001}}, reserveDelay + time.Second, []unit.JobID{"small"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -85,7 +85,7 @@
 const maxRelocationsPerPass = 8
 
 // workersPerRelocation bounds the relocations of one pass on a large fleet while capacity is
-// short: of 490 workers, hundreds have slowed runs at any time.
+// short, when the number of slowed runs grows with that of the workers.
 const workersPerRelocation = 16
 
 // maxRelocations returns the largest number of relocations of a pass.
