job/scheduler: an ended job holds its organisation back only if a silent worker may run it

After a takeover a cancelled or failed job of an organisation with a cap counted as running with an unknown size until every worker was resolved, so that nothing started for that organisation. Its runs are now looked for in the tasks that the progress names for closed workers. The new case of TestQuotaAfterTakeover failed before.

--- a/internal/job/scheduler/closed.go
+++ b/internal/job/scheduler/closed.go
@@ -50,6 +50,16 @@
 	return false
 }
 
+// mayHideJob reports whether an unresolved worker may have a run of a job.
+func (c *Core) mayHideJob(id unit.JobID) bool {
+	for w := range c.unresolved {
+		if closed, ok := c.closedByEarlier[w]; !ok || len(closed.Tasks[id]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // addClosed adds the closed workers to a snapshot. Until a snapshot without them is durable,
 // nothing starts there, whatever the instance list says.
 func (c *Core) addClosed(s *Snapshot) {
--- a/internal/job/scheduler/organisation.go
+++ b/internal/job/scheduler/organisation.go
@@ -35,9 +35,9 @@
 	configured bool // the configuration names it
 	jobs       int  // that the core holds
 	// ended is what may still run of jobs that ended while workers were unresolved, and
-	// endedUnsized counts such jobs of which the steps are not known.
+	// endedUnsized are such jobs of which the steps are not known.
 	ended        unit.Resources
-	endedUnsized int
+	endedUnsized []unit.JobID
 	unknownRuns  int            // unknown runs of which the steps are not known
 	reservedFor  *step          // a step that has waited long for quota; nil: none
 	reservedTill time.Time      // until when others of its organisation wait for it
@@ -111,7 +111,7 @@
 	c.organisations.hiddenStale = true
 	j.arrival = c.organisations.meter.Record(j.spec.Organisation, j.spec.ID, j.spec.Accepted)
 	if (j.final == graph.Cancelled || j.final == graph.Failed) && !c.safeToStart(j) {
-		j.account.endedUnsized++
+		j.account.endedUnsized = append(j.account.endedUnsized, j.spec.ID)
 	}
 	for _, w := range c.reportingUnknown {
 		c.chargeUnknownRuns(w)
@@ -229,6 +229,17 @@
 	return r.exceedsQuota()
 }
 
+// countHidden returns how many of some jobs may have a run on an unresolved worker.
+func (c *Core) countHidden(jobs []unit.JobID) int {
+	n := 0
+	for _, id := range jobs {
+		if c.mayHideJob(id) {
+			n++
+		}
+	}
+	return n
+}
+
 // updateHidden counts what earlier owners may have started on workers that have not reported.
 func (c *Core) updateHidden() {
 	c.organisations.hiddenStale = false
@@ -239,9 +250,9 @@
 	c.organisations.hidden = unresolved
 	for _, a := range c.organisations.accounts {
 		if !unresolved {
-			a.ended, a.endedUnsized = unit.Resources{}, 0
+			a.ended, a.endedUnsized = unit.Resources{}, nil
 		}
-		a.Hidden, a.Unsized = a.ended, a.unknownRuns+a.endedUnsized
+		a.Hidden, a.Unsized = a.ended, a.unknownRuns+c.countHidden(a.endedUnsized)
 	}
 	if !unresolved {
 		return
--- a/internal/job/scheduler/organisation_test.go
+++ b/internal/job/scheduler/organisation_test.go
@@ -218,6 +218,14 @@
 		{"was cancelled by the record", []unit.InstanceID{"w2"}, nil, func(f *fixture) {
 			f.core.AddJob(&graph.Job{ID: "old", Organisation: "a"}, graph.Cancelled, false, f.now)
 		}, nil, nil},
+		{"was cancelled by the record, and the silent worker was closed without it", []unit.InstanceID{"w2"}, nil, func(f *fixture) {
+			f.core.AddJob(&graph.Job{ID: "old", Organisation: "a"}, graph.Cancelled, false, f.now)
+			f.core.LoadClosed([]ClosedWorker{{Worker: "w2"}})
+		}, nil, []unit.JobID{"new"}},
+		{"was cancelled by the record, and the silent worker was closed with it", []unit.InstanceID{"w2"}, nil, func(f *fixture) {
+			f.core.AddJob(&graph.Job{ID: "old", Organisation: "a"}, graph.Cancelled, false, f.now)
+			f.core.LoadClosed([]ClosedWorker{{Worker: "w2", Tasks: rangesByJob([]graph.Task{firstTask("old")})}})
+		}, nil, nil},
 		{"was completed by the record", []unit.InstanceID{"w2"}, nil, func(f *fixture) {
 			f.core.AddJob(&graph.Job{ID: "old", Organisation: "a"}, graph.Completed, false, f.now)
 		}, nil, []unit.JobID{"new"}},
