job/quota: the check of a whole job stands in target/organisation only

It stood twice, written side by side. TestCheckJob has every case of the test that goes with it, and that of a best-effort task in addition.

--- a/internal/job/quota/quota.go
+++ b/internal/job/quota/quota.go
@@ -2,12 +2,7 @@
 // cap. The package does no I/O and reads no clock.
 package quota
 
-import (
-	"github.com/go-faster/errors"
-
-	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/graph"
-)
+import "github.com/monsoonfold/monsoonfold/internal/fleet/unit"
 
 // Account is what an organisation has running, and its cap.
 type Account struct {
@@ -55,22 +50,6 @@
 	return fits(limit, unit.Resources{}, needs, tasks)
 }
 
-// Check returns an error that names the first step of a job of which one task, or the whole
-// gang, exceeds the cap of its organisation. Such a step could never start.
-func Check(j *graph.Job, limit unit.Resources) error {
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		tasks, what := 1, "a task"
-		if s.Gang {
-			tasks, what = s.Count, "the gang"
-		}
-		if !Fits(limit, s.Needs, tasks) {
-			return errors.Errorf("step %d: %s exceeds the cap of the organisation", i, what)
-		}
-	}
-	return nil
-}
-
 // fits reports whether tasks fit a cap beside what is used.
 func fits(limit, used, needs unit.Resources, tasks int) bool {
 	return fitsOne(int64(limit.Cores), int64(used.Cores), int64(needs.Cores), int64(tasks)) &&
--- a/internal/job/quota/quota_test.go
+++ b/internal/job/quota/quota_test.go
@@ -6,7 +6,6 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
-	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
 // TestAdmits guards against a start that brings an organisation above its cap in any
@@ -48,32 +47,3 @@
 		})
 	}
 }
-
-// TestCheck guards against a job that is accepted although one of its tasks or gangs can
-// never start, and against the rejection of one whose tasks fit one after the other.
-func TestCheck(t *testing.T) {
-	limit := unit.Resources{Cores: 8, Memory: 1 << 60}
-	tests := []struct {
-		name string
-		step graph.Step
-		want string
-	}{
-		{"tasks fit one after the other", graph.Step{Count: 100, Needs: unit.Resources{Cores: 8}}, ""},
-		{"a task", graph.Step{Count: 1, Needs: unit.Resources{Cores: 9}}, "step 1: a task exceeds the cap of the organisation"},
-		{"best-effort task", graph.Step{Count: 1, Needs: unit.Resources{Cores: 9}, BestEffort: true}, "step 1: a task exceeds the cap of the organisation"},
-		{"gang fits", graph.Step{Count: 2, Needs: unit.Resources{Cores: 4}, Gang: true}, ""},
-		{"gang whose needs overflow", graph.Step{Count: 32, Needs: unit.Resources{Memory: 1 << 59}, Gang: true}, "step 1: the gang exceeds the cap of the organisation"},
-		{"gang", graph.Step{Count: 3, Needs: unit.Resources{Cores: 4}, Gang: true}, "step 1: the gang exceeds the cap of the organisation"},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			got := ""
-			if err := Check(&graph.Job{Steps: []graph.Step{{Count: 1}, tt.step}}, limit); err != nil {
-				got = err.Error()
-			}
-			if diff := cmp.Diff(tt.want, got); diff != "" {
-				t.Errorf("error (-want +got):\n%s", diff)
-			}
-		})
-	}
-}
--- a/internal/target/organisation/organisation_test.go
+++ b/internal/target/organisation/organisation_test.go
@@ -78,6 +78,7 @@
 		{"core too many", small, step(1, false, unit.Resources{Cores: 1001}), true},
 		{"memory too large", small, step(1, false, unit.Resources{Memory: 1<<30 + 1}), true},
 		{"accelerator too many", unit.Resources{Accelerators: 1}, step(1, false, unit.Resources{Accelerators: 2}), true},
+		{"best-effort task", small, graph.Step{Count: 1, BestEffort: true, Needs: unit.Resources{Cores: 1001}}, true},
 		{"gang as large as the cap", unit.Resources{Cores: 3000}, step(3, true, small), false},
 		{"gang too large", unit.Resources{Cores: 3000}, step(4, true, small), true},
 		{"gang that overflows", unit.Resources{Accelerators: 3}, step(10_000, true, large), true},
