job/owner: a delay while a start is admitted makes its deadline earlier

Cause: the age of the views was taken before the clock of the worker was read, so that a start could be executed later than its views allow by as long as the owner waited in between, for its processor or for a lock. TestStartDeadlineAfterDelay shows it with a second: it fails with the former order.

--- a/internal/job/owner/order.go
+++ b/internal/job/owner/order.go
@@ -66,11 +66,10 @@
 
 // admit decides whether an order is sent now, and returns by when a worker may accept a
 // start. Whether this entry may still start tasks is checked last.
-func (c *workerClient) admit(o scheduler.Order, now time.Time) (until unit.WorkerTime, verdict admission) {
+func (c *workerClient) admit(o scheduler.Order) (until unit.WorkerTime, verdict admission) {
 	// The deadline is computed before the ownership is checked, so that it is no
 	// later than maxStartWindow after the check however late the order is sent.
-	window := c.shard.startWindowOf(o, now)
-	until = c.workerDeadline(window)
+	until, window := c.startDeadline(o)
 	start := o.Kind == scheduler.OrderStart
 	switch {
 	case c.ctx.Err() != nil, start && (until == 0 || window < minStartWindow):
@@ -83,12 +82,25 @@
 	return until, orderAdmitted
 }
 
+// startDeadline returns by when the worker may accept a start that is sent now, or 0 if no
+// reading of its clock is known, and how long that is from now. The clock is read before the
+// ages of the views, so that a delay in between makes the deadline earlier and not later than
+// the views allow.
+func (c *workerClient) startDeadline(o scheduler.Order) (until unit.WorkerTime, window time.Duration) {
+	reading := c.workerDeadline(0)
+	window = c.shard.startWindowOf(o, time.Now())
+	if reading == 0 {
+		return 0, window
+	}
+	return reading.Add(window), window
+}
+
 // execute sends one order, unless the core does not want it any more, and passes its
 // outcome to the core.
 func (c *workerClient) execute(o scheduler.Order) {
 	now := time.Now()
 	incarnation := c.knownIncarnation() // the answer does not name the one that gave it
-	until, verdict := c.admit(o, now)
+	until, verdict := c.admit(o)
 	if verdict == orderWithdrawn {
 		metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		return
--- a/internal/job/owner/startbatch.go
+++ b/internal/job/owner/startbatch.go
@@ -26,7 +26,7 @@
 			refused = append(refused, settledOrder{o, scheduler.OutcomeNotSent})
 			continue
 		}
-		switch until, verdict := client.admit(o, time.Now()); verdict {
+		switch until, verdict := client.admit(o); verdict {
 		case orderWithdrawn:
 			metric.Orders.Add(kindName(o.Kind)+" withdrawn", 1)
 		case orderRefused:
--- a/internal/job/owner/views_test.go
+++ b/internal/job/owner/views_test.go
@@ -162,6 +162,42 @@
 	}
 }
 
+// slowOutage answers after a second, as if the entry had no processor meanwhile.
+type slowOutage struct{}
+
+func (slowOutage) Outage() bool {
+	time.Sleep(time.Second)
+	return false
+}
+
+// TestStartDeadlineAfterDelay guards against a start on a worker that has been draining for
+// longer than the platform allows: while an owner computes the deadline, it may wait for its
+// processor for as long as the view has left.
+func TestStartDeadlineAfterDelay(t *testing.T) {
+	const drain = 2 * time.Second
+	tests := []struct {
+		name string
+		age  time.Duration // of the view of the workers
+		want time.Duration // from the reading of the clock to the deadline
+	}{
+		{"a second old", time.Second, time.Second},
+		{"a second and a half old", 1500 * time.Millisecond, 500 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sh := &shard{service: &Service{options: Options{Delays: Delays{Drain: drain}}, outage: slowOutage{}}}
+				sh.workersConfirmed.record(time.Now().Add(-tt.age))
+				c := &workerClient{shard: sh, clock: 1, clockReadAt: time.Now(), incarnation: 1}
+				until, _ := c.startDeadline(scheduler.Order{Kind: scheduler.OrderStart})
+				if diff := cmp.Diff(unit.WorkerTime(1).Add(tt.want), until); diff != "" {
+					t.Errorf("deadline (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestPendingOfStaleView guards against a number of pending jobs without those whose
 // records the owner has not read for longer than a job may stay invisible.
 func TestPendingOfStaleView(t *testing.T) {
