job/scheduler: one search for the next task of a step, one for closed workers

interrupted repeated the loop of nextTask, and mayHideJob that of mayHaveHiddenRun. Each stands once now; behaviour is unchanged. The tests of the package pass with the race detector.

--- a/internal/job/scheduler/closed.go
+++ b/internal/job/scheduler/closed.go
@@ -41,19 +41,19 @@
 		return false
 	}
 	id := t.id()
-	for w := range c.unresolved {
-		closed, ok := c.closedByEarlier[w]
-		if !ok || closed.includes(id) {
-			return true
-		}
-	}
-	return false
+	return c.mayHide(func(w ClosedWorker) bool { return w.includes(id) })
 }
 
 // mayHideJob reports whether an unresolved worker may have a run of a job.
 func (c *Core) mayHideJob(id unit.JobID) bool {
-	for w := range c.unresolved {
-		if closed, ok := c.closedByEarlier[w]; !ok || len(closed.Tasks[id]) > 0 {
+	return c.mayHide(func(w ClosedWorker) bool { return len(w.Tasks[id]) > 0 })
+}
+
+// mayHide reports whether an unresolved worker was not recorded as closed, or was with what
+// includes looks for.
+func (c *Core) mayHide(includes func(ClosedWorker) bool) bool {
+	for id := range c.unresolved {
+		if w, ok := c.closedByEarlier[id]; !ok || includes(w) {
 			return true
 		}
 	}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -109,12 +109,8 @@
 	if !s.spec.LongRunning {
 		return false
 	}
-	for _, t := range slices.Backward(s.waiting) {
-		if !now.Before(t.earliestStart) {
-			return t.ranBefore
-		}
-	}
-	return false
+	next := s.nextTask(now)
+	return next != nil && next.ranBefore
 }
 
 // safeToStart reports whether no unresolved worker can still have a run, or an end that
