--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -52,24 +52,41 @@
 	return n
 }
 
-// isLost checks the rule LOST at the time that it names: finish after the traffic, for three
-// seconds on end, the job has nothing running, while idle workers are enough for it twice over
-// and under half of the workers are in use.
+// isLost checks the rule LOST at the time that it names, finish after the traffic.
 func (s *stage) isLost(job string, workersNeeded int) verdict {
 	time.Sleep(finish)
+	if s.areStuck([]string{job}, workersNeeded) > 0 {
+		return broken
+	}
+	return held
+}
+
+// areStuck returns how many of some jobs of which none is to be completed have, for three
+// seconds on end, nothing running, while idle workers are enough for each twice over and under
+// half of the workers are in use.
+func (s *stage) areStuck(jobs []string, workersNeeded int) int {
+	stuck := map[string]bool{}
+	for _, job := range jobs {
+		stuck[job] = true
+	}
 	for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
 		idle := s.fleet.idleWorkers()
-		if !s.fleet.runsNothing(job) || idle < 2*workersNeeded || 2*idle < workerCount {
-			s.record.add("job %s runs, or there is no room for it; %d workers are idle", job, idle)
-			return held
+		for job := range stuck {
+			if !s.fleet.runsNothing(job) || idle < 2*workersNeeded || 2*idle < workerCount {
+				delete(stuck, job)
+			}
 		}
 	}
-	state := s.entries[0].state(job)
-	s.record.add("for 3 s nothing of job %s has run, with %d idle workers; its state is %q", job, s.fleet.idleWorkers(), state)
-	if state == "completed" {
-		return held
+	n := 0
+	for _, job := range jobs {
+		state := s.entries[0].state(job)
+		if !stuck[job] || state == "completed" {
+			continue
+		}
+		s.record.add("LOST: for 3 s nothing of job %s has run, with %d idle workers; its state is %q", job, s.fleet.idleWorkers(), state)
+		n++
 	}
-	return broken
+	return n
 }
 
 // gangSize is the number of workers in a rack. Each member of the gang takes a worker.
@@ -397,3 +414,44 @@
 	}
 	return held
 }
+
+// Sizes of the case of the placement advice.
+const (
+	urgentJobs = 20 // one of them can never be done
+	bulkJobs   = 10
+)
+
+// playAdvice hands in urgent jobs, one of which requires a label that no worker has, and then
+// others. All need the placement advice.
+func playAdvice(s *stage) verdict {
+	small := taskSpec{WorkMS: 600, Needs: resources{CPU: 2000, Mem: 1000}, Advised: true}
+	send := func(queue string, st step) (string, bool) {
+		id, body := newJob(small, st)
+		status, _ := s.entries[0].send(http.MethodPost, queue+id, body)
+		return id, status/100 == 2
+	}
+	for n := range urgentJobs {
+		st := step{Count: 2}
+		if s.trouble && n == urgentJobs/2 {
+			st.Requires = "z"
+		}
+		if _, ok := send(urgentQueue, st); !ok {
+			return notRun
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	var ids []string
+	for range bulkJobs {
+		id, ok := send(bulkQueue, step{Count: 2})
+		if !ok {
+			return notRun
+		}
+		ids = append(ids, id)
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(finish)
+	if s.areStuck(ids, 1) > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 )
 
 var cases = map[string]func(*stage) verdict{
+	"advice":  playAdvice,
 	"cancel":  playCancel,
 	"gang":    playGang,
 	"pending": playPending,
@@ -104,11 +106,8 @@
 		return err
 	}
 	s.store.put("op/config", map[string]any{
-		"version": 3,
-		"routes": []any{map[string]any{
-			"name": "queue", "host": "jobs.example", "prefix": "/queue/", "service": "svc", "timeout-ms": 3000, "priority": 0,
-			"max-attempts": 4, "stretch": 2, "target-latency-ms": 1000,
-		}},
+		"version":  3,
+		"routes":   []any{route(plainQueue, 0, false), route(urgentQueue, 0, true), route(bulkQueue, 2, true)},
 		"services": []any{map[string]any{"name": "svc", "rejects-overload": true}},
 		"limits":   map[string]any{"max-body-bytes": 262144},
 	})
@@ -118,8 +117,11 @@
 	if s.provider, err = newProvider(s.fleet); err != nil {
 		return err
 	}
+	if s.fleet.adviser, err = newAdviser(s.record); err != nil {
+		return err
+	}
 	for n := range entryCount {
-		e, err := newEntry(dir, s.record, n+1, s.store.address, s.provider.address)
+		e, err := newEntry(dir, s.record, n+1, s.store.address, s.provider.address, s.fleet.adviser.address)
 		if err != nil {
 			return err
 		}
@@ -135,6 +137,18 @@
 	return nil
 }
 
+// route returns a route of the configuration.
+func route(prefix string, priority int, advised bool) map[string]any {
+	r := map[string]any{
+		"name": strings.Trim(prefix, "/"), "host": "jobs.example", "prefix": "/" + prefix, "service": "svc", "timeout-ms": 3000,
+		"priority": priority, "max-attempts": 4, "stretch": 2, "target-latency-ms": 1000,
+	}
+	if advised {
+		r["advice"] = map[string]any{"decision-ms": adviceDecision.Milliseconds(), "period-ms": advicePeriod.Milliseconds(), "valid-ms": adviceValidity.Milliseconds()}
+	}
+	return r
+}
+
 // step is a step of a job on the wire.
 type step struct {
 	Count       int    `json:"count"`
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -17,6 +17,7 @@
 // fleet is a set of workers and the record of what they run.
 type fleet struct {
 	store      *store
+	adviser    *adviser
 	record     *record
 	answerTime time.Duration // between the execution of a start and its answer
 	workers    []*worker
@@ -109,11 +110,12 @@
 
 // taskSpec is the spec of a job, which tells the worker what its tasks are.
 type taskSpec struct {
-	WorkMS int64     `json:"work"`
-	Needs  resources `json:"needs"`
-	Gang   int       `json:"gang,omitempty"`  // members of the gang; 0 without one
-	Kind   string    `json:"kind,omitempty"`  // label that the worker must have
-	Lasts  int       `json:"lasts,omitempty"` // tasks of a step that lasts; 0 for one that does not
+	WorkMS  int64     `json:"work"`
+	Needs   resources `json:"needs"`
+	Gang    int       `json:"gang,omitempty"`    // members of the gang; 0 without one
+	Advised bool      `json:"advised,omitempty"` // a start needs a ticket
+	Kind    string    `json:"kind,omitempty"`    // label that the worker must have
+	Lasts   int       `json:"lasts,omitempty"`   // tasks of a step that lasts; 0 for one that does not
 }
 
 var capacity = resources{CPU: 64000, Mem: 250000}
@@ -201,6 +203,7 @@
 	Fence    int64  `json:"fence"`
 	Deadline int64  `json:"deadline-ms"`
 	Cursor   int64  `json:"ack-cursor"`
+	Ticket   string `json:"ticket"`
 	Wait     int64  `json:"wait-ms"`
 }
 
@@ -249,6 +252,8 @@
 		reason = "old"
 	case o.Deadline <= w.clock():
 		reason = "late"
+	case spec.Advised && !w.fleet.adviser.accepts(o.Task[:strings.LastIndex(o.Task, ".")], w.id, o.Ticket):
+		reason = "ticket"
 	case w.used.CPU+spec.Needs.CPU > capacity.CPU || w.used.Mem+spec.Needs.Mem > capacity.Mem:
 		reason = "room"
 	default:
