job/intake: a job without a record is withdrawn before its cancellation is answered

Cause: Cancel took the absence of a record as proof that there is no job and left nothing in the store. The guard of the submission, that there is no record, still held for each later write: the one that the entry repeats when the first has had no answer for 0.8 s, the late one of the store, and that of a submission on its way to another entry.

Ruled out: an owner that ignores a cancellation. It was told of none, as none was in the store.

Change: the cancellation of a job without a record creates the record, in the new state Withdrawn, under the guard of a submission, and is answered with 410 only afterwards. One of the two writes takes effect, whichever entry, connection or repetition it comes from. Callers do not see a withdrawn job, which nobody may have submitted; a submission that finds it makes it a cancelled one.

--- a/internal/job/graph/graph.go
+++ b/internal/job/graph/graph.go
@@ -91,16 +91,17 @@
 // State is the state of a job that callers see.
 type State uint8
 
-// States of a job. Completed, Failed and Cancelled are final.
+// States of a job. Completed and those after it are final.
 const (
 	Queued State = iota + 1
 	Running
 	Completed
 	Failed
 	Cancelled
+	Withdrawn // cancelled before a submission was stored; callers see no such job
 )
 
-var stateNames = [...]string{Queued: "queued", Running: "running", Completed: "completed", Failed: "failed", Cancelled: "cancelled"}
+var stateNames = [...]string{Queued: "queued", Running: "running", Completed: "completed", Failed: "failed", Cancelled: "cancelled", Withdrawn: "withdrawn"}
 
 // String returns the name of the state.
 func (s State) String() string {
--- /dev/null
+++ b/internal/job/intake/cancel_test.go
@@ -0,0 +1,185 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
+	"github.com/monsoonfold/monsoonfold/internal/job/owner"
+	"github.com/monsoonfold/monsoonfold/internal/job/record"
+	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
+)
+
+// lateStore is a store that answers no transaction while late is set, and executes those
+// transactions only in executeLate, if their guards hold then.
+type lateStore struct {
+	mu       sync.Mutex
+	revision unit.Revision // of the last change
+	items    map[kv.Key]kv.Item
+	late     bool
+	waiting  []kv.Txn
+}
+
+func (s *lateStore) Do(_ context.Context, r kv.Request) (kv.Response, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.Op != kv.OpCommit:
+		i, ok := s.items[r.Key]
+		if !ok {
+			return kv.Response{}, kv.ErrNotFound
+		}
+		return kv.Response{Items: []kv.Item{i}}, nil
+	case s.late:
+		s.waiting = append(s.waiting, r.Txn)
+		return kv.Response{}, kv.ErrUnknown
+	}
+	return s.execute(r.Txn)
+}
+
+func (s *lateStore) execute(t kv.Txn) (kv.Response, error) {
+	conflict := false
+	var current []kv.Item
+	for _, g := range t.Guards {
+		conflict = conflict || s.items[g.Key].Revision != g.Revision
+		current = append(current, s.items[g.Key])
+	}
+	if conflict {
+		return kv.Response{}, &kv.ConflictError{Items: current}
+	}
+	s.revision++
+	for _, p := range t.Puts {
+		s.items[p.Key] = kv.Item{Key: p.Key, Value: p.Value, Revision: s.revision, Created: s.revision}
+	}
+	return kv.Response{Revision: s.revision}, nil
+}
+
+// executeLate executes the transactions that were not answered.
+func (s *lateStore) executeLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = false
+	for _, t := range s.waiting {
+		_, _ = s.execute(t) // nobody receives the answer
+	}
+}
+
+// stored returns the state in the record of a job, or "none".
+func (s *lateStore) stored(t *testing.T) string {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i, ok := s.items[record.JobKey("j")]
+	if !ok {
+		return "none"
+	}
+	r, err := record.DecodeJob(i.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.State == 0 {
+		return "open"
+	}
+	return r.State.String()
+}
+
+// TestCancelBeforeWrite guards against a job that runs although its cancellation was
+// acknowledged with "no such job", as the write of its record took effect afterwards.
+func TestCancelBeforeWrite(t *testing.T) {
+	caller := Caller{Queue: "q"}
+	job := graph.Job{ID: "j", Queue: graph.Queue{ID: "q"}, Steps: []graph.Step{{Count: 1}}}
+	submit := func(s *Service) string { return fmt.Sprintf("submission: %v", kind(s.Submit(t.Context(), job))) }
+	cancel := func(s *Service) string {
+		return fmt.Sprintf("cancellation: %v", kind(s.Cancel(t.Context(), caller, "j")))
+	}
+	state := func(s *Service) string {
+		got, err := s.State(t.Context(), caller, "j")
+		return fmt.Sprintf("state: %s, %v", got, kind(err))
+	}
+	noAnswer := func(s *Service) string { s.store.Doer.(*lateStore).late = true; return "" }
+	answer := func(s *Service) string { s.store.Doer.(*lateStore).late = false; return "" }
+	executed := func(s *Service) string { s.store.Doer.(*lateStore).executeLate(); return "" }
+
+	tests := []struct {
+		name       string
+		calls      []func(*Service) string
+		want       []string // results of the calls that have one
+		wantStored string
+	}{
+		{
+			"cancelled while its write is under way",
+			[]func(*Service) string{noAnswer, submit, answer, cancel, executed, state},
+			[]string{"submission: unknown", "cancellation: no job", "state: unknown, no job"},
+			"withdrawn",
+		},
+		{
+			"cancelled before the submission arrives",
+			[]func(*Service) string{cancel, submit, state, submit, cancel},
+			[]string{"cancellation: no job", "submission: ok", "state: cancelled, ok", "submission: ok", "cancellation: ok"},
+			"cancelled",
+		},
+		{
+			"cancelled twice",
+			[]func(*Service) string{cancel, cancel, state},
+			[]string{"cancellation: no job", "cancellation: no job", "state: unknown, no job"},
+			"withdrawn",
+		},
+		{
+			"submitted again while the first write is under way",
+			[]func(*Service) string{noAnswer, submit, answer, cancel, submit, executed, state},
+			[]string{"submission: unknown", "cancellation: no job", "submission: ok", "state: cancelled, ok"},
+			"cancelled",
+		},
+		{
+			"cancellation not written",
+			[]func(*Service) string{noAnswer, cancel, executed, state},
+			[]string{"cancellation: unknown", "state: unknown, no job"},
+			"withdrawn",
+		},
+		{
+			"stored before the cancellation",
+			[]func(*Service) string{submit, cancel, state},
+			[]string{"submission: ok", "cancellation: ok", "state: cancelled, ok"},
+			"cancelled",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &lateStore{items: map[kv.Key]kv.Item{}}
+			s := newEntry(t.Context(), store, remoteOwnership{}, logr.Discard())
+			s.peers = statusOwner{owner.JobStatus{}}
+			var got []string
+			for _, call := range tt.calls {
+				if result := call(s); result != "" {
+					got = append(got, result)
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("results (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.wantStored, store.stored(t)); diff != "" {
+				t.Errorf("state in the record (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// kind returns the name of the error that a call ended with.
+func kind(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, ErrNoJob):
+		return "no job"
+	case errors.Is(err, ErrUnknown):
+		return "unknown"
+	}
+	return err.Error()
+}
--- a/internal/job/intake/intake.go
+++ b/internal/job/intake/intake.go
@@ -20,6 +20,9 @@
 var (
 	// ErrNoJob means that the job does not exist.
 	ErrNoJob = errors.New("no such job")
+	// errNoRecord is an ErrNoJob of which the store has no record, not even one that the
+	// caller does not see.
+	errNoRecord = errors.Errorf("no record: %w", ErrNoJob)
 	// ErrRefused means that a job was definitely not accepted.
 	ErrRefused = errors.New("job not accepted")
 	// ErrUnknown means that a change may or may not have taken effect. The caller
@@ -35,9 +38,8 @@
 // Limits of calls. submitTimeout also bounds a cancellation, and ownerTimeout each
 // call to the owner of the shard.
 const (
-	submitTimeout     = 2500 * time.Millisecond
-	ownerTimeout      = 600 * time.Millisecond
-	maxCancelAttempts = 5
+	submitTimeout = 2500 * time.Millisecond
+	ownerTimeout  = 600 * time.Millisecond
 )
 
 // Bounds of the delay before a refused caller should retry.
@@ -109,7 +111,7 @@
 // or else as the store has it.
 func (s *Service) State(ctx context.Context, c Caller, id unit.JobID) (graph.State, error) {
 	job, askErr := s.askState(ctx, id)
-	if askErr == nil && job.Known {
+	if askErr == nil && job.Known && job.State != graph.Withdrawn { // the record of a withdrawn job may be newer
 		if !c.sees(job.Organisation, job.Queue) {
 			return 0, errors.Errorf("job %s: %w", id, ErrNoJob)
 		}
@@ -128,55 +130,11 @@
 	return graph.Queued, nil
 }
 
-// Cancel cancels a job that the caller sees and returns once the cancellation is durable.
-func (s *Service) Cancel(ctx context.Context, c Caller, id unit.JobID) error {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	for range maxCancelAttempts {
-		i, r, err := s.readRecord(ctx, c, id)
-		if err != nil {
-			return err
-		}
-		if r.State.Final() {
-			return nil
-		}
-		done, err := s.writeCancel(ctx, i, r)
-		if err != nil || done {
-			s.log.Info("cancellation", "job", id, "revision", i.Revision, "error", err)
-			return err
-		}
-	}
-	return errors.Errorf("cancel %s: record keeps changing: %w", id, ErrUnknown)
-}
-
-// writeCancel replaces the record that was read by one with the state Cancelled. It
-// returns false if the record changed in the meantime, or if the outcome of the
-// write is unknown; the caller then reads the record again.
-func (s *Service) writeCancel(ctx context.Context, i kv.Item, r record.Job) (done bool, err error) {
-	final := record.Final(&r.Job, graph.Cancelled)
-	value, err := record.Encode(final)
-	if err != nil {
-		return false, err
-	}
-	revision, err := s.store.Commit(ctx, kv.Txn{
-		Guards: []kv.Guard{{Key: i.Key, Revision: i.Revision}},
-		Puts:   []kv.Put{{Key: i.Key, Value: value}},
-	})
-	switch {
-	case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrUnknown):
-		return false, nil // reading the record again shows what happened
-	case err != nil:
-		return false, errors.Errorf("cancel %s: %v: %w", r.Job.ID, err, ErrUnavailable)
-	}
-	s.notifier.notify(Notice{Record: final, Revision: revision, Created: i.Created})
-	return true, nil
-}
-
 // readRecord reads the record of a job that the caller sees from the store.
 func (s *Service) readRecord(ctx context.Context, c Caller, id unit.JobID) (kv.Item, record.Job, error) {
 	i, err := s.store.Get(ctx, record.JobKey(id))
 	if errors.Is(err, kv.ErrNotFound) {
-		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %w", id, ErrNoJob)
+		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %w", id, errNoRecord)
 	}
 	if err != nil {
 		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %v: %w", id, err, ErrUnavailable)
@@ -186,7 +144,7 @@
 		s.log.Error(err, "job record not readable", "job", id, "revision", i.Revision)
 		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %v: %w", id, err, ErrUnavailable)
 	}
-	if !c.sees(r.Job.Organisation, r.Job.Queue.ID) {
+	if r.State == graph.Withdrawn || !c.sees(r.Job.Organisation, r.Job.Queue.ID) {
 		return kv.Item{}, record.Job{}, errors.Errorf("job %s: %w", id, ErrNoJob)
 	}
 	return i, r, nil
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
@@ -34,7 +35,10 @@
 // submission is a job record to be written, and the channel for its result.
 type submission struct {
 	record record.Job
-	result chan writeResult
+	// withdrawal is the revision of the record of the job's withdrawal, which the
+	// submission replaces; 0 if there is none.
+	withdrawal unit.Revision
+	result     chan writeResult
 }
 
 // size returns the bytes of the spec, by far the largest part of a record.
@@ -43,7 +47,7 @@
 // writeResult is the result of writing a submission.
 type writeResult struct {
 	revision unit.Revision
-	existed  bool // the store already had a record with the same id
+	existed  bool // the store already had a record with the same id, or with a final state
 	err      error
 }
 
@@ -148,8 +152,8 @@
 			answerAll(batch, writeResult{revision: revision})
 			return
 		case isConflict:
-			remaining := answerExisting(batch, conflict)
-			if len(remaining) == len(batch) {
+			remaining, resolved := answerExisting(batch, conflict)
+			if !resolved {
 				answerAll(batch, writeResult{err: errors.Errorf("conflict without a record: %w", ErrUnknown)})
 				return
 			}
@@ -189,25 +193,43 @@
 			return kv.Txn{}, err
 		}
 		key := record.JobKey(sub.record.Job.ID)
-		t.Guards = append(t.Guards, kv.Guard{Key: key})
+		t.Guards = append(t.Guards, kv.Guard{Key: key, Revision: sub.withdrawal})
 		t.Puts = append(t.Puts, kv.Put{Key: key, Value: value})
 	}
 	return t, nil
 }
 
 // answerExisting answers the submissions whose records are in the store already and
-// returns the others.
-func answerExisting(batch []*submission, conflict *kv.ConflictError) []*submission {
-	var remaining []*submission
+// returns the others. It reports whether the next transaction differs from the one that
+// conflicted.
+func answerExisting(batch []*submission, conflict *kv.ConflictError) (remaining []*submission, resolved bool) {
 	for _, sub := range batch {
 		i, ok := conflict.Item(record.JobKey(sub.record.Job.ID))
-		if !ok {
+		if !ok || i.Revision == sub.withdrawal {
+			remaining = append(remaining, sub)
+			continue
+		}
+		resolved = true
+		if sub.replaceWithdrawal(i) {
 			remaining = append(remaining, sub)
 			continue
 		}
 		sub.result <- sub.resultOf(i, true)
 	}
-	return remaining
+	return remaining, resolved
+}
+
+// replaceWithdrawal turns a submission of which the store has the withdrawal in an item into
+// that of a cancelled job, which callers see from then on. It returns false for any other item.
+func (s *submission) replaceWithdrawal(i kv.Item) bool {
+	job := &s.record.Job
+	stored, err := record.DecodeJob(i.Value)
+	caller := Caller{Organisation: job.Organisation, Queue: job.Queue.ID}
+	if err != nil || stored.State != graph.Withdrawn || !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID) {
+		return false
+	}
+	s.record, s.withdrawal = record.Final(job, graph.Cancelled), i.Revision
+	return true
 }
 
 // resultOf returns the result of a submission of which the store has the record in an item.
@@ -228,6 +250,7 @@
 // answerAll sends the same result to all submissions of a batch.
 func answerAll(batch []*submission, result writeResult) {
 	for _, sub := range batch {
+		result.existed = sub.withdrawal != 0
 		sub.result <- result
 	}
 }
--- a/internal/job/record/record.go
+++ b/internal/job/record/record.go
@@ -178,7 +178,7 @@
 	switch {
 	case j.State == 0:
 		return j.Job.Validate()
-	case !j.State.Final() || j.State > graph.Cancelled:
+	case !j.State.Final() || j.State > graph.Withdrawn:
 		return errors.Errorf("state %d is not final", j.State)
 	}
 	return nil
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -146,7 +146,7 @@
 
 // end gives a job the final state that the store has for it and stops its runs.
 func (c *Core) end(j *job, final graph.State, now time.Time) {
-	if j.final != 0 && j.finalDurable {
+	if j.final != 0 && j.finalDurable && j.final != graph.Withdrawn { // a withdrawn job is cancelled once it is submitted
 		return
 	}
 	j.final, j.finalDurable, j.finalSince = final, true, now
