job/intake: a lost answer does not reopen a job that was cancelled meanwhile

Any record counted as its own, open one, also that of a cancellation that had replaced it. The owner was then told that the job is open, with the revision of the cancellation, and skips the record of that revision when it reads it. If it had not read the cancellation before, and the notice of the cancelling entry is lost with that entry, the job runs on.

Change: a record with a final state is not told to the owner as that of an open job; one of a withdrawal, which the write can't replace any more, leaves the outcome unknown, and the repeated submission makes it a cancelled job.

--- a/internal/job/intake/cancel_test.go
+++ b/internal/job/intake/cancel_test.go
@@ -183,3 +183,55 @@
 	}
 	return err.Error()
 }
+
+// lostAnswerStore executes the first transaction without an answer, and then calls afterwards.
+type lostAnswerStore struct {
+	*lateStore
+	afterwards func()
+}
+
+func (s *lostAnswerStore) Do(ctx context.Context, r kv.Request) (kv.Response, error) {
+	response, err := s.lateStore.Do(ctx, r)
+	if r.Op != kv.OpCommit || s.afterwards == nil {
+		return response, err
+	}
+	afterwards := s.afterwards
+	s.afterwards = nil
+	afterwards()
+	return kv.Response{}, kv.ErrUnknown
+}
+
+// TestLostAnswerOfCancelledJob guards against an owner that runs a cancelled job, as the entry
+// whose write had no answer tells it that the job is open, with the revision of the cancellation.
+func TestLostAnswerOfCancelledJob(t *testing.T) {
+	job := graph.Job{ID: "j", Queue: graph.Queue{ID: "q"}, Steps: []graph.Step{{Count: 1}}}
+	tests := []struct {
+		name        string
+		cancelled   bool
+		wantNotices int
+	}{
+		{"cancelled at another entry", true, 0},
+		{"not cancelled", false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &lostAnswerStore{lateStore: &lateStore{items: map[kv.Key]kv.Item{}}}
+			other := newEntry(t.Context(), store.lateStore, remoteOwnership{}, logr.Discard())
+			store.afterwards = func() {
+				if !tt.cancelled {
+					return
+				}
+				if err := other.Cancel(t.Context(), Caller{Queue: "q"}, "j"); err != nil {
+					t.Error(err)
+				}
+			}
+			s := newEntry(t.Context(), store, remoteOwnership{}, logr.Discard())
+			if err := s.Submit(t.Context(), job); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tt.wantNotices, len(s.notifier.pending)); diff != "" {
+				t.Errorf("notices of an open job (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -233,7 +233,8 @@
 }
 
 // resultOf returns the result of a submission of which the store has the record in an item.
-// A record that the caller does not see is no earlier submission of the same job.
+// A record that the caller does not see is no earlier submission of the same job, and one with
+// a final state is not that of the submission, which the owner must not take for open.
 func (s *submission) resultOf(i kv.Item, existed bool) writeResult {
 	job := &s.record.Job
 	caller := Caller{Organisation: job.Organisation, Queue: job.Queue.ID}
@@ -243,8 +244,10 @@
 		return writeResult{err: errors.Errorf("%v: %w", err, ErrUnknown)}
 	case err == nil && !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID):
 		return writeResult{revision: i.Revision, err: ErrOtherOrganisation}
+	case err == nil && stored.State == graph.Withdrawn:
+		return writeResult{revision: i.Revision, err: errors.Errorf("withdrawn: %w", ErrUnknown)}
 	}
-	return writeResult{revision: i.Revision, existed: existed}
+	return writeResult{revision: i.Revision, existed: existed || (err == nil && stored.State.Final())}
 }
 
 // answerAll sends the same result to all submissions of a batch.
