job/scheduler: a job has begun once a worker says so, not when its start is sent

Cause: BeginOrder marked the job as started right before its first start was sent, and for good. The starts went to a worker that had just been lost, had no answer, and the jobs waited for its lease.

Evidence: the record of the case has run 2 as the first start of these jobs, on another worker; run 1 was never begun. At the core a start without an answer gives PendingJobs 0. Ruled out: an old view of the owner (it started four of the ten jobs meanwhile), and tasks that had begun on the lost worker (it was silent before they were accepted).

Change: the mark is set by the answer to a start, a report that lists the run or one that lists its end. The state of the job and the longest wait of the shard line, which use the mark, are right with it. What keeps tasks from running twice does not use it.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -13,7 +13,7 @@
 // job holds a submitted job and its progress.
 type job struct {
 	spec                 *graph.Job
-	started              bool        // the start of some task was sent, by any owner
+	started              bool        // a worker has begun some task, for any owner
 	startOrdered         bool        // a start was ordered by this owner
 	createdInTerm        bool        // no earlier owner can have started a task
 	final                graph.State // 0 until the final state is decided
--- a/internal/job/scheduler/lateowner_test.go
+++ b/internal/job/scheduler/lateowner_test.go
@@ -17,16 +17,20 @@
 	tests := []struct {
 		name        string
 		longRunning bool
+		outcome     Outcome // of the start
 		run         func(f *fixture, o Order)
-		changed     bool // the progress, since the start was sent
-		tasks       []TaskProgress
+		changed     bool // the progress, since the outcome of the start
+		want        Progress
 	}{
-		{"not begun", true, func(*fixture, Order) {}, false, nil},
-		{"working", true, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, true, []TaskProgress{{}}},
-		{"lapsed", true, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndLeaseExpired)) }, true, []TaskProgress{{}}},
-		{"failed", true, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndFailed)) }, true, []TaskProgress{{Failed: []graph.RunNumber{1}}}},
-		{"short, working", false, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, false, nil},
-		{"short, lapsed", false, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndLeaseExpired)) }, true, nil},
+		{"not begun", true, OutcomeDone, func(*fixture, Order) {}, false, Progress{Started: true}},
+		{"working", true, OutcomeDone, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, true, Progress{Started: true, Tasks: []TaskProgress{{}}}},
+		{"lapsed", true, OutcomeDone, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndLeaseExpired)) }, true, Progress{Started: true, Tasks: []TaskProgress{{}}}},
+		{"failed", true, OutcomeDone, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndFailed)) }, true, Progress{Started: true, Tasks: []TaskProgress{{Failed: []graph.RunNumber{1}}}}},
+		{"short, working", false, OutcomeDone, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, false, Progress{Started: true}},
+		{"short, lapsed", false, OutcomeDone, func(f *fixture, o Order) { f.report(o.Worker, nil, ended(o, EndLeaseExpired)) }, true, Progress{Started: true}},
+		{"no answer", true, OutcomeUnknown, func(*fixture, Order) {}, false, Progress{}},
+		{"no answer, working", true, OutcomeUnknown, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, true, Progress{Started: true, Tasks: []TaskProgress{{}}}},
+		{"short, no answer, working", false, OutcomeUnknown, func(f *fixture, o Order) { f.report(o.Worker, running(o), nil) }, true, Progress{Started: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -40,12 +44,13 @@
 			f.core.Place(f.now)
 			o := f.core.TakeOrders()[0]
 			f.begin(o)
+			f.core.HandleStartOutcome(o, tt.outcome, f.now)
 			f.core.ConfirmSnapshot(f.core.Snapshot())
 			tt.run(f, o)
 			if diff := cmp.Diff(tt.changed, f.core.ProgressChanged()); diff != "" {
 				t.Errorf("progress changed (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff(Progress{Started: true, Tasks: tt.tasks}, f.core.Snapshot().Jobs["l"]); diff != "" {
+			if diff := cmp.Diff(tt.want, f.core.Snapshot().Jobs["l"]); diff != "" {
 				t.Errorf("progress (-want +got):\n%s", diff)
 			}
 		})
--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -27,7 +27,6 @@
 			return false
 		}
 		r.phase, r.orderedAt, r.progressedAt, r.paceSetAt = phaseStarting, now, now, now
-		c.markStarted(r.task.job())
 		c.RecordLease(o.Worker, leaseExpiry)
 		return true
 	case OrderStop:
--- a/internal/job/scheduler/outcome.go
+++ b/internal/job/scheduler/outcome.go
@@ -9,6 +9,9 @@
 		return
 	}
 	t, w := r.task, r.worker
+	if outcome == OutcomeDone {
+		c.markStarted(t.job())
+	}
 	switch outcome {
 	case OutcomeDone, OutcomeStaleRun:
 		// A stale run may have ended there; the next report decides.
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -200,6 +200,7 @@
 		c.extendToLongestLease(w, now) // the start may have been executed just now
 	}
 	r.reported = true
+	c.markStarted(t.job())
 	if !c.earlierStartsEndAt.IsZero() && requestedAt.After(c.earlierStartsEndAt) && !t.step.spec.Speculative {
 		t.noHiddenRun = true
 	}
@@ -227,7 +228,6 @@
 		c.requeue(t)
 		return nil
 	}
-	c.markStarted(t.job())
 	r := c.addRun(w, t, status.Run, phaseRunning, now)
 	r.absenceConclusiveAt, r.resumedFromCheckpoint = now, true
 	c.recordInheritedLease(w, now)
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -257,7 +257,8 @@
 	return r
 }
 
-// markStarted records that a task of a job has been started.
+// markStarted records that a worker has begun a task of a job, by its answer or a report. A
+// start that was only sent may never be executed.
 func (c *Core) markStarted(j *job) {
 	if !j.started {
 		j.started = true
