job/scheduler: a step that no worker can take does not keep others from placement advice

Cause: NextAdviceRequest chose the most urgent step first and looked for workers to name afterwards. A step that fits on no worker, has all its answers or only full approved workers leaves none to name, and then nothing was requested for any step. Tasks that last never count as too late, so theirs stays first. Steps that become ready soon were chosen in the same way.

Change: a step is a candidate only if some worker can be asked for it. The search compares urgency before it looks at the workers, so that a call looks at the workers of fewer steps than before.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -37,25 +37,32 @@
 )
 
 // NextAdviceRequest returns the next request for the placement advice, if one is
-// needed. The caller sends one request at a time.
+// needed: for the most urgent step for which some worker can be asked. A step without such a
+// worker, as it fits on none or the approved ones are full, does not keep others from
+// asking. The caller sends one request at a time.
 func (c *Core) NextAdviceRequest(now time.Time) (AdviceRequest, bool) {
+	best := c.nextReadyStep(now)
+	if best == nil {
+		best = c.nextUpcomingStep(now)
+	}
+	if best == nil {
+		return AdviceRequest{}, false
+	}
+	return c.buildAdviceRequest(best, now), true
+}
+
+// nextReadyStep returns the most urgent ready step that needs advice.
+func (c *Core) nextReadyStep(now time.Time) *step {
 	var best *step
 	for _, s := range c.readySteps {
-		if s.occurrence.job.spec.Queue.Advice == nil || len(s.waiting) == 0 || c.isHeldBack(s, now) || c.canStartNow(s, now) {
+		if s.occurrence.job.spec.Queue.Advice == nil || len(s.waiting) == 0 || c.isHeldBack(s, now) {
 			continue
 		}
-		if best == nil || c.policy.compare(s, best, now) < 0 {
+		if (best == nil || c.policy.compare(s, best, now) < 0) && c.needsAdvice(s, now) {
 			best = s
 		}
 	}
-	if best == nil {
-		best = c.nextUpcomingStep(now)
-	}
-	if best == nil {
-		return AdviceRequest{}, false
-	}
-	a := c.buildAdviceRequest(best, now)
-	return a, len(a.Workers) > 0
+	return best
 }
 
 // adviceLeadShare is how long before a step becomes ready the advice is asked for it,
@@ -63,8 +70,7 @@
 // tasks of the step have started.
 const adviceLeadShare = 0.5
 
-// nextUpcomingStep returns the most urgent step that becomes ready soon and has no
-// usable ticket yet. Asking ahead lets its tasks start as soon as the steps before it
+// nextUpcomingStep returns the most urgent step that becomes ready soon and needs advice. Asking ahead lets its tasks start as soon as the steps before it
 // are complete.
 func (c *Core) nextUpcomingStep(now time.Time) *step {
 	var best *step
@@ -75,10 +81,10 @@
 		lead := time.Duration(adviceLeadShare * float64(j.spec.Queue.Advice.TicketValidity))
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.incompleteDeps == 0 || len(s.waiting) == 0 || c.timeUntilReady(s) > lead || c.isHeldBack(s, now) || c.canStartNow(s, now) {
+				if s.incompleteDeps == 0 || len(s.waiting) == 0 || c.timeUntilReady(s) > lead || c.isHeldBack(s, now) {
 					continue
 				}
-				if best == nil || cmp.Or(c.policy.compare(s, best, now), compareStepIDs(s, best)) < 0 {
+				if (best == nil || cmp.Or(c.policy.compare(s, best, now), compareStepIDs(s, best)) < 0) && c.needsAdvice(s, now) {
 					best = s
 				}
 			}
@@ -127,16 +133,28 @@
 	return left
 }
 
-// canStartNow reports whether a waiting task of the step has an eligible worker with
-// a usable ticket and enough capacity.
-func (c *Core) canStartNow(s *step, now time.Time) bool {
+// needsAdvice reports whether no worker with a usable ticket can take the step's next task,
+// while another one could and can be asked for.
+func (c *Core) needsAdvice(s *step, now time.Time) bool {
 	t := s.waiting[len(s.waiting)-1]
+	askable := false
 	for _, w := range c.workersByService[s.occurrence.job.spec.Queue.Service] {
-		if c.eligible(w, t, now) && w.fits(s.spec) {
-			return true
+		if !w.fits(s.spec) || !c.eligibleWithoutTicket(w, t, now) {
+			continue
 		}
+		if _, ok := s.ticketFor(w, now); ok {
+			return false
+		}
+		askable = askable || s.mayAsk(w, now)
 	}
-	return false
+	return askable
+}
+
+// mayAsk reports whether the advice has not answered for this life of a worker, or its
+// ticket has expired.
+func (s *step) mayAsk(w *worker, now time.Time) bool {
+	answer, ok := s.advice[w.id]
+	return !ok || answer.incarnation != w.incarnation || (answer.ticket != "" && !answer.usable(now))
 }
 
 // buildAdviceRequest returns a request that names the best workers for a step among
@@ -149,10 +167,7 @@
 	}
 	var candidates []candidate
 	for _, w := range c.workersByService[s.occurrence.job.spec.Queue.Service] {
-		if answer, ok := s.advice[w.id]; ok && answer.incarnation == w.incarnation && (answer.ticket == "" || answer.usable(now)) {
-			continue
-		}
-		if c.eligibleWithoutTicket(w, t, now) && w.fits(s.spec) {
+		if s.mayAsk(w, now) && c.eligibleWithoutTicket(w, t, now) && w.fits(s.spec) {
 			candidates = append(candidates, candidate{w, c.policy.score(w, t, now)})
 		}
 	}
