job/scheduler: a step whose advice requests fail does not keep others from asking

A request that fails for that step each time, for example as its answer does not come within its 3 s, would leave all less urgent jobs without advice.

Change: after a failure the step is not asked for again before as much time has passed as the request took, at least 0.5 s, so that other steps have at least half of the time.

Test: TestFailedAdviceRequest fails in 2 of 3 cases without the change (job a is asked for again at once). No deployment or case has shown this fault.

--- a/internal/job/owner/advise.go
+++ b/internal/job/owner/advise.go
@@ -37,13 +37,13 @@
 			continue
 		}
 		timeout := adviceResponseSlack + time.Duration(len(request.Workers))*adviceTimePerWorker
-		ctx, cancel := context.WithTimeout(sh.ctx, timeout)
-		started := time.Now()
+		ctx, cancel := context.WithDeadline(sh.ctx, request.RequestedAt.Add(timeout))
 		tickets, validFor, err := sh.service.adviser.Advise(ctx, request)
 		cancel()
 		sh.log.Info("placement advice", "job", request.Step.Job, "occurrence", request.Step.Occurrence, "step", request.Step.Step,
-			"asked", len(request.Workers), "approved", len(tickets), "took", time.Since(started).String(), "error", err)
+			"asked", len(request.Workers), "approved", len(tickets), "took", time.Since(request.RequestedAt).String(), "error", err)
 		if err != nil {
+			sh.update(func(c *scheduler.Core, now time.Time) { c.HandleAdviceFailure(request, now) })
 			sh.sleep(retryDelay)
 			continue
 		}
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -23,6 +23,7 @@
 type AdviceRequest struct {
 	Step         graph.Task // any task of the step
 	Workers      []unit.InstanceID
+	RequestedAt  time.Time
 	incarnations []Incarnation
 }
 
@@ -31,6 +32,10 @@
 	minWorkersAsked     = 6
 	maxWorkersAsked     = 30
 	workersAskedPerTask = 2 // for each waiting task, within the bounds above
+	// adviceRetryDelay is the shortest time before a step is asked for again after a failed
+	// request. A request that took longer delays the next one by as long, so that other
+	// steps have at least half of the time.
+	adviceRetryDelay = 500 * time.Millisecond
 	// ticketExpiryMargin is how long before its expiry a ticket is no longer used,
 	// since a start order needs time to arrive.
 	ticketExpiryMargin = 150 * time.Millisecond
@@ -136,6 +141,9 @@
 // needsAdvice reports whether no worker with a usable ticket can take the step's next task,
 // while another one could and can be asked for.
 func (c *Core) needsAdvice(s *step, now time.Time) bool {
+	if now.Before(s.adviceRetryAt) {
+		return false
+	}
 	t := s.waiting[len(s.waiting)-1]
 	askable := false
 	for _, w := range c.workersByService[s.occurrence.job.spec.Queue.Service] {
@@ -175,7 +183,7 @@
 		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.worker.id, b.worker.id))
 	})
 	limit := min(max(workersAskedPerTask*len(s.waiting), minWorkersAsked), maxWorkersAsked)
-	a := AdviceRequest{Step: t.id()}
+	a := AdviceRequest{Step: t.id(), RequestedAt: now}
 	for _, chosen := range candidates[:min(len(candidates), limit)] {
 		a.Workers = append(a.Workers, chosen.worker.id)
 		a.incarnations = append(a.incarnations, chosen.worker.incarnation)
@@ -200,6 +208,14 @@
 	c.placementDue = true
 }
 
+// HandleAdviceFailure records that a request had no answer, or one that tells nothing. Other
+// steps are asked for before its step is again.
+func (c *Core) HandleAdviceFailure(a AdviceRequest, now time.Time) {
+	if t := c.lookupTask(a.Step); t != nil {
+		t.step.adviceRetryAt = now.Add(max(now.Sub(a.RequestedAt), adviceRetryDelay))
+	}
+}
+
 // usable reports whether a start can still use the ticket.
 func (a adviceAnswer) usable(now time.Time) bool { return a.ticket != "" && now.Before(a.expiresAt) }
 
--- a/internal/job/scheduler/advicequeue_test.go
+++ b/internal/job/scheduler/advicequeue_test.go
@@ -118,3 +118,38 @@
 		})
 	}
 }
+
+// TestFailedAdviceRequest guards against a step whose requests fail each time, and that keeps
+// less urgent steps from asking.
+func TestFailedAdviceRequest(t *testing.T) {
+	const took = 3 * time.Second // until the request fails
+	tests := []struct {
+		name string
+		wait time.Duration // since the failure
+		want unit.JobID
+	}{
+		{"at once", 0, "b"},
+		{"before as much time has passed as the request took", took - time.Millisecond, "b"},
+		{"afterwards", took, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			f.listWorkers("w1")
+			f.addAdvisedJob("a", 0, smallStep)
+			f.addAdvisedJob("b", 2, smallStep)
+			request, _ := f.core.NextAdviceRequest(f.now)
+			if diff := cmp.Diff(unit.JobID("a"), request.Step.Job); diff != "" {
+				t.Fatalf("job of the first request (-want +got):\n%s", diff)
+			}
+			f.now = f.now.Add(took)
+			f.core.HandleAdviceFailure(request, f.now)
+			f.advance(tt.wait)
+			f.report("w1", nil, nil)
+			request, _ = f.core.NextAdviceRequest(f.now)
+			if diff := cmp.Diff(tt.want, request.Step.Job); diff != "" {
+				t.Errorf("job of the next request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -64,6 +64,7 @@
 	fastestTask       time.Duration                    // shortest task duration at full speed; 0: unknown
 	longestTask       time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
 	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
+	adviceRetryAt     time.Time                        // before which the advice is not asked for the step, as a request failed
 	heldSince         time.Time                        // since when passes have held it back
 }
 
