job/owner: requests for placement advice get the time that the queue's configuration says they need

Found in the review of that path: the timeout of a request was 1.5 s and 50 ms for each worker named, whatever decision-ms and period-ms of the queue are. With a longer decision time each request of the queue is given up before its answer, and none of its jobs starts.

Change: a request carries the time at which its answer is due by the configuration; the former timeout is added to it.

Test: TestAdviceAnswerTime; without the change a request has no such time.

--- a/internal/job/owner/advise.go
+++ b/internal/job/owner/advise.go
@@ -17,9 +17,9 @@
 // Interval and timeouts of requests to the placement advice.
 const (
 	adviceInterval = 20 * time.Millisecond
-	// adviceResponseSlack and adviceTimePerWorker make up the timeout of a request.
+	// adviceResponseSlack and adviceTimePerWorker, for each worker named, are what an answer
+	// may take beyond the time that the configuration of the queue gives it.
 	adviceResponseSlack = 1500 * time.Millisecond
-	// adviceTimePerWorker is the time allowed for each worker of the request.
 	adviceTimePerWorker = 50 * time.Millisecond
 )
 
@@ -36,8 +36,8 @@
 		if !ok {
 			continue
 		}
-		timeout := adviceResponseSlack + time.Duration(len(request.Workers))*adviceTimePerWorker
-		ctx, cancel := context.WithDeadline(sh.ctx, request.RequestedAt.Add(timeout))
+		slack := adviceResponseSlack + time.Duration(len(request.Workers))*adviceTimePerWorker
+		ctx, cancel := context.WithDeadline(sh.ctx, request.AnswerDue.Add(slack))
 		tickets, validFor, err := sh.service.adviser.Advise(ctx, request)
 		cancel()
 		sh.log.Info("placement advice", "job", request.Step.Job, "occurrence", request.Step.Occurrence, "step", request.Step.Step,
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -24,6 +24,7 @@
 	Step         graph.Task // any task of the step
 	Workers      []unit.InstanceID
 	RequestedAt  time.Time
+	AnswerDue    time.Time // when the service answers by the queue's configuration, if it is idle
 	incarnations []Incarnation
 }
 
@@ -188,6 +189,8 @@
 		a.Workers = append(a.Workers, chosen.worker.id)
 		a.incarnations = append(a.incarnations, chosen.worker.incarnation)
 	}
+	advice := s.occurrence.job.spec.Queue.Advice
+	a.AnswerDue = now.Add(advice.AnswerTime + time.Duration(len(a.Workers))*advice.TimePerWorker)
 	return a
 }
 
--- a/internal/job/scheduler/advicequeue_test.go
+++ b/internal/job/scheduler/advicequeue_test.go
@@ -153,3 +153,16 @@
 		})
 	}
 }
+
+// TestAdviceAnswerTime guards against requests that are given up before the service has had
+// the time that the queue's configuration says it needs.
+func TestAdviceAnswerTime(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.listWorkers("w1", "w2")
+	f.addAdvisedJob("a", 0, smallStep)
+	f.core.jobs["a"].spec.Queue.Advice = &graph.Advice{AnswerTime: 4 * time.Second, TimePerWorker: 100 * time.Millisecond, TicketValidity: 3 * time.Second}
+	request, _ := f.core.NextAdviceRequest(f.now)
+	if diff := cmp.Diff(f.now.Add(4200*time.Millisecond), request.AnswerDue); diff != "" {
+		t.Errorf("time of the answer (-want +got):\n%s", diff)
+	}
+}
