job/scheduler: placement advice is asked for until a whole gang can start

A gang starts only as a whole, so a gang whose first request is not approved for enough workers waited until its tickets had expired, and one that needs more than the 30 workers of a request never started.

Change: a gang needs advice until workers with tickets can take all of its tasks, and only while workers that are approved or may be could do so. A gang that fits on no such set asks for nothing and leaves the service to others. The search of placement (chooseGang) serves for both, with the workers that it may take as a parameter; explain uses it as well.

--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -140,11 +140,15 @@
 }
 
 // needsAdvice reports whether no worker with a usable ticket can take the step's next task,
-// while another one could and can be asked for.
+// while another one could and can be asked for. For a gang, workers with tickets have to take
+// all of its tasks.
 func (c *Core) needsAdvice(s *step, now time.Time) bool {
 	if now.Before(s.adviceRetryAt) {
 		return false
 	}
+	if s.spec.Gang {
+		return c.chooseGang(s, now, c.eligible) == nil && c.chooseGang(s, now, c.mayBecomeEligible) != nil
+	}
 	t := s.waiting[len(s.waiting)-1]
 	askable := false
 	for _, w := range c.workersByService[s.occurrence.job.spec.Queue.Service] {
@@ -159,6 +163,12 @@
 	return askable
 }
 
+// mayBecomeEligible is like eligible but also accepts a worker that the advice may approve.
+func (c *Core) mayBecomeEligible(w *worker, t *task, now time.Time) bool {
+	_, ok := t.step.ticketFor(w, now)
+	return (ok || t.step.mayAsk(w, now)) && c.eligibleWithoutTicket(w, t, now)
+}
+
 // mayAsk reports whether the advice has not answered for this life of a worker, or its
 // ticket has expired.
 func (s *step) mayAsk(w *worker, now time.Time) bool {
--- a/internal/job/scheduler/advicequeue_test.go
+++ b/internal/job/scheduler/advicequeue_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -166,3 +167,60 @@
 		t.Errorf("time of the answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestAdviceForGang guards against a gang that never starts, as the advice is not asked for
+// more workers once one of its tasks could start, and against a gang that keeps others from
+// asking although it fits on no set of workers that may be approved.
+func TestAdviceForGang(t *testing.T) {
+	tests := []struct {
+		name        string
+		workers     int
+		members     int // each fills a worker
+		refused     int // of the workers that the first request names
+		wantStarts  int // of the gang
+		wantRequest unit.JobID
+	}{
+		{"all approved, wider than one request", 50, 40, 0, 40, "b"},
+		{"some refused", 10, 4, 5, 4, "b"},
+		{"too many refused", 6, 4, 5, 0, "b"},
+		{"wider than the fleet", 6, 7, 0, 0, "b"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 1, 0)
+			var ids []unit.InstanceID
+			for n := range tt.workers {
+				ids = append(ids, unit.InstanceID(fmt.Sprintf("w%02d", n)))
+			}
+			f.listWorkers(ids...)
+			gang := smallStep
+			gang.Count, gang.Gang, gang.Needs.Cores = tt.members, true, 60_000
+			f.addAdvisedJob("a", 0, gang)
+			f.addAdvisedJob("b", 2, smallStep)
+			refused, starts := tt.refused, 0
+			var request AdviceRequest
+			for range tt.workers {
+				request, _ = f.core.NextAdviceRequest(f.now)
+				if request.Step.Job != "a" {
+					break
+				}
+				tickets := map[unit.InstanceID]Ticket{}
+				for _, id := range request.Workers {
+					if refused > 0 {
+						refused--
+						continue
+					}
+					tickets[id] = "t"
+				}
+				f.core.HandleAdvice(request, tickets, 3*time.Second, f.now)
+				starts += len(f.takeStarts(OutcomeDone))
+			}
+			if diff := cmp.Diff(tt.wantStarts, starts); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.wantRequest, request.Step.Job); diff != "" {
+				t.Errorf("job of the last request (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/scheduler/explain.go
+++ b/internal/job/scheduler/explain.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -140,12 +139,7 @@
 
 // gangFits reports whether all tasks of a gang can start at the same time.
 func (c *Core) gangFits(s *step, now time.Time) bool {
-	if !s.spec.SameRack {
-		return c.chooseGang(s, "", now) != nil
-	}
-	return slices.ContainsFunc(c.racks(s.occurrence.job.spec.Queue.Service), func(rack unit.RackID) bool {
-		return c.chooseGang(s, rack, now) != nil
-	})
+	return c.chooseGang(s, now, c.eligible) != nil
 }
 
 // workerReason returns why no worker takes a task, or "" if one does.
--- a/internal/job/scheduler/gang.go
+++ b/internal/job/scheduler/gang.go
@@ -15,16 +15,26 @@
 	if c.holdsBack(s, len(s.waiting), now) {
 		return
 	}
-	racks := []unit.RackID{""}
-	if s.spec.SameRack {
-		racks = c.racks(s.occurrence.job.spec.Queue.Service)
+	if chosen := c.chooseGang(s, now, c.eligible); chosen != nil {
+		c.startGang(s, chosen, now)
 	}
-	for _, rack := range racks {
-		if chosen := c.chooseGang(s, rack, now); chosen != nil {
-			c.startGang(s, chosen, now)
-			return
+}
+
+// workerFilter reports whether a task may start on a worker, apart from its capacity.
+type workerFilter func(w *worker, t *task, now time.Time) bool
+
+// chooseGang returns a worker for each waiting task of a gang among those that pass a filter,
+// or nil if not all fit.
+func (c *Core) chooseGang(s *step, now time.Time, passes workerFilter) []*worker {
+	if !s.spec.SameRack {
+		return c.chooseGangOnRack(s, "", now, passes)
+	}
+	for _, rack := range c.racks(s.occurrence.job.spec.Queue.Service) {
+		if chosen := c.chooseGangOnRack(s, rack, now, passes); chosen != nil {
+			return chosen
 		}
 	}
+	return nil
 }
 
 // startGang starts each waiting task of a gang on its chosen worker.
@@ -48,9 +58,9 @@
 	}
 }
 
-// chooseGang returns a worker for each waiting task of a gang, or nil if not all fit.
-// A rack that is not empty restricts the choice to its workers.
-func (c *Core) chooseGang(s *step, rack unit.RackID, now time.Time) []*worker {
+// chooseGangOnRack is like chooseGang. A rack that is not empty restricts the choice to its
+// workers.
+func (c *Core) chooseGangOnRack(s *step, rack unit.RackID, now time.Time, passes workerFilter) []*worker {
 	free := map[*worker]unit.Resources{}
 	count := map[*worker]int{}
 	var chosen []*worker
@@ -58,7 +68,7 @@
 		var best *worker
 		var bestScore float64
 		for _, w := range c.workersByService[s.occurrence.job.spec.Queue.Service] {
-			if (rack != "" && w.listing.Rack != rack) || !c.eligible(w, t, now) {
+			if (rack != "" && w.listing.Rack != rack) || !passes(w, t, now) {
 				continue
 			}
 			if s.spec.PerWorker > 0 && count[w] >= s.spec.PerWorker {
