job/policy: a class that no eviction can help does not keep others from preemption

If its replica fits on no worker, or its evictions cost too much, nothing was ever evicted for the other classes.

Change: the classes are tried in that order until evictions help one.

--- a/internal/job/policy/preempt.go
+++ b/internal/job/policy/preempt.go
@@ -66,23 +66,25 @@
 }
 
 // preempt returns the evictions of tasks that free resources for one replica without a
-// worker.
+// worker: of the first class by name that evictions can help.
 func (c *Core) preempt(now time.Time, tasks []control.Task) []control.Action {
 	if len(c.pendingReplicas) == 0 || now.Sub(c.lastPreemption) < preemptionInterval {
 		return nil
 	}
-	class := slices.Sorted(maps.Keys(c.pendingReplicas))[0]
 	tasks = slices.DeleteFunc(slices.Clone(tasks), func(t control.Task) bool {
 		_, quarantined := c.index.QuarantinedUntil(t.Worker)
 		return quarantined || !c.workers[t.Worker].open || !c.loop.Settled(now, t.Worker)
 	})
-	pending := control.PendingTask{Class: class, Size: c.pendingReplicas[class], Standing: true}
-	actions := control.Preempt(now, pending, Candidates(tasks, c.index.Free))
-	if len(actions) > 0 {
-		c.lastPreemption = now
-		c.loop.RecordAction(now, actions[0].Worker)
+	candidates := Candidates(tasks, c.index.Free)
+	for _, class := range slices.Sorted(maps.Keys(c.pendingReplicas)) {
+		pending := control.PendingTask{Class: class, Size: c.pendingReplicas[class], Standing: true}
+		if actions := control.Preempt(now, pending, candidates); len(actions) > 0 {
+			c.lastPreemption = now
+			c.loop.RecordAction(now, actions[0].Worker)
+			return actions
+		}
 	}
-	return actions
+	return nil
 }
 
 // applyActions records the actions and returns them without the evictions that would
