job/scheduler: TestModel checks that a job shown as running has begun

The state machine over owners, workers and the network fails if a job is shown as running, and so is not pending, before any worker has begun one of its tasks.

--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -402,8 +402,9 @@
 	sim.core.Cancel(id, sim.clock())
 }
 
-// checkShownStates fails the test if a job is unknown or is shown as completed before
-// all of its tasks have ended as done on a worker.
+// checkShownStates fails the test if a job is unknown, is shown as running and so is not
+// pending before a worker has begun one of its tasks, or is shown as completed before all of
+// its tasks have ended as done on a worker.
 func (sim *simulation) checkShownStates() {
 	for id, job := range sim.jobs {
 		if sim.removed[id] {
@@ -413,6 +414,9 @@
 		if !ok {
 			sim.t.Fatalf("LOST: job %s is not known", id)
 		}
+		if state == graph.Running && !sim.hasBegun(id) {
+			sim.t.Fatalf("MIXED: job %s is shown as running, no worker has begun a task of it", id)
+		}
 		if state != graph.Completed {
 			continue
 		}
@@ -429,3 +433,13 @@
 		}
 	}
 }
+
+// hasBegun reports whether a worker has begun some task of a job.
+func (sim *simulation) hasBegun(id unit.JobID) bool {
+	for task := range sim.starts {
+		if task.Job == id {
+			return true
+		}
+	}
+	return false
+}
