job/scheduler: a step that fits on no worker does not keep others from preemption

A step that fits on no worker, or whose label none has, is tried first in each pass while it is the most urgent one, and uses the attempt up. Nothing is preempted for other urgent tasks until it counts as too late.

Change: such a step leaves the attempt to the next one, and is not tried again for 150 ms, which bounds the cost.

Weighed: up to 8 attempts in a pass, whatever the steps are. The one attempt of a step that has no runs to preempt also spaces preemptions out, so it stays.

--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -65,6 +65,7 @@
 	longestTask       time.Duration                    // longest task duration at full speed, without slow workers; 0: unknown
 	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
 	adviceRetryAt     time.Time                        // before which the advice is not asked for the step, as a request failed
+	preemptRetryAt    time.Time                        // before which no preemption is tried, as no worker can take a task
 	heldSince         time.Time                        // since when passes have held it back
 }
 
--- a/internal/job/scheduler/preempt.go
+++ b/internal/job/scheduler/preempt.go
@@ -14,25 +14,33 @@
 
 // preempt frees capacity for a task by stopping runs of lower priority that can
 // resume from a checkpoint. It picks the worker where the fewest must stop, and
-// there the latest started first. One worker is preempted at a time.
+// there the latest started first. One worker is preempted at a time. A task that fits on
+// no worker, even an empty one, leaves the turn to others.
 func (c *Core) preempt(t *task, now time.Time) {
-	if !c.policy.mayStopRuns() || t.step.spec.BestEffort || t.step.beyondRate() || now.Sub(c.lastPreemption) < preemptInterval {
+	if !c.policy.mayStopRuns() || t.step.spec.BestEffort || t.step.beyondRate() || now.Sub(c.lastPreemption) < preemptInterval || now.Before(t.step.preemptRetryAt) {
 		return
 	}
-	c.lastPreemption = now
+	fits := false
 	var best []*run
 	for _, w := range c.workersByService[t.job().spec.Queue.Service] {
 		if !c.eligible(w, t, now) || w.health.isQuarantined(now) {
 			continue
 		}
+		fits = fits || reservedResources(t.step.spec).Fits(w.listing.Capacity)
 		victims, stopping := w.victims(t)
 		if stopping {
-			return // capacity is about to be freed
+			c.lastPreemption = now // capacity is about to be freed
+			return
 		}
 		if victims != nil && (best == nil || len(victims) < len(best)) {
 			best = victims
 		}
 	}
+	if !fits {
+		t.step.preemptRetryAt = now.Add(preemptInterval)
+		return
+	}
+	c.lastPreemption = now
 	for _, r := range best {
 		c.stopRun(r, ReasonPreempted)
 	}
