job/intake: a withdrawal cancels only jobs that its caller sees

Change: the caller of the withdrawal has to see the job that is submitted. If it does not, the id counts as in use, as one of another organisation's job does.

Test: TestWithdrawalOfOtherCaller fails in 2 of 6 cases before the change.

--- a/internal/job/intake/cancel_test.go
+++ b/internal/job/intake/cancel_test.go
@@ -235,3 +235,40 @@
 		})
 	}
 }
+
+// TestWithdrawalOfOtherCaller guards against a caller that cancels, before it is stored, a job
+// that it could not see afterwards, and against an owner of the job that is told to repeat it.
+func TestWithdrawalOfOtherCaller(t *testing.T) {
+	job := func(o unit.OrganisationID, q graph.QueueID) graph.Job {
+		return graph.Job{ID: "j", Organisation: o, Queue: graph.Queue{ID: q}, Steps: []graph.Step{{Count: 1}}}
+	}
+	tests := []struct {
+		name   string
+		caller Caller // of the cancellation
+		job    graph.Job
+		want   error // of the submission
+		stored string
+	}{
+		{"same organisation", Caller{"a", "q"}, job("a", "q"), nil, "cancelled"},
+		{"same organisation over another route", Caller{"a", "p"}, job("a", "q"), nil, "cancelled"},
+		{"another organisation", Caller{"b", "q"}, job("a", "q"), ErrOtherOrganisation, "withdrawn"},
+		{"public route of the queue", Caller{"", "q"}, job("a", "q"), nil, "cancelled"},
+		{"public route of another queue", Caller{"", "p"}, job("a", "q"), ErrOtherOrganisation, "withdrawn"},
+		{"job of a public route", Caller{"a", "p"}, job("", "q"), nil, "cancelled"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &lateStore{items: map[kv.Key]kv.Item{}}
+			s := newEntry(t.Context(), store, remoteOwnership{}, logr.Discard())
+			if err := s.Cancel(t.Context(), tt.caller, "j"); !errors.Is(err, ErrNoJob) {
+				t.Errorf("cancellation: %v, want %v", err, ErrNoJob)
+			}
+			if err := s.Submit(t.Context(), tt.job); !errors.Is(err, tt.want) {
+				t.Errorf("submission: %v, want %v", err, tt.want)
+			}
+			if diff := cmp.Diff(tt.stored, store.stored(t)); diff != "" {
+				t.Errorf("state in the record (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -222,16 +222,22 @@
 // replaceWithdrawal turns a submission of which the store has the withdrawal in an item into
 // that of a cancelled job, which callers see from then on. It returns false for any other item.
 func (s *submission) replaceWithdrawal(i kv.Item) bool {
-	job := &s.record.Job
 	stored, err := record.DecodeJob(i.Value)
-	caller := Caller{Organisation: job.Organisation, Queue: job.Queue.ID}
-	if err != nil || stored.State != graph.Withdrawn || !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID) {
+	if err != nil || !s.withdrawnBy(stored) {
 		return false
 	}
-	s.record, s.withdrawal = record.Final(job, graph.Cancelled), i.Revision
+	s.record, s.withdrawal = record.Final(&s.record.Job, graph.Cancelled), i.Revision
 	return true
 }
 
+// withdrawnBy reports whether a record is that of a withdrawal by a caller who sees the job
+// of the submission.
+func (s *submission) withdrawnBy(r record.Job) bool {
+	job := &s.record.Job
+	caller := Caller{Organisation: r.Job.Organisation, Queue: r.Job.Queue.ID}
+	return r.State == graph.Withdrawn && caller.sees(job.Organisation, job.Queue.ID)
+}
+
 // resultOf returns the result of a submission of which the store has the record in an item.
 // A record that the caller does not see is no earlier submission of the same job, and one with
 // a final state is not that of the submission, which the owner must not take for open.
@@ -242,10 +248,10 @@
 	switch {
 	case err != nil && job.Organisation != "":
 		return writeResult{err: errors.Errorf("%v: %w", err, ErrUnknown)}
-	case err == nil && !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID):
-		return writeResult{revision: i.Revision, err: ErrOtherOrganisation}
-	case err == nil && stored.State == graph.Withdrawn:
+	case err == nil && s.withdrawnBy(stored):
 		return writeResult{revision: i.Revision, err: errors.Errorf("withdrawn: %w", ErrUnknown)}
+	case err == nil && (stored.State == graph.Withdrawn || !caller.sees(stored.Job.Organisation, stored.Job.Queue.ID)):
+		return writeResult{revision: i.Revision, err: ErrOtherOrganisation}
 	}
 	return writeResult{revision: i.Revision, existed: existed || (err == nil && stored.State.Final())}
 }
--- a/internal/job/scheduler/advice.go
+++ b/internal/job/scheduler/advice.go
@@ -76,8 +76,8 @@
 // tasks of the step have started.
 const adviceLeadShare = 0.5
 
-// nextUpcomingStep returns the most urgent step that becomes ready soon and needs advice. Asking ahead lets its tasks start as soon as the steps before it
-// are complete.
+// nextUpcomingStep returns the most urgent step that becomes ready soon and needs advice.
+// Asking ahead lets its tasks start as soon as the steps before it are complete.
 func (c *Core) nextUpcomingStep(now time.Time) *step {
 	var best *step
 	for _, j := range c.openJobs {
