--- a/internal/job/scheduler/occurrence.go
+++ b/internal/job/scheduler/occurrence.go
@@ -56,7 +56,7 @@
 		spec:           spec,
 		tasks:          make([]task, spec.Count),
 		remaining:      spec.Count,
-		incompleteDeps: len(spec.After),
+		incompleteDeps: countDependencies(spec.After),
 		runsPerWorker:  map[unit.InstanceID]int{},
 		image:          c.imageOf(spec),
 	}
@@ -96,3 +96,13 @@
 	}
 	return s
 }
+
+// countDependencies returns the number of steps in a list, which may name one repeatedly if
+// an earlier release stored the job.
+func countDependencies(after []graph.StepIndex) int {
+	distinct := map[graph.StepIndex]bool{}
+	for _, i := range after {
+		distinct[i] = true
+	}
+	return len(distinct)
+}
