job/scheduler: the memory of open tasks is bounded

Callers saw the owner of a small instance end: 300 clients that submit jobs of 20,000 tasks, four each, took it from 23.5 to 833.8 MB of resident memory, and jobs with 10,000 occurrences that are all due to 653.2 MB (TestUntrustedJobs on, limit 64 MB; the test ends a process at 1 GiB). The jobs are stored, so each next owner ends as well.

Cause: a body of 100 bytes asks for 20,000 tasks in each of 10,000 occurrences. The core creates the state of all tasks, 146 bytes each, as soon as an occurrence is due, and keeps it until the job is removed, 150 s after it ended.

Change: the core counts what open occurrences take, a tenth of the memory of the entry at most. One that finds no room is opened later, the most urgent first. An occurrence opens only if it takes at most half of what is left, so that small jobs open beside large ones, and one opens in any case while nothing else is open. What an earlier owner had open stays open. The tasks of ended jobs are dropped after 15 s, when no report can name them any more. The shard line has the number of parked jobs.

Default: 18 MB, 105,000 waiting tasks, on an instance with 184 MB.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -121,6 +121,7 @@
 			StopTimeout: s.Bounds.StopTimeout,
 
 			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
+			OpenMemory:          owner.OpenMemory(s.Limits.Memory),
 		},
 		Link:                s.Limits.Link,
 		Processor:           s.Limits.Cores,
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -83,6 +83,16 @@
 	return shareOf(link, startShare)
 }
 
+// openMemoryShare is the share of the memory of an entry that the open occurrences of jobs may
+// take while it owns the shard. It is some 100,000 tasks on the smallest instances.
+const openMemoryShare = 0.1
+
+// OpenMemory returns the memory that open occurrences may take on an entry with a memory
+// limit, or 0 for no bound if there is none.
+func OpenMemory(limit unit.Bytes) unit.Bytes {
+	return unit.Bytes(openMemoryShare * float64(limit))
+}
+
 // Options configures a Service.
 type Options struct {
 	Limits scheduler.Limits
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -188,7 +188,7 @@
 	relayQueued, relayAnswer := sh.relays.takeLongestTimes()
 	sh.mu.Unlock()
 	traffic, processor := sh.traffic.Rates(now), sh.processor.Rates(now)
-	sh.log.Info("shard", "jobs", s.OpenJobs, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
+	sh.log.Info("shard", "jobs", s.OpenJobs, "parked", s.Parked, "unplaced", s.Unplaced, "runs", s.Runs, "unsure", s.Unconfirmed, "filling", s.BestEffort,
 		"slowed", s.Slowed, "over", s.OverTarget, "cores", s.UsedCores, "workers", s.Workers, "reporting", s.Reporting,
 		"aside", s.Quarantined, "unresolved", s.Unresolved, "heldback", s.HeldBack, "resolvedin", s.ResolvedIn.String(), "oldest", s.LongestWait.String(), "deferred", s.Deferred,
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -26,6 +26,8 @@
 	StopTimeout time.Duration // longest time that a worker takes to stop a task
 	// StartBytesPerSecond bounds the bytes of start orders; 0 for no bound.
 	StartBytesPerSecond unit.Bytes
+	// OpenMemory bounds the memory of the open occurrences of jobs; 0 for no bound.
+	OpenMemory unit.Bytes
 }
 
 // runsPerEpoch is the size of the range of run numbers that each epoch uses.
@@ -41,6 +43,8 @@
 	epoch             unit.Epoch
 	jobs              map[unit.JobID]*job
 	openJobs          map[unit.JobID]*job // jobs without a durable final state
+	open              openBudget
+	ended             []*job // jobs with a durable final state whose tasks are kept, oldest first
 	workers           map[unit.InstanceID]*worker
 	workersByService  map[unit.ServiceID][]*worker // listed workers, sorted by id
 	evacuatedZones    map[unit.ZoneID]bool
@@ -124,6 +128,7 @@
 	c := &Core{
 		limits:                   limits,
 		startBudget:              startBudget{perSecond: limits.StartBytesPerSecond},
+		open:                     openBudget{limit: limits.OpenMemory},
 		epoch:                    epoch,
 		jobs:                     map[unit.JobID]*job{},
 		openJobs:                 map[unit.JobID]*job{},
@@ -246,8 +251,12 @@
 	c.checkSilentWorkers(now)
 	c.forgetEarlyEnds(now)
 	for _, j := range c.openJobs {
-		c.openDueOccurrences(j, now)
+		if c.open.parked[j.spec.ID] == nil {
+			c.openDueOccurrences(j, now)
+		}
 	}
+	c.dropEnded(now)
+	c.openParked(now)
 	c.updateSoftDeadlines(now)
 	c.updateShares(now)
 	c.releaseExpiredUnknownRuns(now)
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -23,6 +23,7 @@
 	openedOccurrences    int // occurrences whose due time has passed
 	completedOccurrences int
 	activeRuns           int            // runs on workers
+	openMemory           unit.Bytes     // that its open occurrences take; see openBudget
 	longRunning          bool           // has tasks that run until the job is cancelled
 	account              *account       // of its organisation; nil without one
 	arrival              *share.Arrival // at its organisation; nil without one
@@ -153,11 +154,13 @@
 	}
 	j.final, j.finalDurable, j.finalSince = final, true, now
 	delete(c.openJobs, j.spec.ID)
+	delete(c.open.parked, j.spec.ID)
 	reason := ReasonObsolete
 	if final == graph.Cancelled {
 		reason = ReasonCancelled
 	}
 	c.stopJob(j, reason)
+	c.ended = append(c.ended, j)
 	c.progressChanged = true
 }
 
@@ -167,6 +170,7 @@
 	if j := c.jobs[id]; j != nil && j.final != 0 {
 		j.finalDurable, j.finalSince = true, now
 		delete(c.openJobs, id)
+		c.ended = append(c.ended, j)
 		c.progressChanged = true
 	}
 }
@@ -181,6 +185,7 @@
 		}
 		if j.finalDurable && j.activeRuns == 0 && j.finalSince.Before(before) {
 			ids = append(ids, id)
+			c.dropOccurrences(j)
 			delete(c.jobs, id)
 			c.leaveOrganisation(j)
 		}
@@ -261,6 +266,7 @@
 	if o.incompleteSteps > 0 {
 		return
 	}
+	c.open.release(o.job, occurrenceMemory(o.job.spec)) // its tasks take memory until the job ends, but workers have done them
 	o.job.completedOccurrences++
 	if o.job.completedOccurrences == o.job.spec.Occurrences() {
 		c.decideFinalState(o.job, graph.Completed, "all tasks done")
--- a/internal/job/scheduler/occurrence.go
+++ b/internal/job/scheduler/occurrence.go
@@ -7,13 +7,18 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
-// openDueOccurrences creates the occurrences of a job whose due time has passed.
+// openDueOccurrences creates the occurrences of a job whose due time has passed, as far as
+// there is room for them.
 func (c *Core) openDueOccurrences(j *job, now time.Time) {
 	for j.final == 0 && j.openedOccurrences < j.spec.Occurrences() {
 		k := graph.Occurrence(j.openedOccurrences)
 		if j.spec.Times > 0 && now.Before(j.spec.Due(k)) {
 			return
 		}
+		if !c.mayOpen(j) {
+			return
+		}
+		c.open.charge(j)
 		c.openOccurrence(j, k)
 		j.openedOccurrences++
 		c.adoptEarlyRuns(j, k, now)
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -13,6 +13,7 @@
 	Reporting   int // workers with a recent report
 	Quarantined int // workers in quarantine
 	OpenJobs    int
+	Parked      int    // of these, jobs with a due occurrence that has no room to open
 	Unplaced    [4]int // waiting tasks by priority; the last element counts 3 and above
 	Runs        int
 	Unconfirmed int // runs whose start has no answer or that are being stopped
@@ -34,7 +35,7 @@
 
 // Stats returns a summary of the current state.
 func (c *Core) Stats(now time.Time) Stats {
-	s := Stats{OpenJobs: len(c.openJobs), Unresolved: len(c.unresolved), StartRelays: c.startBudget.relays.Reachable, Deferred: c.startBudget.deferred, StartBytes: c.startBudget.charged}
+	s := Stats{OpenJobs: len(c.openJobs), Parked: len(c.open.parked), Unresolved: len(c.unresolved), StartRelays: c.startBudget.relays.Reachable, Deferred: c.startBudget.deferred, StartBytes: c.startBudget.charged}
 	for _, w := range c.workers {
 		s.addWorker(w, now)
 	}
