job/scheduler: images are forgotten with the last job that has them

Callers would see an owner grow for as long as it owns the shard: each job may name 256 images of its own, and the core kept each name, with an index that sizes the cache of each serving image, also after the jobs had gone.

Cause: c.images only ever grew. Change: an image counts the steps that have it and goes with the last one; its index is used again once the caches that it indexes have been cleared, 300 ms later at most.

Measured: TestImageIndexes, 7 images in turn, 3 at a time: 7 stay before, 3 after.

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -52,6 +52,9 @@
 	inheritedProgress map[unit.JobID]Progress  // from earlier owners, by LoadProgress and early ends
 	earlyEnds         map[unit.JobID]time.Time // unknown jobs with ends in inheritedProgress, and when the last one came
 	images            map[string]*image        // by name
+	imageIndexes      int                      // number of indexes that images have or had
+	freeIndexes       []int                    // those that no image has
+	releasedIndexes   []int                    // those that are free once the caches of addedPressures are cleared
 	interference      *interference.Model
 	durations         *duration.Estimator
 	meanWork          overload.Means
@@ -269,6 +272,7 @@
 		for _, i := range c.images {
 			i.addedPressures = i.addedPressures[:0]
 		}
+		c.freeIndexes, c.releasedIndexes = append(c.freeIndexes, c.releasedIndexes...), c.releasedIndexes[:0]
 		c.addedPressuresClearedAt = now
 	}
 	if c.policy.mayStopRuns() && now.Sub(c.lastRelocation) > relocateInterval {
--- a/internal/job/scheduler/openbudget.go
+++ b/internal/job/scheduler/openbudget.go
@@ -131,6 +131,11 @@
 
 // dropOccurrences drops the steps and tasks of a job that is only shown to callers any more.
 func (c *Core) dropOccurrences(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			c.releaseImage(s.image)
+		}
+	}
 	j.occurrences = nil
 	c.open.release(j, j.openMemory)
 }
--- a/internal/job/scheduler/openbudget_test.go
+++ b/internal/job/scheduler/openbudget_test.go
@@ -173,3 +173,36 @@
 	runtime.ReadMemStats(&stats)
 	return unit.Bytes(stats.HeapAlloc)
 }
+
+// TestImageIndexes guards against images that the core keeps after the last job with them has
+// gone, and against two images that share an index.
+func TestImageIndexes(t *testing.T) {
+	f := newFixture(t, 1, 0)
+	f.listWorkers("w1")
+	for n := range 50 {
+		for i := range 3 {
+			s := stepOf(1)
+			s.Image = fmt.Sprintf("image %d", (n+i)%7)
+			f.addJob(unit.JobID(fmt.Sprintf("j%d-%d", n, i)), s, true)
+		}
+		indexes := map[int]string{}
+		for _, i := range f.core.images {
+			if other, taken := indexes[i.index]; taken {
+				t.Fatalf("images %q and %q have index %d", i.name, other, i.index)
+			}
+			indexes[i.index] = i.name
+		}
+		if n > 0 {
+			for i := range 3 {
+				f.core.Cancel(unit.JobID(fmt.Sprintf("j%d-%d", n-1, i)), f.now)
+			}
+		}
+		f.advance(endedRetention)
+	}
+	if got := len(f.core.images); got > 3 {
+		t.Errorf("%d images, want at most 3", got)
+	}
+	if got := f.core.imageIndexes; got > 7 {
+		t.Errorf("%d indexes for 7 images", got)
+	}
+}
--- a/internal/job/scheduler/relocate.go
+++ b/internal/job/scheduler/relocate.go
@@ -11,6 +11,7 @@
 type image struct {
 	name  string
 	index int // among the named images; noIndex without a name
+	steps int // that have the image
 	// addedPressures caches, for a serving image, the pressure that best-effort images add
 	// for each share of the cores, by their index.
 	addedPressures imageShares
@@ -26,12 +27,35 @@
 	}
 	i := c.images[s.Image]
 	if i == nil {
-		i = &image{name: s.Image, index: len(c.images)}
+		i = &image{name: s.Image, index: c.nextImageIndex()}
 		c.images[s.Image] = i
 	}
+	i.steps++
 	return i
 }
 
+// nextImageIndex returns an index that no image has.
+func (c *Core) nextImageIndex() int {
+	if last := len(c.freeIndexes) - 1; last >= 0 {
+		index := c.freeIndexes[last]
+		c.freeIndexes = c.freeIndexes[:last]
+		return index
+	}
+	c.imageIndexes++
+	return c.imageIndexes - 1
+}
+
+// releaseImage forgets an image with the last step that has it.
+func (c *Core) releaseImage(i *image) {
+	if i.index == noIndex {
+		return
+	}
+	if i.steps--; i.steps == 0 {
+		delete(c.images, i.name)
+		c.releasedIndexes = append(c.releasedIndexes, i.index)
+	}
+}
+
 // Times after which a run without progress is considered stalled. Progress is reported
 // in whole percents, so a long task on a slow worker may show none for a while.
 const (
