job/intake, job/admission: the memory of jobs that are held is bounded

Cause: the budget of the limiter counts a body until its request ends. The job that it leaves behind, 220 KB here, stays with the owner until 150 s after its end, in the queue of submissions, also when its caller has left, and in the queue of notices. Nothing counted these, and none of the queues had a bound in bytes. A call with 32 such notices was larger than the mesh takes, so that they never arrived together.

Change: the core counts the memory of jobs and tells with the load what is left of a tenth of the memory of the entry. Once over half is taken, the entries reject a job that takes more than an eighth of what is left: large ones long before small ones, so that ordinary callers still get in. What an entry has submitted and the owner does not know yet is bounded by a window, as the load comes with the next answer. A job that was accepted before is never rejected. While the owner is full, an entry asks it once a second, as rejections cause no notice. Queues and calls have bounds in bytes. The texts of ended jobs are dropped with their tasks.

Default: 18 MB on an instance with 184 MB, 3,000 jobs of 5 KB. Single jobs are served in calm whatever they take.

--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -122,6 +122,7 @@
 
 			StartBytesPerSecond: owner.StartBytesPerSecond(s.Limits.Link),
 			OpenMemory:          owner.OpenMemory(s.Limits.Memory),
+			JobMemory:           owner.JobMemory(s.Limits.Memory),
 		},
 		Link:                s.Limits.Link,
 		Processor:           s.Limits.Cores,
--- a/internal/job/admission/admission.go
+++ b/internal/job/admission/admission.go
@@ -28,6 +28,8 @@
 	// TooLate means that the job could start only after the last time at which its end is of
 	// use.
 	TooLate Cause = "too late"
+	// NoMemory means that the job takes too much of what the owner has left for jobs.
+	NoMemory Cause = "job memory"
 )
 
 // Snapshot is the load of the shard at a time.
@@ -56,7 +58,13 @@
 
 // Decide returns the reason to reject a job that arrives now, or false if it is accepted.
 func Decide(job *graph.Job, s *Snapshot, now time.Time) (Rejection, bool) {
-	if !s.valid(now) || !s.Load.Short {
+	if !s.valid(now) {
+		return Rejection{}, false
+	}
+	if r, ok := decideByMemory(job, s, now); ok {
+		return r, true
+	}
+	if !s.Load.Short {
 		return Rejection{}, false
 	}
 	pools := shortPools(job, &s.Load)
@@ -69,6 +77,22 @@
 	return decideByTime(job, s, pools, now)
 }
 
+// A job is accepted if it takes at most 1/roomDivisor of the memory that is left: large ones
+// are rejected long before small ones, which still get in. Those that it waits for have to end,
+// which takes some seconds at least.
+const (
+	roomDivisor = 8
+	memoryDelay = 5 * time.Second
+)
+
+// decideByMemory rejects a job that takes too much of the memory that the owner has left.
+func decideByMemory(job *graph.Job, s *Snapshot, now time.Time) (Rejection, bool) {
+	if !s.Load.Full || job.Memory() <= s.Load.Room/roomDivisor {
+		return Rejection{}, false
+	}
+	return Rejection{Cause: NoMemory, ServedAt: now.Add(memoryDelay)}, true
+}
+
 // shortPools returns the pools in which the first tasks of a job are placed, or nil if one
 // of them is not short.
 func shortPools(job *graph.Job, load *overload.Load) []overload.PoolLoad {
--- a/internal/job/admission/admission_test.go
+++ b/internal/job/admission/admission_test.go
@@ -184,3 +184,30 @@
 		t.Errorf("%d organisations kept, want at most %d", len(tally.counts), maxTallies)
 	}
 }
+
+// TestMemory guards against jobs that take the memory of the owner, and against small ones
+// that are rejected as long as there is room for them.
+func TestMemory(t *testing.T) {
+	job := &graph.Job{ID: "j", Spec: "x", Steps: []graph.Step{{Count: 1}}}
+	tests := []struct {
+		name string
+		load overload.Load
+		age  time.Duration
+		want Cause // "" if accepted
+	}{
+		{"no memory is short", overload.Load{}, 0, ""},
+		{"enough left", overload.Load{Full: true, Room: roomDivisor * job.Memory()}, 0, ""},
+		{"too little left", overload.Load{Full: true, Room: roomDivisor*job.Memory() - 1}, 0, NoMemory},
+		{"too little left, capacity short too", overload.Load{Full: true, Short: true}, 0, NoMemory},
+		{"faulty number", overload.Load{Full: true, Room: math.MinInt64}, 0, NoMemory},
+		{"old load", overload.Load{Full: true}, MaxLoadAge + time.Millisecond, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, _ := Decide(job, &Snapshot{Load: tt.load, At: now.Add(-tt.age)}, now)
+			if diff := cmp.Diff(tt.want, r.Cause); diff != "" {
+				t.Errorf("cause (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/graph/graph.go
+++ b/internal/job/graph/graph.go
@@ -80,6 +80,29 @@
 	Organisation unit.OrganisationID `cbor:"9,keyasint,omitempty"`
 }
 
+// Memory that a job and each of its steps take beside their texts and lists.
+const (
+	jobMemory  unit.Bytes = 1 << 10
+	stepMemory unit.Bytes = 256
+	indexSize  unit.Bytes = 8
+)
+
+// Memory returns the memory that a job takes, without the state of its tasks.
+func (j *Job) Memory() unit.Bytes {
+	return jobMemory + stepMemory*unit.Bytes(len(j.Steps)) + j.TextSize()
+}
+
+// TextSize returns the bytes of the texts and lists that a caller has chosen, by far the largest
+// part of a large job.
+func (j *Job) TextSize() unit.Bytes {
+	n := unit.Bytes(len(j.Spec))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += indexSize*unit.Bytes(len(s.After)) + unit.Bytes(len(s.Label)+len(s.Rack)+len(s.Image))
+	}
+	return n
+}
+
 // Task identifies one task of one occurrence.
 type Task struct {
 	Job        unit.JobID
--- a/internal/job/intake/admit.go
+++ b/internal/job/intake/admit.go
@@ -60,6 +60,13 @@
 	a.snapshot, a.owner = snapshot, owner
 }
 
+// ownerIsFull reports whether the last load says that the owner has little memory left.
+func (a *admissionState) ownerIsFull() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.snapshot.Load.Full
+}
+
 // from returns the load that an owner has sent, which is empty if the last one came from
 // another owner.
 func (a *admissionState) from(owner unit.EntryID) admission.Snapshot {
@@ -110,13 +117,21 @@
 	return omitted, true
 }
 
-// admit returns a RejectedError if the job is rejected for want of capacity. A job that was
-// accepted before, or may have been as the store does not tell, is not rejected.
+// admit returns a RejectedError if the job is rejected for want of capacity or memory.
+// Otherwise the job has entered the window. A job that was accepted before, or may have been as
+// the store does not tell, is not rejected.
 func (s *Service) admit(ctx context.Context, job *graph.Job) error {
 	now := job.Accepted
 	snapshot := s.snapshot(now)
 	rejection, ok := admission.Decide(job, &snapshot, now)
-	if !ok || !s.isNew(ctx, job) {
+	if !ok {
+		if s.window.enter(job, s.notifier.size()) {
+			return nil
+		}
+		rejection = admission.Rejection{Cause: admission.NoMemory, ServedAt: now.Add(windowDelay)}
+	}
+	if !s.isNew(ctx, job) {
+		s.window.add(job)
 		return nil
 	}
 	spread := s.admission.countRejected(job, rejection.Cause, now)
--- a/internal/job/intake/intake.go
+++ b/internal/job/intake/intake.go
@@ -87,6 +87,7 @@
 	if err := s.admit(ctx, &job); err != nil {
 		return err
 	}
+	defer s.window.leave(&job)
 	r := record.Job{Format: record.Format, Job: job}
 	result := s.writer.write(ctx, r)
 	log := s.log
--- a/internal/job/intake/load.go
+++ b/internal/job/intake/load.go
@@ -10,21 +10,21 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/overload"
 )
 
-// noticesResponse is the response to kindNotices while capacity is short. Otherwise, and
+// noticesResponse is the response to kindNotices while capacity or memory is short. Otherwise, and
 // from entries of earlier releases, the response is empty.
 type noticesResponse struct {
 	Load overload.Load `cbor:"1,keyasint"`
 	Age  time.Duration `cbor:"2,keyasint,omitempty"` // of the load; entries share no clock
 }
 
-// loadResponse returns the encoded load of the shard, or nil if no pool is short or this
-// entry has no load.
+// loadResponse returns the encoded load of the shard, or nil if neither a pool nor the memory
+// is short or this entry has no load.
 func (s *Service) loadResponse(now time.Time) []byte {
 	if s.ownLoad == nil {
 		return nil
 	}
 	load, at, ok := s.ownLoad.Load(now)
-	if !ok || !load.Short {
+	if !ok || !load.Short && !load.Full {
 		return nil
 	}
 	load.Pools = shortPools(load.Pools)
--- a/internal/job/intake/notifier.go
+++ b/internal/job/intake/notifier.go
@@ -24,6 +24,13 @@
 	maxNoticeTimeout  = 2400 * time.Millisecond
 	maxQueuedNotices  = 256
 	maxNoticesPerCall = 32
+	// maxQueuedNoticeBytes and maxNoticeBytesPerCall bound the texts of the jobs in them. A call
+	// above mesh.MaxMessage never arrives.
+	maxQueuedNoticeBytes  unit.Bytes = 8 << 20
+	maxNoticeBytesPerCall unit.Bytes = 1 << 20
+	// fullPollInterval is the time between two calls without a notice to an owner that has
+	// little memory left, which tell when that is over.
+	fullPollInterval = time.Second
 )
 
 // notifier sends notices of new and changed records to the owner of the shard, those of
@@ -45,6 +52,9 @@
 // urgent reports whether the record ends its job, whose tasks run until the owner knows.
 func (q queuedNotice) urgent() bool { return q.notice.Record.State.Final() }
 
+// size returns about the bytes of the notice.
+func (q queuedNotice) size() unit.Bytes { return q.notice.Record.Job.TextSize() }
+
 // coveredBy reports whether another notice has the same record or a later one.
 func (q queuedNotice) coveredBy(other queuedNotice) bool {
 	return q.notice.Record.Job.ID == other.notice.Record.Job.ID && q.notice.Revision <= other.notice.Revision
@@ -65,7 +75,7 @@
 		return // each look at a job that the owner does not know yet asks for a notice
 	}
 	t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool { return q.coveredBy(added) })
-	if len(t.pending) >= maxQueuedNotices {
+	if len(t.pending) >= maxQueuedNotices || t.queuedBytes()+added.size() > maxQueuedNoticeBytes {
 		i := slices.IndexFunc(t.pending, func(q queuedNotice) bool { return !q.urgent() })
 		if !added.urgent() || i < 0 {
 			t.service.log.V(1).Info("notice to the owner dropped: queue full", "job", n.Record.Job.ID)
@@ -80,6 +90,26 @@
 	}
 }
 
+// size returns the memory of the jobs in the queued notices.
+func (t *notifier) size() unit.Bytes {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var n unit.Bytes
+	for _, q := range t.pending {
+		n += q.notice.Record.Job.Memory()
+	}
+	return n
+}
+
+// queuedBytes returns the size of the queued notices. It is called with the lock held.
+func (t *notifier) queuedBytes() unit.Bytes {
+	var n unit.Bytes
+	for _, q := range t.pending {
+		n += q.size()
+	}
+	return n
+}
+
 // takeBatch removes the notices of the next call from the queue, at most limit, and those
 // that are not needed: they have expired, or the owner has read their records since its
 // claim, which has the given revision, or 0 if it is not known.
@@ -90,12 +120,13 @@
 		return !now.Before(q.deadline) || (claim != 0 && q.notice.Revision <= claim)
 	})
 	var batch []queuedNotice
+	var size unit.Bytes
 	for _, urgent := range []bool{true, false} {
 		t.pending = slices.DeleteFunc(t.pending, func(q queuedNotice) bool {
-			if q.urgent() != urgent || len(batch) == limit {
+			if q.urgent() != urgent || len(batch) == limit || (len(batch) > 0 && size+q.size() > maxNoticeBytesPerCall) {
 				return false
 			}
-			batch = append(batch, q)
+			batch, size = append(batch, q), size+q.size()
 			return true
 		})
 	}
@@ -121,10 +152,7 @@
 	for ctx.Err() == nil {
 		batch := t.takeBatch(limit, t.service.ownership.ClaimRevision(), time.Now())
 		if len(batch) == 0 {
-			select {
-			case <-ctx.Done():
-			case <-t.queued:
-			}
+			t.await(ctx)
 			continue
 		}
 		sentAt := time.Now()
@@ -139,6 +167,23 @@
 	}
 }
 
+// await waits until a notice is queued. While the owner has little memory left, it asks the
+// owner for its load meanwhile, as submissions that are rejected cause no notice.
+func (t *notifier) await(ctx context.Context) {
+	var poll <-chan time.Time
+	if t.service.admission.ownerIsFull() {
+		poll = time.After(fullPollInterval)
+	}
+	select {
+	case <-ctx.Done():
+	case <-t.queued:
+	case <-poll:
+		if err := t.send(ctx, nil, ownerTimeout); err != nil {
+			t.service.log.V(1).Info("load of the owner not received", "error", err.Error())
+		}
+	}
+}
+
 // send passes notices to the owner once, directly if this entry owns the shard.
 func (t *notifier) send(ctx context.Context, batch []queuedNotice, timeout time.Duration) error {
 	notices := make([]Notice, 0, len(batch))
--- a/internal/job/intake/service.go
+++ b/internal/job/intake/service.go
@@ -66,6 +66,11 @@
 	Load(now time.Time) (overload.Load, time.Time, bool)
 }
 
+// jobMemory returns what the jobs may take on an owner, or 0 for no bound.
+type jobMemory interface {
+	JobMemory() unit.Bytes
+}
+
 // Service accepts jobs and answers queries about them on one entry.
 type Service struct {
 	*registry.Tasks
@@ -79,6 +84,7 @@
 	notifier  *notifier
 	ownLoad   loadSource
 	admission admissionState
+	window    window
 }
 
 // New returns a service that has not been started.
@@ -102,6 +108,11 @@
 	if s.ownLoad, err = registry.Find[loadSource](k, owner.ServiceName); err != nil {
 		return errors.Errorf("find load of the owner: %w", err)
 	}
+	memory, err := registry.Find[jobMemory](k, owner.ServiceName)
+	if err != nil {
+		return errors.Errorf("find memory for jobs: %w", err)
+	}
+	s.window.limit = memory.JobMemory() / windowDivisor
 	if s.peers, err = registry.Find[network](k, mesh.ServiceName); err != nil {
 		return errors.Errorf("find mesh: %w", err)
 	}
--- a/internal/job/intake/writer.go
+++ b/internal/job/intake/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/go-faster/errors"
 
@@ -16,7 +17,11 @@
 // guard and a put, which both count against the store's limit.
 const jobsPerCommit = kv.MaxTxnOps / 2
 
-// specsPerCommit is the size of the specs from which on no further job is added to a
+// maxQueuedBytes bounds the records of the submissions that wait or are being written, also
+// those whose callers have left. It holds as many as are queued, of 32 KiB each.
+const maxQueuedBytes unit.Bytes = 8 << 20
+
+// specsPerCommit is the size of the texts from which on no further job is added to a
 // transaction. All transactions in flight have to pass a small link within the time that a
 // call of the store has, as each one that does not is sent again.
 const specsPerCommit unit.Bytes = 32 << 10
@@ -30,20 +35,21 @@
 type writer struct {
 	store   kv.Client
 	pending chan *submission
+
+	mu     sync.Mutex
+	queued unit.Bytes // size of the submissions that have no result yet
 }
 
 // submission is a job record to be written, and the channel for its result.
 type submission struct {
 	record record.Job
+	size   unit.Bytes // about the bytes of the record as it was submitted
 	// withdrawal is the revision of the record of the job's withdrawal, which the
 	// submission replaces; 0 if there is none.
 	withdrawal unit.Revision
 	result     chan writeResult
 }
 
-// size returns the bytes of the spec, by far the largest part of a record.
-func (s *submission) size() unit.Bytes { return unit.Bytes(len(s.record.Job.Spec)) }
-
 // writeResult is the result of writing a submission.
 type writeResult struct {
 	revision unit.Revision
@@ -71,10 +77,8 @@
 // write queues a job record and waits for its result. If the context ends first,
 // the outcome is unknown.
 func (w *writer) write(ctx context.Context, r record.Job) writeResult {
-	sub := &submission{record: r, result: make(chan writeResult, 1)}
-	select {
-	case w.pending <- sub:
-	default:
+	sub := &submission{record: r, size: r.Job.TextSize(), result: make(chan writeResult, 1)}
+	if !w.enqueue(sub) {
 		return writeResult{err: errors.Errorf("too many submissions at once: %w", ErrRefused)}
 	}
 	select {
@@ -85,6 +89,31 @@
 	}
 }
 
+// enqueue queues a submission, unless there are too many. A single one is always queued.
+func (w *writer) enqueue(sub *submission) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queued > 0 && w.queued+sub.size > maxQueuedBytes {
+		return false
+	}
+	select {
+	case w.pending <- sub:
+		w.queued += sub.size
+		return true
+	default:
+		return false
+	}
+}
+
+// forget accounts for submissions that have a result.
+func (w *writer) forget(batch []*submission) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, sub := range batch {
+		w.queued -= sub.size
+	}
+}
+
 // run commits pending submissions in batches until the context ends.
 func (w *writer) run(ctx context.Context) {
 	for {
@@ -92,12 +121,14 @@
 		case <-ctx.Done():
 			return
 		case sub := <-w.pending:
-			for batch := w.fillBatch(sub); len(batch) > 0; {
+			all := w.fillBatch(sub)
+			for batch := all; len(batch) > 0; {
 				var conflicting []*submission
 				batch, conflicting = splitConflicting(batch)
 				w.commit(ctx, batch)
 				batch = conflicting
 			}
+			w.forget(all)
 		}
 	}
 }
@@ -105,11 +136,11 @@
 // fillBatch returns a submission with those that wait behind it, as many as one transaction
 // may take.
 func (w *writer) fillBatch(first *submission) []*submission {
-	batch, size := []*submission{first}, first.size()
+	batch, size := []*submission{first}, first.size
 	for len(batch) < jobsPerCommit && size < specsPerCommit {
 		select {
 		case sub := <-w.pending:
-			batch, size = append(batch, sub), size+sub.size()
+			batch, size = append(batch, sub), size+sub.size
 		default:
 			return batch
 		}
--- a/internal/job/overload/load.go
+++ b/internal/job/overload/load.go
@@ -20,6 +20,10 @@
 	Queues     []QueueLoad        `cbor:"4,keyasint,omitempty"`
 	Pools      []PoolLoad         `cbor:"5,keyasint,omitempty"`
 	BeyondRate []OrganisationLoad `cbor:"6,keyasint,omitempty"` // empty unless capacity is short
+	// Full means that over half of the memory that the owner has for jobs is taken, and Room
+	// is what is left of it.
+	Full bool       `cbor:"7,keyasint,omitempty"`
+	Room unit.Bytes `cbor:"8,keyasint,omitempty"`
 }
 
 // QueueLoad is the load of one queue with waiting tasks.
--- a/internal/job/owner/load.go
+++ b/internal/job/owner/load.go
@@ -94,9 +94,23 @@
 	if sh == nil {
 		return overload.Load{}, time.Time{}, false
 	}
-	return sh.load.ask(now)
+	load, at, ok := sh.load.ask(now)
+	if room := sh.room.Load(); room != nil {
+		load.Full, load.Room = room.full, room.left
+	}
+	return load, at, ok
+}
+
+// jobRoom is what is left of the memory for jobs; see overload.Load.
+type jobRoom struct {
+	full bool
+	left unit.Bytes
 }
 
+// JobMemory returns what the jobs may take on this entry while it owns the shard, or 0 for no
+// bound. The entries of a deployment are alike.
+func (s *Service) JobMemory() unit.Bytes { return s.options.Limits.JobMemory }
+
 // Explain tells why a job waits, and returns false if the owner does not know the job.
 func (s *Service) Explain(_ context.Context, id unit.JobID) (scheduler.Explanation, bool, error) {
 	sh := s.currentShard()
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -83,9 +83,13 @@
 	return shareOf(link, startShare)
 }
 
-// openMemoryShare is the share of the memory of an entry that the open occurrences of jobs may
-// take while it owns the shard. It is some 100,000 tasks on the smallest instances.
-const openMemoryShare = 0.1
+// Shares of the memory of an entry that the jobs may take while it owns the shard: their open
+// occurrences, some 100,000 tasks on the smallest instances, and what callers have submitted,
+// some 3,000 jobs there.
+const (
+	openMemoryShare = 0.1
+	jobMemoryShare  = 0.1
+)
 
 // OpenMemory returns the memory that open occurrences may take on an entry with a memory
 // limit, or 0 for no bound if there is none.
@@ -93,6 +97,11 @@
 	return unit.Bytes(openMemoryShare * float64(limit))
 }
 
+// JobMemory is like OpenMemory for what callers have submitted.
+func JobMemory(limit unit.Bytes) unit.Bytes {
+	return unit.Bytes(jobMemoryShare * float64(limit))
+}
+
 // Options configures a Service.
 type Options struct {
 	Limits scheduler.Limits
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -79,9 +80,10 @@
 	lastEstimatesWrite time.Time
 	lastSummary        time.Time // used only by run
 	load               loadCache
-	traffic            metric.TrafficMeter   // used only by run
-	processor          metric.ProcessorMeter // used only by run
-	maxTickDelay       time.Duration         // since the last summary; used only by run
+	room               atomic.Pointer[jobRoom] // as of the last update of the core; nil before
+	traffic            metric.TrafficMeter     // used only by run
+	processor          metric.ProcessorMeter   // used only by run
+	maxTickDelay       time.Duration           // since the last summary; used only by run
 }
 
 func newShard(ctx context.Context, s *Service, t ownership.Term) *shard {
@@ -311,6 +313,8 @@
 	metric.CoreUpdates.Add(1)
 	now := time.Now()
 	f(sh.core, now)
+	full, left := sh.core.JobRoom()
+	sh.room.Store(&jobRoom{full, left})
 	if sh.handingOver {
 		sh.core.TakeOrders()
 		return
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -28,6 +28,9 @@
 	StartBytesPerSecond unit.Bytes
 	// OpenMemory bounds the memory of the open occurrences of jobs; 0 for no bound.
 	OpenMemory unit.Bytes
+	// JobMemory is what the jobs may take beside that; 0 for no bound. The core does not
+	// enforce it, as jobs are accepted elsewhere: it tells what is left.
+	JobMemory unit.Bytes
 }
 
 // runsPerEpoch is the size of the range of run numbers that each epoch uses.
@@ -44,6 +47,7 @@
 	jobs              map[unit.JobID]*job
 	openJobs          map[unit.JobID]*job // jobs without a durable final state
 	open              openBudget
+	jobMemory         jobMemory
 	ended             []*job // jobs with a durable final state whose tasks are kept, oldest first
 	workers           map[unit.InstanceID]*worker
 	workersByService  map[unit.ServiceID][]*worker // listed workers, sorted by id
@@ -132,6 +136,7 @@
 		limits:                   limits,
 		startBudget:              startBudget{perSecond: limits.StartBytesPerSecond},
 		open:                     openBudget{limit: limits.OpenMemory},
+		jobMemory:                jobMemory{limit: limits.JobMemory},
 		epoch:                    epoch,
 		jobs:                     map[unit.JobID]*job{},
 		openJobs:                 map[unit.JobID]*job{},
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -129,6 +129,7 @@
 	}
 	j := &job{spec: spec, final: final, finalDurable: final != 0, finalSince: now, createdInTerm: createdInTerm}
 	c.jobs[spec.ID] = j
+	c.jobMemory.replace(nil, spec)
 	c.joinOrganisation(j)
 	if final != 0 {
 		delete(c.inheritedProgress, spec.ID)
@@ -186,6 +187,7 @@
 		if j.finalDurable && j.activeRuns == 0 && j.finalSince.Before(before) {
 			ids = append(ids, id)
 			c.dropOccurrences(j)
+			c.jobMemory.replace(j.spec, nil)
 			delete(c.jobs, id)
 			c.leaveOrganisation(j)
 		}
--- a/internal/job/scheduler/openbudget.go
+++ b/internal/job/scheduler/openbudget.go
@@ -138,4 +138,5 @@
 	}
 	j.occurrences = nil
 	c.open.release(j, j.openMemory)
+	c.shrink(j)
 }
