--- a/internal/bench/process/process.go
+++ b/internal/bench/process/process.go
@@ -39,9 +39,9 @@
 
 // Process is a running process.
 type Process struct {
-	t     *testing.T
-	pid   int
-	ended chan struct{}
+	t       *testing.T
+	process *os.Process
+	ended   chan struct{}
 }
 
 // Start runs a program with a limit of open descriptors until the test ends.
@@ -52,24 +52,27 @@
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	p := &Process{t: t, pid: command.Process.Pid, ended: make(chan struct{})}
+	p := &Process{t: t, process: command.Process, ended: make(chan struct{})}
 	go func() {
 		defer close(p.ended)
 		_ = command.Wait() // that the process has ended is what a test looks at
 	}()
-	t.Cleanup(func() {
-		_ = command.Process.Kill() // fails only if it has ended
-		<-p.ended
-	})
-	go p.killRunaway(command.Process)
+	t.Cleanup(p.Kill)
+	go p.killRunaway()
 	return p
 }
 
+// Kill ends the process without notice.
+func (p *Process) Kill() {
+	_ = p.process.Kill() // fails only if it has ended
+	<-p.ended
+}
+
 // killRunaway kills the process if its memory reaches runawayMemory.
-func (p *Process) killRunaway(process *os.Process) {
+func (p *Process) killRunaway() {
 	for !p.HasEnded() {
 		if resident, err := p.readMemory("VmRSS:"); err == nil && resident >= runawayMemory {
-			_ = process.Kill() // fails only if it has ended
+			p.Kill()
 			return
 		}
 		time.Sleep(memoryInterval)
@@ -98,7 +101,7 @@
 
 // readMemory returns a field of the status of the process.
 func (p *Process) readMemory(field string) (unit.Bytes, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.pid))
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.process.Pid))
 	if err != nil {
 		return 0, errors.Errorf("read status: %w", err)
 	}
@@ -114,7 +117,7 @@
 func (p *Process) OpenDescriptors(period time.Duration) (most int) {
 	p.t.Helper()
 	for deadline := time.Now().Add(period); ; time.Sleep(descriptorsInterval) {
-		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid))
+		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.process.Pid))
 		if err != nil {
 			p.t.Fatal(err)
 		}
