entry/limiter: errors of single connections are counted, not logged each

Operators saw a line on stderr for each client that fails a TLS handshake at the address for operators, and for each other error that a server has with a connection: 600 clients wrote 69,826 bytes (TestUntrustedClients of cmd/monsoonfold on, bound 32 KiB). Whoever reaches a listener chooses how many lines that is, and a server waits until its line is written: where nobody reads stderr, clients bring the process to a halt.

Cause: the HTTP servers had no ErrorLog, and the default one writes to stderr without a bound.

Change: the limiter sets it for every server that it limits, counts the messages and logs their number with the first one at most each 10 s, as it does for rejected clients.

Measured: the same crowd passes the bound. TestServerErrors: one line for 1,000 errors.

--- a/cmd/monsoonfold/untrusted_test.go
+++ b/cmd/monsoonfold/untrusted_test.go
@@ -33,6 +33,9 @@
 	reservedDescriptors  = 200
 )
 
+// maxLogged is what an entry may write to stderr while untrusted clients are connected.
+const maxLogged = 32 << 10
+
 // The clients: each sends one body of legal size, and of ten clients nine stop short of its
 // last byte. They stay connected.
 const (
@@ -183,7 +186,8 @@
 }
 
 // TestUntrustedClients guards against an entry whose memory or descriptors are exhausted by
-// clients that send many bodies of legal size at once, or that no longer answers others.
+// clients that send many bodies of legal size at once, that logs each of them, or that no
+// longer answers others.
 func TestUntrustedClients(t *testing.T) {
 	tests := []struct {
 		name     string
@@ -201,6 +205,9 @@
 			connectAll(t, tt.listener(e.listen), tt.header)
 			bounds := process.Bounds{Memory: untrustedMemory, Descriptors: untrustedDescriptors - reservedDescriptors}
 			e.CheckBounds(bounds, func() { e.awaitOrdinary(t) })
+			if logged := e.Logged(); logged > maxLogged {
+				t.Errorf("%d bytes logged, want at most %d", logged, maxLogged)
+			}
 		})
 	}
 }
--- a/internal/bench/process/process.go
+++ b/internal/bench/process/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,17 +43,28 @@
 	t       *testing.T
 	process *os.Process
 	ended   chan struct{}
+	logged  atomic.Int64 // bytes written to stderr
 }
 
+// Write passes on what the process writes to stderr.
+func (p *Process) Write(text []byte) (int, error) {
+	p.logged.Add(int64(len(text)))
+	return os.Stderr.Write(text)
+}
+
+// Logged returns the number of bytes that the process has written to stderr.
+func (p *Process) Logged() unit.Bytes { return unit.Bytes(p.logged.Load()) }
+
 // Start runs a program with a limit of open descriptors until the test ends.
 func Start(t *testing.T, descriptors int, program string, args ...string) *Process {
 	t.Helper()
 	command := exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors), program}, args...)...)
-	command.Stderr = os.Stderr
+	p := &Process{t: t, ended: make(chan struct{})}
+	command.Stderr = p
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
-	p := &Process{t: t, process: command.Process, ended: make(chan struct{})}
+	p.process = command.Process
 	go func() {
 		defer close(p.ended)
 		_ = command.Wait() // that the process has ended is what a test looks at
--- a/internal/entry/limiter/limiter.go
+++ b/internal/entry/limiter/limiter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"math"
 	"net"
 	"net/http"
@@ -108,8 +109,10 @@
 }
 
 // Limit puts the connections and requests of a server under the limits. The server must
-// then serve the connections of the returned listener, directly or over TLS.
+// then serve the connections of the returned listener, directly or over TLS. What it would log
+// about each of them is counted, as clients choose how often that is.
 func (l *Limiter) Limit(s *http.Server, inner net.Listener) net.Listener {
+	s.ErrorLog = stdlog.New(l.rejections, "", 0)
 	s.Handler = l.handler(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if limited := limitedConn(c); limited != nil && state == http.StateIdle {
--- a/internal/entry/limiter/limiter_test.go
+++ b/internal/entry/limiter/limiter_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -34,6 +35,40 @@
 func (l pipeListener) Close() error   { return nil }
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// TestServerErrors guards against a log line for each connection that a server has an error
+// with, and against errors that leave no trace.
+func TestServerErrors(t *testing.T) {
+	tests := []struct {
+		name   string
+		errors int
+		lines  int
+		want   string
+	}{
+		{"none", 0, 0, ""},
+		{"one", 1, 1, `count=1 first="error 0"`},
+		{"many", 1000, 1, `count=1000 first="error 0"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var text bytes.Buffer
+			l := New(logr.FromSlogHandler(slog.NewTextHandler(&text, nil)), budget.Limits{})
+			s := &http.Server{}
+			l.Limit(s, pipeListener{})
+			for n := range tt.errors {
+				s.ErrorLog.Printf("error %d", n)
+			}
+			l.rejections.report(time.Now())
+			l.rejections.report(time.Now())
+			if diff := cmp.Diff(tt.lines, bytes.Count(text.Bytes(), []byte("\n"))); diff != "" {
+				t.Errorf("lines (-want +got):\n%s", diff)
+			}
+			if !strings.Contains(text.String(), tt.want) {
+				t.Errorf("have %q, want %q in it", text.String(), tt.want)
+			}
+		})
+	}
+}
+
 // testServer reads the body of each request and answers with the error.
 type testServer struct {
 	limiter  *Limiter
--- a/internal/entry/limiter/rejection.go
+++ b/internal/entry/limiter/rejection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,10 @@
 	causeSlow        cause = "body too slow"
 )
 
+// causeServer is the metric of what a server would log about single connections, such as a
+// failed TLS handshake.
+const causeServer cause = "server error"
+
 // rejectionInterval is the time between two log lines of one cause.
 const rejectionInterval = 10 * time.Second
 
@@ -33,8 +38,15 @@
 type rejections struct {
 	log logr.Logger
 
-	mu    sync.Mutex
-	since map[cause]*rejected // since the last line
+	mu     sync.Mutex
+	since  map[cause]*rejected // since the last line
+	errors serverErrors        // since the last line
+}
+
+// serverErrors is a number of messages of servers, and the first of them.
+type serverErrors struct {
+	count int
+	first string
 }
 
 // rejected is a number of rejections of one cause, and the first of them.
@@ -64,6 +76,17 @@
 	r.since[why] = &rejected{count: 1, client: c.RemoteAddr().String(), openedAt: c.openedAt, held: held}
 }
 
+// Write implements io.Writer. It counts a message that a server would log.
+func (r *rejections) Write(message []byte) (int, error) {
+	metric.RejectedClients.Add(string(causeServer), 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.errors.count++; r.errors.count == 1 {
+		r.errors.first = strings.TrimSpace(string(message))
+	}
+	return len(message), nil
+}
+
 // run writes the log lines until the context ends.
 func (r *rejections) run(ctx context.Context) {
 	for wait.For(ctx, rejectionInterval) {
@@ -74,9 +97,12 @@
 
 func (r *rejections) report(now time.Time) {
 	r.mu.Lock()
-	since := r.since
-	r.since = map[cause]*rejected{}
+	since, errors := r.since, r.errors
+	r.since, r.errors = map[cause]*rejected{}, serverErrors{}
 	r.mu.Unlock()
+	if errors.count > 0 {
+		r.log.Info("errors of HTTP servers", "count", errors.count, "first", errors.first)
+	}
 	for why, first := range since {
 		r.log.Info("clients rejected", "cause", why, "count", first.count, "client", first.client,
 			"age", now.Sub(first.openedAt), "held", first.held)
