peer/link: large messages of all peers together are bounded

Cause: a listed limit of docs/design/untrusted-clients.md. A message of up to 2 MiB was allocated as a whole once the five bytes of its header had arrived, 64 at a time for each of 1,024 connections. Peers need a certificate of the deployment's authority, so no client without one could use it; a peer that is cut off in the middle of its messages could.

Change: a body takes memory as it arrives, and at most 8 messages of 64 KiB or more are received or handled at a time, as in peer/mesh.

--- a/internal/peer/link/accept.go
+++ b/internal/peer/link/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 	"time"
 
@@ -58,7 +59,8 @@
 	if err != nil {
 		return "", errors.Errorf("wait for hello: %w", err)
 	}
-	m, err := receive(stream, time.Now().Add(answerTimeout))
+	m, release, err := s.receive(ctx, stream, time.Now().Add(answerTimeout))
+	defer release()
 	if err != nil {
 		return "", err
 	}
@@ -81,7 +83,10 @@
 // handleStream reads one message, passes it to its handler and sends the answer.
 func (s *Service) handleStream(ctx context.Context, from unit.EntryID, stream *quic.Stream) {
 	deadline := time.Now().Add(handleTimeout)
-	m, err := receive(stream, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	m, release, err := s.receive(ctx, stream, deadline)
+	defer release()
 	if err != nil {
 		stream.CancelWrite(0)
 		return
@@ -97,8 +102,6 @@
 		send(stream, message.Fault{Text: "no handler for " + m.Kind().String()})
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
 	reply, err := handler(ctx, from, m)
 	switch {
 	case err != nil:
@@ -119,16 +122,34 @@
 	return message.Fault{Text: strings.ToValidUTF8(text[:min(len(text), maxFaultText)], "")}
 }
 
-// receive reads one message before the deadline.
-func receive(stream *quic.Stream, deadline time.Time) (message.Message, error) {
+// receive reads one message before the deadline. The caller calls release after its use.
+func (s *Service) receive(ctx context.Context, stream *quic.Stream, deadline time.Time) (m message.Message, release func(), err error) {
 	_ = stream.SetDeadline(deadline) // fails only on a closed stream, on which the read fails too
-	m, size, err := message.Read(stream)
+	m, size, release, err := s.read(ctx, stream)
 	if err != nil {
 		stream.CancelRead(0)
-		return nil, errors.Errorf("receive: %w", err)
+		return nil, release, errors.Errorf("receive: %w", err)
 	}
 	countReceived(m.Kind(), size)
-	return m, nil
+	return m, release, nil
+}
+
+// read reads one message. A large one waits until fewer others are being received or handled;
+// the peer then waits too, as its stream is not read.
+func (s *Service) read(ctx context.Context, r io.Reader) (m message.Message, size int, release func(), err error) {
+	release = func() {}
+	header, err := message.ReadHeader(r)
+	if err != nil {
+		return nil, 0, release, err
+	}
+	if header.Size >= smallMessage {
+		if err := s.largeMessages.Acquire(ctx, 1); err != nil {
+			return nil, 0, release, errors.Errorf("wait for other messages: %w", err)
+		}
+		release = func() { s.largeMessages.Release(1) }
+	}
+	m, size, err = header.ReadBody(r)
+	return m, size, release, err
 }
 
 // send writes the answer. If that fails, the peer sees a stream without a complete
--- a/internal/peer/link/service.go
+++ b/internal/peer/link/service.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/roster"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
@@ -44,6 +45,13 @@
 // connection.
 const maxExchanges = 64
 
+// maxLargeMessages is the number of messages of smallMessage bytes or more that are received or
+// handled at a time, over all peers: 16 MiB in all.
+const (
+	maxLargeMessages = 8
+	smallMessage     = 64 << 10
+)
+
 // Errors of Call. Use errors.Is.
 var (
 	// ErrUnreachable means that the message was certainly not delivered.
@@ -87,6 +95,8 @@
 	done     chan struct{}
 	tasks    sync.WaitGroup
 
+	largeMessages *semaphore.Weighted
+
 	mu           sync.Mutex
 	peers        map[unit.EntryID]*peer
 	handlers     map[message.Kind]message.Handler
@@ -99,9 +109,12 @@
 // New returns a service that has not been started.
 func New(log logr.Logger, options Options) *Service {
 	return &Service{
-		log:      log,
-		options:  options,
-		done:     make(chan struct{}),
+		log:     log,
+		options: options,
+		done:    make(chan struct{}),
+
+		largeMessages: semaphore.NewWeighted(maxLargeMessages),
+
 		peers:    map[unit.EntryID]*peer{},
 		handlers: map[message.Kind]message.Handler{},
 	}
--- a/internal/peer/message/codec.go
+++ b/internal/peer/message/codec.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 	"strconv"
@@ -82,30 +83,53 @@
 	return append(frame, body...), nil
 }
 
-// Read reads one frame and returns the message and the size of the frame. It
-// allocates no more for the body than the maximum size of the kind.
+// Header is the header of a frame.
+type Header struct {
+	Kind Kind
+	Size int // of the body, in bytes
+}
+
+// Read reads one frame and returns the message and the size of the frame.
 func Read(r io.Reader) (Message, int, error) {
-	var header [headerSize]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, 0, errors.Errorf("read message header: %w", err)
+	h, err := ReadHeader(r)
+	if err != nil {
+		return nil, 0, err
+	}
+	return h.ReadBody(r)
+}
+
+// ReadHeader reads the header of a frame, whose size is at most the maximum of its kind.
+func ReadHeader(r io.Reader) (Header, error) {
+	var text [headerSize]byte
+	if _, err := io.ReadFull(r, text[:]); err != nil {
+		return Header{}, errors.Errorf("read message header: %w", err)
 	}
-	kind, size := Kind(header[0]), binary.BigEndian.Uint32(header[1:])
+	kind, size := Kind(text[0]), binary.BigEndian.Uint32(text[1:])
 	info, ok := kinds[kind]
 	if !ok {
-		return nil, 0, errors.Errorf("read %s: %w", kind, ErrKind)
+		return Header{}, errors.Errorf("read %s: %w", kind, ErrKind)
 	}
 	if uint64(size) > uint64(info.maxBody) {
-		return nil, 0, errors.Errorf("read %s: %d bytes, bound %d: %w", kind, size, info.maxBody, ErrSize)
+		return Header{}, errors.Errorf("read %s: %d bytes, bound %d: %w", kind, size, info.maxBody, ErrSize)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, 0, errors.Errorf("read %s: %w", kind, err)
+	return Header{kind, int(size)}, nil
+}
+
+// ReadBody reads the rest of a frame and returns the message and the size of the frame. It
+// allocates no more than about twice what has arrived of the body.
+func (h Header) ReadBody(r io.Reader) (Message, int, error) {
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(h.Size)); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
+		return nil, 0, errors.Errorf("read %s: %w", h.Kind, err)
 	}
-	m, err := info.decode(body)
+	m, err := kinds[h.Kind].decode(body.Bytes())
 	if err != nil {
-		return nil, 0, errors.Errorf("decode %s: %w", kind, err)
+		return nil, 0, errors.Errorf("decode %s: %w", h.Kind, err)
 	}
-	return m, headerSize + len(body), nil
+	return m, headerSize + h.Size, nil
 }
 
 func decodeAs[M Message](body []byte) (Message, error) {
--- a/internal/peer/message/codec_test.go
+++ b/internal/peer/message/codec_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"io"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -133,3 +135,23 @@
 		t.Error(err)
 	}
 }
+
+// TestUnsentBody guards against a frame that takes the memory of a whole body of which little
+// has arrived.
+func TestUnsentBody(t *testing.T) {
+	const frames, arrived = 50, 100
+	frame := make([]byte, headerSize+arrived)
+	frame[0] = byte(KindPush)
+	binary.BigEndian.PutUint32(frame[1:], maxPush)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range frames {
+		if _, _, err := Read(bytes.NewReader(frame)); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Fatalf("Read: %v", err)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if got := (after.TotalAlloc - before.TotalAlloc) / frames; got > 16<<10 {
+		t.Errorf("%d bytes allocated for %d that arrived", got, arrived)
+	}
+}
