--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -31,6 +31,8 @@
 	service string
 	// extra is added to the settings of the entries.
 	extra string
+	// rackOf returns the rack of a worker; nil: four workers a rack.
+	rackOf func(i int) string
 	// cpu is the capacity of the workers in thousandths of a core.
 	cpu int64
 
@@ -129,6 +131,9 @@
 func (d *deployment) startWorkers(n int) error {
 	for i := range n {
 		w := &workerProcess{id: fmt.Sprintf("i-%02d", i), addr: fmt.Sprintf("%s%d:8080", d.net, 100+i), zone: zones[i%len(zones)], rack: fmt.Sprintf("r1-%d", 1+i/4)}
+		if d.rackOf != nil {
+			w.rack = d.rackOf(i)
+		}
 		d.workers = append(d.workers, w)
 		if err := d.startWorker(w, 0); err != nil {
 			return err
@@ -143,7 +148,7 @@
 		return err
 	}
 	w.cmd, err = d.start(filepath.Join(d.dir, w.id+".log"), nil, self, "worker", "-id", w.id, "-addr", w.addr, "-service", d.service, "-zone", w.zone,
-		"-labels", "a,"+w.rack, "-store", d.net+"1:7000", "-record", d.recordFile(w), "-first-beat", firstBeat.String(), "-cpu", fmt.Sprint(d.cpu))
+		"-labels", "a,"+w.rack, "-store", d.net+"1:7000", "-gangs", d.net+"1:6999", "-record", d.recordFile(w), "-first-beat", firstBeat.String(), "-cpu", fmt.Sprint(d.cpu))
 	return err
 }
 
@@ -447,3 +452,29 @@
 	defer d.mu.Unlock()
 	return maps.Clone(d.crashes)
 }
+
+// startAll starts the store's addresses, the stand-in of gangs, workers and entries, and waits
+// until they know each other.
+func (d *deployment) startAll(workers, entries int, wrap func(entry int, h http.Handler) http.Handler) error {
+	if err := d.serve(d.net+"1:7000", d.store); err != nil {
+		return err
+	}
+	if err := d.serve(d.net+"1:6999", newGangs()); err != nil {
+		return err
+	}
+	d.configure(7, route{
+		"name": "r-1", "host": "desk.example", "prefix": "/q/", "kind": "unsafe", "timeout-ms": 3000,
+		"target-latency-ms": 250, "priority": 0, "service": d.service, "max-attempts": 4, "stretch": 1.5,
+	})
+	if err := d.startWorkers(workers); err != nil {
+		return err
+	}
+	if err := d.startEntries(entries, wrap); err != nil {
+		return err
+	}
+	if err := d.awaitReady(); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -22,6 +22,8 @@
 
 var cases = map[string]func(d *deployment, trouble bool) (broken []string, err error){
 	"reborn": runReborn,
+	"rack":   runRack,
+	"chaos":  runChaos,
 }
 
 func main() {
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -27,6 +28,12 @@
 	Fails bool `json:"fails"`
 	// Lasts lets runs go on until they are stopped.
 	Lasts bool `json:"lasts"`
+	// CPU is what a task takes, in thousandths of a core; 0: 1000.
+	CPU int64 `json:"cpu"`
+	// Gang holds the number of members by the number of the step.
+	Gang map[string]int `json:"gang"`
+	// Saves lets runs save a checkpoint each 100 ms of work.
+	Saves bool `json:"saves"`
 }
 
 // event is a line of the record of a worker.
@@ -62,12 +69,12 @@
 
 // worker is a stand-in of one life of a worker, as PROTOCOL.md describes it.
 type worker struct {
-	id, addr, service, zone, storeAddr string
-	labels                             []string
-	cpu, mem                           int64
-	born                               int64
-	startedAt                          time.Time
-	record                             *os.File
+	id, addr, service, zone, storeAddr, gangAddr string
+	labels                                       []string
+	cpu, mem                                     int64
+	born                                         int64
+	startedAt                                    time.Time
+	record                                       *os.File
 
 	mu       sync.Mutex
 	fence    int64
@@ -92,6 +99,7 @@
 	flags.StringVar(&w.service, "service", "", "")
 	flags.StringVar(&w.zone, "zone", "", "")
 	flags.StringVar(&w.storeAddr, "store", "", "")
+	flags.StringVar(&w.gangAddr, "gangs", "", "")
 	flags.Int64Var(&w.cpu, "cpu", 16000, "")
 	flags.Int64Var(&w.mem, "mem", 62500, "")
 	if err := flags.Parse(args); err != nil {
@@ -193,11 +201,65 @@
 	w.changed = make(chan struct{})
 }
 
+// awaitGang returns how a member of a gang ends, or "" once it is stopped.
+func (w *worker) awaitGang(task string, r *taskRun, size int) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-r.stop
+		cancel()
+	}()
+	text, _ := json.Marshal(gangCall{Task: task, Run: r.run, Size: size, MS: r.spec.MS}) // of plain values
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.gangAddr, bytes.NewReader(text))
+	if err != nil {
+		return ""
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer response.Body.Close()
+	var answer struct {
+		How string `json:"how"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&answer) // a zero value tells
+	return answer.How
+}
+
+// save saves a checkpoint of a run that goes on, each 100 ms.
+func (w *worker) save(task string, r *taskRun) {
+	for n := 1; ; n++ {
+		select {
+		case <-r.stop:
+			return
+		case <-time.After(100 * time.Millisecond):
+			w.mu.Lock()
+			if w.runs[task] == r {
+				r.saved = fmt.Sprintf("%s/%d/%d", task, r.run, n)
+				w.write(event{What: "saved", Task: task, Run: r.run, Saved: r.saved})
+			}
+			w.mu.Unlock()
+		}
+	}
+}
+
 func (w *worker) work(task string, r *taskRun) {
+	if r.spec.Saves {
+		go w.save(task, r)
+	}
 	if r.spec.Lasts {
 		<-r.stop
 		return
 	}
+	if size := r.spec.Gang[strings.Split(task, ".")[2]]; size > 0 {
+		how := w.awaitGang(task, r, size)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.runs[task] == r && how != "" {
+			w.end(task, how)
+		}
+		return
+	}
 	select {
 	case <-r.stop:
 	case <-time.After(time.Duration(r.spec.MS) * time.Millisecond):
@@ -326,11 +388,28 @@
 	return http.StatusBadRequest, ""
 }
 
-// taskCPU is the size of a task on the worker, which does not know what a task requests: a
-// job's spec has to ask for less than the workers have.
-const taskCPU = 1000
+// cores returns what a task takes, in thousandths of a core.
+func (s taskSpec) cores() int64 {
+	if s.CPU == 0 {
+		return 1000
+	}
+	return s.CPU
+}
+
+// used returns what the runs take. The lock is held.
+func (w *worker) used() int64 {
+	var cpu int64
+	for _, r := range w.runs {
+		cpu += r.spec.cores()
+	}
+	return cpu
+}
 
 func (w *worker) start(c workerCall) (status int, reason string) {
+	r := &taskRun{run: c.Run, saved: c.Checkpoint, started: time.Now(), stop: make(chan struct{})}
+	if err := json.Unmarshal([]byte(c.Spec), &r.spec); err != nil {
+		return http.StatusBadRequest, ""
+	}
 	present := w.runs[c.Task]
 	switch {
 	case present != nil && present.run == c.Run:
@@ -340,7 +419,7 @@
 	case c.Run <= w.floor[c.Task] || present != nil:
 		reason = "old"
 		w.extend(c.Deadline)
-	case int64(len(w.runs)+1)*taskCPU > w.cpu:
+	case w.used()+r.spec.cores() > w.cpu:
 		reason = "room"
 		w.extend(c.Deadline)
 	}
@@ -349,12 +428,8 @@
 		return http.StatusConflict, reason
 	}
 	w.extend(c.Deadline)
-	r := &taskRun{run: c.Run, saved: c.Checkpoint, started: time.Now(), stop: make(chan struct{})}
-	if err := json.Unmarshal([]byte(c.Spec), &r.spec); err != nil {
-		return http.StatusBadRequest, ""
-	}
 	w.runs[c.Task] = r
-	w.write(event{What: "start", Task: c.Task, Run: c.Run, Fence: c.Fence, Saved: c.Checkpoint, CPU: int64(len(w.runs)) * taskCPU})
+	w.write(event{What: "start", Task: c.Task, Run: c.Run, Fence: c.Fence, Saved: c.Checkpoint, CPU: w.used()})
 	go w.work(c.Task, r)
 	return http.StatusOK, ""
 }
