--- a/review/harness3/chaos.go
+++ b/review/harness3/chaos.go
@@ -206,7 +206,7 @@
 // disturb plays one random disruption after the other.
 func (d *deployment) disturb(fault *storeFault, stop time.Time, kinds []string) {
 	for time.Now().Before(stop.Add(-6 * time.Second)) {
-		time.Sleep(time.Duration(1000+rand.IntN(3000)) * time.Millisecond)
+		time.Sleep(time.Duration(500+rand.IntN(2500)) * time.Millisecond)
 		owner := max(d.owner(), 0)
 		target := owner
 		if rand.IntN(3) == 0 {
@@ -261,7 +261,7 @@
 				fault.set(i, "")
 			}
 		case "crash":
-			d.crashAndRestart(d.workers[rand.IntN(len(d.workers))], time.Duration(500+rand.IntN(4000))*time.Millisecond)
+			d.crashAndRestart(d.workers[rand.IntN(len(d.workers))], time.Duration(100+rand.IntN(crashMS()))*time.Millisecond)
 		case "stop":
 			w := d.workers[rand.IntN(len(d.workers))]
 			_ = w.cmd.Process.Signal(syscall.SIGSTOP)
@@ -365,3 +365,11 @@
 	}
 	return broken
 }
+
+// crashMS is how long a worker is down at most, in milliseconds.
+func crashMS() int {
+	if n, err := strconv.Atoi(os.Getenv("CRASHMS")); err == nil {
+		return n
+	}
+	return 4400
+}
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -33,8 +33,8 @@
 	extra string
 	// rackOf returns the rack of a worker; nil: four workers a rack.
 	rackOf func(i int) string
-	// cpu is the capacity of the workers in thousandths of a core.
-	cpu int64
+	// cpuOf returns the capacity of a worker in thousandths of a core; nil: 16000.
+	cpuOf func(i int) int64
 
 	mu       sync.Mutex
 	children []*exec.Cmd
@@ -45,6 +45,7 @@
 
 type workerProcess struct {
 	id, addr, zone, rack string
+	cpu                  int64
 	cmd                  *exec.Cmd
 }
 
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, store: newStore(), log: &clientLog{}, service: "desk", cpu: 16000, crashes: map[life]int64{}}
+	d := &deployment{dir: dir, store: newStore(), log: &clientLog{}, service: "desk", crashes: map[life]int64{}}
 	for range 20 {
 		d.net = fmt.Sprintf("127.%d.%d.", 1+rand.IntN(250), rand.IntN(250))
 		if probe, err := net.Listen("tcp", d.net+"11:9180"); err == nil {
@@ -131,6 +132,10 @@
 func (d *deployment) startWorkers(n int) error {
 	for i := range n {
 		w := &workerProcess{id: fmt.Sprintf("i-%02d", i), addr: fmt.Sprintf("%s%d:8080", d.net, 100+i), zone: zones[i%len(zones)], rack: fmt.Sprintf("r1-%d", 1+i/4)}
+		w.cpu = 16000
+		if d.cpuOf != nil {
+			w.cpu = d.cpuOf(i)
+		}
 		if d.rackOf != nil {
 			w.rack = d.rackOf(i)
 		}
@@ -148,7 +153,7 @@
 		return err
 	}
 	w.cmd, err = d.start(filepath.Join(d.dir, w.id+".log"), nil, self, "worker", "-id", w.id, "-addr", w.addr, "-service", d.service, "-zone", w.zone,
-		"-labels", "a,"+w.rack, "-store", d.net+"1:7000", "-gangs", d.net+"1:6999", "-record", d.recordFile(w), "-first-beat", firstBeat.String(), "-cpu", fmt.Sprint(d.cpu))
+		"-labels", "a,"+w.rack, "-store", d.net+"1:7000", "-gangs", d.net+"1:6999", "-record", d.recordFile(w), "-first-beat", firstBeat.String(), "-cpu", fmt.Sprint(w.cpu))
 	return err
 }
 
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,9 +21,12 @@
 const maxCase = 115 * time.Second
 
 var cases = map[string]func(d *deployment, trouble bool) (broken []string, err error){
-	"reborn": runReborn,
-	"rack":   runRack,
-	"chaos":  runChaos,
+	"reborn":    runReborn,
+	"rack":      runRack,
+	"fills":     runFills,
+	"waves":     runWaves,
+	"wavechaos": runWaveChaos,
+	"chaos":     runChaos,
 }
 
 func main() {
