--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -415,11 +415,7 @@
 	timed = append(timed, d.log.lines...)
 	d.log.mu.Unlock()
 	for _, e := range d.events() {
-		text, err := json.Marshal(e)
-		if err != nil {
-			return err
-		}
-		timed = append(timed, fmt.Sprintf("%d worker %s", e.At, text))
+		timed = append(timed, e.String())
 	}
 	slices.Sort(timed)
 	return os.WriteFile(filepath.Join(folder, "record.txt"), []byte(strings.Join(append(lines, timed...), "\n")+"\n"), 0o644)
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -25,6 +25,7 @@
 	"rack":      runRack,
 	"fills":     runFills,
 	"waves":     runWaves,
+	"schedule":  runSchedule,
 	"wavechaos": runWaveChaos,
 	"chaos":     runChaos,
 }
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -36,6 +36,17 @@
 	leases    map[int64]*storeLease
 	nextLease int64
 	changed   chan struct{} // closed and replaced at each change
+	oversized int           // transactions rejected for a value over valueBytes
+}
+
+// valueBytes is value-bytes of the settings: the largest value of an item.
+const valueBytes = 1 << 20
+
+// rejected returns the number of transactions that were rejected for a value over valueBytes.
+func (s *store) rejected() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.oversized
 }
 
 func newStore() *store {
@@ -157,6 +168,10 @@
 		return http.StatusPreconditionFailed, map[string]any{"items": current}
 	}
 	for _, p := range t.Puts {
+		if len(p.Value) > valueBytes {
+			s.oversized++
+			return http.StatusBadRequest, map[string]any{}
+		}
 		if p.Lease != 0 && s.leases[p.Lease] == nil {
 			return http.StatusNotFound, map[string]any{}
 		}
--- a/review/harness3/worker.go
+++ b/review/harness3/worker.go
@@ -51,6 +51,20 @@
 	CPU    int64  `json:"cpu,omitempty"` // in use after a start
 }
 
+// String returns the event as a line of the record of a case.
+func (e event) String() string {
+	text := fmt.Sprintf("%d worker %s of %d: %s", e.At, e.Worker, e.Born, e.What)
+	switch e.What {
+	case "fence":
+		return fmt.Sprintf("%s %d", text, e.Fence)
+	case "ack":
+		return fmt.Sprintf("%s up to %d", text, e.N)
+	case "end":
+		return fmt.Sprintf("%s %d of %s run %d %s %s", text, e.N, e.Task, e.Run, e.How, e.Saved)
+	}
+	return fmt.Sprintf("%s %s run %d fence %d %s %s", text, e.Task, e.Run, e.Fence, e.How, e.Saved)
+}
+
 type taskRun struct {
 	run     int64
 	spec    taskSpec
