--- a/review/harness3/chaos.go
+++ b/review/harness3/chaos.go
@@ -78,7 +78,6 @@
 // runChaos plays jobs of all kinds beside random disruptions, and checks the rules on jobs.
 func runChaos(d *deployment, trouble bool) ([]string, error) {
 	only := strings.Split(os.Getenv("KINDS"), ",")
-	faults := strings.Split(os.Getenv("FAULTS"), ",")
 	length, _ := strconv.Atoi(os.Getenv("LENGTH"))
 	if length == 0 {
 		length = 60
@@ -108,7 +107,9 @@
 	var clients sync.WaitGroup
 	stop := time.Now().Add(time.Duration(length) * time.Second)
 	if trouble {
-		clients.Go(func() { d.disturb(fault, stop, faults) })
+		for _, kinds := range strings.Split(os.Getenv("FAULTS"), ";") {
+			clients.Go(func() { d.disturb(fault, stop, strings.Split(kinds, ",")) })
+		}
 	}
 	for n := 0; time.Now().Before(stop); n++ {
 		j := newChaosJob(n, only[n%len(only)])
--- a/review/harness3/deployment.go
+++ b/review/harness3/deployment.go
@@ -421,7 +421,8 @@
 	return os.WriteFile(filepath.Join(folder, "record.txt"), []byte(strings.Join(append(lines, timed...), "\n")+"\n"), 0o644)
 }
 
-// crashAndRestart crashes a worker and starts it again under its id.
+// crashAndRestart crashes a worker and starts it again under its id. The new life writes its
+// first entry within a heartbeat interval.
 func (d *deployment) crashAndRestart(w *workerProcess, down time.Duration) {
 	born := d.bornOf(w)
 	crash(w)
@@ -431,7 +432,7 @@
 	d.mu.Unlock()
 	time.Sleep(down)
 	d.log.add("worker %s starts again", w.id)
-	if err := d.startWorker(w, 0); err != nil {
+	if err := d.startWorker(w, rand.N(workerBeat)); err != nil {
 		d.log.add("worker %s: %v", w.id, err)
 	}
 }
--- a/review/harness3/reborn.go
+++ b/review/harness3/reborn.go
@@ -7,7 +7,23 @@
 	"time"
 )
 
-// runReborn has workers crash and start again under the ids that they had, one at a time, while
+// lastStarted returns the worker that has begun a run last.
+func (d *deployment) lastStarted() *workerProcess {
+	last := d.workers[0]
+	for _, e := range d.events() {
+		if e.What != "start" {
+			continue
+		}
+		for _, w := range d.workers {
+			if w.id == e.Worker {
+				last = w
+			}
+		}
+	}
+	return last
+}
+
+// runReborn has busy workers crash and start again under the ids that they had, one at a time, while
 // clients hand in jobs of short tasks. It checks TWICE.
 func runReborn(d *deployment, trouble bool) ([]string, error) {
 	if err := d.serve(d.net+"1:7000", d.store); err != nil {
@@ -37,7 +53,7 @@
 		}
 		clients.Go(func() {
 			id := fmt.Sprintf("%016x", 0xa000+n)
-			body := map[string]any{"spec": `{"ms":100}`, "steps": []any{map[string]any{"count": 6, "cpu": 1000, "mem-mb": 500, "est-ms": 100}}}
+			body := map[string]any{"spec": `{"ms":100,"cpu":4000}`, "steps": []any{map[string]any{"count": 12, "cpu": 4000, "mem-mb": 500, "est-ms": 100}}}
 			if d.submit(id, body) {
 				mu.Lock()
 				accepted++
@@ -45,9 +61,9 @@
 			}
 		})
 		time.Sleep(100 * time.Millisecond)
-		if trouble && n%30 == 29 {
-			w := d.workers[(n/30)%len(d.workers)]
-			clients.Go(func() { d.crashAndRestart(w, 1180*time.Millisecond) })
+		if trouble && n%20 == 19 {
+			w := d.lastStarted()
+			clients.Go(func() { d.crashAndRestart(w, (1080+time.Duration(n/20%4)*60)*time.Millisecond) })
 		}
 	}
 	clients.Wait()
