--- a/review/harness3/schedule.go
+++ b/review/harness3/schedule.go
@@ -10,7 +10,7 @@
 // runSchedule hands in one job with times, of which 1,200 tasks start a second, and small jobs
 // of two steps beside it. Without trouble each time of the schedule is handed in as a job of its
 // own. It checks LOST of the small jobs: for 3 s a job has nothing running while the turn of its
-// second step has come and there is capacity.
+// first or second step has come and there is capacity: the schedule takes 6 of 512 cores.
 func runSchedule(d *deployment, trouble bool) ([]string, error) {
 	d.cpuOf = func(int) int64 { return 64000 }
 	if err := d.startAll(8, 3, func(_ int, h http.Handler) http.Handler { return h }); err != nil {
@@ -67,6 +67,9 @@
 	for _, j := range small {
 		first, second := max(ends[j.id+".0.0.0"], ends[j.id+".0.0.1"]), starts[j.id+".0.1.0"]+starts[j.id+".0.1.1"]
 		done := ends[j.id+".0.0.0"] != 0 && ends[j.id+".0.0.1"] != 0
+		if waits := now.Sub(j.at); starts[j.id+".0.0.0"]+starts[j.id+".0.0.1"] == 0 && waits > 3*time.Second {
+			broken = append(broken, fmt.Sprintf("LOST: job %s was accepted %s ago and nothing of it has run (shown as %q)", j.id, waits.Round(100*time.Millisecond), d.state(d.entries[0], j.id)))
+		}
 		if waits := now.Sub(time.Unix(0, first)); done && second == 0 && waits > 3*time.Second {
 			broken = append(broken, fmt.Sprintf("LOST: the first step of job %s has ended done and nothing of it runs for %s (shown as %q)", j.id, waits.Round(100*time.Millisecond), d.state(d.entries[0], j.id)))
 		}
