--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,9 +21,10 @@
 const maxCase = 115 * time.Second
 
 var cases = map[string]func(d *deployment, trouble bool) (broken []string, err error){
-	"reborn":    runReborn,
-	"rack":      runRack,
+	"reborn": runReborn,
+
 	"fills":     runFills,
+	"fillsgang": runFillsGang,
 	"waves":     runWaves,
 	"schedule":  runSchedule,
 	"wavechaos": runWaveChaos,
