--- a/review/harness3/chaos.go
+++ b/review/harness3/chaos.go
@@ -24,7 +24,6 @@
 	accepted  int64
 	cancelled int64 // when the cancellation was acknowledged
 	askedEnd  bool  // a cancellation was sent
-	final     string
 }
 
 type chaosStep struct {
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -107,14 +107,6 @@
 	s.write(key, text, 0)
 }
 
-// remove removes a key as the operator does.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rev++
-	s.removeKey(key)
-}
-
 // get returns the value of a key, or nil.
 func (s *store) get(key string) []byte {
 	s.mu.Lock()
