job/owner: log heartbeats that another incarnation of the worker answers

Change: one line for each answer of another incarnation than the one that the heartbeat was prepared for, with what it told that one.

No logic is changed.

--- a/internal/job/owner/heartbeatexchange.go
+++ b/internal/job/owner/heartbeatexchange.go
@@ -56,6 +56,10 @@
 		metric.LateAnswers.Add(1)
 	}
 	metric.Reports.Add(1)
+	if h.incarnation != 0 && report.Incarnation != h.incarnation {
+		c.log.Info("heartbeat answered by another incarnation", "expected", h.incarnation, "answered", report.Incarnation, "probe", h.probe,
+			"via", h.route(), "until", h.until, "acked", h.cursor, "ends", len(report.Ended), "after", time.Since(h.sentAt).String())
+	}
 	if !c.clockKnown() {
 		c.recordEarlierLease()
 	}
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -151,12 +151,22 @@
 
 // heartbeat is one heartbeat to the worker.
 type heartbeat struct {
-	number int // counts the heartbeats of the client
-	until  unit.WorkerTime
-	cursor scheduler.EndNumber
-	wait   time.Duration // how long the worker may delay its answer
-	sentAt time.Time
-	via    *heartbeatSession // through another entry; nil: directly
+	number      int // counts the heartbeats of the client
+	probe       bool
+	incarnation scheduler.Incarnation // that until and cursor are meant for; 0: none is known
+	until       unit.WorkerTime
+	cursor      scheduler.EndNumber
+	wait        time.Duration // how long the worker may delay its answer
+	sentAt      time.Time
+	via         *heartbeatSession // through another entry; nil: directly
+}
+
+// route returns the entry that sends the heartbeat, or "" for the owner itself.
+func (h heartbeat) route() unit.EntryID {
+	if h.via == nil {
+		return ""
+	}
+	return h.via.entry
 }
 
 // repeated returns the heartbeat as it is sent again at a time. Soon after the first time it
@@ -310,13 +320,13 @@
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	core := c.shard.core
-	h := heartbeat{wait: idleHeartbeatWait}
+	h := heartbeat{probe: probe, incarnation: c.knownIncarnation(), wait: idleHeartbeatWait}
 	if core.HasRuns(c.id) {
 		h.wait = max(busyHeartbeatWait, c.shard.heartbeats.interval())
 	}
 	h.wait = max(0, h.wait-turn) // so that the report is no older than without a turn
 	// The cursor may count the ends of another incarnation than that of the known clock.
-	if incarnation, cursor := core.AckCursor(c.id); incarnation == c.knownIncarnation() {
+	if incarnation, cursor := core.AckCursor(c.id); incarnation == h.incarnation {
 		h.cursor = cursor
 	}
 	until := c.workerDeadline(workerLeaseTTL)
