job/owner: what a heartbeat tells one incarnation never reaches the next

Tasks that the new process ends before the first heartbeat reaches it are lost: that heartbeat acknowledges the ends of the earlier process, whose numbers are higher, and the worker drops its own ones unread.

Cause: nothing ties an acknowledgement to the process that numbered the ends. The core knows the incarnation, and the client compared it with that of the last reading of the clock; both are of the earlier process until the next one has answered. X-Expect-Instance names the id, which stays. The deadline of the lease has the same cause: read from the clock of the earlier process, it grants the next one the longest lease.

Change: a heartbeat carries a Renewal, which names its incarnation. The worker gets it only on a connection on which that incarnation has answered, and an empty one otherwise. A connection ends with its process, so nothing meant for one process can arrive at another, whichever heartbeat comes first. Relays get the incarnation with the heartbeat, in a call of a new kind: owners and relays of different releases send heartbeats directly. The counter of ends no longer takes ends of the next incarnation for acknowledged ones.

Left out: no acknowledgement in probes (a regular heartbeat can be first after a short crash); one only beside a recent report (rarer, not gone).

--- a/internal/job/owner/firstanswer_test.go
+++ b/internal/job/owner/firstanswer_test.go
@@ -42,7 +42,7 @@
 					c.recordClock(1, 1)
 				}
 				h := c.prepareHeartbeat(tt.probe, 0)
-				if diff := cmp.Diff(tt.clockKnown && !tt.probe, h.until != 0); diff != "" {
+				if diff := cmp.Diff(tt.clockKnown && !tt.probe, h.renewal.Until != 0); diff != "" {
 					t.Errorf("renews the lease (-want +got):\n%s", diff)
 				}
 				answer := scheduler.Report{Incarnation: 1, RequestedAt: h.sentAt, Running: []scheduler.RunStatus{{Task: graph.Task{Job: "j"}, Run: 1}}}
--- a/internal/job/owner/handover_test.go
+++ b/internal/job/owner/handover_test.go
@@ -98,11 +98,11 @@
 func (w *leaseWorker) clock() unit.WorkerTime { return unit.WorkerTime(time.Since(w.bornAt)) + 1 }
 
 // Heartbeat implements Worker.
-func (w *leaseWorker) Heartbeat(ctx context.Context, _ unit.Epoch, until unit.WorkerTime, _ scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *leaseWorker) Heartbeat(ctx context.Context, _ unit.Epoch, r scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	w.mu.Lock()
 	report := scheduler.Report{Incarnation: 1, RequestedAt: time.Now()}
 	if !w.lost {
-		w.lease = max(w.lease, until)
+		w.lease = max(w.lease, r.Until)
 	}
 	w.mu.Unlock()
 	select {
--- a/internal/job/owner/heartbeatbatch_test.go
+++ b/internal/job/owner/heartbeatbatch_test.go
@@ -79,3 +79,33 @@
 		})
 	}
 }
+
+// TestRelayedIncarnation guards against a heartbeat through another entry that does not name
+// the incarnation which it is meant for, and against one that repeats it for nothing.
+func TestRelayedIncarnation(t *testing.T) {
+	tests := []struct {
+		name         string
+		incarnations []scheduler.Incarnation // of the heartbeats to a worker
+		want         []scheduler.Incarnation
+	}{
+		{"not known yet", []scheduler.Incarnation{0, 5}, []scheduler.Incarnation{0, 5}},
+		{"same", []scheduler.Incarnation{5, 5, 5}, []scheduler.Incarnation{5, 0, 0}},
+		{"restarted", []scheduler.Incarnation{5, 6, 6}, []scheduler.Incarnation{5, 6, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			session := newHeartbeatSession(nil, "b")
+			c := &workerClient{id: "w", address: "a:1"}
+			var got []scheduler.Incarnation
+			for _, i := range tt.incarnations {
+				if _, err := session.enqueue(c, heartbeat{renewal: scheduler.Renewal{Incarnation: i}}); err != nil {
+					t.Fatal(err)
+				}
+				got = append(got, session.queue[len(session.queue)-1].Incarnation)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("incarnations named (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/job/owner/heartbeatexchange.go
+++ b/internal/job/owner/heartbeatexchange.go
@@ -38,7 +38,7 @@
 
 // exchangeDirectly is exchange without another entry.
 func (c *workerClient) exchangeDirectly(ctx context.Context, h heartbeat) (ends int, err error) {
-	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.until, h.cursor, h.wait)
+	report, clock, err := c.worker.Heartbeat(ctx, c.shard.term.Epoch, h.renewal, h.wait)
 	if err != nil {
 		return 0, err
 	}
@@ -56,16 +56,17 @@
 		metric.LateAnswers.Add(1)
 	}
 	metric.Reports.Add(1)
-	if h.incarnation != 0 && report.Incarnation != h.incarnation {
-		c.log.Info("heartbeat answered by another incarnation", "expected", h.incarnation, "answered", report.Incarnation, "probe", h.probe,
-			"via", h.route(), "until", h.until, "acked", h.cursor, "ends", len(report.Ended), "after", time.Since(h.sentAt).String())
+	if expected := h.renewal.Incarnation; expected != 0 && report.Incarnation != expected {
+		c.log.Info("heartbeat answered by another incarnation", "expected", expected, "answered", report.Incarnation, "probe", h.probe,
+			"via", h.route(), "until", h.renewal.Until, "acked", h.renewal.Acked, "ends", len(report.Ended), "after", time.Since(h.sentAt).String())
 	}
 	if !c.clockKnown() {
 		c.recordEarlierLease()
 	}
 	c.recordClock(clock, report.Incarnation)
+	acked := h.renewal.For(report.Incarnation).Acked
 	for _, e := range report.Ended {
-		if e.Number > h.cursor {
+		if e.Number > acked {
 			metric.RunEnds.Add(e.Kind.String(), 1)
 		}
 	}
--- a/internal/job/owner/heartbeatpacer_test.go
+++ b/internal/job/owner/heartbeatpacer_test.go
@@ -63,7 +63,7 @@
 }
 
 // Heartbeat implements Worker.
-func (w *linkWorker) Heartbeat(ctx context.Context, _ unit.Epoch, _ unit.WorkerTime, _ scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *linkWorker) Heartbeat(ctx context.Context, _ unit.Epoch, _ scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	report := scheduler.Report{Incarnation: 1, RequestedAt: time.Now()}
 	w.fleet.mu.Lock()
 	if w.run != nil {
--- a/internal/job/owner/heartbeatrelay.go
+++ b/internal/job/owner/heartbeatrelay.go
@@ -37,7 +37,8 @@
 	Heartbeats []RelayedHeartbeat `cbor:"5,keyasint,omitempty"`
 }
 
-// RelayedHeartbeat is one heartbeat of a HeartbeatBatch; see Worker.Heartbeat.
+// RelayedHeartbeat is one heartbeat of a HeartbeatBatch; see Worker.Heartbeat. Incarnation,
+// Until and Cursor are its scheduler.Renewal.
 type RelayedHeartbeat struct {
 	Number  HeartbeatNumber     `cbor:"1,keyasint"`
 	Worker  WorkerNumber        `cbor:"2,keyasint"`
@@ -46,6 +47,9 @@
 	Until   unit.WorkerTime     `cbor:"5,keyasint,omitempty"`
 	Cursor  scheduler.EndNumber `cbor:"6,keyasint,omitempty"`
 	Wait    time.Duration       `cbor:"7,keyasint,omitempty"`
+
+	// Incarnation is 0 if it is that of the previous heartbeat to the worker in the session.
+	Incarnation scheduler.Incarnation `cbor:"8,keyasint,omitempty"`
 }
 
 // RelayedAnswer is the outcome of a relayed heartbeat.
--- a/internal/job/owner/heartbeatsession.go
+++ b/internal/job/owner/heartbeatsession.go
@@ -42,9 +42,10 @@
 
 // sessionWorker is a worker in a session.
 type sessionWorker struct {
-	number WorkerNumber
-	named  bool // its id and address were sent
-	delta  delta.Decoder
+	number      WorkerNumber
+	named       bool                  // its id and address were sent
+	incarnation scheduler.Incarnation // of the last renewal sent
+	delta       delta.Decoder
 }
 
 // pendingHeartbeat is a relayed heartbeat without an answer.
@@ -96,10 +97,13 @@
 		s.workers[c] = w
 	}
 	s.number++
-	r := RelayedHeartbeat{Number: s.number, Worker: w.number, Until: h.until, Cursor: h.cursor, Wait: h.wait}
+	r := RelayedHeartbeat{Number: s.number, Worker: w.number, Until: h.renewal.Until, Cursor: h.renewal.Acked, Wait: h.wait}
 	if !w.named {
 		r.ID, r.Address, w.named = c.id, c.address, true
 	}
+	if h.renewal.Incarnation != w.incarnation {
+		r.Incarnation, w.incarnation = h.renewal.Incarnation, h.renewal.Incarnation
+	}
 	p := &pendingHeartbeat{heartbeat: h, client: c, worker: w, done: make(chan struct{})}
 	s.pending[r.Number] = p
 	s.queue = append(s.queue, r)
--- a/internal/job/owner/heartbeatsession_test.go
+++ b/internal/job/owner/heartbeatsession_test.go
@@ -101,11 +101,11 @@
 func (f *sharedFleet) Connect(id unit.InstanceID, _ string) Worker { return f.workers[id] }
 
 // Heartbeat implements Worker for the owner.
-func (w *sharedWorker) Heartbeat(ctx context.Context, _ unit.Epoch, until unit.WorkerTime, _ scheduler.EndNumber, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *sharedWorker) Heartbeat(ctx context.Context, _ unit.Epoch, r scheduler.Renewal, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	w.fleet.mu.Lock()
 	w.fleet.direct++
 	w.fleet.mu.Unlock()
-	return w.hold(ctx, until, d)
+	return w.hold(ctx, r.Until, d)
 }
 
 // hold answers a heartbeat, of the owner or of another entry, after d.
--- a/internal/job/owner/idleworkerlease_test.go
+++ b/internal/job/owner/idleworkerlease_test.go
@@ -22,9 +22,9 @@
 	delay time.Duration
 }
 
-func (w lateWorker) Heartbeat(ctx context.Context, e unit.Epoch, until unit.WorkerTime, cursor scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w lateWorker) Heartbeat(ctx context.Context, e unit.Epoch, r scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	sentAt := time.Now()
-	report, clock, err := w.leaseWorker.Heartbeat(ctx, e, until, cursor, wait)
+	report, clock, err := w.leaseWorker.Heartbeat(ctx, e, r, wait)
 	time.Sleep(w.delay)
 	report.RequestedAt = sentAt
 	return report, clock, err
--- a/internal/job/owner/repeatedheartbeat_test.go
+++ b/internal/job/owner/repeatedheartbeat_test.go
@@ -15,9 +15,8 @@
 
 // heldHeartbeat is what a recordingHeartbeats has got.
 type heldHeartbeat struct {
-	Until  unit.WorkerTime
-	Cursor scheduler.EndNumber
-	Wait   time.Duration
+	Renewal scheduler.Renewal
+	Wait    time.Duration
 }
 
 // recordingHeartbeats is a worker that records its heartbeats.
@@ -27,8 +26,8 @@
 }
 
 // Heartbeat implements Worker.
-func (w *recordingHeartbeats) Heartbeat(_ context.Context, _ unit.Epoch, until unit.WorkerTime, cursor scheduler.EndNumber, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
-	w.got = append(w.got, heldHeartbeat{until, cursor, d})
+func (w *recordingHeartbeats) Heartbeat(_ context.Context, _ unit.Epoch, r scheduler.Renewal, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+	w.got = append(w.got, heldHeartbeat{r, d})
 	return scheduler.Report{Incarnation: 1, RequestedAt: time.Now()}, 1, nil
 }
 
@@ -36,12 +35,13 @@
 // prepared: the worker may have restarted since, so that it would drop ends that the owner
 // has not read, and hold the longest lease.
 func TestRepeatedHeartbeat(t *testing.T) {
+	renewal := scheduler.Renewal{Incarnation: 1, Until: 7000, Acked: 57}
 	tests := []struct {
 		name string
 		ends time.Duration // when the session ends after the heartbeat was prepared
 		want heldHeartbeat
 	}{
-		{"soon", 100 * time.Millisecond, heldHeartbeat{Until: 7000, Cursor: 57, Wait: 300 * time.Millisecond}},
+		{"soon", 100 * time.Millisecond, heldHeartbeat{renewal, 300 * time.Millisecond}},
 		{"late", maxHeartbeatDelay + time.Millisecond, heldHeartbeat{}},
 	}
 	for _, tt := range tests {
@@ -55,7 +55,7 @@
 				c := &workerClient{shard: sh, id: "w", worker: worker, ctx: sh.ctx}
 				session := newHeartbeatSession(sh, "b")
 				time.AfterFunc(tt.ends, session.end)
-				if _, err := c.exchange(heartbeat{until: 7000, cursor: 57, wait: 400 * time.Millisecond, sentAt: time.Now(), via: session}); err != nil {
+				if _, err := c.exchange(heartbeat{renewal: renewal, wait: 400 * time.Millisecond, sentAt: time.Now(), via: session}); err != nil {
 					t.Fatal(err)
 				}
 				if diff := cmp.Diff([]heldHeartbeat{tt.want}, worker.got); diff != "" {
--- a/internal/job/owner/restore_test.go
+++ b/internal/job/owner/restore_test.go
@@ -127,7 +127,7 @@
 
 type silentWorker struct{ Worker }
 
-func (silentWorker) Heartbeat(ctx context.Context, _ unit.Epoch, _ unit.WorkerTime, _ scheduler.EndNumber, _ time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (silentWorker) Heartbeat(ctx context.Context, _ unit.Epoch, _ scheduler.Renewal, _ time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	<-ctx.Done()
 	return scheduler.Report{}, 0, ctx.Err()
 }
--- a/internal/job/owner/returningworker_test.go
+++ b/internal/job/owner/returningworker_test.go
@@ -47,7 +47,7 @@
 	w.cutUntil = time.Now().Add(d)
 }
 
-func (w *cutWorker) Heartbeat(ctx context.Context, e unit.Epoch, until unit.WorkerTime, cursor scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *cutWorker) Heartbeat(ctx context.Context, e unit.Epoch, r scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	w.cutMu.Lock()
 	held := time.Until(w.cutUntil)
 	w.cutMu.Unlock()
@@ -58,7 +58,7 @@
 		case <-time.After(held):
 		}
 	}
-	return w.leaseWorker.Heartbeat(ctx, e, until, cursor, wait)
+	return w.leaseWorker.Heartbeat(ctx, e, r, wait)
 }
 
 // cutFleet has one worker.
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -65,11 +65,12 @@
 
 // Worker sends requests to one worker.
 type Worker interface {
-	// Heartbeat sends a heartbeat: it renews the lease of the worker until the given
-	// reading of its clock, acknowledges the ends up to acked, and returns the
-	// worker's report and a reading of its clock. With nothing new to report the
-	// worker answers after wait. With until 0 the lease is not extended.
-	Heartbeat(ctx context.Context, fence unit.Epoch, until unit.WorkerTime, acked scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error)
+	// Heartbeat sends a heartbeat and returns the worker's report and a reading of its
+	// clock. With nothing new to report the worker answers after wait. It gets the part
+	// of the renewal for the incarnation that has answered on the same connection before
+	// (see Renewal.For), and none on a new connection: its address and id do not tell one
+	// incarnation from the next, but a connection ends with its process.
+	Heartbeat(ctx context.Context, fence unit.Epoch, r scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error)
 	// Do sends an order and returns its outcome and a reading of the worker's clock,
 	// or 0 without one. A start is refused once the worker's clock has passed until,
 	// and extends the lease of the worker to it.
--- a/internal/job/owner/workerclient.go
+++ b/internal/job/owner/workerclient.go
@@ -151,14 +151,12 @@
 
 // heartbeat is one heartbeat to the worker.
 type heartbeat struct {
-	number      int // counts the heartbeats of the client
-	probe       bool
-	incarnation scheduler.Incarnation // that until and cursor are meant for; 0: none is known
-	until       unit.WorkerTime
-	cursor      scheduler.EndNumber
-	wait        time.Duration // how long the worker may delay its answer
-	sentAt      time.Time
-	via         *heartbeatSession // through another entry; nil: directly
+	number  int // counts the heartbeats of the client
+	probe   bool
+	renewal scheduler.Renewal
+	wait    time.Duration // how long the worker may delay its answer
+	sentAt  time.Time
+	via     *heartbeatSession // through another entry; nil: directly
 }
 
 // route returns the entry that sends the heartbeat, or "" for the owner itself.
@@ -170,13 +168,13 @@
 }
 
 // repeated returns the heartbeat as it is sent again at a time. Soon after the first time it
-// has the same effect. Later the worker may be another incarnation, to which neither the
-// deadline nor the cursor apply, so the heartbeat only asks for a report.
+// has the same effect. Later it only asks for a report: the incarnation that the renewal is
+// meant for may have ended long ago.
 func (h heartbeat) repeated(now time.Time) heartbeat {
 	age := now.Sub(h.sentAt)
 	h.wait = max(0, h.wait-age)
 	if age > maxHeartbeatDelay {
-		h.until, h.cursor = 0, 0
+		h.renewal = scheduler.Renewal{}
 	}
 	return h
 }
@@ -320,21 +318,21 @@
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
 	core := c.shard.core
-	h := heartbeat{probe: probe, incarnation: c.knownIncarnation(), wait: idleHeartbeatWait}
+	h := heartbeat{probe: probe, renewal: scheduler.Renewal{Incarnation: c.knownIncarnation()}, wait: idleHeartbeatWait}
 	if core.HasRuns(c.id) {
 		h.wait = max(busyHeartbeatWait, c.shard.heartbeats.interval())
 	}
 	h.wait = max(0, h.wait-turn) // so that the report is no older than without a turn
 	// The cursor may count the ends of another incarnation than that of the known clock.
-	if incarnation, cursor := core.AckCursor(c.id); incarnation == h.incarnation {
-		h.cursor = cursor
+	if incarnation, cursor := core.AckCursor(c.id); incarnation == h.renewal.Incarnation {
+		h.renewal.Acked = cursor
 	}
 	until := c.workerDeadline(workerLeaseTTL)
 	if probe || until == 0 {
 		h.wait = 0
 	}
 	if !probe && until != 0 && core.WantsLease(c.id) {
-		h.until = until
+		h.renewal.Until = until
 		core.RecordLease(c.id, leaseExpiry(workerLeaseTTL))
 	}
 	h.sentAt = time.Now()
--- a/internal/job/owner/workerclient_test.go
+++ b/internal/job/owner/workerclient_test.go
@@ -80,7 +80,7 @@
 }
 
 // Heartbeat implements Worker.
-func (w *scriptedWorker) Heartbeat(ctx context.Context, _ unit.Epoch, until unit.WorkerTime, _ scheduler.EndNumber, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *scriptedWorker) Heartbeat(ctx context.Context, _ unit.Epoch, r scheduler.Renewal, wait time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	report := scheduler.Report{Incarnation: 1, RequestedAt: time.Now()}
 	w.fleet.mu.Lock()
 	defer w.fleet.mu.Unlock()
@@ -93,7 +93,7 @@
 	w.maxInFlight = max(w.maxInFlight, w.inFlight)
 	defer func() { w.inFlight-- }()
 	if delay != silent {
-		w.leaseUntil = max(w.leaseUntil, until)
+		w.leaseUntil = max(w.leaseUntil, r.Until)
 	}
 	for deadline := time.Now().Add(wait); len(w.ends) == 0 && time.Now().Before(deadline); w.endRun() {
 		w.fleet.mu.Unlock()
--- a/internal/job/relay/service.go
+++ b/internal/job/relay/service.go
@@ -34,7 +34,7 @@
 // carries an owner.HeartbeatBatch and returns a list of owner.RelayedAnswer.
 const (
 	kindStarts     mesh.Kind = 20
-	kindHeartbeats mesh.Kind = 21
+	kindHeartbeats mesh.Kind = 23 // 21 is that of releases whose heartbeats name no incarnation
 )
 
 const (
--- a/internal/job/relay/session.go
+++ b/internal/job/relay/session.go
@@ -49,8 +49,9 @@
 
 // sessionWorker is a worker in a session.
 type sessionWorker struct {
-	key   workerKey
-	delta delta.Encoder // used only by takeAnswers
+	key         workerKey
+	incarnation scheduler.Incarnation // of the last renewal
+	delta       delta.Encoder         // used only by takeAnswers
 }
 
 // result is the outcome of a heartbeat.
@@ -103,11 +104,11 @@
 		return nil, err
 	}
 	for _, h := range b.Heartbeats {
-		w, err := session.begin(h)
+		w, renewal, err := session.begin(h)
 		if err != nil {
 			return nil, err
 		}
-		s.heartbeats.Go(func() { session.finish(s.sendHeartbeat(&b, w, h)) })
+		s.heartbeats.Go(func() { session.finish(s.sendHeartbeat(&b, w, h, renewal)) })
 	}
 	body, err := record.Marshal(session.awaitAnswers(ctx))
 	if err != nil {
@@ -138,23 +139,26 @@
 	return current, nil
 }
 
-// begin counts a heartbeat as under way and returns its worker.
-func (s *session) begin(h owner.RelayedHeartbeat) (*sessionWorker, error) {
+// begin counts a heartbeat as under way and returns its worker and what it tells that one.
+func (s *session) begin(h owner.RelayedHeartbeat) (*sessionWorker, scheduler.Renewal, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.underWay >= owner.MaxHeartbeatsUnderWay {
-		return nil, errors.Errorf("%d heartbeats under way", s.underWay)
+		return nil, scheduler.Renewal{}, errors.Errorf("%d heartbeats under way", s.underWay)
 	}
 	w := s.workers[h.Worker]
 	if w == nil {
 		if h.ID == "" || len(s.workers) >= owner.MaxHeartbeatsUnderWay {
-			return nil, errors.Errorf("worker %d is not known", h.Worker)
+			return nil, scheduler.Renewal{}, errors.Errorf("worker %d is not known", h.Worker)
 		}
 		w = &sessionWorker{key: workerKey{h.ID, h.Address}}
 		s.workers[h.Worker] = w
 	}
 	s.underWay++
-	return w, nil
+	if h.Incarnation != 0 {
+		w.incarnation = h.Incarnation
+	}
+	return w, scheduler.Renewal{Incarnation: w.incarnation, Until: h.Until, Acked: h.Cursor}, nil
 }
 
 // finish adds the outcome of a heartbeat to those that the next call returns.
@@ -170,14 +174,14 @@
 }
 
 // sendHeartbeat sends a heartbeat to its worker.
-func (s *Service) sendHeartbeat(b *owner.HeartbeatBatch, w *sessionWorker, h owner.RelayedHeartbeat) result {
+func (s *Service) sendHeartbeat(b *owner.HeartbeatBatch, w *sessionWorker, h owner.RelayedHeartbeat, renewal scheduler.Renewal) result {
 	r := result{number: h.Number, worker: w}
 	c := s.acquire(w.key)
 	defer s.release(c)
 	ctx, cancel := context.WithTimeout(s.heartbeatCtx, owner.HeartbeatTimeout)
 	defer cancel()
 	r.err = guard.Call(func() (err error) {
-		r.report, r.clock, err = c.worker.Heartbeat(ctx, b.Fence, h.Until, h.Cursor, h.Wait)
+		r.report, r.clock, err = c.worker.Heartbeat(ctx, b.Fence, renewal, h.Wait)
 		return err
 	})
 	return r
--- a/internal/job/relay/session_test.go
+++ b/internal/job/relay/session_test.go
@@ -29,11 +29,10 @@
 
 // sentHeartbeat is a heartbeat as a worker gets it.
 type sentHeartbeat struct {
-	Worker unit.InstanceID
-	Fence  unit.Epoch
-	Until  unit.WorkerTime
-	Cursor scheduler.EndNumber
-	Wait   time.Duration
+	Worker  unit.InstanceID
+	Fence   unit.Epoch
+	Renewal scheduler.Renewal
+	Wait    time.Duration
 }
 
 func (f *heartbeatFleet) Connect(id unit.InstanceID, _ string) owner.Worker {
@@ -48,9 +47,9 @@
 	id    unit.InstanceID
 }
 
-func (w *heartbeatWorker) Heartbeat(ctx context.Context, fence unit.Epoch, until unit.WorkerTime, cursor scheduler.EndNumber, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
+func (w *heartbeatWorker) Heartbeat(ctx context.Context, fence unit.Epoch, r scheduler.Renewal, d time.Duration) (scheduler.Report, unit.WorkerTime, error) {
 	w.fleet.mu.Lock()
-	w.fleet.got = append(w.fleet.got, sentHeartbeat{w.id, fence, until, cursor, d})
+	w.fleet.got = append(w.fleet.got, sentHeartbeat{w.id, fence, r, d})
 	w.fleet.mu.Unlock()
 	switch w.id {
 	case "fault":
@@ -166,17 +165,41 @@
 }
 
 // TestRelayedHeartbeat guards against a heartbeat that another entry changes on the way: a
-// longer lease or the acknowledgement of further ends.
+// longer lease, the acknowledgement of further ends, or either for another incarnation.
 func TestRelayedHeartbeat(t *testing.T) {
-	f := &heartbeatFleet{}
-	s := New(logr.Discard(), f)
-	s.peers = sessionNetwork{s}
-	h := owner.RelayedHeartbeat{Number: 1, Worker: 1, ID: "w1", Address: "a:1", Until: 9, Cursor: 3, Wait: time.Millisecond}
-	if _, err := s.ExchangeHeartbeats(t.Context(), "b", owner.HeartbeatBatch{Session: 1, Call: 1, Fence: 4, Deadline: time.Now().Add(time.Minute), Heartbeats: []owner.RelayedHeartbeat{h}}); err != nil {
-		t.Fatal(err)
+	first := owner.RelayedHeartbeat{Number: 1, Worker: 1, ID: "w1", Address: "a:1", Until: 9, Cursor: 3, Wait: time.Millisecond, Incarnation: 5}
+	sent := sentHeartbeat{"w1", 4, scheduler.Renewal{Incarnation: 5, Until: 9, Acked: 3}, time.Millisecond}
+	tests := []struct {
+		name string
+		next owner.RelayedHeartbeat
+		want sentHeartbeat
+	}{
+		{"same incarnation", owner.RelayedHeartbeat{Number: 2, Worker: 1, Until: 10, Cursor: 4, Wait: time.Millisecond},
+			sentHeartbeat{"w1", 4, scheduler.Renewal{Incarnation: 5, Until: 10, Acked: 4}, time.Millisecond}},
+		{"next incarnation", owner.RelayedHeartbeat{Number: 2, Worker: 1, Until: 2, Wait: time.Millisecond, Incarnation: 6},
+			sentHeartbeat{"w1", 4, scheduler.Renewal{Incarnation: 6, Until: 2}, time.Millisecond}},
+		{"another worker", owner.RelayedHeartbeat{Number: 2, Worker: 2, ID: "w2", Address: "a:2", Wait: time.Millisecond},
+			sentHeartbeat{"w2", 4, scheduler.Renewal{}, time.Millisecond}},
 	}
-	if diff := cmp.Diff([]sentHeartbeat{{"w1", 4, 9, 3, time.Millisecond}}, f.got); diff != "" {
-		t.Errorf("heartbeats (-want +got):\n%s", diff)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &heartbeatFleet{}
+				s := New(logr.Discard(), f)
+				s.peers = sessionNetwork{s}
+				for i, h := range []owner.RelayedHeartbeat{first, tt.next} {
+					b := owner.HeartbeatBatch{Session: 1, Call: uint64(i + 1), Fence: 4, Deadline: time.Now().Add(time.Minute), Heartbeats: []owner.RelayedHeartbeat{h}}
+					if _, err := s.ExchangeHeartbeats(t.Context(), "b", b); err != nil {
+						t.Fatal(err)
+					}
+				}
+				s.abortHeartbeats()
+				s.heartbeats.Wait()
+				if diff := cmp.Diff([]sentHeartbeat{sent, tt.want}, f.got); diff != "" {
+					t.Errorf("heartbeats (-want +got):\n%s", diff)
+				}
+			})
+		})
 	}
 }
 
