job/scheduler: a late report of an earlier process resolves no worker after a takeover

What callers would see: a task that starts elsewhere while its worker runs it.

Cause: after a takeover the core knows no incarnation of a worker until it reports, so the first report counts whichever process gave it. Answers are read for up to 7 s. If the worker restarts meanwhile and the instance list already shows the next process, the late answer of the earlier one says that the worker is free of runs, and the tasks that wait for it start elsewhere; the listed process may run what the previous owner started.

Change: a report counts only if it is of no earlier incarnation than the listed one. The core then does not learn of the restart from such an answer any more, so the lease that an earlier owner may have extended is recorded at the first answer of each incarnation, not of the worker.

Measured: TestLateReportOfEarlierIncarnation/earlier_process fails before (the task is started) and passes now. The new case of TestLeaseAtFirstAnswer (a probe answered while only the clock of an earlier incarnation is known) fails without the second change (0 s left of the lease, want 6.65 s). Its fixture now lists incarnation 2, so that the cases can name an earlier one; what they ask is unchanged. Packages job/scheduler (but for the two listed tests) and job/owner pass.

--- a/internal/job/owner/firstanswer_test.go
+++ b/internal/job/owner/firstanswer_test.go
@@ -20,14 +20,15 @@
 func TestLeaseAtFirstAnswer(t *testing.T) {
 	renewed := withMaxDrift(workerLeaseTTL) + responseSlack
 	tests := []struct {
-		name       string
-		clockKnown bool
-		probe      bool
-		want       time.Duration // left of the lease at a hand-over
+		name    string
+		clockOf scheduler.Incarnation // that is known; 0: none
+		probe   bool
+		want    time.Duration // left of the lease at a hand-over
 	}{
-		{"clock not known", false, false, renewed},
-		{"clock known", true, false, renewed},
-		{"probe", true, true, 0},
+		{"clock not known", 0, false, renewed},
+		{"clock known", 2, false, renewed},
+		{"probe", 2, true, 0},
+		{"probe, clock of an earlier incarnation known", 1, true, renewed},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -36,21 +37,21 @@
 				s.ownership = confirmedOwnership{}
 				sh := newShard(t.Context(), s, ownership.Term{Epoch: 2})
 				sh.core = scheduler.New(s.options.Limits, 2, time.Now())
-				sh.core.SetWorkers([]scheduler.Listing{{ID: "w", Incarnation: 1}}, time.Now())
+				sh.core.SetWorkers([]scheduler.Listing{{ID: "w", Incarnation: 2}}, time.Now())
 				c := &workerClient{shard: sh, id: "w", ctx: sh.ctx}
-				if tt.clockKnown {
-					c.recordClock(1, 1)
+				if tt.clockOf != 0 {
+					c.recordClock(1, tt.clockOf)
 				}
 				h := c.prepareHeartbeat(tt.probe, 0)
-				if diff := cmp.Diff(tt.clockKnown && !tt.probe, h.renewal.Until != 0); diff != "" {
+				if diff := cmp.Diff(tt.clockOf != 0 && !tt.probe, h.renewal.Until != 0); diff != "" {
 					t.Errorf("renews the lease (-want +got):\n%s", diff)
 				}
-				answer := scheduler.Report{Incarnation: 1, RequestedAt: h.sentAt, Running: []scheduler.RunStatus{{Task: graph.Task{Job: "j"}, Run: 1}}}
+				answer := scheduler.Report{Incarnation: 2, RequestedAt: h.sentAt, Running: []scheduler.RunStatus{{Task: graph.Task{Job: "j"}, Run: 1}}}
 				c.recordAnswer(h, answer, 2)
 				sh.core.HandleReport("w", answer, time.Now())
 				snapshot := sh.core.Snapshot()
 				sh.core.AddLeases(&snapshot, true, time.Now())
-				want := []scheduler.WorkerLease{{Worker: unit.InstanceID("w"), Incarnation: 1, Left: tt.want}}
+				want := []scheduler.WorkerLease{{Worker: unit.InstanceID("w"), Incarnation: 2, Left: tt.want}}
 				if diff := cmp.Diff(want, snapshot.Leases); diff != "" {
 					t.Errorf("leases (-want +got):\n%s", diff)
 				}
--- a/internal/job/owner/heartbeatexchange.go
+++ b/internal/job/owner/heartbeatexchange.go
@@ -60,7 +60,7 @@
 		c.log.Info("heartbeat answered by another incarnation", "expected", expected, "answered", report.Incarnation, "probe", h.probe,
 			"via", h.route(), "until", h.renewal.Until, "acked", h.renewal.Acked, "ends", len(report.Ended), "after", time.Since(h.sentAt).String())
 	}
-	if !c.clockKnown() {
+	if !c.clockKnown() || report.Incarnation > c.knownIncarnation() {
 		c.recordEarlierLease()
 	}
 	c.recordClock(clock, report.Incarnation)
@@ -72,8 +72,8 @@
 	}
 }
 
-// recordEarlierLease records the lease that the worker may have from an earlier owner when it
-// answers for the first time. From then on it refuses those.
+// recordEarlierLease records the lease that the worker may have from an earlier owner when an
+// incarnation of it answers for the first time. From then on that one refuses those.
 func (c *workerClient) recordEarlierLease() {
 	c.shard.mu.Lock()
 	defer c.shard.mu.Unlock()
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -9,10 +9,11 @@
 )
 
 // HandleReport applies a worker's answer to a heartbeat. Reports of an earlier
-// incarnation are ignored.
+// incarnation than the latest one that has reported or is listed are ignored: they do not
+// show what the worker runs now.
 func (c *Core) HandleReport(id unit.InstanceID, report Report, now time.Time) {
 	w := c.workers[id]
-	if w == nil || report.Incarnation < w.incarnation {
+	if w == nil || report.Incarnation < max(w.incarnation, w.listing.Incarnation) {
 		return
 	}
 	if report.Incarnation != w.incarnation {
--- a/internal/job/scheduler/takeover_test.go
+++ b/internal/job/scheduler/takeover_test.go
@@ -71,3 +71,39 @@
 		})
 	}
 }
+
+// TestLateReportOfEarlierIncarnation guards against a task that starts elsewhere while a worker
+// runs it: the late answer of its earlier process is taken for one of the process that the
+// instance list shows, which may run what the previous owner started there.
+func TestLateReportOfEarlierIncarnation(t *testing.T) {
+	tests := []struct {
+		name   string
+		listed Incarnation // of w1
+		answer Incarnation // that the first report names
+		want   []graph.Task
+	}{
+		{"listed process", 2, 2, []graph.Task{firstTask("j")}},
+		{"process that is not listed yet", 1, 2, []graph.Task{firstTask("j")}},
+		{"earlier process", 2, 1, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 2, 9*time.Second)
+			workers := []unit.InstanceID{"w1", "w2"}
+			f.core.LoadProgress(nil, workers, workers)
+			first := newListing("w1")
+			first.Incarnation = tt.listed
+			f.core.SetWorkers([]Listing{first, newListing("w2")}, f.now)
+			f.core.AddJob(newJob("j", smallStep), 0, false, f.now)
+			f.report("w2", nil, nil)
+			f.core.HandleReport("w1", Report{Incarnation: tt.answer, RequestedAt: f.now}, f.now)
+			var started []graph.Task
+			for _, o := range f.takeStarts(OutcomeDone) {
+				started = append(started, o.Task)
+			}
+			if diff := cmp.Diff(tt.want, started); diff != "" {
+				t.Errorf("started (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
