job/scheduler: the simulated worker of TestModel gets what Renewal.For lets pass

Cause: the simulation dropped an acknowledgement that was meant for another incarnation by a comparison of its own, which the product did not make.

Change: the simulation asks Renewal.For. It is as strict as before with the present Renewal.For.

--- a/internal/job/scheduler/model_owner_test.go
+++ b/internal/job/scheduler/model_owner_test.go
@@ -337,9 +337,7 @@
 		s.extendLease(sim.now, lease)
 	}
 	incarnation, cursor := o.core.AckCursor(s.id)
-	if incarnation == s.incarnation {
-		sim.acknowledge(s, cursor)
-	}
+	sim.acknowledge(s, Renewal{Incarnation: incarnation, Acked: cursor}.For(s.incarnation).Acked)
 	report := sim.report(s, now)
 	if !answered || s.silent {
 		client.missed = true
