--- a/internal/bench/process/process.go
+++ b/internal/bench/process/process.go
@@ -44,6 +44,7 @@
 	process *os.Process
 	ended   chan struct{}
 	logged  atomic.Int64 // bytes written to stderr
+	output  tail         // of stdout
 }
 
 // Write passes on what the process writes to stderr.
@@ -55,12 +56,13 @@
 // Logged returns the number of bytes that the process has written to stderr.
 func (p *Process) Logged() unit.Bytes { return unit.Bytes(p.logged.Load()) }
 
-// Start runs a program with a limit of open descriptors until the test ends.
+// Start runs a program with a limit of open descriptors until the test ends. A test that
+// fails shows the last lines that the program has written to stdout.
 func Start(t *testing.T, descriptors int, program string, args ...string) *Process {
 	t.Helper()
 	command := exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors), program}, args...)...)
 	p := &Process{t: t, ended: make(chan struct{})}
-	command.Stderr = p
+	command.Stdout, command.Stderr = &p.output, p
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +71,12 @@
 		defer close(p.ended)
 		_ = command.Wait() // that the process has ended is what a test looks at
 	}()
-	t.Cleanup(p.Kill)
+	t.Cleanup(func() {
+		p.Kill()
+		if t.Failed() {
+			t.Logf("end of the output of process %d:\n%s", p.process.Pid, &p.output)
+		}
+	})
 	go p.killRunaway()
 	return p
 }
