--- a/internal/bench/process/tail.go
+++ b/internal/bench/process/tail.go
@@ -11,18 +11,18 @@
 	text []byte
 }
 
-func (o *tail) Write(text []byte) (int, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.text = append(o.text, text[max(0, len(text)-tailSize):]...)
-	if excess := len(o.text) - tailSize; excess > 0 {
-		o.text = append(o.text[:0], o.text[excess:]...)
+func (t *tail) Write(text []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, text[max(0, len(text)-tailSize):]...)
+	if excess := len(t.text) - tailSize; excess > 0 {
+		t.text = append(t.text[:0], t.text[excess:]...)
 	}
 	return len(text), nil
 }
 
-func (o *tail) String() string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return string(o.text)
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.text)
 }
--- a/internal/bench/process/tail_test.go
+++ b/internal/bench/process/tail_test.go
@@ -21,13 +21,13 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var o tail
+			var kept tail
 			for _, text := range tt.writes {
-				if n, err := o.Write([]byte(text)); n != len(text) || err != nil {
+				if n, err := kept.Write([]byte(text)); n != len(text) || err != nil {
 					t.Fatalf("Write of %d bytes: %d, %v", len(text), n, err)
 				}
 			}
-			if got := o.String(); got != tt.want {
+			if got := kept.String(); got != tt.want {
 				t.Errorf("%d bytes, want %d; ends with %q", len(got), len(tt.want), got[max(0, len(got)-8):])
 			}
 		})
