job/owner: TestSharedHeartbeats reads the workers under their lock

Cause: the entries of the test answer in goroutines of their own, for which the shard does not wait. After a lost call nothing else orders their last write before the read; the pause before it does not.

What the test asks is unchanged.

--- a/internal/job/owner/heartbeatsession_test.go
+++ b/internal/job/owner/heartbeatsession_test.go
@@ -291,13 +291,15 @@
 				sh.cancel()
 				sh.goroutines.Wait()
 				time.Sleep(2 * idleHeartbeatWait) // the entries get the answers under way
-				rate := float64(f.direct) / measured.Seconds()
+				rate := float64(f.calls()) / measured.Seconds()
 				if tt.shared && rate > allowed {
 					t.Errorf("the owner sends %.0f calls a second, want at most %.0f", rate, allowed)
 				}
 				if !tt.shared && rate == 0 {
 					t.Error("the owner sends no calls, although entries do not answer")
 				}
+				f.mu.Lock() // the shard does not wait for what the entries write
+				defer f.mu.Unlock()
 				for id, w := range f.workers {
 					if w.run == nil || w.lapsed {
 						t.Errorf("worker %s: has a run %v, its lease has lapsed %v", id, w.run != nil, w.lapsed)
