--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -11,6 +11,7 @@
 
 	"github.com/monsoonfold/monsoonfold/internal/fleet/ownership"
 	"github.com/monsoonfold/monsoonfold/internal/fleet/unit"
+	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
 	"github.com/monsoonfold/monsoonfold/internal/kernel/guard"
@@ -196,7 +197,7 @@
 		"jobsage", sh.jobsConfirmed.age(now).String(), "workersage", sh.workersConfirmed.age(now).String(),
 		"zonesage", sh.zonesConfirmed.age(now).String(), "lateanswers", metric.LateAnswers.Value(), "relays", s.StartRelays, "relayed", metric.RelayedStarts.Value(), "sharing", sharing,
 		"batches", metric.RelayedBatches.Value(), "relayedbytes", metric.RelayedBytes.Value(), "startbytes", s.StartBytes, "waitingfill", s.Filling,
-		"quota", s.HeldByQuota, "beyondrate", s.BeyondRate,
+		"quota", s.HeldByQuota, "beyondrate", s.BeyondRate, "idle", s.Idle, "longestidle", roundedByQueue(s.LongestIdle), "crowded", s.Crowded, "blocked", s.Blocked,
 		"relayqueued", relayQueued.String(), "relayanswer", relayAnswer.String(),
 		"linkin", sh.linkUse(traffic.Received()), "linkout", sh.linkUse(traffic.Sent()),
 		"received", traffic.ReceivedPerSecond, "sent", traffic.SentPerSecond, "opened", traffic.Opened, "store", traffic.StorePerSecond, "calls", traffic.CallsPerSecond,
@@ -205,6 +206,15 @@
 	sh.maxTickDelay = 0
 }
 
+// roundedByQueue returns durations by queue as they are logged.
+func roundedByQueue(durations map[graph.QueueID]time.Duration) map[graph.QueueID]string {
+	rounded := map[graph.QueueID]string{}
+	for id, d := range durations {
+		rounded[id] = d.Round(time.Millisecond).String()
+	}
+	return rounded
+}
+
 // linkUse returns the share of the link, in percent, that a rate in bytes a second takes
 // without the headers of packets, or 0 if the capacity of the link is not known.
 func (sh *shard) linkUse(bytesPerSecond int64) int64 {
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -76,6 +76,7 @@
 	// ranked, those that were open, sorted by id.
 	openWorkers             map[unit.ServiceID][]*worker
 	unmetDemands            []unmetDemand // demands that no worker could meet in this pass
+	firstPlacement          time.Time     // when the first placement pass began
 	lastPlacement           time.Time     // when the last placement pass began
 	lastPreemption          time.Time     // when preemption was last tried
 	addedPressuresClearedAt time.Time
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -67,6 +67,7 @@
 	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
 	adviceRetryAt     time.Time                        // before which the advice is not asked for the step, as a request failed
 	preemptRetryAt    time.Time                        // before which no preemption is tried, as no worker can take a task
+	idleSince         time.Time                        // when its last run ended or its turn came in this term; zero: neither has
 	heldSince         time.Time                        // since when passes have held it back
 }
 
@@ -262,7 +263,9 @@
 		if !slices.Contains(later.spec.After, s.index) {
 			continue
 		}
-		later.incompleteDeps--
+		if later.incompleteDeps--; later.incompleteDeps == 0 {
+			c.markIdle(later)
+		}
 		c.enqueue(later)
 	}
 	if o.incompleteSteps > 0 {
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -19,7 +19,9 @@
 	if !c.startBudget.allowsPass() {
 		return
 	}
-	c.lastPlacement = now
+	if c.lastPlacement = now; c.firstPlacement.IsZero() {
+		c.firstPlacement = now
+	}
 	c.placementDue = false
 	c.readySteps = slices.DeleteFunc(c.readySteps, func(s *step) bool {
 		s.inReadySteps = len(s.waiting) > 0 && s.occurrence.job.final == 0
--- a/internal/job/scheduler/stats.go
+++ b/internal/job/scheduler/stats.go
@@ -31,6 +31,12 @@
 	Filling     int           // waiting best-effort tasks
 	HeldByQuota int           // waiting tasks that the cap of their organisation holds back, or that wait for a newer configuration
 	BeyondRate  int           // waiting tasks of jobs beyond the rate of their organisation
+	Idle        int           // steps of which tasks wait and none runs
+	LongestIdle map[graph.QueueID]time.Duration
+	// Crowded and Blocked count, of the best-effort steps that have been idle for longest,
+	// those that some worker would take without the best-effort tasks that it has, and those
+	// that none would.
+	Crowded, Blocked int
 }
 
 // Stats returns a summary of the current state.
@@ -52,6 +58,7 @@
 			s.BeyondRate += len(ready.waiting)
 		}
 	}
+	c.addIdle(&s, now)
 	for _, lease := range c.unresolved {
 		s.ResolvedIn = max(s.ResolvedIn, lease.expiresAt.Sub(now))
 	}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -275,6 +275,9 @@
 	if t.step.runsPerWorker[r.worker.id]--; t.step.runsPerWorker[r.worker.id] == 0 {
 		delete(t.step.runsPerWorker, r.worker.id)
 	}
+	if len(t.step.runsPerWorker) == 0 {
+		c.markIdle(t.step)
+	}
 	t.job().activeRuns--
 	c.chargeEnd(t)
 	delete(r.worker.runs, t.id())
--- a/internal/report/day/day.go
+++ b/internal/report/day/day.go
@@ -32,6 +32,7 @@
 	Taken       int
 	FinalStates map[string]int  // number of jobs by final state
 	Durations   []time.Duration // from taken to final state, sorted
+	LongestIdle time.Duration   // longest time for which a step had nothing running although its turn had come
 }
 
 // Takeover is one change of a shard's owner. A time is zero if the logs do not show
@@ -117,6 +118,7 @@
 	case textShard:
 		s.OverTarget, s.Slowed = int(l.numberField("over")), int(l.numberField("slowed"))
 		s.LongestWait = l.durationField("oldest")
+		b.addIdle(l)
 	case textSubmit:
 		if l.Fields["error"] != nil {
 			s.Refusals++
@@ -168,6 +170,18 @@
 	q.Durations = append(q.Durations, l.At.Sub(taken.At))
 }
 
+// addIdle records for how long steps of each queue have had nothing running.
+func (b *builder) addIdle(l Line) {
+	idle, _ := l.Fields["longestidle"].(map[string]any)
+	for name, text := range idle {
+		text, _ := text.(string)
+		if d, err := time.ParseDuration(text); err == nil { // another release may print it in another format
+			q := b.queue(name)
+			q.LongestIdle = max(q.LongestIdle, d)
+		}
+	}
+}
+
 func (b *builder) queue(name string) *Queue {
 	q := b.day.Queues[name]
 	if q == nil {
--- a/internal/report/day/text.go
+++ b/internal/report/day/text.go
@@ -34,15 +34,15 @@
 }
 
 func (d *Day) writeQueues(w io.Writer) {
-	fmt.Fprintln(w, "queue\ttaken\tcompleted\tfailed\tcancelled\topen\tp50\tp99")
+	fmt.Fprintln(w, "queue\ttaken\tcompleted\tfailed\tcancelled\topen\tp50\tp99\tlongest idle step")
 	for _, name := range slices.Sorted(maps.Keys(d.Queues)) {
 		q := d.Queues[name]
 		ended := 0
 		for _, n := range q.FinalStates {
 			ended += n
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", name, q.Taken, q.FinalStates["completed"], q.FinalStates["failed"],
-			q.FinalStates["cancelled"], q.Taken-ended, q.quantile(0.5), q.quantile(0.99))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", name, q.Taken, q.FinalStates["completed"], q.FinalStates["failed"],
+			q.FinalStates["cancelled"], q.Taken-ended, q.quantile(0.5), q.quantile(0.99), q.LongestIdle)
 	}
 	fmt.Fprintln(w)
 }
