--- a/internal/job/scheduler/turn_test.go
+++ b/internal/job/scheduler/turn_test.go
@@ -59,6 +59,7 @@
 		}
 	}
 	for id := range f.core.workers {
+		f.core.RecordLease(id, f.now.Add(6*time.Second))
 		f.end(id, EndDone, func(r busyRun) bool { return !f.now.Before(r.endsAt) })
 	}
 }
