job/scheduler: late steps share what is left

Cause: steps that are late were placed by deadline, or by the value that can be expected. The earliest job took places for all of its tasks before the next one got its first, so that later jobs had nothing running for as long as earlier ones had tasks that wait.

Change: a step that is late and has nothing running goes before the late ones that have, the one that has been idle for longest first; of those that are too late the one with fewest runs goes first. A step that ranks lower after a start goes behind the others in the same pass. Steps that can still meet their objective go first as before.

Evidence: TestTurnsOfLateJobs failed in its three rows and passes.

--- a/internal/job/scheduler/backlog.go
+++ b/internal/job/scheduler/backlog.go
@@ -34,7 +34,7 @@
 		for end < len(rest) && compareGroup(rest[0], rest[end], now) == 0 {
 			end++
 		}
-		if rest[0].rank(now) == rankShort {
+		if rank := rest[0].rank(now); rank == rankShort || rank == rankLate {
 			c.arrangeGroup(rest[:end])
 		}
 		rest = rest[end:]
--- a/internal/job/scheduler/idle.go
+++ b/internal/job/scheduler/idle.go
@@ -18,7 +18,7 @@
 }
 
 // isIdle reports whether tasks of a ready step wait and none runs.
-func (s *step) isIdle() bool { return len(s.waiting) > 0 && len(s.runsPerWorker) == 0 }
+func (s *step) isIdle() bool { return len(s.waiting) > 0 && s.activeRuns == 0 }
 
 // markIdle records that a step has nothing running any more.
 func (c *Core) markIdle(s *step) { s.idleSince = c.clock() }
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -55,6 +55,7 @@
 	incompleteDeps int     // steps named in spec.After that are not complete
 	waiting        []*task // tasks to place; the last one is placed first
 	inReadySteps   bool    // listed in Core.readySteps
+	activeRuns     int     // runs on workers
 	runsPerWorker  map[unit.InstanceID]int
 	delayedRuns    int // runs at a pace below delayingPace
 	image          *image
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -38,9 +38,16 @@
 	c.unmetDemands = c.unmetDemands[:0]
 	clear(c.openWorkers)
 	c.startBudget.deferred = false
+	behind := c.placeSteps(c.policy.arrange(c.readySteps, now), includeBestEffort, now)
+	c.placeSteps(behind, includeBestEffort, now)
+}
+
+// placeSteps starts the waiting tasks of steps in the given order. It returns the steps that
+// rank lower after a start and have more tasks, which go behind the others.
+func (c *Core) placeSteps(steps []*step, includeBestEffort bool, now time.Time) (behind []*step) {
 	charged := len(c.orders)
 	defer func() { c.startBudget.charge(c.orders[charged:]) }()
-	for _, s := range c.policy.arrange(c.readySteps, now) {
+	for _, s := range steps {
 		c.startBudget.charge(c.orders[charged:])
 		if charged = len(c.orders); !c.startBudget.allows() {
 			c.placementDue = true
@@ -49,8 +56,13 @@
 		if s.awaitsFullPass() && !includeBestEffort {
 			continue
 		}
+		rank := s.rank(now)
 		c.placeSafely(s, now)
+		if len(s.waiting) > 0 && s.rank(now) > rank {
+			behind = append(behind, s)
+		}
 	}
+	return behind
 }
 
 // placementInterval is the least time between two passes. It bounds their cost when
@@ -61,12 +73,26 @@
 // tasks, which cost more to place than others and tolerate longer waits.
 const bestEffortInterval = 40 * time.Millisecond
 
-// compareUrgency orders steps by group, then by soft deadline, the earliest first.
+// compareUrgency orders steps by group, then by soft deadline, the earliest first. Late steps
+// share what is left so that each has a task that runs before another one gets more: first
+// the one that has had nothing running for longest, and among those that are too late the one
+// with fewest runs. Otherwise the earliest job takes places for all of its tasks, and later ones
+// have nothing running for as long as there are earlier ones.
 func compareUrgency(a, b *step, now time.Time) int {
-	return cmp.Or(
-		compareGroup(a, b, now),
-		a.occurrence.softDeadline.Compare(b.occurrence.softDeadline),
-	)
+	if c := compareGroup(a, b, now); c != 0 {
+		return c
+	}
+	switch a.rank(now) {
+	case rankLateIdle:
+		if c := a.idleSince.Compare(b.idleSince); c != 0 {
+			return c
+		}
+	case rankTooLate:
+		if c := cmp.Compare(a.activeRuns, b.activeRuns); c != 0 {
+			return c
+		}
+	}
+	return a.occurrence.softDeadline.Compare(b.occurrence.softDeadline)
 }
 
 // compareGroup orders steps by the standing of their organisation, by priority, then by rank.
@@ -88,6 +114,8 @@
 	rankInterrupted = iota // long-running, and a task has to run again
 	rankShort
 	rankLongRunning // does not release its cores: on a full shard it takes them from short tasks for good
+	rankLateIdle    // short, misses its objective, and none of its tasks runs
+	rankLate        // short and misses its objective
 	rankTooLate     // short, and too late to be of use
 )
 
@@ -98,10 +126,23 @@
 		return rankInterrupted
 	case s.spec.LongRunning:
 		return rankLongRunning
+	case !s.isLate(now):
+		return rankShort
+	case s.isIdle():
+		return rankLateIdle
 	case s.occurrence.tooLate(now):
 		return rankTooLate
 	}
-	return rankShort
+	return rankLate
+}
+
+// isLate reports whether a step belongs to an occurrence that misses its objective, or to one
+// without an objective that is too late to be of use.
+func (s *step) isLate(now time.Time) bool {
+	if s.hasObjective() {
+		return now.After(s.occurrence.softDeadline)
+	}
+	return s.occurrence.tooLate(now)
 }
 
 // interrupted reports whether the next task to place is a long-running one that has run
@@ -157,8 +198,8 @@
 func (c *Core) placeStep(s *step, now time.Time) {
 	var deferred []*task
 	candidates := c.newCandidates(now)
-	interrupted := s.interrupted(now)
-	for len(s.waiting) > 0 && s.interrupted(now) == interrupted { // other tasks have another rank
+	rank := s.rank(now)
+	for len(s.waiting) > 0 && s.rank(now) == rank { // other tasks have another rank
 		t := s.waiting[len(s.waiting)-1]
 		if now.Before(t.earliestStart) {
 			s.waiting = s.waiting[:len(s.waiting)-1]
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -247,6 +247,7 @@
 	t.runs = append(t.runs, r)
 	t.lastRun = max(t.lastRun, number)
 	t.step.waiting = slices.DeleteFunc(t.step.waiting, func(o *task) bool { return o == t })
+	t.step.activeRuns++
 	t.step.runsPerWorker[w.id]++
 	t.job().activeRuns++
 	c.chargeStart(t)
@@ -272,10 +273,11 @@
 	t.ranBefore = t.ranBefore || r.reported || r.phase == phaseRunning
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	t.step.delayedRuns -= delays(r.pacePercent)
+	t.step.activeRuns--
 	if t.step.runsPerWorker[r.worker.id]--; t.step.runsPerWorker[r.worker.id] == 0 {
 		delete(t.step.runsPerWorker, r.worker.id)
 	}
-	if len(t.step.runsPerWorker) == 0 {
+	if t.step.activeRuns == 0 {
 		c.markIdle(t.step)
 	}
 	t.job().activeRuns--
