job/scheduler: no best-effort start beside a serving task over its target

Cause: once a serving task is over its target for 1.5 s all that fills there is paused. The interference model then expects headroom, as paused tasks add nothing, and other tasks that fill start at full pace and work until the next reports pause them.

Change: nothing that fills starts on a worker while a serving task there is over its target by its last report.

Evidence: TestStartBesideExceededTarget failed (1 start beside 150 ms with a target of 100 ms) and passes.

--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -395,10 +395,12 @@
 const minSpeed = 0.85
 
 // bestEffortScore returns how well a worker suits a best-effort task. It is mainly
-// the speed at which the task would work there, from 0 to 1.
+// the speed at which the task would work there, from 0 to 1. Nothing starts beside a serving
+// task that is over its target, whatever the interference model expects: each start would
+// disturb it until it is paused.
 func (c *Core) bestEffortScore(w *worker, t *task, now time.Time) float64 {
 	speed := c.bestEffortSpeed(w, t.step, now)
-	if speed < minSpeed {
+	if speed < minSpeed || !w.overTargetSince.IsZero() {
 		return unfitScore
 	}
 	// Workers whose serving tasks keep ample headroom come first. This leaves workers
