job/scheduler: starved steps get turns, and workers are reserved for them

Cause: nothing bounded how often a step is passed over. Each core that becomes free goes to the first task in the order that fits. A wide task needs many free cores on one worker at a time and never finds them while narrow ones wait; a gang needs them on several; one of a late job, of a less urgent priority or of an organisation beyond its rate goes behind all that arrive.

Change: a ready step that has had nothing running for 20 s is starved. Of nine starts at most one is a turn of the step that has been starved for longest, which goes before all others, whatever its priority, lateness and organisation; quotas hold. If a step finds no worker, one is reserved for it (for each member of a gang as many as that takes), at most one of eight workers at a time: no other short task starts there until the step has started, or for 10 s. Tasks that fill also get a reservation without a turn, if they are late or have been idle for 2 s.

TestShareOfTurns still passes: at most an eighth of the starts are turns.

--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -115,6 +115,9 @@
 	// latest; zero: unknown.
 	earlierStartsEndAt time.Time
 
+	turns        turns
+	reservations reservations
+
 	shortages map[poolKey]shortage // of the pools in which tasks find no place
 	rates     rateMeter            // of the organisations
 
--- a/internal/job/scheduler/gang.go
+++ b/internal/job/scheduler/gang.go
@@ -15,9 +15,14 @@
 	if c.holdsBack(s, len(s.waiting), now) {
 		return
 	}
-	if chosen := c.chooseGang(s, now, c.eligible); chosen != nil {
-		c.startGang(s, chosen, now)
+	chosen := c.chooseGang(s, now, c.eligible)
+	if chosen == nil {
+		c.reserve(s, s.waiting[0], now)
+		return
 	}
+	c.startGang(s, chosen, now)
+	c.countStart(s)
+	c.releaseReserved(s)
 }
 
 // workerFilter reports whether a task may start on a worker, apart from its capacity.
@@ -26,11 +31,16 @@
 // chooseGang returns a worker for each waiting task of a gang among those that pass a filter,
 // or nil if not all fit.
 func (c *Core) chooseGang(s *step, now time.Time, passes workerFilter) []*worker {
+	return c.chooseGangByRoom(s, now, passes, (*worker).free)
+}
+
+// chooseGangByRoom is like chooseGang with another measure of the room that workers have.
+func (c *Core) chooseGangByRoom(s *step, now time.Time, passes workerFilter, room func(*worker) unit.Resources) []*worker {
 	if !s.spec.SameRack {
-		return c.chooseGangOnRack(s, "", now, passes)
+		return c.chooseGangOnRack(s, "", now, passes, room)
 	}
 	for _, rack := range c.racks(s.occurrence.job.spec.Queue.Service) {
-		if chosen := c.chooseGangOnRack(s, rack, now, passes); chosen != nil {
+		if chosen := c.chooseGangOnRack(s, rack, now, passes, room); chosen != nil {
 			return chosen
 		}
 	}
@@ -58,9 +68,9 @@
 	}
 }
 
-// chooseGangOnRack is like chooseGang. A rack that is not empty restricts the choice to its
+// chooseGangOnRack is like chooseGangByRoom. A rack that is not empty restricts the choice to its
 // workers.
-func (c *Core) chooseGangOnRack(s *step, rack unit.RackID, now time.Time, passes workerFilter) []*worker {
+func (c *Core) chooseGangOnRack(s *step, rack unit.RackID, now time.Time, passes workerFilter, room func(*worker) unit.Resources) []*worker {
 	free := map[*worker]unit.Resources{}
 	count := map[*worker]int{}
 	var chosen []*worker
@@ -76,7 +86,7 @@
 			}
 			available, ok := free[w]
 			if !ok {
-				available = w.listing.Capacity.Sub(w.used)
+				available = room(w)
 			}
 			need := s.spec.Needs
 			if s.spec.BestEffort {
@@ -95,7 +105,7 @@
 		}
 		available, ok := free[best]
 		if !ok {
-			available = best.listing.Capacity.Sub(best.used)
+			available = room(best)
 		}
 		free[best] = available.Sub(s.spec.Needs)
 		count[best]++
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -68,6 +68,10 @@
 	advice            map[unit.InstanceID]adviceAnswer // by worker; nil until the placement advice has answered
 	adviceRetryAt     time.Time                        // before which the advice is not asked for the step, as a request failed
 	preemptRetryAt    time.Time                        // before which no preemption is tried, as no worker can take a task
+	inTurn            bool                             // it is the turn of the step; see turns
+	turnRetryAt       time.Time                        // before which it gets no turn
+	reserved          []*worker                        // reserved for it
+	reserveRetryAt    time.Time                        // before which no worker is reserved for it
 	idleSince         time.Time                        // when its last run ended or its turn came in this term; zero: neither has
 	heldSince         time.Time                        // since when passes have held it back
 }
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -28,13 +28,16 @@
 		return !s.inReadySteps
 	})
 	c.beginPass()
-	slices.SortStableFunc(c.readySteps, func(a, b *step) int { return c.policy.compare(a, b, now) })
 	includeBestEffort := now.Sub(c.lastBestEffortPlacement) >= bestEffortInterval
 	if includeBestEffort {
 		c.lastBestEffortPlacement = now
+		c.releaseReservations(now)
+		c.assignTurns(now)
+		defer c.passTurns(now)
 	} else {
 		c.placementDue = true // a later pass handles best-effort tasks
 	}
+	slices.SortStableFunc(c.readySteps, func(a, b *step) int { return c.policy.compare(a, b, now) })
 	c.unmetDemands = c.unmetDemands[:0]
 	clear(c.openWorkers)
 	c.startBudget.deferred = false
@@ -95,10 +98,16 @@
 	return a.occurrence.softDeadline.Compare(b.occurrence.softDeadline)
 }
 
-// compareGroup orders steps by the standing of their organisation, by priority, then by rank.
+// compareGroup orders steps by their turn, by the standing of their organisation, by priority, then by rank.
 // Steps of which neither goes first are a group, in which the order changes while capacity is
 // short.
 func compareGroup(a, b *step, now time.Time) int {
+	if a.inTurn != b.inTurn {
+		if a.inTurn {
+			return -1
+		}
+		return 1
+	}
 	if c := compareStanding(a, b); c != 0 {
 		return c
 	}
@@ -111,7 +120,8 @@
 
 // Ranks of the steps of one priority, the most urgent first.
 const (
-	rankInterrupted = iota // long-running, and a task has to run again
+	rankTurn        = iota // short, and starved
+	rankInterrupted        // long-running, and a task has to run again
 	rankShort
 	rankLongRunning // does not release its cores: on a full shard it takes them from short tasks for good
 	rankLateIdle    // short, misses its objective, and none of its tasks runs
@@ -122,6 +132,8 @@
 // rank returns the rank of a step with waiting tasks.
 func (s *step) rank(now time.Time) int {
 	switch {
+	case s.inTurn:
+		return rankTurn
 	case s.interrupted(now):
 		return rankInterrupted
 	case s.spec.LongRunning:
@@ -206,16 +218,25 @@
 			deferred = append(deferred, t)
 			continue
 		}
-		if c.isUnplaceable(s) || c.holdsBack(s, 1, now) {
+		if c.isUnplaceable(s) {
+			if !c.isHeldBack(s, now) {
+				c.reserve(s, t, now)
+			}
+			break
+		}
+		if c.holdsBack(s, 1, now) {
 			break
 		}
 		w := candidates.best(t)
 		if w == nil {
 			c.recordUnplaceable(s)
 			c.preempt(t, now)
+			c.reserve(s, t, now)
 			break
 		}
 		c.startTask(w, t, max(t.lastRun+1, c.firstRunNumber()), now)
+		c.countStart(s)
+		c.releaseReserved(s)
 	}
 	s.waiting = append(s.waiting, deferred...)
 }
@@ -252,8 +273,11 @@
 }
 
 // isUnplaceable reports whether earlier attempts in this pass show that no worker
-// takes a task of the step.
+// takes a task of the step. They say nothing of the workers that are reserved for it.
 func (c *Core) isUnplaceable(s *step) bool {
+	if len(s.reserved) > 0 {
+		return false
+	}
 	demand := demandOf(s)
 	return slices.ContainsFunc(c.unmetDemands, func(d unmetDemand) bool { return d.includes(demand) })
 }
@@ -301,6 +325,11 @@
 // suits reports whether a task may start on a worker that is open, apart from its capacity
 // and the placement advice.
 func (w *worker) suits(t *task, now time.Time) bool {
+	return !w.isReservedFrom(t.step) && w.accepts(t, now)
+}
+
+// accepts is like suits but ignores reservations.
+func (w *worker) accepts(t *task, now time.Time) bool {
 	s := t.step.spec
 	switch {
 	case !w.health.acceptsStarts(s, now):
@@ -315,9 +344,12 @@
 
 // fits reports whether a worker has the free capacity for a task of the step.
 func (w *worker) fits(s *graph.Step) bool {
-	return reservedResources(s).Fits(w.listing.Capacity.Sub(w.used))
+	return reservedResources(s).Fits(w.free())
 }
 
+// free returns the resources of a worker that no run has reserved.
+func (w *worker) free() unit.Resources { return w.listing.Capacity.Sub(w.used) }
+
 // Weights of the terms of a worker's score, in shares of its capacity.
 const (
 	otherRackPenalty     = 10.0 // the worker is outside the rack of the task's data
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -72,6 +72,8 @@
 	ackCursor         EndNumber           // highest end that is durable and can be acknowledged
 	firstListedEnd    EndNumber           // lowest end in the last report; noEnd: none
 	health            health
+	reservedFor       *step // for which others wait; see reservations
+	reservedUntil     time.Time
 	vacatingSince     time.Time      // since when it is vacated for the upkeep of its machine; zero: it is not
 	paceChangedAt     time.Time      // when the pace of any of its runs was last changed
 	bestEffort        bestEffortView // cached; invalid after a change
