job/scheduler: a step starts slowly if no worker can offer more

Cause: a task that fills starts only where a speed of 0.85 is expected. No worker offers that to a task of more cores than 1/0.85 of what any worker has, nor while each worker has a serving task whose tail is expected above the bound for placement (0.8 of the target).

Change: if no worker would offer 0.85 even without the tasks that fill there, the step accepts 0.85 of the best that one would, in its turn and if it is late or has been idle for 2 s. Beside serving tasks it starts at the pace that these leave, 15% at least; the pace is ordered with the first report that shows the run, and the control of paces goes on from there. Nothing starts beside a task over its target.

--- a/internal/job/scheduler/order.go
+++ b/internal/job/scheduler/order.go
@@ -91,7 +91,7 @@
 // and are due again. After a report of the worker all of them are due.
 func (c *Core) repeatOrders(w *worker, reported bool, now time.Time) {
 	for _, r := range w.runList {
-		if r.repeatOrderAt.IsZero() || (!reported && now.Before(r.repeatOrderAt)) {
+		if r.repeatOrderAt.IsZero() || (!reported && now.Before(r.repeatOrderAt)) || (r.phase != phaseStopping && r.phase != phaseRunning) {
 			continue
 		}
 		r.repeatOrderAt = time.Time{}
--- a/internal/job/scheduler/place.go
+++ b/internal/job/scheduler/place.go
@@ -275,7 +275,7 @@
 // isUnplaceable reports whether earlier attempts in this pass show that no worker
 // takes a task of the step. They say nothing of the workers that are reserved for it.
 func (c *Core) isUnplaceable(s *step) bool {
-	if len(s.reserved) > 0 {
+	if len(s.reserved) > 0 || s.slowStart {
 		return false
 	}
 	demand := demandOf(s)
@@ -291,10 +291,14 @@
 // startTask adds a run of a task to a worker and orders its start.
 func (c *Core) startTask(w *worker, t *task, number graph.RunNumber, now time.Time) {
 	j := t.job()
+	pace := c.startPace(w, t.step, now)
 	first := !j.started && !j.startOrdered
 	j.startOrdered = true
 	ticket, _ := t.step.ticketFor(w, now) // eligible has checked it
-	c.addRun(w, t, number, phaseQueued, now)
+	if r := c.addRun(w, t, number, phaseQueued, now); pace < 100 {
+		r.recordPace(pace)
+		r.repeatOrderAt = now // ordered with the first report that shows the run
+	}
 	w.health.recordStart(now)
 	c.issueOrder(Order{
 		Ticket: ticket, FirstStart: first, JobDue: j.spec.Due(0),
@@ -432,7 +436,7 @@
 // disturb it until it is paused.
 func (c *Core) bestEffortScore(w *worker, t *task, now time.Time) float64 {
 	speed := c.bestEffortSpeed(w, t.step, now)
-	if speed < minSpeed || !w.overTargetSince.IsZero() {
+	if speed < t.step.leastSpeed() || !w.overTargetSince.IsZero() {
 		return unfitScore
 	}
 	// Workers whose serving tasks keep ample headroom come first. This leaves workers
--- a/internal/job/scheduler/reservation.go
+++ b/internal/job/scheduler/reservation.go
@@ -23,7 +23,7 @@
 	reservationRetryDelay = 250 * time.Millisecond
 	// maxReservationAttempts bounds the attempts to reserve workers in one pass, each of which
 	// goes over all workers.
-	maxReservationAttempts = 4
+	maxReservationAttempts = 2
 )
 
 // reservations keep other short tasks from starting on some workers until a step that found no
@@ -96,7 +96,11 @@
 		c.reserveForGang(s, now)
 		return
 	}
-	if w := c.chooseReserved(s, t, now); w != nil {
+	w := c.chooseReserved(s, t, now)
+	if w == nil && c.acceptSlowStart(s, t, now) {
+		w = c.chooseReserved(s, t, now)
+	}
+	if w != nil {
 		c.reserveWorker(w, s, now)
 	}
 }
@@ -126,8 +130,11 @@
 // running for the shortest time, if that is shorter.
 func (c *Core) chooseReserved(s *step, t *task, now time.Time) *worker {
 	workers := c.workersByService[s.occurrence.job.spec.Queue.Service]
-	full := len(c.reservations.workers) >= c.maxReserved(s)
 	idle := c.idleFor(s, now)
+	full := len(c.reservations.workers) >= c.maxReserved(s)
+	if full && !slices.ContainsFunc(c.reservations.workers, func(w *worker) bool { return c.idleFor(w.reservedFor, now) < idle }) {
+		return nil
+	}
 	var best *worker
 	var bestTaken time.Duration
 	var bestRoom float64
@@ -172,7 +179,7 @@
 	if !reservedResources(s.spec).Fits(w.roomAlone(s)) {
 		return false
 	}
-	return !s.spec.BestEffort || s.spec.Gang || c.speedAlone(w, s, now) >= minSpeed
+	return !s.spec.BestEffort || s.spec.Gang || c.speedAlone(w, s, now) >= s.leastSpeed()
 }
 
 // roomAlone returns the room that a worker has for a step once the short runs have ended that a
--- a/internal/job/scheduler/turn.go
+++ b/internal/job/scheduler/turn.go
@@ -66,6 +66,7 @@
 // countStart records a start of a step, with all members if it is a gang. It uses up the turn of
 // the step, or earns a part of one for those that are starved.
 func (c *Core) countStart(s *step) {
+	s.slowStart = false
 	switch {
 	case s.inTurn:
 		s.inTurn = false
