job/scheduler: members of a gang that fills reserve no cores for each other

Cause: the search for the workers of a gang takes the cores of each chosen member off the room of its worker, also of members that fill, which reserve none. The room became negative, and no further member fitted. It is another cause than that of the tasks that get no turn: it does not depend on what else waits.

Change: the search takes off what a start reserves.

--- a/internal/job/scheduler/gang.go
+++ b/internal/job/scheduler/gang.go
@@ -88,11 +88,7 @@
 			if !ok {
 				available = room(w)
 			}
-			need := s.spec.Needs
-			if s.spec.BestEffort {
-				need.Cores = 0
-			}
-			if !need.Fits(available) {
+			if !reservedResources(s.spec).Fits(available) {
 				continue
 			}
 			score := c.policy.score(w, t, now) - float64(count[w])
@@ -107,7 +103,7 @@
 		if !ok {
 			available = room(best)
 		}
-		free[best] = available.Sub(s.spec.Needs)
+		free[best] = available.Sub(reservedResources(s.spec))
 		count[best]++
 		chosen = append(chosen, best)
 	}
