--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -51,6 +51,7 @@
 	log      logr.Logger
 	kernel   *registry.Kernel
 	owner    *owner.Service
+	grace    time.Duration // between SIGTERM and SIGKILL
 	draining atomic.Bool
 }
 
@@ -77,7 +78,7 @@
 	if waitErr == nil {
 		e.drain()
 	}
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Bounds.TerminationGrace/3)
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.grace/3)
 	defer cancel()
 	if err := e.kernel.Stop(stopCtx); err != nil {
 		log.Info("entry stopped with faults", "error", err.Error())
@@ -109,7 +110,7 @@
 }
 
 func assemble(self unit.EntryID, s platform.Settings, baseline bool, log logr.Logger) (*entry, error) {
-	e := &entry{log: log, kernel: registry.New()}
+	e := &entry{log: log, kernel: registry.New(), grace: s.Bounds.TerminationGrace}
 	var adviser owner.Adviser
 	if s.AdviceAddress != "" {
 		adviser = platform.NewAdviceClient(s.AdviceAddress)
