job/owner: an owner that stops in an outage hands over once the store is back

Cause: the entry gave its owner 1.5 s from SIGTERM for the hand-over. The next owner found no hand-over and waited 9.65 s for workers that had been lost 7 s before.

Ruled out: to write in the outage, or to keep a write for later. A hand-over that the store may execute late ends the renewal of leases. To stop starts at SIGTERM and wait: the shard would have no starts for the whole wait.

Change: the owner goes on as before until the store answers, and begins the hand-over then, with 1.5 s as before. After an attempt that another outage interrupts it waits again, without starts. The entry passes a deadline, derived from the termination grace: two thirds of it, which leaves the third that the kernel has to stop its services, less 0.5 s for the exit; 1.5 s at least. That is 3.5 s of 6 s. Without an outage the hand-over begins at once and the drain takes 2.2 s, as before. A takeover that is not complete waits in the same way before it passes the record on: its term now lasts until the hand-over ends.

Why it works: no record is sent before the store answers, and from the first attempt on the owner starts nothing, so the record is true whenever the store executes it. Each write is guarded by the epoch; the claim of another entry ends the term and with it the wait.

--- a/internal/entry/site/drain_test.go
+++ b/internal/entry/site/drain_test.go
@@ -159,21 +159,23 @@
 	type result struct{ HandedOver, Released, Draining, InTime bool }
 	written := result{HandedOver: true, Released: true, Draining: true, InTime: true}
 	tests := []struct {
-		name   string
-		grace  time.Duration
-		outage time.Duration // that is left when the entry is told to stop; 0: none
-		drain  time.Duration // that the drain may take
-		want   result
+		name     string
+		takeover bool // the outage begins before the entry has taken the shard over
+		grace    time.Duration
+		outage   time.Duration // that is left when the entry is told to stop; 0: none
+		drain    time.Duration // that the drain may take
+		want     result
 	}{
-		{"no outage", grace, 0, drainTime, written},
-		{"store is back at once", grace, 500 * time.Millisecond, drainTime, written},
-		{"store is back just after an attempt", grace, 1520 * time.Millisecond, drainTime, written},
-		{"store is back after the drain", grace, 3 * time.Second, 3*time.Second + awaiting, written},
-		{"store is back after the grace", grace, time.Minute, grace - grace/3, result{Draining: true, InTime: true}},
-		{"long grace", 30 * time.Second, 15 * time.Second, 15*time.Second + awaiting, written},
-		{"short grace", 2 * time.Second, time.Second, drainTime, written},
-		{"no grace", 0, time.Second, drainTime, written},
-		{"no grace, store is not back", 0, time.Minute, drainTime, result{Draining: true, InTime: true}},
+		{"no outage", false, grace, 0, drainTime, written},
+		{"store is back at once", false, grace, 500 * time.Millisecond, drainTime, written},
+		{"store is back just after an attempt", false, grace, 1520 * time.Millisecond, drainTime, written},
+		{"store is back after the drain", false, grace, 3 * time.Second, 3*time.Second + awaiting, written},
+		{"store is back after the grace", false, grace, time.Minute, grace - grace/3, result{Draining: true, InTime: true}},
+		{"takeover not complete", true, grace, 3 * time.Second, 3*time.Second + awaiting, written},
+		{"long grace", false, 30 * time.Second, 15 * time.Second, 15*time.Second + awaiting, written},
+		{"short grace", false, 2 * time.Second, time.Second, drainTime, written},
+		{"no grace", false, 0, time.Second, drainTime, written},
+		{"no grace, store is not back", false, 0, time.Minute, drainTime, result{Draining: true, InTime: true}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -187,6 +189,14 @@
 				if tt.outage == 0 {
 					store.outUntil = store.outFrom
 				}
+				if tt.takeover {
+					store.outFrom = now
+				}
+				previous, err := record.Encode(record.Progress{Format: record.Format, HandedOver: true})
+				if err != nil {
+					t.Fatal(err)
+				}
+				store.items[record.ProgressKey] = kv.Item{Key: record.ProgressKey, Value: previous}
 				e := &entry{log: logr.Discard(), kernel: registry.New(), grace: tt.grace}
 				e.owner = owner.New(logr.Discard(), platform.Fleet{}, nil, owner.Options{Limits: scheduler.Limits{MaxLease: 10 * time.Second}})
 				for _, s := range []registry.Service{
@@ -211,13 +221,11 @@
 					t.Fatal(err)
 				}
 				got := result{Released: store.revoked, Draining: draining.Load(), InTime: took <= tt.drain}
-				if item, ok := store.items[record.ProgressKey]; ok {
-					progress, err := record.DecodeProgress(item.Value)
-					if err != nil {
-						t.Fatal(err)
-					}
-					got.HandedOver = progress.HandedOver
+				progress, err := record.DecodeProgress(store.items[record.ProgressKey].Value)
+				if err != nil {
+					t.Fatal(err)
 				}
+				got.HandedOver = progress.HandedOver && progress.Epoch == 1
 				if diff := cmp.Diff(tt.want, got); diff != "" {
 					t.Errorf("drain took %s (-want +got):\n%s", took, diff)
 				}
--- a/internal/entry/site/site.go
+++ b/internal/entry/site/site.go
@@ -38,8 +38,9 @@
 	// drainTime is how long the load balancer may still send new connections once
 	// the readiness check fails: it makes two checks, a second apart.
 	drainTime = 2200 * time.Millisecond
-	// handOverTimeout bounds the last writes of a shard owner that stops.
-	handOverTimeout = 1500 * time.Millisecond
+	// exitTime is the part of the termination grace that is left when the kernel has stopped,
+	// as a busy machine may end the process late.
+	exitTime = 500 * time.Millisecond
 )
 
 // memoryLimitShare is the share of the memory limit above which garbage is collected more
@@ -78,7 +79,7 @@
 	if waitErr == nil {
 		e.drain()
 	}
-	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.grace/3)
+	stopCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.stopTimeout())
 	defer cancel()
 	if err := e.kernel.Stop(stopCtx); err != nil {
 		log.Info("entry stopped with faults", "error", err.Error())
@@ -88,17 +89,26 @@
 }
 
 // drain fails the readiness check, hands the shard over and keeps serving until the
-// load balancer sends no new connections.
+// load balancer sends no new connections, and longer if the hand-over waits for the store.
 func (e *entry) drain() {
 	e.log.Info("entry leaves")
 	e.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
-	defer cancel()
 	started := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), e.handOverDeadline(started))
+	defer cancel()
 	e.owner.HandOver(ctx)
 	time.Sleep(drainTime - time.Since(started))
 }
 
+// handOverDeadline returns when the hand-over of an entry that is told to stop at a time has
+// to end, so that the rest of the stop fits in the termination grace.
+func (e *entry) handOverDeadline(stoppedAt time.Time) time.Time {
+	return stoppedAt.Add(max(e.grace-e.stopTimeout()-exitTime, owner.HandOverTimeout))
+}
+
+// stopTimeout returns the time that the services have to stop.
+func (e *entry) stopTimeout() time.Duration { return e.grace / 3 }
+
 // newEntryID returns a unique id for each process, so that a restarted entry is not
 // taken for the previous process.
 func newEntryID(node string) unit.EntryID {
--- a/internal/job/owner/commit.go
+++ b/internal/job/owner/commit.go
@@ -12,7 +12,6 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 	"github.com/monsoonfold/monsoonfold/internal/job/record"
 	"github.com/monsoonfold/monsoonfold/internal/job/scheduler"
-	"github.com/monsoonfold/monsoonfold/internal/kernel/wait"
 	"github.com/monsoonfold/monsoonfold/internal/report/metric"
 	"github.com/monsoonfold/monsoonfold/internal/storage/kv"
 )
@@ -275,33 +274,3 @@
 	defer sh.mu.Unlock()
 	sh.progressRevision = item.Revision
 }
-
-// handOver stops sending orders, writes the progress marked as handed over and ends the
-// term, so that the next owner need not wait for leases to expire.
-func (sh *shard) handOver(ctx context.Context) {
-	sh.mu.Lock()
-	ready := sh.core != nil
-	sh.handingOver = true
-	sh.mu.Unlock()
-	if !ready {
-		sh.passOn(ctx)
-		sh.cancel()
-		return
-	}
-	for ctx.Err() == nil && sh.ctx.Err() == nil { // a lost claim ends the term
-		if sh.service.outage.Outage() {
-			// A write that may be executed late ends the renewal of all leases.
-			wait.For(ctx, retryDelay)
-			continue
-		}
-		more, err := sh.commitOnce(ctx, true)
-		if err == nil && !more {
-			break
-		}
-		if err != nil {
-			sh.log.Info("progress not written during the hand-over", "error", err)
-			wait.For(ctx, retryDelay)
-		}
-	}
-	sh.cancel()
-}
--- a/internal/job/owner/passon.go
+++ b/internal/job/owner/passon.go
@@ -17,19 +17,21 @@
 
 // passOn renews the record of the progress for the next owner, who may rely only on one of
 // the epoch before its own. This owner has no core and gets none any more: it has given no
-// orders and no leases, so that all that the record says still holds.
-func (sh *shard) passOn(ctx context.Context) {
-	for ctx.Err() == nil {
+// orders and no leases, so that all that the record says still holds. It returns false if the
+// context or the term ends first, or the store answers no entry any more.
+func (sh *shard) passOn(ctx context.Context) (written bool) {
+	for ctx.Err() == nil && sh.ctx.Err() == nil && !sh.service.outage.Outage() {
 		err := sh.writePassedOn(ctx)
 		if err == nil {
-			return
+			return true
 		}
 		sh.log.Info("progress not passed on during the hand-over", "error", err.Error())
 		if errors.Is(err, kv.ErrConflict) {
-			return // another entry has claimed the shard
+			return false // another entry has claimed the shard
 		}
 		wait.For(ctx, retryDelay)
 	}
+	return false
 }
 
 // writePassedOn writes the record of the previous owner under the epoch of this one. It does
--- a/internal/job/owner/service.go
+++ b/internal/job/owner/service.go
@@ -176,19 +176,6 @@
 	return nil
 }
 
-// HandOver writes the progress to the store and resigns ownership for the rest of
-// the process, so that another entry can claim the shard without waiting for a
-// lease to expire.
-func (s *Service) HandOver(ctx context.Context) {
-	s.mu.Lock()
-	sh := s.ofTerm
-	s.mu.Unlock()
-	if sh != nil {
-		sh.handOver(ctx)
-	}
-	s.ownership.Resign(ctx)
-}
-
 // runTerms runs a shard during each term in which this entry owns it.
 func (s *Service) runTerms(ctx context.Context) { ownership.EachTerm(ctx, s.ownership, s.startTerm) }
 
--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -119,6 +119,7 @@
 			break
 		}
 		if errors.Is(err, errHandingOver) {
+			<-sh.ctx.Done() // the hand-over ends the term
 			return
 		}
 		if _, panicked := errors.Into[*guard.PanicError](err); panicked {
