job/owner: log the address of a listed worker

The line "worker listed" has it now, and is also written when the address changes.

Checked: gofmt, go vet and staticcheck of the package; the tests of views and of the instance list pass.

--- a/internal/job/owner/watch.go
+++ b/internal/job/owner/watch.go
@@ -96,8 +96,8 @@
 		delete(sh.listings, id)
 		return
 	}
-	if previous, ok := sh.listings[id]; !ok || previous.Draining != listing.Draining || previous.Incarnation != listing.Incarnation {
-		sh.log.Info("worker listed", "worker", id, "zone", listing.Zone, "rack", listing.Rack, "draining", listing.Draining, "born", listing.Incarnation, "revision", item.Revision)
+	if previous, ok := sh.listings[id]; !ok || previous.Address != listing.Address || previous.Draining != listing.Draining || previous.Incarnation != listing.Incarnation {
+		sh.log.Info("worker listed", "worker", id, "address", listing.Address, "zone", listing.Zone, "rack", listing.Rack, "draining", listing.Draining, "born", listing.Incarnation, "revision", item.Revision)
 	}
 	sh.listings[id] = listing
 }
