job/scheduler: a worker has ended once another one reports at its address

Cause: an owner ended the wait for a worker only by that worker's own report or by the end of the longest lease. It never used what it saw at the address.

Fix: workers are indexed by address. A complete report of a worker ends the others with its address: they are no longer unresolved, their confirmed runs are removed and requeued. Two processes cannot listen at one address, and heartbeats name the id of the worker (X-Expect-Instance; another one answers 421, which is no report). Only a report counts that was requested after the last one of the lost worker and since this owner knew the address, of an incarnation that began later. Starts without an answer wait as before, as a later life of the lost worker may execute them. A late report of the lost worker changes no runs, and nothing starts there until it reports anew. The cost for each report is one look-up.

--- a/internal/job/owner/shard.go
+++ b/internal/job/owner/shard.go
@@ -336,6 +336,10 @@
 	if ids := sh.core.TakeResolvedWorkers(); len(ids) > 0 {
 		sh.log.Info("leases of earlier owners expired on silent workers; their tasks may start elsewhere", "workers", len(ids), "first", ids[0])
 	}
+	for _, r := range sh.core.TakeReplacedWorkers() {
+		sh.log.Info("worker has ended, another one answers at its address; its tasks may start elsewhere", "worker", r.Worker, "replacement", r.Replacement,
+			"address", r.Address, "runs", r.Runs, "unresolved", r.Unresolved)
+	}
 	for _, f := range sh.core.TakeFinalStates() {
 		sh.log.Info("job reached its final state", "job", f.Job, "state", f.State.String(), "cause", f.Cause)
 		metric.FinalStates.Add(f.State.String(), 1)
--- a/internal/job/scheduler/core.go
+++ b/internal/job/scheduler/core.go
@@ -51,6 +51,7 @@
 	ended             []*job // jobs with a durable final state whose tasks are kept, oldest first
 	workers           map[unit.InstanceID]*worker
 	workersByService  map[unit.ServiceID][]*worker // listed workers, sorted by id
+	workersByAddress  map[string][]*worker         // by the address that the instance list last gave
 	evacuatedZones    map[unit.ZoneID]bool
 	readySteps        []*step                  // steps with waiting tasks and no incomplete dependency
 	inheritedProgress map[unit.JobID]Progress  // from earlier owners, by LoadProgress and early ends
@@ -122,7 +123,8 @@
 	finalStates   []FinalState
 	expiredLeases []ExpiredLease
 	// resolvedSilent are the silent workers that were taken as free of runs of earlier owners.
-	resolvedSilent []unit.InstanceID
+	resolvedSilent  []unit.InstanceID
+	replacedWorkers []ReplacedWorker
 
 	progressChanged bool // progress differs from the last snapshot
 	placementDue    bool // a change since the last pass may allow a placement
@@ -142,6 +144,7 @@
 		openJobs:                 map[unit.JobID]*job{},
 		workers:                  map[unit.InstanceID]*worker{},
 		workersByService:         map[unit.ServiceID][]*worker{},
+		workersByAddress:         map[string][]*worker{},
 		classShares:              map[unit.ClassID]float64{},
 		openWorkers:              map[unit.ServiceID][]*worker{},
 		evacuatedZones:           map[unit.ZoneID]bool{},
--- a/internal/job/scheduler/report.go
+++ b/internal/job/scheduler/report.go
@@ -33,7 +33,7 @@
 	if len(report.Ended) > 0 {
 		c.progressChanged = true // ends are acknowledged only once they are durable
 	}
-	if report.RequestedAt.Before(w.reportRequestedAt) {
+	if report.RequestedAt.Before(w.reportRequestedAt) || report.RequestedAt.Before(w.replacedAt) {
 		return // the runs may have ended since
 	}
 	w.reportRequestedAt = report.RequestedAt
@@ -46,6 +46,7 @@
 		delete(c.unresolved, id)
 		c.placementDue = true
 	}
+	c.endReplacedWorkers(w, report)
 	if c.recordedLeases[id] {
 		c.progressChanged = true // its lease is extended once the durable progress does not hold it
 	}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -56,6 +56,8 @@
 	id                unit.InstanceID
 	listing           Listing
 	listed            bool
+	addressedAt       time.Time      // when this owner first saw it listed at its present address
+	replacedAt        time.Time      // when the report of another worker at its address was requested that shows its end; zero: none
 	incarnation       Incarnation    // of the last report; 0 before the first one
 	reportRequestedAt time.Time      // when the heartbeat that the last report answers was sent
 	misdirectedAt     time.Time      // when the last start was rejected by another worker at its address, or for a higher epoch
@@ -104,7 +106,7 @@
 		if l.Draining {
 			w.recordExit(l, now)
 		}
-		w.listing, w.listed = l, true
+		c.setListing(w, l, now)
 		if w.incarnation != 0 && l.Incarnation > w.incarnation {
 			c.handleRestart(w, l.Incarnation, now)
 		}
@@ -115,6 +117,7 @@
 	for id, w := range c.workers {
 		if !w.listed && len(w.runs) == 0 && now.After(w.leaseExpiry) && !c.isUnresolved(id) {
 			delete(c.workers, id)
+			c.forgetAddress(w)
 			c.releaseUnknownRuns(w)
 			delete(c.reportingUnknown, id)
 		}
