job/scheduler: the record of a closed worker holds its address

Cause: ClosedWorker, what the progress holds of workers that are draining or have left the list, names no address.

Fix: it gets one (CBOR field 3, omitted when empty; records of earlier releases have none and count as before). A complete report of a worker at that address ends an unresolved worker that is known only from the record: it had begun before the claim, and the report was requested after it. Nothing starts on a recorded worker, so no other life of it can have a run.

--- a/internal/job/record/fuzz_test.go
+++ b/internal/job/record/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -82,17 +83,22 @@
 // takeover.
 func FuzzProgress(f *testing.F) {
 	tasks := []scheduler.TaskProgress{{Step: 1, Index: 2, Checkpoint: "c"}, {Occurrence: -1, Step: -1, Index: math.MaxUint32, Done: true, Failed: []graph.RunNumber{-1}}}
-	addRecords(f, Progress{Format: Format, Epoch: 3, KnownWorkers: []unit.InstanceID{"w", ""}, Jobs: map[unit.JobID]scheduler.Progress{"j": {Started: true, Tasks: tasks}}})
+	addRecords(f, Progress{Format: Format, Epoch: 3, KnownWorkers: []unit.InstanceID{"w", ""}, Jobs: map[unit.JobID]scheduler.Progress{"j": {Started: true, Tasks: tasks}},
+		Closed: []scheduler.ClosedWorker{{Worker: "w", Address: "10.0.0.1:80", Tasks: map[unit.JobID][]scheduler.TaskRange{"j": {{Step: -1, Count: math.MaxUint32}}}}, {}}})
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		p, err := DecodeProgress(body)
 		if err != nil {
 			return
 		}
 		core := scheduler.New(scheduler.Limits{}, 1, now)
-		core.LoadProgress(p.Jobs, p.KnownWorkers, p.BusyWorkers)
+		core.LoadProgress(p.Jobs, p.KnownWorkers, slices.Concat(p.KnownWorkers, p.BusyWorkers))
+		core.LoadLeases(p.Leases, now)
+		core.LoadClosed(p.Closed)
+		core.SetWorkers([]scheduler.Listing{{ID: "other", Address: "10.0.0.1:80"}}, now)
 		for id := range p.Jobs {
 			core.AddJob(&graph.Job{ID: id, Steps: []graph.Step{{Count: 3}, {Count: 3, Gang: true}}}, 0, false, now)
 		}
+		core.HandleReport("other", scheduler.Report{RequestedAt: now}, now)
 		core.Tick(now)
 		core.Snapshot()
 	})
--- a/internal/job/scheduler/closed.go
+++ b/internal/job/scheduler/closed.go
@@ -19,6 +19,8 @@
 type ClosedWorker struct {
 	Worker unit.InstanceID            `cbor:"1,keyasint"`
 	Tasks  map[unit.JobID][]TaskRange `cbor:"2,keyasint,omitempty"`
+	// Address is the last one that the instance list gave. Earlier releases do not record it.
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // includes reports whether a task may have a run on the worker.
@@ -71,7 +73,7 @@
 	for _, recorded := range []bool{true, false} { // a change of the choice would only close more workers
 		for id, w := range c.workers {
 			if c.recordedClosed[id] == recorded && len(s.Closed) < maxClosedWorkers && w.isClosed() && !c.isUnresolved(id) {
-				c.addClosedWorker(s, ClosedWorker{Worker: id, Tasks: w.possibleTasks()})
+				c.addClosedWorker(s, ClosedWorker{Worker: id, Tasks: w.possibleTasks(), Address: w.listing.Address})
 			}
 		}
 	}
--- a/internal/job/scheduler/replaced.go
+++ b/internal/job/scheduler/replaced.go
@@ -58,6 +58,26 @@
 			c.endReplacedWorker(w, by, report.RequestedAt)
 		}
 	}
+	c.endReplacedClosedWorkers(by)
+}
+
+// endReplacedClosedWorkers does the same for the workers that left the instance list before the
+// takeover. They had begun by then, and the worker has answered since.
+func (c *Core) endReplacedClosedWorkers(by *worker) {
+	for id, closed := range c.closedByEarlier {
+		if closed.Address == "" || closed.Address != by.listing.Address || c.workers[id] != nil || !c.isUnresolved(id) {
+			continue
+		}
+		delete(c.unresolved, id)
+		c.recordReplaced(ReplacedWorker{Worker: id, Replacement: by.id, Address: closed.Address, Unresolved: true})
+	}
+}
+
+// recordReplaced records that a worker was taken as ended.
+func (c *Core) recordReplaced(r ReplacedWorker) {
+	c.progressChanged, c.placementDue = true, true // the next owner need not wait for it either
+	c.organisations.hiddenStale = true
+	c.replacedWorkers = append(c.replacedWorkers, r)
 }
 
 // endedBefore reports whether a worker had ended when another one at its address was asked for a
@@ -86,10 +106,7 @@
 			c.requeue(r.task)
 		}
 	}
-	if !replaced.Unresolved && replaced.Runs == 0 {
-		return
+	if replaced.Unresolved || replaced.Runs > 0 {
+		c.recordReplaced(replaced)
 	}
-	c.progressChanged, c.placementDue = true, true // the next owner need not wait for it either
-	c.organisations.hiddenStale = true
-	c.replacedWorkers = append(c.replacedWorkers, replaced)
 }
--- a/internal/job/scheduler/replaced_test.go
+++ b/internal/job/scheduler/replaced_test.go
@@ -235,3 +235,49 @@
 		})
 	}
 }
+
+// TestReplacedWorkerOfRecord guards against a new owner that waits for a worker that had left
+// the instance list before the takeover, although another one answers at its address, and
+// against one that takes such a worker for ended without that.
+func TestReplacedWorkerOfRecord(t *testing.T) {
+	const inherited = 9 * time.Second
+	long := []unit.JobID{"j"}
+	report := func(f *fixture) { f.reportReplacement(f.now, false) }
+	tests := []struct {
+		name   string
+		record func(f *fixture, s *Snapshot) // of the previous owner, for which the worker has left the list
+		listed []Listing                     // after the takeover
+		report func(f *fixture)
+		want   []unit.JobID // with a task that starts then
+	}{
+		{"replacement reports", nil, replacedListings(sharedAddress)[1:], report, long},
+		{"passed on by an owner that has not reached the worker", func(f *fixture, s *Snapshot) {
+			f.kill(*s, inherited)
+			*s = f.core.Snapshot()
+		}, replacedListings(sharedAddress)[1:], report, long},
+		{"record of an earlier release", func(_ *fixture, s *Snapshot) { s.Closed[0].Address = "" }, replacedListings(sharedAddress)[1:], report, nil},
+		{"record of an earlier release, replacement without an address", func(_ *fixture, s *Snapshot) { s.Closed[0].Address = "" }, replacedListings("")[1:], report, nil},
+		{"not recorded", func(_ *fixture, s *Snapshot) { s.Closed = nil }, replacedListings(sharedAddress)[1:], report, nil},
+		{"another address", nil, replacedListings("10.0.0.2:8400")[1:], report, nil},
+		{"partial report", nil, replacedListings(sharedAddress)[1:], func(f *fixture) { f.reportReplacement(f.now, true) }, nil},
+		{"replacement does not report", nil, replacedListings(sharedAddress)[1:], func(*fixture) {}, nil},
+		{"replaced worker has started again at another address", nil, append(replacedListings(sharedAddress)[1:], newAddressedListing(replacedWorker, "10.0.0.2:8400", 3)), report, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newReplacedFixture(t)
+			f.core.SetWorkers(nil, f.now)
+			s := f.core.Snapshot()
+			if tt.record != nil {
+				tt.record(f, &s)
+			}
+			f.kill(s, inherited)
+			f.addJob("j", longRunningStep, false)
+			f.list(tt.listed)
+			tt.report(f)
+			if diff := cmp.Diff(tt.want, f.startedJobs()); diff != "" {
+				t.Errorf("jobs with a started task (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
