job/scheduler: a write is due once a worker is forgotten

A worker without runs that leaves the instance list is dropped by the owner, but stays among the known workers of the durable progress until something else changes. An owner that takes over meanwhile without a hand-over waits for its lease, and has no address of it.

Fix: the progress counts as changed when such a worker is dropped.

Evidence: TestReplacedWorkerLeaves failed before and passes. Tests of scheduler and owner, vet and staticcheck pass.

--- a/internal/job/scheduler/replaced_test.go
+++ b/internal/job/scheduler/replaced_test.go
@@ -281,3 +281,17 @@
 		})
 	}
 }
+
+// TestReplacedWorkerLeaves guards against a record that names a replaced worker after it has
+// left the list: the next owner has no address of it, and waits for its lease.
+func TestReplacedWorkerLeaves(t *testing.T) {
+	f := newReplacedFixture(t)
+	f.list(replacedListings(sharedAddress))
+	f.reportReplacement(f.now, false)
+	f.now = f.now.Add(replacedLease)
+	f.core.ConfirmSnapshot(f.core.Snapshot())
+	f.core.SetWorkers(replacedListings(sharedAddress)[1:], f.now)
+	if diff := cmp.Diff(true, f.core.ProgressChanged()); diff != "" {
+		t.Errorf("write is due (-want +got):\n%s", diff)
+	}
+}
--- a/internal/job/scheduler/worker.go
+++ b/internal/job/scheduler/worker.go
@@ -118,6 +118,7 @@
 		if !w.listed && len(w.runs) == 0 && now.After(w.leaseExpiry) && !c.isUnresolved(id) {
 			delete(c.workers, id)
 			c.forgetAddress(w)
+			c.progressChanged = c.progressChanged || c.durableWorkers[id] // the next owner would wait for its lease
 			c.releaseUnknownRuns(w)
 			delete(c.reportingUnknown, id)
 		}
