job/scheduler: TestModel replaces workers at their addresses

A machine's worker crashes for good and one with another id starts at its address, beside all that the model has. Orders and heartbeats for the first one are refused by the second. In the series of owners at the end, tasks of a replaced worker have to run again after a report of the other one instead of after a lease. In a simulation with replaced workers tasks may wait longer in the calm phase: a start without an answer there waits for the longest lease.

--- a/internal/job/scheduler/calm_test.go
+++ b/internal/job/scheduler/calm_test.go
@@ -13,6 +13,9 @@
 	simRoundTrip  = 100 * time.Millisecond
 	simSettleTime = 4 * time.Second // in which tasks may still wait after the last disruption
 	simMaxWait    = 3 * time.Second // of a long-running task for which a worker has room, from then on
+	// simReplacedSettleTime is simSettleTime with workers that others have replaced: a start there
+	// that has no answer is waited for until the longest lease has expired.
+	simReplacedSettleTime = simMaxDisconnected + simLeaseLength*1025/1000 + simMaxLease*105/100 + maxAnswerWait
 )
 
 func (sim *simulation) isLongRunning(task graph.Task) bool {
@@ -35,7 +38,7 @@
 		return
 	}
 	sim.endDisruptions()
-	settled := sim.now.Add(simSettleTime)
+	settled := sim.now.Add(sim.settleTime())
 	waits := map[graph.Task]time.Duration{}
 	for sim.now.Before(settled) || len(waits) > 0 {
 		sim.calmRound()
@@ -53,6 +56,15 @@
 	sim.checkLostWorker()
 }
 
+// settleTime returns the time in which tasks may still wait after the last disruption.
+func (sim *simulation) settleTime() time.Duration {
+	replaced := func(id unit.InstanceID) bool { return sim.workers[id].successor != nil }
+	if slices.ContainsFunc(sim.workerIDs(), replaced) {
+		return simReplacedSettleTime
+	}
+	return simSettleTime
+}
+
 // endDisruptions lists and reconnects all workers and delivers all orders and reports
 // that are under way. The late ones get no answer.
 func (sim *simulation) endDisruptions() {
@@ -60,8 +72,8 @@
 		s := sim.workers[id]
 		s.reconnect()
 		s.draining = false
-		s.listed = true
-		if s.dark {
+		s.listed = s.successor == nil
+		if s.dark && s.listed {
 			sim.restart(s)
 		}
 	}
@@ -151,7 +163,7 @@
 func (sim *simulation) hasRoomBeside(lost *simWorker, task graph.Task) bool {
 	needs := sim.jobs[task.Job].Steps[task.Step].Needs
 	return slices.ContainsFunc(sim.workerIDs(), func(id unit.InstanceID) bool {
-		return sim.workers[id] != lost && needs.Fits(newListing(id).Capacity.Sub(sim.used(sim.workers[id])))
+		return sim.workers[id] != lost && sim.workers[id].successor == nil && needs.Fits(newListing(id).Capacity.Sub(sim.used(sim.workers[id])))
 	})
 }
 
--- a/internal/job/scheduler/model_owner_test.go
+++ b/internal/job/scheduler/model_owner_test.go
@@ -328,6 +328,11 @@
 		sim.delayedReports = append(sim.delayedReports, delayedReport{worker: s.id, epoch: o.epoch, sentAt: sim.now, report: Report{RequestedAt: now}, lost: true})
 		return
 	}
+	if s.successor != nil { // which refuses it
+		client.missed = true
+		o.core.AnswerSettled(s.id, now)
+		return
+	}
 	s.highestEpoch = o.epoch
 	if renewed {
 		lease := simLeaseLength
--- a/internal/job/scheduler/model_series_test.go
+++ b/internal/job/scheduler/model_series_test.go
@@ -54,6 +54,9 @@
 		kill: rapid.IntRange(0, 2).Draw(sim.t, "kill") == 0,
 	}
 	sim.lose(lost)
+	if lost.successor != nil {
+		s.latest = sim.now.Add(2 * simSeriesRound) // its report shows that the lost one has ended
+	}
 	for sim.now.Before(s.latest.Add(2 * simSeriesSlack)) {
 		s.round()
 		s.changeOwner()
@@ -66,13 +69,16 @@
 	return slices.DeleteFunc(sortedTasks(s.runs), func(t graph.Task) bool { return !sim.isLongRunning(t) || sim.durableFinal[t.Job] != 0 })
 }
 
-// lose makes a worker unreachable for good, in one of three ways.
+// lose makes a worker unreachable for good, in one of four ways.
 func (sim *simulation) lose(s *simWorker) {
-	switch rapid.IntRange(0, 2).Draw(sim.t, "how") {
+	switch rapid.IntRange(0, 3).Draw(sim.t, "how") {
 	case 0:
 		s.partitioned = true
 	case 1:
 		s.silent = true
+	case 2:
+		sim.replace(s)
+		sim.readList()
 	default:
 		s.dark = true
 		s.dropRuns()
--- a/internal/job/scheduler/model_test.go
+++ b/internal/job/scheduler/model_test.go
@@ -83,17 +83,14 @@
 		starts: map[graph.Task]int{},
 	}
 	for i := range 3 {
-		id := unit.InstanceID(fmt.Sprintf("w%d", i))
-		sim.workers[id] = &simWorker{
-			id: id, incarnation: Incarnation(startTime.Add(-time.Hour).UnixMilli()), listed: true, clockSlowdown: 1 + float64(i)/100,
-			runs: map[graph.Task]graph.RunNumber{}, highestEnded: map[graph.Task]graph.RunNumber{},
-		}
+		s := newSimWorker(i, fmt.Sprintf("10.0.0.%d:8400", i), Incarnation(startTime.Add(-time.Hour).UnixMilli()))
+		sim.workers[s.id] = s
 	}
 	sim.takeOver()
 	return sim
 }
 
-// workerIDs returns the ids of the workers, which stay the same.
+// workerIDs returns the ids of the workers, also of those that others have replaced.
 func (sim *simulation) workerIDs() []unit.InstanceID {
 	if sim.sortedIDs == nil {
 		sim.sortedIDs = slices.Sorted(maps.Keys(sim.workers))
@@ -126,8 +123,7 @@
 	var list []Listing
 	for _, id := range sim.workerIDs() {
 		if s := sim.workers[id]; s.listed {
-			l := newListing(id)
-			l.Incarnation = s.listedIncarnation(sim.now)
+			l := newAddressedListing(id, s.address, s.listedIncarnation(sim.now))
 			l.Draining = s.draining
 			list = append(list, l)
 		}
@@ -217,13 +213,13 @@
 // its tasks have ended as done. Orders wait in the queue of their owner before they are
 // sent, and are delayed, reordered, repeated and lost; reports are delayed, reordered and
 // lost; writes are rejected, or executed without an answer, at once or late; workers are
-// partitioned, drain, fall silent, lose power, restart and leave the instance list, which shows a
-// restart late; owners are replaced at any time, with and without a hand-over, and without one
+// partitioned, drain, fall silent, lose power, restart, are replaced by others at their addresses
+// and leave the instance list, which shows a restart late; owners are replaced at any time, with and without a hand-over, and without one
 // they may give orders and renew leases for some time after the claim; their clocks differ,
 // and some are of an earlier release; the members of a gang end together; ended jobs are
 // removed. At the end all workers answer, and no long-running task may wait on. Then a worker
 // is lost while owners hand over in series, and none of its tasks may wait for longer than its
-// lease.
+// lease, or than a report of the worker that has replaced it.
 func TestModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation(t)
@@ -270,13 +266,14 @@
 			},
 			"list": func(*rapid.T) {
 				s := sim.pickWorker()
-				s.listed = !s.listed || !sim.rarely()
+				s.listed = !s.listed && s.successor == nil || s.listed && !sim.rarely()
 				sim.readList()
 			},
 			"drain":        func(*rapid.T) { sim.drain() },
 			"fall silent":  func(*rapid.T) { s := sim.pickWorker(); s.silent = !s.silent && sim.rarely() },
 			"lose power":   func(*rapid.T) { sim.cutPower() },
 			"restart":      func(*rapid.T) { sim.restartWorker() },
+			"replace":      func(*rapid.T) { sim.replaceWorker() },
 			"cancel":       func(*rapid.T) { sim.cancelJob() },
 			"reject write": func(*rapid.T) { sim.writeProgress(writeRejected) },
 			"takeover": func(t *rapid.T) {
--- a/internal/job/scheduler/model_worker_test.go
+++ b/internal/job/scheduler/model_worker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -15,6 +16,8 @@
 // simWorker is a simulated worker.
 type simWorker struct {
 	id            unit.InstanceID
+	address       string
+	successor     *simWorker // with another id at its address; nil: none
 	incarnation   Incarnation
 	formerly      Incarnation // the one before, which the instance list shows until shownAt
 	shownAt       time.Time
@@ -34,8 +37,12 @@
 	lapses        int // number of times that its lease has expired
 }
 
-// reachableBy reports whether the worker gets what the owner with the given epoch sends.
+// reachableBy reports whether what the owner with the given epoch sends to the worker arrives
+// there, or at its successor, which refuses it.
 func (s *simWorker) reachableBy(epoch unit.Epoch) bool {
+	if s.successor != nil {
+		return s.successor.reachableBy(epoch)
+	}
 	return !s.partitioned && !s.dark && (s.cutFrom == 0 || epoch < s.cutFrom)
 }
 
@@ -153,6 +160,9 @@
 // the id of its worker, so that any incarnation executes it.
 func (sim *simulation) deliver(f inFlightOrder) Outcome {
 	s := sim.workers[f.order.Worker]
+	if s.successor != nil {
+		return OutcomeOtherIncarnation
+	}
 	if f.epoch < s.highestEpoch {
 		return OutcomeFenced
 	}
@@ -283,7 +293,7 @@
 // restartWorker restarts a random worker.
 func (sim *simulation) restartWorker() {
 	s := sim.pickWorker()
-	if rapid.IntRange(0, 4).Draw(sim.t, "really") == 0 {
+	if rapid.IntRange(0, 4).Draw(sim.t, "really") == 0 && s.successor == nil {
 		sim.restart(s)
 	}
 }
@@ -307,10 +317,63 @@
 	s.dropRuns()
 }
 
+// maxSimWorkers bounds the workers of a simulation, with those that others have replaced.
+const maxSimWorkers = 6
+
+// replaceWorker replaces a random worker, whose last report may still be on its way. The owner
+// may see the other one at once, and start tasks there.
+func (sim *simulation) replaceWorker() {
+	s := sim.pickWorker()
+	if s.successor != nil || len(sim.workers) >= maxSimWorkers || !sim.rarely() {
+		return
+	}
+	if rapid.Bool().Draw(sim.t, "report on its way") {
+		sim.heartbeat(s, false)
+	}
+	sim.replace(s)
+	if rapid.Bool().Draw(sim.t, "seen at once") {
+		sim.readList()
+		sim.serve()
+		sim.settleReportsOf(s)
+		sim.tick()
+		sim.queueOrders()
+		sim.sendAll()
+	}
+}
+
+// settleReportsOf passes the delayed reports of a worker to the core.
+func (sim *simulation) settleReportsOf(s *simWorker) {
+	sim.delayedReports = slices.DeleteFunc(sim.delayedReports, func(d delayedReport) bool {
+		if d.worker == s.id {
+			sim.settle(d, d.lost)
+		}
+		return d.worker == s.id
+	})
+}
+
+// replace lets a worker crash for good, and starts one with another id at its address. The
+// instance list shows the crashed one until it is removed there.
+func (sim *simulation) replace(s *simWorker) {
+	s.dark = true
+	s.dropRuns()
+	n := len(sim.workers)
+	s.successor = newSimWorker(n, s.address, max(s.incarnation+1, Incarnation(sim.now.UnixMilli())))
+	sim.workers[s.successor.id], sim.sortedIDs = s.successor, nil
+}
+
+// newSimWorker returns a worker that is listed and on which nothing runs.
+func newSimWorker(n int, address string, incarnation Incarnation) *simWorker {
+	return &simWorker{
+		id: unit.InstanceID(fmt.Sprintf("w%d", n)), address: address, incarnation: incarnation, listed: true, clockSlowdown: 1 + float64(n)/100,
+		runs: map[graph.Task]graph.RunNumber{}, highestEnded: map[graph.Task]graph.RunNumber{},
+	}
+}
+
 // cutPower lets a worker lose its power, or restarts one without power.
 func (sim *simulation) cutPower() {
 	s := sim.pickWorker()
 	switch {
+	case s.successor != nil:
 	case s.dark:
 		sim.restart(s)
 	case sim.rarely():
