--- a/internal/job/owner/handover.go
+++ b/internal/job/owner/handover.go
@@ -12,8 +12,8 @@
 
 // HandOver writes the progress to the store and resigns ownership for the rest of
 // the process, so that another entry can claim the shard without waiting for a
-// lease to expire. While the store answers no entry, the owner goes on as before and waits
-// for it until the context ends.
+// lease to expire. While the store answers no entry, the owner goes on with starts and
+// renewals until the first attempt, and waits for the store until the context ends.
 func (s *Service) HandOver(ctx context.Context) {
 	s.mu.Lock()
 	sh := s.ofTerm
--- a/internal/job/scheduler/job.go
+++ b/internal/job/scheduler/job.go
@@ -72,7 +72,7 @@
 	turnRetryAt       time.Time                        // before which it gets no turn
 	reserved          []*worker                        // reserved for it
 	reserveRetryAt    time.Time                        // before which no worker is reserved for it
-	reserveDelay      time.Duration                    // from the last attempt to reserve one to the next
+	reserveAttempts   int                              // to reserve one since the last that did
 	slowSpeed         float64                          // accepted instead of minSpeed if slowStart is set
 	slowStart         bool                             // no worker offers minSpeed, also without other best-effort tasks
 	idleSince         time.Time                        // when its last run ended or its turn came; see idleFor
--- a/internal/job/scheduler/reservation.go
+++ b/internal/job/scheduler/reservation.go
@@ -20,8 +20,9 @@
 	maxReservation = 10 * time.Second
 	// A reservation is tried again for a step that got none after minReservationRetry, and after
 	// twice the time before for each further attempt, up to maxReservationRetry.
-	minReservationRetry = 250 * time.Millisecond
-	maxReservationRetry = 8 * time.Second
+	minReservationRetry     = 250 * time.Millisecond
+	maxReservationRetry     = 8 * time.Second
+	maxReservationDoublings = 5
 	// maxReservationAttempts bounds the attempts to reserve workers in one pass, each of which
 	// goes over all workers.
 	maxReservationAttempts = 2
@@ -98,8 +99,8 @@
 	if len(s.reserved) > 0 || !c.mayReserve(s, now) || (now.Before(s.reserveRetryAt) && !s.inTurn) || c.reservations.attempts >= maxReservationAttempts {
 		return
 	}
-	s.reserveDelay = min(max(2*s.reserveDelay, minReservationRetry), maxReservationRetry)
-	s.reserveRetryAt = now.Add(s.reserveDelay)
+	s.reserveRetryAt = now.Add(min(minReservationRetry<<min(s.reserveAttempts, maxReservationDoublings), maxReservationRetry))
+	s.reserveAttempts++
 	if !c.couldStart(s, now) {
 		return
 	}
@@ -131,7 +132,7 @@
 
 func (c *Core) reserveWorker(w *worker, s *step, now time.Time) {
 	c.releaseReservation(w)
-	s.reserveDelay = 0
+	s.reserveAttempts = 0
 	w.reservedFor, w.reservedUntil, w.reservedFromLate = s, now.Add(maxReservation), !s.inTurn && s.isLate(now)
 	s.reserved = append(s.reserved, w)
 	c.reservations.workers = append(c.reservations.workers, w)
