--- a/internal/job/scheduler/turnshare_test.go
+++ b/internal/job/scheduler/turnshare_test.go
@@ -9,66 +9,45 @@
 	"github.com/monsoonfold/monsoonfold/internal/job/graph"
 )
 
-// TestTurnBehindImpossibleSteps guards against steps that fit on no worker and use up each turn,
-// so that a starved step that could start never gets one.
+// TestTurnBehindImpossibleSteps guards against steps that fit on no worker and use up the turns,
+// or the attempts to reserve workers, so that a wide step that could start never does.
 func TestTurnBehindImpossibleSteps(t *testing.T) {
-	for _, impossible := range []int{0, 5, 40} {
-		t.Run(fmt.Sprintf("%d impossible", impossible), func(t *testing.T) {
-			f := newBusyFleet(t, 4)
-			for i := range impossible {
-				job := newJob(unit.JobID(fmt.Sprintf("impossible%d", i)), graph.Step{Count: 1, Needs: unit.Resources{Cores: 90000, Memory: 1 << 30}, Estimate: time.Second})
-				job.Accepted = f.now
-				f.core.AddJob(job, 0, true, f.now)
-			}
-			narrow := graph.Step{Count: 1, Needs: unit.Resources{Cores: 4000, Memory: 1 << 30}, Estimate: fillingStep(1, 1).Estimate}
-			pass := func() {
-				for f.timely() < 20 {
-					f.arrive(narrow)
-				}
-				f.step()
-			}
-			for range 20 {
-				pass()
-			}
-			wide := narrow
-			wide.Needs.Cores = 60000
-			job := newJob("waiting", wide)
-			job.Accepted = f.now
-			since := f.now
-			f.core.AddJob(job, 0, true, f.now)
-			for f.starts["waiting"] == 0 && f.now.Sub(since) < 4*maxTurnWait {
-				pass()
-			}
-			if wait := f.now.Sub(since); f.starts["waiting"] == 0 || wait > maxTurnWait {
-				t.Errorf("%d tasks have started after %s, want 1 within %s", f.starts["waiting"], wait, maxTurnWait)
-			}
-		})
+	reserved := func(cores unit.Millicores) graph.Step {
+		return graph.Step{Count: 1, Needs: unit.Resources{Cores: cores, Memory: 1 << 30}, Estimate: time.Second}
 	}
-}
-
-// TestReservationBehindImpossibleSteps guards against best-effort steps that fit on no worker
-// and use up the attempts to reserve one, so that a wide step that could start never does.
-func TestReservationBehindImpossibleSteps(t *testing.T) {
-	for _, impossible := range []int{0, 10, 60} {
-		t.Run(fmt.Sprintf("%d impossible", impossible), func(t *testing.T) {
+	tooLarge := fillingStep(1, 4000)
+	tooLarge.Needs.Memory = 1 << 50
+	tests := []struct {
+		name           string
+		impossible     graph.Step
+		jobs           int
+		arriving, step graph.Step
+	}{
+		{"none", reserved(90000), 0, reserved(4000), reserved(60000)},
+		{"some", reserved(90000), 5, reserved(4000), reserved(60000)},
+		{"many", reserved(90000), 40, reserved(4000), reserved(60000)},
+		{"none, fills", tooLarge, 0, fillingStep(1, 4000), fillingStep(1, 40000)},
+		{"some, fills", tooLarge, 10, fillingStep(1, 4000), fillingStep(1, 40000)},
+		{"many, fills", tooLarge, 60, fillingStep(1, 4000), fillingStep(1, 40000)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			f := newBusyFleet(t, 4)
-			for i := range impossible {
-				s := fillingStep(1, 4000)
-				s.Needs.Memory = 1 << 50
-				job := newJob(unit.JobID(fmt.Sprintf("impossible%d", i)), s)
+			for i := range tt.jobs {
+				job := newJob(unit.JobID(fmt.Sprintf("impossible%d", i)), tt.impossible)
 				job.Accepted = f.now
 				f.core.AddJob(job, 0, true, f.now)
 			}
 			pass := func() {
 				for f.timely() < 20 {
-					f.arrive(fillingStep(1, 4000))
+					f.arrive(tt.arriving)
 				}
 				f.step()
 			}
 			for range 20 {
 				pass()
 			}
-			job := newJob("waiting", fillingStep(1, 40000))
+			job := newJob("waiting", tt.step)
 			job.Accepted = f.now
 			since := f.now
 			f.core.AddJob(job, 0, true, f.now)
